Set down the four layers, the core types and the lock order

Cause: the repository was empty. The layers, the shared tables and their lock ranks have to stand before parts are written against them.

Conclusion: other parts can be built in parallel against these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Developer targets. CONTRIBUTING.md explains them.
+
+GOLANGCI_LINT_VERSION := v2.15.0
+GOBIN := $(shell go env GOPATH)/bin
+LINT := $(GOBIN)/golangci-lint
+SEED ?= 1
+
+.PHONY: build test check fmt lint
+
+build:
+	go build -o bin/ ./cmd/...
+
+# All tests, with the lock order checked and the race detector on.
+test:
+	go test -race -tags lockcheck -timeout 10m ./...
+
+# Formatter, linter, vet and module checks.
+check: $(LINT)
+	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go vet -tags lockcheck ./...
+	go mod verify
+	$(LINT) run ./...
+
+fmt:
+	gofmt -w cmd internal
+
+$(LINT):
+	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
--- /dev/null
+++ b/internal/state/document/document.go
@@ -0,0 +1,48 @@
+// Package document holds the environment document in force.
+package document
+
+import (
+	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// Table holds one document. mu has lock.RankDocument and guards current and
+// changed. Invariant: the generation never falls.
+type Table struct {
+	mu      lock.Mutex
+	current *model.Document
+	changed chan struct{}
+}
+
+// NewTable returns a table without a document.
+func NewTable() *Table {
+	return &Table{mu: lock.New(lock.RankDocument), changed: make(chan struct{})}
+}
+
+// Apply puts the document in force if its generation is higher than the
+// current one, and reports whether it did. The caller no longer changes d.
+func (t *Table) Apply(d *model.Document) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.current != nil && d.Generation <= t.current.Generation {
+		return false
+	}
+	t.current = d
+	close(t.changed)
+	t.changed = make(chan struct{})
+	return true
+}
+
+// Current returns the document in force, or nil. It must not be changed.
+func (t *Table) Current() *model.Document {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current
+}
+
+// Changed returns a channel that is closed at the next change.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
--- /dev/null
+++ b/internal/state/generation/generation.go
@@ -0,0 +1,263 @@
+// Package generation holds the table of generations in flight and their token
+// logs. The relay writes; caller connections read through a Cursor.
+package generation
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+const shardCount = 32 // keeps lock contention low at 1,000 and more streams
+
+// Fork is a point at which a line left its parent.
+type Fork struct {
+	Line     model.LineID // parent line
+	Position int          // tokens that both lines share
+}
+
+// Attempt is the current run of a generation on an engine.
+type Attempt struct {
+	Number   int
+	Stream   model.StreamID
+	Upstream model.UpstreamID
+	Version  string
+	First    int // position of the first token that this attempt produces
+	Started  time.Time
+	LastSeen time.Time     // arrival of the last token, or Started
+	Interval time.Duration // smoothed time between tokens; zero before the second
+	Expected time.Duration // estimated time to the first token
+	Attached bool          // joined a running stream, nothing is recomputed
+}
+
+// End is the last state of a generation.
+type End struct {
+	FinishReason string         // "stop" or "length"; empty for a refusal
+	Refusal      *model.Refusal // nil for a whole answer
+}
+
+// Record is the state of one generation. Table hands out copies that share
+// the token slice; tokens are only appended, never changed.
+type Record struct {
+	Spec      model.GenerationSpec
+	Line      model.LineID
+	Forks     []Fork // ancestors, nearest first
+	Tokens    []string
+	HoldBack  bool // show only copied tokens
+	Copied    int  // tokens known to be held by the copy holder
+	Shown     int  // tokens handed to the caller, at most
+	Attempt   Attempt
+	Resumes   int
+	Created   time.Time
+	CopyAfter time.Time // earliest time for token copies; zero means never
+	End       *End
+}
+
+// Visible returns the number of tokens that may be shown to the caller.
+func (r *Record) Visible() int {
+	if r.HoldBack && r.Copied < len(r.Tokens) {
+		return r.Copied
+	}
+	return len(r.Tokens)
+}
+
+// Holds reports whether position p of the given line is part of this record's
+// line: it is the line itself or an ancestor that forked at or after p.
+func (r *Record) Holds(line model.LineID, p int) bool {
+	if line == r.Line {
+		return p <= len(r.Tokens)
+	}
+	shared := len(r.Tokens)
+	for _, f := range r.Forks {
+		shared = min(shared, f.Position)
+		if f.Line == line {
+			return p <= shared
+		}
+	}
+	return false
+}
+
+// entry is a record and the channel that is closed at its next change.
+type entry struct {
+	record  Record
+	changed chan struct{}
+}
+
+// shard is one part of the table. mu has lock.RankGeneration and guards
+// entries. No goroutine holds two shards.
+type shard struct {
+	mu      lock.Mutex
+	entries map[model.RequestID]*entry
+}
+
+// Table holds the generations in flight, owned or copied.
+type Table struct {
+	shards [shardCount]shard
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	t := &Table{}
+	for i := range t.shards {
+		t.shards[i].mu = lock.New(lock.RankGeneration)
+		t.shards[i].entries = map[model.RequestID]*entry{}
+	}
+	return t
+}
+
+func (t *Table) shard(id model.RequestID) *shard {
+	return &t.shards[xxhash.Sum64String(string(id))%shardCount]
+}
+
+// Insert adds a record. It reports false if the request is already present.
+func (t *Table) Insert(r Record) bool {
+	s := t.shard(r.Spec.Request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.entries[r.Spec.Request]; ok {
+		return false
+	}
+	s.entries[r.Spec.Request] = &entry{record: r, changed: make(chan struct{})}
+	return true
+}
+
+// Get returns a copy of the record.
+func (t *Table) Get(id model.RequestID) (Record, bool) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok {
+		return Record{}, false
+	}
+	return e.record, true
+}
+
+// Update changes the record in place under the table's lock and wakes its
+// readers. change must not block or call out.
+func (t *Table) Update(id model.RequestID, change func(*Record)) bool {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok {
+		return false
+	}
+	change(&e.record)
+	close(e.changed)
+	e.changed = make(chan struct{})
+	return true
+}
+
+// Remove deletes the record and wakes its readers.
+func (t *Table) Remove(id model.RequestID) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[id]; ok {
+		close(e.changed)
+		delete(s.entries, id)
+	}
+}
+
+// Each calls visit with a copy of each record, without holding a lock.
+func (t *Table) Each(visit func(Record)) {
+	for i := range t.shards {
+		for _, r := range t.shards[i].snapshot() {
+			visit(r)
+		}
+	}
+}
+
+func (s *shard) snapshot() []Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records := make([]Record, 0, len(s.entries))
+	for _, e := range s.entries {
+		records = append(records, e.record)
+	}
+	return records
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int {
+	n := 0
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		n += len(s.entries)
+		s.mu.Unlock()
+	}
+	return n
+}
+
+// Cursor reads one generation's log from a position.
+type Cursor struct {
+	table    *Table
+	request  model.RequestID
+	position int
+}
+
+// Read returns a cursor that starts after the given number of tokens.
+func (t *Table) Read(id model.RequestID, position int) *Cursor {
+	return &Cursor{table: t, request: id, position: position}
+}
+
+// Batch is what a cursor returns: tokens, or the end, or neither after the
+// record was removed.
+type Batch struct {
+	Line   model.LineID
+	First  int // position of Tokens[0]
+	Tokens []string
+	End    *End
+	Gone   bool // the record was removed
+}
+
+// Next waits for tokens after the cursor's position or for the end.
+func (c *Cursor) Next(ctx context.Context) (Batch, error) {
+	for {
+		batch, changed := c.poll()
+		if changed == nil {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+// poll returns a batch, or the channel to wait on when there is none yet.
+func (c *Cursor) poll() (Batch, <-chan struct{}) {
+	s := c.table.shard(c.request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[c.request]
+	if !ok {
+		return Batch{Gone: true}, nil
+	}
+	r := &e.record
+	batch := Batch{Line: r.Line, First: c.position}
+	visible := r.Visible()
+	if r.End != nil {
+		visible = len(r.Tokens)
+	}
+	if c.position < visible {
+		batch.Tokens = slices.Clip(r.Tokens[c.position:visible])
+		c.position = visible
+		r.Shown = max(r.Shown, visible)
+	}
+	if r.End != nil && c.position >= len(r.Tokens) {
+		batch.End = r.End
+		return batch, nil
+	}
+	if len(batch.Tokens) == 0 {
+		return batch, e.changed
+	}
+	return batch, nil
+}
--- /dev/null
+++ b/internal/state/lock/unchecked.go
@@ -0,0 +1,7 @@
+//go:build !lockcheck
+
+package lock
+
+func acquire(Rank) {}
+
+func release(Rank) {}
--- /dev/null
+++ b/internal/state/model/model.go
@@ -0,0 +1,207 @@
+// Package model holds the core types that all layers share. The types carry
+// no encoding tags: the protocol layer encodes them.
+package model
+
+import "time"
+
+// Identifiers of the parts of a deployment.
+type (
+	// InstanceID names a machine of the system.
+	InstanceID string
+	// UpstreamID names a back end.
+	UpstreamID string
+	// FailureDomain names a zone whose machines can fail together.
+	FailureDomain string
+	// OrganisationID names a customer.
+	OrganisationID string
+	// RequestID names a caller's request: "<instance>-<128 random bits>".
+	RequestID string
+	// LineID names a line of continuation of a generation.
+	LineID string
+	// StreamID names one attempt's stream on an engine:
+	// "<request>.<line>.<attempt>".
+	StreamID string
+)
+
+// Document is the environment document in force.
+type Document struct {
+	Environment   string
+	Generation    uint64 // rises by one for each accepted document
+	Hash          string // hex SHA-256 of the document's source
+	Organisations []Organisation
+	Models        []Model
+	Services      []Service
+	Upstreams     []Upstream
+	// RequireCredential refuses callers without an organisation's credential.
+	RequireCredential bool
+}
+
+// Organisation is a customer with its share of the capacity.
+type Organisation struct {
+	ID               OrganisationID
+	Weight           int    // relative share, at least 1
+	MaxInFlight      int    // concurrent requests for each instance; 0 means no limit
+	CredentialSHA256 string // hex SHA-256 of the bearer token; empty means none
+}
+
+// VersionPlan says which version takes the traffic, and by when.
+type VersionPlan struct {
+	Target   string    // version that shall take all traffic
+	Previous string    // version that has it now; empty means no move
+	FinishBy time.Time // time by which the move ends
+}
+
+// Model is a language model that engines serve.
+type Model struct {
+	Name     string
+	Plan     VersionPlan
+	MaxQueue int // waiting requests for each instance
+}
+
+// Service is a plain service that upstreams serve.
+type Service struct {
+	Name   string
+	Plan   VersionPlan
+	Routes []Route
+}
+
+// Route is one path of a service.
+type Route struct {
+	Method     string
+	Path       string
+	Idempotent bool
+	Timeout    time.Duration
+}
+
+// UpstreamKind tells engines from plain services.
+type UpstreamKind string
+
+// Kinds of upstreams.
+const (
+	KindEngine  UpstreamKind = "engine"
+	KindService UpstreamKind = "service"
+)
+
+// FencingMode says what an upstream does with an order's fencing number.
+type FencingMode string
+
+// Fencing modes.
+const (
+	FencingHonoured FencingMode = "honoured" // refuses orders with an old number
+	FencingIgnored  FencingMode = "ignored"  // runs any order
+)
+
+// Upstream is a back end: an engine or one process of a plain service.
+type Upstream struct {
+	ID            UpstreamID
+	Kind          UpstreamKind
+	Address       string // IP:port
+	Region        string
+	FailureDomain FailureDomain
+	Serves        string // name of the model or service
+	Version       string
+	Fencing       FencingMode
+}
+
+// InstanceState is what is known of an instance.
+type InstanceState string
+
+// Instance states, in the order in which one overrides another within the
+// same incarnation.
+const (
+	InstanceLive      InstanceState = "live"
+	InstanceSuspected InstanceState = "suspected"
+	InstanceLeaving   InstanceState = "leaving"
+	InstanceDead      InstanceState = "dead"
+)
+
+// Instance is a machine of the system, with an entry and a control process.
+type Instance struct {
+	ID             InstanceID
+	Incarnation    uint64 // start time in Unix nanoseconds; raised to refute a suspicion
+	Region         string
+	FailureDomain  FailureDomain
+	CallerAddress  string // IP:port that callers use
+	EntryAddress   string // UDP IP:port of entryd's QUIC listener
+	ControlAddress string // UDP IP:port of controld's QUIC listener
+	State          InstanceState
+}
+
+// VersionKey names one version of one model or service.
+type VersionKey struct {
+	Serves  string
+	Version string
+}
+
+// Stop bars a version from new work under one epoch of its move.
+type Stop struct {
+	Key    VersionKey
+	Epoch  uint64
+	Reason string
+	By     InstanceID
+}
+
+// Share is the part of new work that the target version of a move receives.
+type Share struct {
+	Serves   string
+	Target   string
+	Previous string
+	Epoch    uint64  // a Stop of an older epoch no longer applies
+	Share    float64 // 0 to 1
+	Revision uint64  // rises with each change; a lower revision is ignored
+}
+
+// Priority orders waiting generations. A lower value goes first.
+type Priority int
+
+// Priorities.
+const (
+	PriorityResume Priority = iota
+	PriorityInteractive
+	PriorityBatch
+)
+
+// Sampling holds the settings that decide which tokens an engine produces.
+type Sampling struct {
+	Temperature float64
+	TopP        float64
+	Seed        int64
+	MaxTokens   int
+	Stop        []string
+}
+
+// GenerationSpec is a caller's request for a generation.
+type GenerationSpec struct {
+	Request      RequestID
+	Organisation OrganisationID
+	Model        string
+	Adapter      string
+	Prompt       string
+	Sampling     Sampling
+	Priority     Priority
+	Deadline     time.Time // zero means none
+	TraceParent  string    // W3C trace context of the caller's span
+}
+
+// Outcome says what is known of a refused or failed request's effect.
+type Outcome string
+
+// Outcomes.
+const (
+	OutcomeNotRun  Outcome = "not_run" // no byte was handed to an upstream
+	OutcomeDone    Outcome = "done"
+	OutcomeUnknown Outcome = "unknown"
+)
+
+// Refusal tells a caller why there is no (further) answer.
+type Refusal struct {
+	Code       string // stable, snake_case
+	Message    string
+	Outcome    Outcome
+	RetryAfter time.Duration // zero when waiting does not help
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return r.Code + ": " + r.Message
+}
--- /dev/null
+++ b/internal/state/upstream/upstream.go
@@ -0,0 +1,201 @@
+// Package upstream holds the table of upstreams: their health, their reported
+// load and the work that this instance has in flight on them.
+package upstream
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// Health is what is known of an upstream's ability to take work.
+type Health string
+
+// Health states.
+const (
+	HealthUnknown Health = "unknown"
+	HealthUp      Health = "up"
+	HealthDown    Health = "down"
+	HealthLeaving Health = "leaving" // final for one incarnation
+)
+
+// Report is a watcher's or an upstream's own account. Reports with a lower
+// (Incarnation, Sequence) than the stored one are ignored.
+type Report struct {
+	Upstream    model.UpstreamID
+	Incarnation uint64 // changes when the upstream restarts
+	Sequence    uint64 // rises with each report of one incarnation
+	Health      Health
+	Running     int           // generations that decode now
+	Waiting     int           // generations that wait on the engine
+	TokenTime   time.Duration // time between tokens of one stream; zero means unknown
+	PrefillRate float64       // prompt bytes/s; zero means unknown
+	At          time.Time     // when the load was true, by the watcher's clock
+}
+
+// Row is the state of one upstream.
+type Row struct {
+	Upstream  model.Upstream
+	Report    Report
+	InFlight  int       // this instance's requests
+	Sent      int       // this instance's requests since Report
+	DownUntil time.Time // a local connection failure keeps new work away until then
+	Failures  int       // consecutive local connection failures
+}
+
+// Table maps upstream IDs to rows. mu has lock.RankUpstream and guards rows.
+//
+// Invariants: an upstream that left stays out until a higher incarnation is
+// reported; InFlight equals the number of Acquire calls less Release calls.
+type Table struct {
+	mu   lock.Mutex
+	rows map[model.UpstreamID]*Row
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{mu: lock.New(lock.RankUpstream), rows: map[model.UpstreamID]*Row{}}
+}
+
+// Configure makes the rows match the document's upstreams. State of kept
+// upstreams stays; an upstream with work in flight that was dropped from the
+// document stays as leaving until its work is done.
+func (t *Table) Configure(upstreams []model.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kept := make(map[model.UpstreamID]bool, len(upstreams))
+	for _, u := range upstreams {
+		kept[u.ID] = true
+		if row, ok := t.rows[u.ID]; ok {
+			row.Upstream = u
+			continue
+		}
+		t.rows[u.ID] = &Row{Upstream: u, Report: Report{Upstream: u.ID, Health: HealthUnknown}}
+	}
+	for id, row := range t.rows {
+		if kept[id] {
+			continue
+		}
+		if row.InFlight == 0 {
+			delete(t.rows, id)
+			continue
+		}
+		row.Report.Health = HealthLeaving
+	}
+}
+
+// Apply stores a report unless a newer one is known, and reports a change of
+// health or load.
+func (t *Table) Apply(r Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[r.Upstream]
+	if !ok {
+		return false
+	}
+	old := row.Report
+	if r.Incarnation < old.Incarnation || (r.Incarnation == old.Incarnation && r.Sequence <= old.Sequence) {
+		return false
+	}
+	if r.Incarnation == old.Incarnation && old.Health == HealthLeaving {
+		r.Health = HealthLeaving
+	}
+	row.Report = r
+	row.Sent = 0
+	if r.Health == HealthUp && r.Incarnation > old.Incarnation {
+		row.DownUntil = time.Time{}
+		row.Failures = 0
+	}
+	return true
+}
+
+// Leave marks an upstream as leaving for its current incarnation.
+func (t *Table) Leave(id model.UpstreamID) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[id]
+	if !ok || row.Report.Health == HealthLeaving {
+		return false
+	}
+	row.Report.Health = HealthLeaving
+	return true
+}
+
+// Acquire counts one request in flight.
+func (t *Table) Acquire(id model.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row, ok := t.rows[id]; ok {
+		row.InFlight++
+		row.Sent++
+	}
+}
+
+// Release ends one request in flight.
+func (t *Table) Release(id model.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row, ok := t.rows[id]; ok && row.InFlight > 0 {
+		row.InFlight--
+	}
+}
+
+// Failed keeps new work away from an upstream until the given time after a
+// connection failure.
+func (t *Table) Failed(id model.UpstreamID, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row, ok := t.rows[id]; ok {
+		row.Failures++
+		row.DownUntil = until
+	}
+}
+
+// Succeeded clears the mark that Failed left.
+func (t *Table) Succeeded(id model.UpstreamID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if row, ok := t.rows[id]; ok {
+		row.Failures = 0
+		row.DownUntil = time.Time{}
+	}
+}
+
+// Get returns a copy of one row.
+func (t *Table) Get(id model.UpstreamID) (Row, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[id]
+	if !ok {
+		return Row{}, false
+	}
+	return *row, true
+}
+
+// Serving returns the rows that serve the given model or service, sorted by
+// upstream ID. An empty name returns all rows.
+func (t *Table) Serving(name string) []Row {
+	t.mu.Lock()
+	rows := make([]Row, 0, len(t.rows))
+	for _, row := range t.rows {
+		if name == "" || row.Upstream.Serves == name {
+			rows = append(rows, *row)
+		}
+	}
+	t.mu.Unlock()
+	slices.SortFunc(rows, func(a, b Row) int {
+		return strings.Compare(string(a.Upstream.ID), string(b.Upstream.ID))
+	})
+	return rows
+}
+
+// Usable reports whether the row's upstream may take new work.
+func (r Row) Usable(now time.Time) bool {
+	if r.Report.Health == HealthDown || r.Report.Health == HealthLeaving {
+		return false
+	}
+	return !now.Before(r.DownUntil)
+}
