--- /dev/null
+++ b/internal/coordination/relay/events.go
@@ -0,0 +1,212 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// connEvents hands the events of one connection over to the pool.
+type connEvents struct {
+	m      *Manager
+	id     model.RequestID
+	number int // attempt number
+	up     model.Upstream
+	stream model.StreamID
+}
+
+func (m *Manager) events(r generation.Record, up model.Upstream) Events {
+	return &connEvents{m: m, id: r.Spec.Request, number: r.Attempt.Number, up: up, stream: r.Attempt.Stream}
+}
+
+// Tokens implements Events.
+func (e *connEvents) Tokens(stream string, position int, tokens []string) {
+	e.m.opts.Pool.Post(key(e.id), tokensArrived{e, connection{e.number, stream}, position, tokens, time.Now()})
+}
+
+// Ended implements Events.
+func (e *connEvents) Ended(stream string, total int, reason string) {
+	e.m.opts.Pool.Post(key(e.id), streamEnded{e, connection{e.number, stream}, total, reason})
+}
+
+// Lost implements Events.
+func (e *connEvents) Lost(kind Loss, detail string) {
+	e.m.opts.Pool.Post(key(e.id), connectionLost{e, kind, detail})
+}
+
+// tokensArrived brings tokens of one connection.
+type tokensArrived struct {
+	*connEvents
+	from     connection
+	position int
+	tokens   []string
+	at       time.Time
+}
+
+// Run implements worker.Item.
+func (i tokensArrived) Run() {
+	verdict, r := i.apply()
+	switch verdict {
+	case Accepted:
+		i.m.opts.Guard.Progressed(r.Print, len(r.Tokens))
+		i.m.opts.Copier.Accepted(i.id)
+	case Stale:
+		i.cancelStale(r)
+	case Gap:
+		i.m.lose(i.id, i.number, LossGap, "")
+	case Crossed:
+		i.m.lose(i.id, i.number, LossCrossed, i.from.stream)
+	}
+}
+
+// apply appends the tokens that are new and returns the record as it is after.
+func (i tokensArrived) apply() (Verdict, generation.Record) {
+	verdict := Stale
+	var after generation.Record
+	i.m.opts.Generations.Update(i.id, func(r *generation.Record) {
+		var skip int
+		verdict, skip = accept(r.Attempt, len(r.Tokens), i.from, i.position, len(i.tokens))
+		if verdict == Accepted {
+			appendTokens(r, i.tokens[skip:], i.at)
+		}
+		after = *r
+	})
+	return verdict, after
+}
+
+func appendTokens(r *generation.Record, tokens []string, at time.Time) {
+	if len(r.Tokens) > r.Attempt.First {
+		interval := at.Sub(r.Attempt.LastSeen) / time.Duration(len(tokens))
+		r.Attempt.Interval = smooth(r.Attempt.Interval, interval)
+	}
+	if r.FirstAt.IsZero() {
+		r.FirstAt = at
+	}
+	if !r.LostAt.IsZero() {
+		r.Resumed = append(r.Resumed, at.Sub(r.LostAt))
+		r.LostAt = time.Time{}
+	}
+	if len(r.Tokens) == r.Attempt.First {
+		r.Attempt.FirstWait = at.Sub(r.Attempt.Started)
+	}
+	r.Tokens = append(r.Tokens, tokens...)
+	r.Attempt.LastSeen = at
+	r.Failures = 0
+}
+
+// cancelStale ends the stream of an older attempt, unless the current attempt
+// runs on the same stream.
+func (i tokensArrived) cancelStale(r generation.Record) {
+	if r.Attempt.Open && r.Attempt.Stream == i.stream {
+		return
+	}
+	i.m.opts.Engines.Cancel(i.up, i.stream)
+}
+
+// streamEnded brings the end of one connection's stream.
+type streamEnded struct {
+	*connEvents
+	from   connection
+	total  int
+	reason string
+}
+
+// Run implements worker.Item.
+func (i streamEnded) Run() {
+	r, ok := i.m.opts.Generations.Get(i.id)
+	if !ok || r.End != nil {
+		return
+	}
+	switch acceptEnd(r.Attempt, len(r.Tokens), i.from, i.total) {
+	case Duplicate:
+		i.m.complete(r, i.reason)
+	case Gap:
+		i.m.lose(i.id, i.number, LossGap, "wrong token count at the end")
+	case Crossed:
+		i.m.lose(i.id, i.number, LossCrossed, i.from.stream)
+	}
+}
+
+// complete ends the generation with the whole answer.
+func (m *Manager) complete(r generation.Record, reason string) {
+	id := r.Spec.Request
+	m.opts.Generations.Update(id, func(r *generation.Record) { closeRecord(r, "finished", time.Now()) })
+	m.opts.Upstreams.Release(r.Attempt.Upstream)
+	m.opts.Upstreams.Succeeded(r.Attempt.Upstream)
+	m.opts.Guard.Finished(r.Print)
+	m.observe(r, false)
+	m.finish(id, generation.End{FinishReason: reason})
+}
+
+// closeRecord ends the current attempt in the record.
+func closeRecord(r *generation.Record, reason string, now time.Time) {
+	r.Attempt.Open = false
+	r.History = append(r.History, generation.PastAttempt{
+		Attempt: r.Attempt,
+		Ended:   now,
+		Tokens:  len(r.Tokens) - r.Attempt.First,
+		Reason:  reason,
+	})
+}
+
+// observe counts the attempt as evidence on its version.
+func (m *Manager) observe(r generation.Record, failed bool) {
+	row, ok := m.opts.Upstreams.Get(r.Attempt.Upstream)
+	if !ok {
+		return
+	}
+	o := evidence.Observation{Failed: failed, Pace: r.Attempt.Interval}
+	if !r.Attempt.Attached && r.Attempt.First == 0 {
+		o.FirstWait = r.Attempt.FirstWait
+	}
+	m.opts.Observe(row.Upstream, o)
+}
+
+// connectionLost brings the failure of one connection.
+type connectionLost struct {
+	*connEvents
+	kind   Loss
+	detail string
+}
+
+// Run implements worker.Item.
+func (i connectionLost) Run() {
+	i.m.lose(i.id, i.number, i.kind, i.detail)
+}
+
+// silenceDue checks an attempt for silence and arms itself again.
+type silenceDue struct {
+	m      *Manager
+	id     model.RequestID
+	number int
+}
+
+// Run implements worker.Item.
+func (i silenceDue) Run() {
+	r, ok := i.m.opts.Generations.Get(i.id)
+	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != i.number {
+		return
+	}
+	if left := time.Until(silentUntil(r)); left > 0 {
+		i.m.opts.Pool.After(left, key(i.id), i)
+		return
+	}
+	i.m.lose(i.id, i.number, LossSilence, "")
+}
+
+func (m *Manager) armSilence(r generation.Record) {
+	due := silenceDue{m, r.Spec.Request, r.Attempt.Number}
+	m.opts.Pool.After(time.Until(silentUntil(r)), key(r.Spec.Request), due)
+}
+
+// silentUntil is the time until which the attempt may stay silent.
+func silentUntil(r generation.Record) time.Time {
+	gotToken := len(r.Tokens) > r.Attempt.First
+	resumed := r.Attempt.Number > 1 && r.Shown > 0
+	return r.Attempt.LastSeen.Add(silenceLimit(r.Attempt, gotToken, resumed))
+}
+
+var _ worker.Item = silenceDue{}
--- /dev/null
+++ b/internal/coordination/relay/lose.go
@@ -0,0 +1,152 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// downTime keeps new work away from an engine whose connection failed, until
+// its watchers report on it.
+const downTime = 2 * time.Second
+
+// lose ends the attempt of the given number, if it is still the current one,
+// and does what next decides.
+func (m *Manager) lose(id model.RequestID, number int, kind Loss, detail string) {
+	r, ok := m.opts.Generations.Get(id)
+	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != number {
+		return
+	}
+	action := next(m.situation(r, kind))
+	if action == Stay {
+		return
+	}
+	m.logLoss(r, kind, detail, action)
+	r = m.closeAttempt(r, string(kind), failureOf(r))
+	if action != Reattach {
+		m.learnFrom(r, kind)
+	}
+	m.follow(r, kind, detail, action)
+}
+
+func (m *Manager) situation(r generation.Record, kind Loss) Situation {
+	return Situation{
+		Loss:       kind,
+		Attached:   reattachFailed(r),
+		Tokens:     len(r.Tokens),
+		Shown:      r.Shown,
+		OtherReady: m.usable(r),
+		Failures:   r.Failures + failureOf(r),
+	}
+}
+
+// failureOf is 1 for an attempt that brought no token, else 0.
+func failureOf(r generation.Record) int {
+	if len(r.Tokens) == r.Attempt.First {
+		return 1
+	}
+	return 0
+}
+
+// reattachFailed reports whether the attempt joined a stream that brought no
+// token since.
+func reattachFailed(r generation.Record) bool {
+	return r.Attempt.Attached && len(r.Tokens) == r.Attempt.First
+}
+
+func (m *Manager) logLoss(r generation.Record, kind Loss, detail string, action Action) {
+	m.opts.Log.WithField("request_id", string(r.Spec.Request)).
+		WithField("upstream", string(r.Attempt.Upstream)).
+		WithField("attempt", r.Attempt.Number).
+		WithField("tokens", len(r.Tokens)).
+		WithField("detail", detail).
+		WithField("next", string(action)).
+		Warn("stream lost: " + string(kind))
+}
+
+// closeAttempt ends the current attempt, frees its place on the engine, and
+// returns the record as it is after.
+func (m *Manager) closeAttempt(r generation.Record, reason string, failures int) generation.Record {
+	if !r.Attempt.Open {
+		return r
+	}
+	after := r
+	m.opts.Generations.Update(r.Spec.Request, func(r *generation.Record) {
+		closeRecord(r, reason, time.Now())
+		r.Failures += failures
+		if r.LostAt.IsZero() && !r.FirstAt.IsZero() {
+			r.LostAt = r.Attempt.LastSeen
+		}
+		after = *r
+	})
+	m.opts.Upstreams.Release(r.Attempt.Upstream)
+	return after
+}
+
+// learnFrom marks the engine and counts evidence on its version and on the
+// request. A loss that concerns the whole engine counts once for all its
+// streams, and a loss that a known suspect explains does not count.
+func (m *Manager) learnFrom(r generation.Record, kind Loss) {
+	now := time.Now()
+	row, ok := m.opts.Upstreams.Get(r.Attempt.Upstream)
+	if !ok {
+		return
+	}
+	counts := countsAgainstVersion(kind) && m.opts.Guard.Check(r.Print) == GuardFree
+	if concernsEngine(kind) {
+		counts = counts && row.Usable(now)
+		m.opts.Upstreams.Failed(r.Attempt.Upstream, now.Add(downTime))
+	}
+	if diedUnder(kind, reattachFailed(r)) {
+		m.reportDeath(r, row.Report.Incarnation)
+	}
+	if counts {
+		m.observe(r, true)
+	}
+}
+
+func (m *Manager) reportDeath(r generation.Record, incarnation uint64) {
+	m.opts.Guard.Died(r.Attempt.Upstream, incarnation, r.Print, len(r.Tokens))
+	m.opts.Generations.Update(r.Spec.Request, func(r *generation.Record) {
+		r.Deaths++
+		r.Permitted = false
+	})
+}
+
+// follow carries out the action after a loss.
+func (m *Manager) follow(r generation.Record, kind Loss, detail string, action Action) {
+	id := r.Spec.Request
+	row, known := m.opts.Upstreams.Get(r.Attempt.Upstream)
+	if action == Reattach && known {
+		m.opts.Upstreams.Acquire(r.Attempt.Upstream)
+		m.attach(r, row.Upstream)
+		return
+	}
+	if known {
+		m.opts.Engines.Cancel(row.Upstream, r.Attempt.Stream)
+	}
+	switch action {
+	case GiveUp:
+		m.refuse(r, gaveUp(r, kind, detail))
+	case Restart:
+		m.restartLine(id)
+		m.place(id)
+	case Wait:
+		m.waitForEngine(r)
+	default:
+		m.place(id)
+	}
+}
+
+func gaveUp(r generation.Record, kind Loss, detail string) *model.Refusal {
+	if kind == LossRejected {
+		return &model.Refusal{
+			Code:    "rejected_by_engine",
+			Message: fmt.Sprintf("The engine rejected the request: %s.", detail),
+			Outcome: model.OutcomeUnknown,
+		}
+	}
+	return noEngine(r)
+}
--- /dev/null
+++ b/internal/coordination/relay/place.go
@@ -0,0 +1,295 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/prefix"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// requestArrived brings a new generation into admission.
+type requestArrived struct {
+	m    *Manager
+	spec model.GenerationSpec
+}
+
+// Run implements worker.Item.
+func (i requestArrived) Run() {
+	id := i.spec.Request
+	i.m.opts.Admission.Enter(i.spec, func(refusal *model.Refusal) {
+		r, ok := i.m.opts.Generations.Get(id)
+		if !ok || r.End != nil {
+			return
+		}
+		if refusal != nil {
+			i.m.refuse(r, refusal)
+			return
+		}
+		i.m.place(id)
+	})
+}
+
+// adopted continues a generation whose owner was lost.
+type adopted struct {
+	m  *Manager
+	id model.RequestID
+}
+
+// Run implements worker.Item.
+func (i adopted) Run() {
+	r, ok := i.m.opts.Generations.Get(i.id)
+	if !ok {
+		return
+	}
+	resumed := r.Spec
+	resumed.Priority = model.PriorityResume
+	i.m.opts.Admission.Enter(resumed, func(*model.Refusal) {
+		row, known := i.m.opts.Upstreams.Get(r.Attempt.Upstream)
+		if !known {
+			i.m.place(i.id)
+			return
+		}
+		i.m.opts.Upstreams.Acquire(r.Attempt.Upstream)
+		i.m.attach(r, row.Upstream)
+	})
+}
+
+// place finds an engine for the generation and starts a stream there. The
+// version of a line never changes.
+func (m *Manager) place(id model.RequestID) {
+	r, ok := m.opts.Generations.Get(id)
+	if !ok || r.End != nil || r.Attempt.Open {
+		return
+	}
+	switch m.opts.Guard.Check(r.Print) {
+	case GuardRefuse:
+		m.refuse(r, killsEngines(r))
+		return
+	case GuardPermit:
+		if !r.Permitted {
+			m.askPermit(r)
+			return
+		}
+	}
+	up, estimate, ok := m.pick(r)
+	if !ok {
+		m.waitForEngine(r)
+		return
+	}
+	m.start(r, up, estimate)
+}
+
+func killsEngines(r generation.Record) *model.Refusal {
+	return &model.Refusal{
+		Code:    "request_kills_engines",
+		Message: "Engines died while they ran this request; it is not run again.",
+		Outcome: outcomeOf(r),
+	}
+}
+
+// outcomeOf is not_run until the first attempt was handed to an engine.
+func outcomeOf(r generation.Record) model.Outcome {
+	if r.Attempt.Number == 0 {
+		return model.OutcomeNotRun
+	}
+	return model.OutcomeUnknown
+}
+
+func (m *Manager) askPermit(r generation.Record) {
+	id := r.Spec.Request
+	m.opts.Guard.Permit(r.Print, key(id), func(granted bool) {
+		if !granted {
+			m.refuse(r, killsEngines(r))
+			return
+		}
+		m.opts.Generations.Update(id, func(r *generation.Record) { r.Permitted = true })
+		m.place(id)
+	})
+}
+
+// pick chooses version and engine. The engine of the last attempt is avoided
+// as long as there is another one.
+func (m *Manager) pick(r generation.Record) (model.Upstream, routing.Estimate, bool) {
+	version := r.Version
+	if version == "" {
+		version = m.opts.Router.Version(r.Spec.Model, r.Spec.Request)
+	}
+	placement := routing.Placement{
+		Serves:  r.Spec.Model,
+		Version: version,
+		Work:    work(r),
+		Blocks:  prefix.Blocks(r.Spec.Prompt),
+		Now:     time.Now(),
+		Avoid:   m.avoid(r),
+	}
+	up, estimate, ok := m.opts.Router.Pick(placement)
+	if ok || r.Attempt.Number == 0 {
+		return up, estimate, ok
+	}
+	placement.Avoid = nil
+	return m.opts.Router.Pick(placement)
+}
+
+func work(r generation.Record) routing.Work {
+	bytes := len(r.Spec.Prompt)
+	for _, t := range r.Tokens {
+		bytes += len(t)
+	}
+	return routing.Work{PromptBytes: bytes, Tokens: r.Spec.Sampling.MaxTokens - len(r.Tokens)}
+}
+
+// avoid keeps the generation away from the engine that it just lost and, for a
+// suspect, from the engines that run other suspects.
+func (m *Manager) avoid(r generation.Record) func(model.UpstreamID) bool {
+	avoided := map[model.UpstreamID]bool{}
+	if r.Attempt.Number > 0 {
+		avoided[r.Attempt.Upstream] = true
+	}
+	if m.opts.Guard.Check(r.Print) != GuardFree {
+		m.addSuspectEngines(r, avoided)
+	}
+	return func(id model.UpstreamID) bool { return avoided[id] }
+}
+
+func (m *Manager) addSuspectEngines(r generation.Record, avoided map[model.UpstreamID]bool) {
+	m.opts.Generations.Each(func(other generation.Record) {
+		if other.Spec.Request == r.Spec.Request || !other.Attempt.Open || other.Print == r.Print {
+			return
+		}
+		if m.opts.Guard.Check(other.Print) != GuardFree {
+			avoided[other.Attempt.Upstream] = true
+		}
+	})
+}
+
+// start opens a new attempt on the engine.
+func (m *Manager) start(r generation.Record, up model.Upstream, estimate routing.Estimate) {
+	number := r.Attempt.Number + 1
+	stream := model.StreamID(fmt.Sprintf("%s.%s.%d", r.Spec.Request, r.Line, number))
+	now := time.Now()
+	attempt := generation.Attempt{
+		Number:   number,
+		Stream:   stream,
+		Upstream: up.ID,
+		Version:  up.Version,
+		First:    len(r.Tokens),
+		Started:  now,
+		LastSeen: now,
+		Expected: estimate.FirstToken,
+		Open:     true,
+	}
+	r = m.openAttempt(r.Spec.Request, attempt)
+	req := StreamRequest{Stream: stream, Spec: r.Spec, Version: up.Version, Continue: r.Tokens}
+	if len(r.Tokens) > 0 || number > 1 {
+		req.Spec.Priority = model.PriorityResume
+	}
+	m.opts.Engines.Start(up, req, m.events(r, up))
+	m.armSilence(r)
+	m.opts.Copier.Opened(r)
+}
+
+// attach opens a new attempt on the stream of the last one.
+func (m *Manager) attach(r generation.Record, up model.Upstream) {
+	now := time.Now()
+	attempt := r.Attempt
+	attempt.Number++
+	attempt.Started = now
+	attempt.LastSeen = now
+	attempt.First = len(r.Tokens)
+	attempt.Attached = true
+	attempt.Open = true
+	r = m.openAttempt(r.Spec.Request, attempt)
+	req := StreamRequest{Stream: attempt.Stream, Spec: r.Spec, Version: up.Version}
+	m.opts.Engines.Attach(up, req, len(r.Tokens), reattachTimeout, m.events(r, up))
+	m.armSilence(r)
+}
+
+func (m *Manager) openAttempt(id model.RequestID, a generation.Attempt) generation.Record {
+	var opened generation.Record
+	m.opts.Generations.Update(id, func(r *generation.Record) {
+		r.Attempt = a
+		r.Version = a.Version
+		opened = *r
+	})
+	return opened
+}
+
+// waitForEngine tries again after a pause, or gives up.
+func (m *Manager) waitForEngine(r generation.Record) {
+	waiting := r.LostAt
+	if waiting.IsZero() {
+		waiting = r.Created
+	}
+	waited := time.Since(waiting)
+	switch {
+	case r.Shown == 0 && waited < maxUnplacedWait && !pastDeadline(r):
+	case r.Shown > 0 && waited < maxContinuationWait:
+	default:
+		m.refuse(r, noEngine(r))
+		return
+	}
+	id := r.Spec.Request
+	if r.Shown == 0 && r.Version != "" {
+		m.restartLine(id)
+	}
+	m.opts.Pool.After(replacementInterval, key(id), worker.Func(func() { m.place(id) }))
+}
+
+func pastDeadline(r generation.Record) bool {
+	return !r.Spec.Deadline.IsZero() && time.Now().After(r.Spec.Deadline)
+}
+
+func noEngine(r generation.Record) *model.Refusal {
+	if r.Shown > 0 {
+		return &model.Refusal{
+			Code:    "continuation_unavailable",
+			Message: fmt.Sprintf("No engine of version %q of model %q is left to continue the answer.", r.Version, r.Spec.Model),
+			Outcome: model.OutcomeUnknown,
+		}
+	}
+	return &model.Refusal{
+		Code:       "no_engine",
+		Message:    fmt.Sprintf("No engine of model %q is available.", r.Spec.Model),
+		Outcome:    outcomeOf(r),
+		RetryAfter: time.Second,
+	}
+}
+
+// restartLine gives up the accepted tokens, if none was shown, and lets the
+// next attempt begin a new line on any allowed version. It reports whether it
+// did.
+func (m *Manager) restartLine(id model.RequestID) bool {
+	restarted := false
+	m.opts.Generations.Update(id, func(r *generation.Record) {
+		if r.Shown > 0 {
+			return
+		}
+		r.Line = m.opts.NewLine()
+		r.Forks = nil
+		r.Tokens = nil
+		r.Copied = 0
+		r.Version = ""
+		restarted = true
+	})
+	return restarted
+}
+
+// usable reports whether another engine of the record's version may take work.
+func (m *Manager) usable(r generation.Record) bool {
+	now := time.Now()
+	for _, row := range m.opts.Upstreams.Serving(r.Spec.Model) {
+		if isAlternative(row, r, now) {
+			return true
+		}
+	}
+	return false
+}
+
+func isAlternative(row upstream.Row, r generation.Record, now time.Time) bool {
+	return row.Upstream.Version == r.Version && row.Upstream.ID != r.Attempt.Upstream && row.Usable(now)
+}
--- /dev/null
+++ b/internal/coordination/relay/relay.go
@@ -0,0 +1,193 @@
+// Package relay carries generations from engines to callers and keeps them
+// going when engines fail.
+//
+// Each generation has one attempt at a time. Tokens are accepted by position
+// and only from the current attempt; a lost attempt is replaced as next
+// decides. All items of one generation run under its request ID as the key, so
+// that the steps of one generation never overlap. The relay must not choose
+// upstreams (routing does) and must not encode anything.
+//
+// States of an attempt:
+//
+//	placing -> open            an engine was picked and the stream started
+//	open    -> ended           the engine sent the end with the right count
+//	open    -> lost            reset, silence, gap, error status, leaving
+//	lost    -> open            reattached, continued or restarted
+//	lost    -> waiting         no engine of the version is usable
+//	waiting -> open | ended    an engine came back, or the wait ran out
+package relay
+
+import (
+	"time"
+
+	"github.com/apex/log"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// StreamRequest asks an engine for a stream.
+type StreamRequest struct {
+	Stream   model.StreamID
+	Spec     model.GenerationSpec
+	Version  string
+	Continue []string // accepted tokens
+}
+
+// Engines starts and ends streams. Its methods return at once; what an engine
+// sends arrives at the Events.
+type Engines interface {
+	Start(up model.Upstream, req StreamRequest, events Events)
+	// Attach joins a running stream after the given number of tokens.
+	Attach(up model.Upstream, req StreamRequest, after int, timeout time.Duration, events Events)
+	// Cancel ends a stream on its engine.
+	Cancel(up model.Upstream, stream model.StreamID)
+}
+
+// Events receives what one connection to an engine delivers, in order. The
+// caller is a network goroutine; implementations only hand over.
+type Events interface {
+	Tokens(stream string, position int, tokens []string)
+	Ended(stream string, total int, reason string)
+	Lost(kind Loss, detail string)
+}
+
+// Admission bounds the generations in flight.
+type Admission interface {
+	// Enter calls admitted exactly once, as an item under the request's key.
+	Enter(spec model.GenerationSpec, admitted func(*model.Refusal))
+	Leave(id model.RequestID)
+}
+
+// Copier copies token logs to another instance. Its methods are called by
+// items under the request's key.
+type Copier interface {
+	Opened(r generation.Record)
+	Accepted(id model.RequestID)
+	Ended(id model.RequestID)
+}
+
+// GuardVerdict says whether a request may run after engines died under it.
+type GuardVerdict int
+
+// Guard verdicts.
+const (
+	GuardFree       GuardVerdict = iota
+	GuardQuarantine              // run apart from other suspects
+	GuardPermit                  // run only with a permit
+	GuardRefuse
+)
+
+// Guard limits the engines that one request can kill.
+type Guard interface {
+	Fingerprint(spec model.GenerationSpec) uint64
+	Check(fingerprint uint64) GuardVerdict
+	// Permit calls then exactly once, as an item under the key.
+	Permit(fingerprint uint64, key worker.Key, then func(granted bool))
+	Died(up model.UpstreamID, incarnation, fingerprint uint64, position int)
+	Progressed(fingerprint uint64, position int)
+	Finished(fingerprint uint64)
+}
+
+// Options configure a Manager.
+type Options struct {
+	Pool        *worker.Pool
+	Generations *generation.Table
+	Upstreams   *upstream.Table
+	Router      *routing.Router
+	Engines     Engines
+	Admission   Admission
+	Copier      Copier
+	Guard       Guard
+	// Observe counts one attempt as evidence on its version.
+	Observe   func(up model.Upstream, o evidence.Observation)
+	NewLine   func() model.LineID
+	CopyAfter time.Duration // age from which tokens are copied
+	Retain    time.Duration // how long an ended generation is kept for reconnects
+	Log       log.Interface
+}
+
+// Manager runs the generations of one instance.
+type Manager struct {
+	opts Options
+}
+
+// New returns a Manager.
+func New(opts Options) *Manager {
+	opts.Log = opts.Log.WithField("part", "relay")
+	return &Manager{opts: opts}
+}
+
+func key(id model.RequestID) worker.Key { return worker.Key(id) }
+
+// Submit takes a new generation. Its tokens and its end appear in the
+// generation table.
+func (m *Manager) Submit(spec model.GenerationSpec) {
+	now := time.Now()
+	m.opts.Generations.Insert(generation.Record{
+		Spec:      spec,
+		Print:     m.opts.Guard.Fingerprint(spec),
+		Line:      m.opts.NewLine(),
+		Created:   now,
+		CopyAfter: now.Add(m.opts.CopyAfter),
+	})
+	m.opts.Pool.Post(key(spec.Request), requestArrived{m, spec})
+}
+
+// Adopt takes over a generation from its token log. The record has a line of
+// its own and the attempt that the lost owner had under way.
+func (m *Manager) Adopt(r generation.Record) {
+	r.CopyAfter = time.Now()
+	r.LostAt = r.Attempt.LastSeen
+	r.Attempt.Open = false
+	if !m.opts.Generations.Insert(r) {
+		return // another reconnect was first
+	}
+	m.opts.Pool.Post(key(r.Spec.Request), adopted{m, r.Spec.Request})
+}
+
+// Abandon ends a generation that no caller waits for.
+func (m *Manager) Abandon(id model.RequestID) {
+	m.opts.Pool.Post(key(id), worker.Func(func() { m.abandon(id) }))
+}
+
+func (m *Manager) abandon(id model.RequestID) {
+	r, ok := m.opts.Generations.Get(id)
+	if !ok || r.End != nil {
+		return
+	}
+	if row, known := m.opts.Upstreams.Get(r.Attempt.Upstream); known && r.Attempt.Open {
+		m.opts.Engines.Cancel(row.Upstream, r.Attempt.Stream)
+	}
+	m.closeAttempt(r, "caller left", 0)
+	m.finish(id, generation.End{Refusal: &model.Refusal{
+		Code:    "caller_left",
+		Message: "The caller closed the connection and did not come back.",
+		Outcome: model.OutcomeUnknown,
+	}})
+}
+
+// finish ends the generation and schedules the removal of its record.
+func (m *Manager) finish(id model.RequestID, end generation.End) {
+	m.opts.Generations.Update(id, func(r *generation.Record) {
+		if r.End == nil {
+			r.End = &end
+		}
+	})
+	m.opts.Admission.Leave(id)
+	m.opts.Copier.Ended(id)
+	m.opts.Pool.After(m.opts.Retain, key(id), worker.Func(func() {
+		m.opts.Generations.Remove(id)
+	}))
+}
+
+// refuse ends the generation with a refusal.
+func (m *Manager) refuse(r generation.Record, refusal *model.Refusal) {
+	m.opts.Log.WithField("request_id", string(r.Spec.Request)).
+		WithField("code", refusal.Code).
+		Warn("generation refused")
+	m.finish(r.Spec.Request, generation.End{Refusal: refusal})
+}
--- /dev/null
+++ b/internal/coordination/relay/relay_test.go
@@ -0,0 +1,227 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// transcript is what one caller received.
+type transcript struct {
+	tokens []string
+	end    *generation.End
+	gaps   []time.Duration // between batches
+}
+
+// read collects the output of a generation and fails on a change of line after
+// the first token.
+func (b *bench) read(fail func(string, ...any), id model.RequestID) transcript {
+	var got transcript
+	var line model.LineID
+	cursor := b.table.Read(id, 0)
+	last := time.Now()
+	for got.end == nil {
+		batch, err := cursor.Next(context.Background())
+		if err != nil || batch.Gone {
+			fail("generation %s is gone: %v", id, err)
+			return got
+		}
+		if len(batch.Tokens) > 0 {
+			if line != "" && batch.Line != line {
+				fail("line changed from %s to %s after %d tokens", line, batch.Line, len(got.tokens))
+			}
+			line = batch.Line
+			got.gaps = append(got.gaps, time.Since(last))
+			last = time.Now()
+		}
+		got.tokens = append(got.tokens, batch.Tokens...)
+		got.end = batch.End
+	}
+	return got
+}
+
+// check compares a transcript with the oracle: position i holds the token of
+// position i, made for this request, all of one version, and a whole answer
+// has all its tokens.
+func (tr transcript) check(fail func(string, ...any), id string, want int) {
+	for i, token := range tr.tokens {
+		if !strings.Contains(token, "|"+id+".") {
+			fail("token %d of request %s is %q", i, id, token)
+		}
+		if !strings.HasSuffix(token, fmt.Sprintf("|%d ", i)) {
+			fail("token %d is %q", i, token)
+		}
+		if tokenVersion(token) != tokenVersion(tr.tokens[0]) {
+			fail("tokens of two versions: %q and %q", tr.tokens[0], token)
+		}
+	}
+	if tr.end.Refusal == nil && len(tr.tokens) != want {
+		fail("whole answer has %d tokens, want %d", len(tr.tokens), want)
+	}
+}
+
+func spec(id string, tokens int) model.GenerationSpec {
+	return model.GenerationSpec{
+		Request:  model.RequestID(id),
+		Model:    "m",
+		Prompt:   "prompt",
+		Sampling: model.Sampling{MaxTokens: tokens},
+	}
+}
+
+// Guards against output that stays away for more than 5 s after two losses in
+// a row, for each kind of loss.
+func TestOutputGoesOnAfterTwoLosses(t *testing.T) {
+	for _, kind := range []string{"kill", "freeze", "cut", "truncate", "skip", "cross", "short", "leave"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(4, "v1")
+				defer b.close()
+				b.manager.Submit(spec("r", 100))
+				for _, wait := range []time.Duration{500 * time.Millisecond, 100 * time.Millisecond} {
+					time.Sleep(wait)
+					r, _ := b.table.Get("r")
+					b.fake.fault(r.Attempt.Upstream, kind)
+				}
+				got := b.read(t.Fatalf, "r")
+				got.check(t.Fatalf, "r", 100)
+				assert.Assert(t, got.end.Refusal == nil)
+				for _, gap := range got.gaps {
+					assert.Assert(t, gap < 5*time.Second, "gap of %v", gap)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a reattachment that computes tokens again.
+func TestCutConnectionIsReattached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(3, "v1")
+		defer b.close()
+		b.manager.Submit(spec("r", 50))
+		time.Sleep(500 * time.Millisecond)
+		r, _ := b.table.Get("r")
+		b.fake.fault(r.Attempt.Upstream, "cut")
+		b.read(t.Fatalf, "r").check(t.Fatalf, "r", 50)
+		assert.Equal(t, b.fake.computed, 50)
+	})
+}
+
+// Guards against a splice of two versions when the version of a shown answer
+// has no engine left.
+func TestShownAnswerIsNotContinuedOnAnotherVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2, "v1", "v2")
+		defer b.close()
+		b.manager.Submit(spec("r", 50))
+		cursor := b.table.Read("r", 0)
+		_, err := cursor.Next(t.Context())
+		assert.NilError(t, err)
+		r, _ := b.table.Get("r")
+		b.fake.fault(r.Attempt.Upstream, "kill")
+		got := b.read(t.Fatalf, "r")
+		got.check(t.Fatalf, "r", 50)
+		assert.Equal(t, got.end.Refusal.Code, "continuation_unavailable")
+		assert.Equal(t, got.end.Refusal.Outcome, model.OutcomeUnknown)
+	})
+}
+
+// Guards against a refusal when an answer of which nothing was shown could
+// start again on another version.
+func TestUnshownAnswerStartsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2, "v1", "v2")
+		defer b.close()
+		b.manager.Submit(spec("r", 50))
+		time.Sleep(500 * time.Millisecond)
+		r, _ := b.table.Get("r")
+		b.fake.fault(r.Attempt.Upstream, "kill")
+		time.Sleep(100 * time.Millisecond) // the loss is noticed before a caller reads
+		got := b.read(t.Fatalf, "r")
+		got.check(t.Fatalf, "r", 50)
+		assert.Assert(t, got.end.Refusal == nil)
+	})
+}
+
+// Guards against a restart that drops tokens which a caller has seen, when
+// they are shown between the decision and the restart.
+func TestRestartRefusesOnceShown(t *testing.T) {
+	b := newBench(1, "v1")
+	defer b.close()
+	b.table.Insert(generation.Record{Spec: spec("r", 9), Line: "l", Tokens: []string{"a"}, Shown: 1})
+	assert.Assert(t, !b.manager.restartLine("r"))
+	r, _ := b.table.Get("r")
+	assert.Equal(t, r.Line, model.LineID("l"))
+}
+
+// step is one fault of a random script.
+type step struct {
+	engine model.UpstreamID
+	kind   string
+	pause  time.Duration // after the fault
+}
+
+func drawSteps(rt *rapid.T, engines int) []step {
+	kinds := []string{"kill", "revive", "freeze", "cut", "leave", "fail", "duplicate", "skip", "cross", "short", "truncate"}
+	return rapid.SliceOfN(rapid.Custom(func(rt *rapid.T) step {
+		return step{
+			engine: model.UpstreamID(fmt.Sprintf("e%d", rapid.IntRange(0, engines-1).Draw(rt, "engine"))),
+			kind:   rapid.SampledFrom(kinds).Draw(rt, "kind"),
+			pause:  time.Duration(rapid.IntRange(0, 400).Draw(rt, "pause")) * time.Millisecond,
+		}
+	}), 0, 25).Draw(rt, "steps")
+}
+
+// Guards against tokens that are lost, repeated, mixed or delivered to another
+// caller under random faults, alone and together.
+func TestGenerationsUnderRandomFaults(t *testing.T) {
+	const engines, tokens = 5, 40
+	rapid.Check(t, func(rt *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(rt, "generations")
+		steps := drawSteps(rt, engines)
+		var failures []string
+		synctest.Test(t, func(*testing.T) { failures = runScript(n, engines, tokens, steps) })
+		if len(failures) > 0 {
+			rt.Fatalf("%s", strings.Join(failures, "\n"))
+		}
+	})
+}
+
+// runScript runs n generations under the faults and returns what the oracle
+// objects to.
+func runScript(n, engines, tokens int, steps []step) []string {
+	b := newBench(engines, "v1", "v2")
+	defer b.close()
+	var mu sync.Mutex
+	var failures []string
+	fail := func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		failures = append(failures, fmt.Sprintf(format, args...))
+	}
+	var callers sync.WaitGroup
+	for i := range n {
+		id := fmt.Sprintf("r%d", i)
+		b.manager.Submit(spec(id, tokens))
+		callers.Go(func() { b.read(fail, model.RequestID(id)).check(fail, id, tokens) })
+	}
+	for _, s := range steps {
+		b.fake.fault(s.engine, s.kind)
+		time.Sleep(s.pause)
+	}
+	for i := range engines {
+		b.fake.fault(model.UpstreamID(fmt.Sprintf("e%d", i)), "revive")
+	}
+	callers.Wait()
+	return failures
+}
--- /dev/null
+++ b/internal/coordination/relay/resume.go
@@ -0,0 +1,100 @@
+package relay
+
+import "time"
+
+// Loss says how an attempt was lost.
+type Loss string
+
+// Kinds of loss.
+const (
+	LossReset     Loss = "connection reset"
+	LossTruncated Loss = "stream ended early"
+	LossDial      Loss = "connection refused"
+	LossSilence   Loss = "silence"
+	LossStatus    Loss = "engine error"
+	LossBusy      Loss = "engine busy"
+	LossVersion   Loss = "engine runs another version"
+	LossNoStream  Loss = "engine does not know the stream"
+	LossGap       Loss = "missing tokens"
+	LossCrossed   Loss = "tokens of another stream"
+	LossLeaving   Loss = "engine leaves"
+	LossRejected  Loss = "engine rejected the request"
+)
+
+const (
+	// maxFailures bounds the attempts in a row that bring no token.
+	maxFailures = 8
+	// maxUnplacedWait bounds the wait for an engine while nothing is shown.
+	maxUnplacedWait = 10 * time.Second
+	// maxContinuationWait bounds the wait for an engine of the version of a
+	// generation that the caller has seen a part of.
+	maxContinuationWait = 30 * time.Second
+)
+
+// Action is what follows a loss.
+type Action string
+
+// Actions.
+const (
+	Reattach Action = "reattach" // join the same stream on the same engine
+	Continue Action = "continue" // another engine of the version, from the accepted tokens
+	Restart  Action = "restart"  // from the prompt, as a new line
+	Wait     Action = "wait"     // for an engine of the version
+	Stay     Action = "stay"     // keep the attempt
+	GiveUp   Action = "give up"
+)
+
+// Situation is what the choice of an action depends on.
+type Situation struct {
+	Loss       Loss
+	Attached   bool // the lost attempt was itself a reattachment
+	Tokens     int  // accepted
+	Shown      int  // handed to the caller
+	OtherReady bool // another usable engine of the version exists
+	Failures   int  // attempts in a row that brought no token
+	Waited     time.Duration
+}
+
+// next decides what follows a loss. Its main rule: once a token is shown, only
+// the same version may go on, from exactly the accepted tokens.
+func next(s Situation) Action {
+	switch {
+	case s.Loss == LossRejected, s.Failures >= maxFailures:
+		return GiveUp
+	case s.Loss == LossLeaving && !s.OtherReady:
+		return Stay
+	case s.Loss == LossReset && !s.Attached, s.Loss == LossTruncated && !s.Attached:
+		return Reattach
+	case s.OtherReady && s.Tokens > 0:
+		return Continue
+	case s.Shown == 0 && s.Waited < maxUnplacedWait:
+		return Restart
+	case s.Shown > 0 && s.Waited < maxContinuationWait:
+		return Wait
+	default:
+		return GiveUp
+	}
+}
+
+// diedUnder reports whether the loss shows that the engine process died: its
+// connection broke and a reattachment was refused.
+func diedUnder(l Loss, attached bool) bool {
+	return attached && (l == LossDial || l == LossNoStream || l == LossReset)
+}
+
+// concernsEngine reports whether the loss is one of the whole engine, so that
+// all its streams are lost at once.
+func concernsEngine(l Loss) bool {
+	return l == LossDial || l == LossReset || l == LossSilence
+}
+
+// countsAgainstVersion reports whether the loss is evidence against the
+// version. Load, leaving and requests that no engine accepts are not.
+func countsAgainstVersion(l Loss) bool {
+	switch l {
+	case LossBusy, LossLeaving, LossRejected, LossVersion, LossNoStream:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/coordination/routing/estimate.go
@@ -0,0 +1,77 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// Figures that stand in for what an upstream has not reported yet.
+const (
+	defaultTokenTime   = 50 * time.Millisecond
+	defaultPrefillRate = 20_000.0 // prompt bytes/s
+	// batchSlowdown is the part by which each further stream of a continuous
+	// batch lengthens the time between tokens.
+	batchSlowdown = 0.02
+	// typicalTokens is the output length that a waiting request is assumed to
+	// have: 6.2 million tokens/s over 22,000 requests/s.
+	typicalTokens = 280
+)
+
+// Work describes the request that is to be placed.
+type Work struct {
+	PromptBytes int // prompt and continued tokens
+	Tokens      int // output that is still to come, at most
+}
+
+// Candidate is one upstream that may take the request.
+type Candidate struct {
+	Row         upstream.Row
+	CachedBytes int // longest prompt prefix that it has probably cached
+}
+
+// Estimate is the expected time course of a request on one upstream.
+type Estimate struct {
+	FirstToken time.Duration // queue and prefill
+	Finish     time.Duration // until the last token
+}
+
+// EstimateFinish predicts when the candidate would finish the work. Requests
+// that this instance sent since the last load report are added to the report,
+// because reports lag.
+func EstimateFinish(c Candidate, w Work) Estimate {
+	running := c.Row.Report.Running + c.Row.Sent
+	step := tokenTime(c.Row, running)
+	first := queueTime(c.Row, running, step) + prefillTime(c, w)
+	tokens := min(max(w.Tokens, 1), typicalTokens)
+	return Estimate{FirstToken: first, Finish: first + time.Duration(tokens)*step}
+}
+
+// tokenTime is the expected time between tokens with so many streams.
+func tokenTime(row upstream.Row, running int) time.Duration {
+	base := row.Report.TokenTime
+	if base == 0 {
+		base = defaultTokenTime
+	}
+	return time.Duration(float64(base) * (1 + batchSlowdown*float64(running)))
+}
+
+// queueTime is the wait behind the requests that already wait: slots come free
+// at the rate running/(typicalTokens*step).
+func queueTime(row upstream.Row, running int, step time.Duration) time.Duration {
+	if row.Report.Waiting == 0 {
+		return 0
+	}
+	waiting := row.Report.Waiting + row.Sent
+	service := time.Duration(typicalTokens) * step
+	return service * time.Duration(waiting) / time.Duration(max(running, 1))
+}
+
+func prefillTime(c Candidate, w Work) time.Duration {
+	rate := c.Row.Report.PrefillRate
+	if rate <= 0 {
+		rate = defaultPrefillRate
+	}
+	bytes := max(w.PromptBytes-c.CachedBytes, 0)
+	return time.Duration(float64(bytes) / rate * float64(time.Second))
+}
--- /dev/null
+++ b/internal/coordination/routing/routing.go
@@ -0,0 +1,143 @@
+// Package routing chooses the version and the upstream for each request.
+//
+// The choices are pure functions (ChooseVersion, EstimateFinish, the
+// policies); Router feeds them from the shared tables. Router must not queue
+// or retry: admission and the relay do.
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/prefix"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/stop"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// Options configure a Router.
+type Options struct {
+	Documents *document.Table
+	Upstreams *upstream.Table
+	Stops     *stop.Table
+	Prefixes  *prefix.Table
+	Policy    Policy // nil means EarliestFinish
+}
+
+// Router chooses versions and upstreams.
+type Router struct {
+	opts Options
+}
+
+// New returns a Router over the tables.
+func New(opts Options) *Router {
+	if opts.Policy == nil {
+		opts.Policy = EarliestFinish
+	}
+	return &Router{opts: opts}
+}
+
+// Plan returns the version plan of a model or service in the document.
+func Plan(d *model.Document, serves string) (model.VersionPlan, bool) {
+	if d == nil {
+		return model.VersionPlan{}, false
+	}
+	for _, m := range d.Models {
+		if m.Name == serves {
+			return m.Plan, true
+		}
+	}
+	for _, s := range d.Services {
+		if s.Name == serves {
+			return s.Plan, true
+		}
+	}
+	return model.VersionPlan{}, false
+}
+
+// Version returns the version for a new request.
+func (r *Router) Version(serves string, id model.RequestID) string {
+	plan, _ := Plan(r.opts.Documents.Current(), serves)
+	view := VersionView{
+		Plan:            plan,
+		TargetStopped:   r.opts.Stops.Stopped(model.VersionKey{Serves: serves, Version: plan.Target}),
+		PreviousPresent: r.versionPresent(serves, plan.Previous),
+	}
+	if share, ok := r.opts.Stops.Share(serves); ok && share.Target == plan.Target {
+		view.Share = share.Share
+	}
+	return ChooseVersion(view, id)
+}
+
+func (r *Router) versionPresent(serves, version string) bool {
+	for _, row := range r.opts.Upstreams.Serving(serves) {
+		if row.Upstream.Version == version {
+			return true
+		}
+	}
+	return false
+}
+
+// Placement asks for an upstream.
+type Placement struct {
+	Serves  string
+	Version string // empty means any
+	Work    Work
+	Blocks  []prefix.Block              // of the prompt
+	Avoid   func(model.UpstreamID) bool // nil avoids none
+	Now     time.Time
+}
+
+// Pick returns the upstream for the placement and counts the request as in
+// flight there. The caller releases it with upstream.Table.Release.
+func (r *Router) Pick(p Placement) (model.Upstream, Estimate, bool) {
+	candidates := r.candidates(p)
+	i := r.opts.Policy(candidates, p.Work, newRand())
+	if i < 0 {
+		return model.Upstream{}, Estimate{}, false
+	}
+	chosen := candidates[i]
+	r.opts.Upstreams.Acquire(chosen.Row.Upstream.ID)
+	r.opts.Prefixes.Add(chosen.Row.Upstream.ID, p.Blocks, p.Now)
+	return chosen.Row.Upstream, EstimateFinish(chosen, p.Work), true
+}
+
+// newRand returns a generator for one choice; rand.Rand is not safe for
+// concurrent use.
+func newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
+
+func (r *Router) candidates(p Placement) []Candidate {
+	rows := r.opts.Upstreams.Serving(p.Serves)
+	candidates := make([]Candidate, 0, len(rows))
+	for _, row := range rows {
+		if !r.eligible(row, p) {
+			continue
+		}
+		cached := r.opts.Prefixes.CachedBytes(row.Upstream.ID, p.Blocks)
+		candidates = append(candidates, Candidate{Row: row, CachedBytes: cached})
+	}
+	return candidates
+}
+
+func (r *Router) eligible(row upstream.Row, p Placement) bool {
+	if p.Version != "" && row.Upstream.Version != p.Version {
+		return false
+	}
+	if p.Avoid != nil && p.Avoid(row.Upstream.ID) {
+		return false
+	}
+	return row.Usable(p.Now)
+}
+
+// HasVersion reports whether a usable upstream of the version exists.
+func (r *Router) HasVersion(serves, version string, now time.Time) bool {
+	for _, row := range r.opts.Upstreams.Serving(serves) {
+		if row.Upstream.Version == version && row.Usable(now) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -22,16 +22,26 @@
 
 // Attempt is the current run of a generation on an engine.
 type Attempt struct {
-	Number   int
-	Stream   model.StreamID
-	Upstream model.UpstreamID
-	Version  string
-	First    int // position of the first token that this attempt produces
-	Started  time.Time
-	LastSeen time.Time     // arrival of the last token, or Started
-	Interval time.Duration // smoothed time between tokens; zero before the second
-	Expected time.Duration // estimated time to the first token
-	Attached bool          // joined a running stream, nothing is recomputed
+	Number    int
+	Stream    model.StreamID
+	Upstream  model.UpstreamID
+	Version   string
+	First     int // position of the first token that this attempt produces
+	Started   time.Time
+	LastSeen  time.Time     // arrival of the last token, or Started
+	Interval  time.Duration // smoothed time between tokens; zero before the second
+	FirstWait time.Duration // from Started to the first token; zero before it
+	Expected  time.Duration // estimated time to the first token
+	Attached  bool          // joined a running stream, nothing is recomputed
+	Open      bool          // the engine still works on it
+}
+
+// PastAttempt is what is remembered of an ended attempt.
+type PastAttempt struct {
+	Attempt
+	Ended  time.Time
+	Tokens int    // tokens accepted from this attempt
+	Reason string // why it ended
 }
 
 // End is the last state of a generation.
@@ -44,15 +54,25 @@
 // the token slice; tokens are only appended, never changed.
 type Record struct {
 	Spec      model.GenerationSpec
+	Print     uint64 // fingerprint of the request
 	Line      model.LineID
+	Version   string // version of the line's engines; empty until placed
 	Forks     []Fork // ancestors, nearest first
 	Tokens    []string
 	HoldBack  bool // show only copied tokens
 	Copied    int  // tokens known to be held by the copy holder
 	Shown     int  // tokens handed to the caller, at most
 	Attempt   Attempt
-	Resumes   int
+	History   []PastAttempt
+	Failures  int             // attempts in a row that brought no token
+	Readers   int             // caller connections that read the log
+	Deaths    int             // engines that died under this request
+	Permitted bool            // holds a permit to run in spite of the deaths
+	LostAt    time.Time       // when output stopped; zero while an attempt makes progress
+	Resumed   []time.Duration // time without output of each loss
+	Recompute int             // prompt and output bytes that resuming prefilled again
 	Created   time.Time
+	FirstAt   time.Time // when the first token was accepted
 	CopyAfter time.Time // earliest time for token copies; zero means never
 	End       *End
 }
@@ -195,6 +215,38 @@
 	return n
 }
 
+// Await waits for the end of a generation without showing its tokens, and
+// returns the final record.
+func (t *Table) Await(ctx context.Context, id model.RequestID) (Record, error) {
+	for {
+		record, changed := t.ended(id)
+		if changed == nil {
+			return record, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Record{}, ctx.Err()
+		}
+	}
+}
+
+// ended returns the record once it has ended or is gone, else the channel to
+// wait on.
+func (t *Table) ended(id model.RequestID) (Record, <-chan struct{}) {
+	s := t.shard(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[id]
+	if !ok {
+		return Record{}, nil
+	}
+	if e.record.End == nil {
+		return Record{}, e.changed
+	}
+	return e.record, nil
+}
+
 // Cursor reads one generation's log from a position.
 type Cursor struct {
 	table    *Table
--- /dev/null
+++ b/internal/transport/engine/client.go
@@ -0,0 +1,307 @@
+// Package engine is the client of model engines. It implements relay.Engines:
+// each stream has a goroutine that reads events and hands them over.
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/tmaxmax/go-sse"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const (
+	dialTimeout   = 500 * time.Millisecond // a frozen machine must not hold up a resume
+	cancelTimeout = 2 * time.Second
+	maxIdlePerUp  = 64
+	maxEventBytes = 1 << 20
+	maxErrorBytes = 4 << 10
+)
+
+// errSuperseded ends a connection whose stream was cancelled.
+var errSuperseded = errors.New("stream was cancelled")
+
+// Client talks to engines.
+type Client struct {
+	http   *http.Client
+	tracer trace.Tracer
+
+	// mu guards open. It is a leaf lock: nothing else is locked under it.
+	mu   sync.Mutex
+	open map[model.StreamID][]*connection
+}
+
+// connection is one HTTP exchange that carries a stream.
+type connection struct {
+	cancel context.CancelCauseFunc
+}
+
+// New returns a Client.
+func New() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: maxIdlePerUp,
+			DisableCompression:  true,
+		}},
+		tracer: otel.Tracer("sequoiavalve/engine"),
+		open:   map[model.StreamID][]*connection{},
+	}
+}
+
+// Start implements relay.Engines.
+func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) {
+	body, err := json.Marshal(completionRequest(req))
+	if err != nil {
+		events.Lost(relay.LossRejected, err.Error())
+		return
+	}
+	target := "http://" + up.Address + engineapi.CompletionsPath
+	c.run(up, req, "engine.start", events, func(ctx context.Context) (*http.Request, error) {
+		return http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
+	}, 0)
+}
+
+// Attach implements relay.Engines.
+func (c *Client) Attach(up model.Upstream, req relay.StreamRequest, after int, timeout time.Duration, events relay.Events) {
+	target := streamURL(up, req.Stream) + "?after=" + strconv.Itoa(after)
+	c.run(up, req, "engine.attach", events, func(ctx context.Context) (*http.Request, error) {
+		return http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	}, timeout)
+}
+
+func streamURL(up model.Upstream, id model.StreamID) string {
+	return "http://" + up.Address + engineapi.StreamPath + url.PathEscape(string(id))
+}
+
+// Cancel implements relay.Engines.
+func (c *Client) Cancel(up model.Upstream, stream model.StreamID) {
+	c.mu.Lock()
+	for _, conn := range c.open[stream] {
+		conn.cancel(errSuperseded)
+	}
+	c.mu.Unlock()
+	go c.sendCancel(up, stream)
+}
+
+func (c *Client) sendCancel(up model.Upstream, stream model.StreamID) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, streamURL(up, stream), nil)
+	if err != nil {
+		return
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return // the engine is gone, and the stream with it
+	}
+	_ = resp.Body.Close()
+}
+
+func completionRequest(req relay.StreamRequest) engineapi.CompletionRequest {
+	s := req.Spec.Sampling
+	return engineapi.CompletionRequest{
+		Model:        req.Spec.Model,
+		Version:      req.Version,
+		Adapter:      req.Spec.Adapter,
+		Prompt:       req.Spec.Prompt,
+		Stream:       true,
+		MaxTokens:    s.MaxTokens,
+		Temperature:  s.Temperature,
+		TopP:         s.TopP,
+		Seed:         s.Seed,
+		Stop:         s.Stop,
+		Priority:     int(req.Spec.Priority),
+		StreamID:     string(req.Stream),
+		ContinueFrom: req.Continue,
+	}
+}
+
+// run starts the goroutine of one connection. A positive timeout bounds the
+// wait for the response header.
+func (c *Client) run(up model.Upstream, req relay.StreamRequest, span string, events relay.Events,
+	build func(context.Context) (*http.Request, error), timeout time.Duration) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	conn := &connection{cancel: cancel}
+	c.add(req.Stream, conn)
+	go func() {
+		defer c.remove(req.Stream, conn)
+		defer cancel(nil)
+		ctx, span := c.startSpan(ctx, span, up, req)
+		defer span.End()
+		kind, detail := c.exchange(ctx, cancel, build, timeout, events)
+		if kind == "" {
+			return
+		}
+		span.SetAttributes(attribute.String("loss", string(kind)))
+		if !errors.Is(context.Cause(ctx), errSuperseded) {
+			events.Lost(kind, detail)
+		}
+	}()
+}
+
+func (c *Client) startSpan(ctx context.Context, name string, up model.Upstream, req relay.StreamRequest) (context.Context, trace.Span) {
+	carrier := propagation.MapCarrier{"traceparent": req.Spec.TraceParent}
+	ctx = otel.GetTextMapPropagator().Extract(ctx, carrier)
+	return c.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+		attribute.String("upstream", string(up.ID)),
+		attribute.String("stream", string(req.Stream)),
+	))
+}
+
+func (c *Client) add(id model.StreamID, conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[id] = append(c.open[id], conn)
+}
+
+func (c *Client) remove(id model.StreamID, conn *connection) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conns := c.open[id]
+	for i, other := range conns {
+		if other == conn {
+			conns = append(conns[:i:i], conns[i+1:]...)
+			break
+		}
+	}
+	if len(conns) == 0 {
+		delete(c.open, id)
+		return
+	}
+	c.open[id] = conns
+}
+
+// exchange sends the request and reads the stream. It returns the kind of loss
+// or "" after a whole stream.
+func (c *Client) exchange(ctx context.Context, cancel context.CancelCauseFunc,
+	build func(context.Context) (*http.Request, error), timeout time.Duration, events relay.Events) (relay.Loss, string) {
+	req, err := build(ctx)
+	if err != nil {
+		return relay.LossRejected, err.Error()
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	if timeout > 0 {
+		timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+		defer timer.Stop()
+		resp, err := c.http.Do(req)
+		timer.Stop()
+		return c.read(resp, err, events)
+	}
+	resp, err := c.http.Do(req)
+	return c.read(resp, err, events)
+}
+
+func (c *Client) read(resp *http.Response, err error, events relay.Events) (relay.Loss, string) {
+	if err != nil {
+		return lossOf(err), err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return lossOfStatus(resp)
+	}
+	return readStream(resp.Body, events)
+}
+
+// lossOf tells a refused connection from a broken one.
+func lossOf(err error) relay.Loss {
+	var op *net.OpError
+	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial") {
+		return relay.LossDial
+	}
+	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return relay.LossSilence
+	}
+	return relay.LossReset
+}
+
+func lossOfStatus(resp *http.Response) (relay.Loss, string) {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	detail := fmt.Sprintf("status %d", resp.StatusCode)
+	var reply engineapi.ErrorReply
+	if json.Unmarshal(body, &reply) == nil && reply.Error.Message != "" {
+		detail = reply.Error.Message
+	}
+	switch resp.StatusCode {
+	case http.StatusNotFound, http.StatusGone:
+		return relay.LossNoStream, detail
+	case http.StatusConflict:
+		return relay.LossVersion, detail
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return relay.LossBusy, detail
+	}
+	if resp.StatusCode < http.StatusInternalServerError {
+		return relay.LossRejected, detail
+	}
+	return relay.LossStatus, detail
+}
+
+// readStream hands the events of a stream over until its end.
+func readStream(body io.Reader, events relay.Events) (relay.Loss, string) {
+	ended := false
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		if err != nil {
+			if ended {
+				return "", ""
+			}
+			return relay.LossReset, err.Error()
+		}
+		if event.Type == engineapi.EventLeaving {
+			events.Lost(relay.LossLeaving, event.Data)
+			continue
+		}
+		if strings.TrimSpace(event.Data) == engineapi.EndOfStream {
+			return "", ""
+		}
+		done, err := handChunk(event.Data, events)
+		if err != nil {
+			return relay.LossCrossed, err.Error()
+		}
+		ended = ended || done
+	}
+	if ended {
+		return "", ""
+	}
+	return relay.LossTruncated, "stream ended without a finish reason"
+}
+
+// handChunk hands one chunk over and reports whether it was the last one.
+func handChunk(data string, events relay.Events) (bool, error) {
+	var chunk engineapi.Chunk
+	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+		return false, fmt.Errorf("decode chunk: %w", err)
+	}
+	if len(chunk.Choices) != 1 {
+		return false, fmt.Errorf("chunk has %d choices, want 1", len(chunk.Choices))
+	}
+	choice := chunk.Choices[0]
+	if len(choice.Tokens) > 0 {
+		events.Tokens(chunk.ID, choice.Position, choice.Tokens)
+	}
+	if choice.FinishReason == "" {
+		return false, nil
+	}
+	events.Ended(chunk.ID, choice.Position+len(choice.Tokens), choice.FinishReason)
+	return true, nil
+}
