Add the platform's protocol, its client and an in-memory stand-in

Cause: leases, claims, documents and moves live in the platform's tables, and nothing could reach them or test against their faults.

Change: platformapi (paths, bodies, error codes), the client with typed rows, objects, weights and list of machines, and a stand-in with latency, outage, lost answers, lost requests, failed answers, rates and list lag.

--- /dev/null
+++ b/internal/protocol/platformapi/entry.go
@@ -0,0 +1,119 @@
+package platformapi
+
+import "github.com/sequoiavalve/sequoiavalve/internal/state/model"
+
+// Kinds of entries in the platform's list. Upstreams use the names of
+// model.UpstreamKind.
+const (
+	KindInstance = "instance"
+	KindEngine   = string(model.KindEngine)
+	KindService  = string(model.KindService)
+)
+
+// States of entries.
+const (
+	StatusLive    = "live"
+	StatusLeaving = "leaving"
+)
+
+// Entry is one machine in the platform's list: an instance of the system or
+// an upstream.
+type Entry struct {
+	ID            string `json:"id"`
+	Kind          string `json:"kind"`
+	Status        string `json:"status"`
+	Region        string `json:"region,omitempty"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+
+	// Of instances.
+	Incarnation    uint64 `json:"incarnation,omitempty"`
+	CallerAddress  string `json:"caller_address,omitempty"`
+	EntryAddress   string `json:"entry_address,omitempty"`
+	ControlAddress string `json:"control_address,omitempty"`
+
+	// Of upstreams.
+	Address string `json:"address,omitempty"`
+	Serves  string `json:"serves,omitempty"`
+	Version string `json:"version,omitempty"`
+	Fencing string `json:"fencing,omitempty"`
+}
+
+// EntryList is the answer to GET InstancesPath, in the order of the IDs.
+type EntryList struct {
+	Entries []Entry `json:"entries"`
+}
+
+// InstanceEntry encodes an instance. Only the state leaving is published:
+// the others are opinions of other instances.
+func InstanceEntry(instance model.Instance) Entry {
+	return Entry{
+		ID:             string(instance.ID),
+		Kind:           KindInstance,
+		Status:         statusOf(instance.State == model.InstanceLeaving),
+		Region:         instance.Region,
+		FailureDomain:  string(instance.FailureDomain),
+		Incarnation:    instance.Incarnation,
+		CallerAddress:  instance.CallerAddress,
+		EntryAddress:   instance.EntryAddress,
+		ControlAddress: instance.ControlAddress,
+	}
+}
+
+// UpstreamEntry encodes an upstream.
+func UpstreamEntry(upstream model.Upstream, leaving bool) Entry {
+	return Entry{
+		ID:            string(upstream.ID),
+		Kind:          string(upstream.Kind),
+		Status:        statusOf(leaving),
+		Region:        upstream.Region,
+		FailureDomain: string(upstream.FailureDomain),
+		Address:       upstream.Address,
+		Serves:        upstream.Serves,
+		Version:       upstream.Version,
+		Fencing:       string(upstream.Fencing),
+	}
+}
+
+// Leaving reports whether the machine is leaving.
+func (e Entry) Leaving() bool {
+	return e.Status == StatusLeaving
+}
+
+// Instance decodes an entry of kind KindInstance.
+func (e Entry) Instance() model.Instance {
+	state := model.InstanceLive
+	if e.Leaving() {
+		state = model.InstanceLeaving
+	}
+	return model.Instance{
+		ID:             model.InstanceID(e.ID),
+		Incarnation:    e.Incarnation,
+		Region:         e.Region,
+		FailureDomain:  model.FailureDomain(e.FailureDomain),
+		CallerAddress:  e.CallerAddress,
+		EntryAddress:   e.EntryAddress,
+		ControlAddress: e.ControlAddress,
+		State:          state,
+	}
+}
+
+// Upstream decodes an entry of kind KindEngine or KindService.
+func (e Entry) Upstream() model.Upstream {
+	return model.Upstream{
+		ID:            model.UpstreamID(e.ID),
+		Kind:          model.UpstreamKind(e.Kind),
+		Address:       e.Address,
+		Region:        e.Region,
+		FailureDomain: model.FailureDomain(e.FailureDomain),
+		Serves:        e.Serves,
+		Version:       e.Version,
+		Fencing:       model.FencingMode(e.Fencing),
+	}
+}
+
+func statusOf(leaving bool) string {
+	if leaving {
+		return StatusLeaving
+	}
+	return StatusLive
+}
--- /dev/null
+++ b/internal/protocol/platformapi/platformapi_test.go
@@ -0,0 +1,36 @@
+package platformapi
+
+import (
+	"net/url"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// Guards against a key with slashes, dots or other reserved characters that
+// names another row once it is in a path.
+func TestRowPathKeepsAnyKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		key := rapid.String().Filter(ValidKey).Draw(t, "key")
+		parsed, err := url.Parse("http://127.0.0.1:1" + RowPath("calls", key))
+		assert.NilError(t, err)
+		assert.Equal(t, parsed.Path, "/tables/calls/rows/"+key)
+		assert.Equal(t, parsed.EscapedPath(), RowPath("calls", key))
+		assert.Equal(t, parsed.RawQuery+parsed.Fragment, "")
+	})
+}
+
+// Guards against a field that is lost between registration and listing.
+func TestEntriesKeepTheirFields(t *testing.T) {
+	instance := model.Instance{ID: "i1", Incarnation: 7, Region: "r", FailureDomain: "d", CallerAddress: "127.0.0.1:1",
+		EntryAddress: "127.0.0.1:2", ControlAddress: "127.0.0.1:3", State: model.InstanceLeaving}
+	assert.DeepEqual(t, InstanceEntry(instance).Instance(), instance)
+	upstream := model.Upstream{ID: "u1", Kind: model.KindEngine, Address: "127.0.0.1:4", Region: "r", FailureDomain: "d",
+		Serves: "m", Version: "v1", Fencing: model.FencingIgnored}
+	entry := UpstreamEntry(upstream, true)
+	assert.DeepEqual(t, entry.Upstream(), upstream)
+	assert.Assert(t, entry.Leaving())
+}
--- /dev/null
+++ b/internal/transport/standin/platform/directory.go
@@ -0,0 +1,67 @@
+package platform
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin"
+)
+
+// keepHistory bounds how far the list can lag behind.
+const keepHistory = 10 * time.Minute
+
+// change is one state of an entry, from a time on.
+type change struct {
+	at      time.Time
+	entry   platformapi.Entry
+	removed bool
+}
+
+// directory holds the history of each entry, so that the list can lag. mu has
+// standin.RankData and guards history.
+type directory struct {
+	mu      lock.Mutex
+	history map[string][]change // by ID, in the order of time
+}
+
+func newDirectory() *directory {
+	return &directory{mu: lock.New(standin.RankData), history: map[string][]change{}}
+}
+
+// record adds a change and drops changes that no list can show any more.
+func (d *directory) record(id string, c change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := append(d.history[id], c)
+	oldest := c.at.Add(-keepHistory)
+	for len(changes) > 1 && changes[1].at.Before(oldest) {
+		changes = changes[1:]
+	}
+	d.history[id] = changes
+}
+
+// asOf returns the entries as they were at the given time, sorted by ID.
+func (d *directory) asOf(at time.Time) []platformapi.Entry {
+	d.mu.Lock()
+	entries := []platformapi.Entry{}
+	for _, changes := range d.history {
+		if entry, ok := entryAt(changes, at); ok {
+			entries = append(entries, entry)
+		}
+	}
+	d.mu.Unlock()
+	slices.SortFunc(entries, func(a, b platformapi.Entry) int { return strings.Compare(a.ID, b.ID) })
+	return entries
+}
+
+func entryAt(changes []change, at time.Time) (platformapi.Entry, bool) {
+	for _, c := range slices.Backward(changes) {
+		if !c.at.After(at) {
+			return c.entry, !c.removed
+		}
+	}
+	return platformapi.Entry{}, false
+}
--- /dev/null
+++ b/internal/transport/standin/standin.go
@@ -0,0 +1,159 @@
+// Package standin holds what the stand-ins for outside systems share: JSON
+// answers, chance and the runtime switch for faults.
+//
+// A stand-in answers HTTP on goroutines of net/http that only wait, and keeps
+// its state in tables with ranked locks. Where it computes on its own, as the
+// engine does, that work runs on a worker pool.
+package standin
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+)
+
+// Ranks of the stand-ins' tables. They lie between those of the shared tables
+// and that of the pool, as a test may run a stand-in in its own process. No
+// stand-in holds two of its locks at once.
+const (
+	RankFaults  lock.Rank = 92
+	RankControl lock.Rank = 94
+	RankData    lock.Rank = 96
+)
+
+// Paths that each stand-in serves next to its published API. Faults do not
+// apply to them.
+const (
+	FaultsPath = "/faults" // GET, PUT
+	StatsPath  = "/stats"  // GET
+	LeavePath  = "/leave"  // POST engineapi.LeavingNotice
+)
+
+// maxBody bounds the requests that a stand-in reads.
+const maxBody = 64 << 20
+
+// ReadBody reads the body of a request.
+func ReadBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		return nil, fmt.Errorf("request body cannot be read: %w", err)
+	}
+	return body, nil
+}
+
+// ReadJSON decodes the body of a request. An unknown field is an error, so
+// that a misspelt fault is noticed.
+func ReadJSON(w http.ResponseWriter, r *http.Request, into any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil && !errors.Is(err, io.EOF) {
+		return fmt.Errorf("request body is not valid: %w", err)
+	}
+	return nil
+}
+
+// WriteJSON answers with a JSON body.
+func WriteJSON(w http.ResponseWriter, status int, body any) {
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(encoded) // the caller sees a short answer
+}
+
+// CutConnection ends the request without an answer and closes the connection.
+func CutConnection() {
+	panic(http.ErrAbortHandler)
+}
+
+// Faults holds the faults of a stand-in. mu has RankFaults and guards the
+// other fields. F is a plain struct that is replaced as a whole.
+type Faults[F any] struct {
+	mu     lock.Mutex
+	faults F
+	random *rand.Rand
+}
+
+// NewFaults returns a table without faults whose chance follows the seed.
+func NewFaults[F any](seed uint64) *Faults[F] {
+	return &Faults[F]{mu: lock.New(RankFaults), random: rand.New(rand.NewPCG(seed, 0))}
+}
+
+// Get returns the faults in force.
+func (f *Faults[F]) Get() F {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.faults
+}
+
+// Set replaces the faults.
+func (f *Faults[F]) Set(faults F) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.faults = faults
+}
+
+// Chance reports whether an event with the given probability happens.
+func (f *Faults[F]) Chance(probability float64) bool {
+	if probability <= 0 {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.random.Float64() < probability
+}
+
+// Take changes the faults under the lock, to count down a limited fault, and
+// returns what take returns. take must not call out.
+func (f *Faults[F]) Take(take func(*F) bool) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return take(&f.faults)
+}
+
+// Serve answers GET and PUT of FaultsPath. changed runs after each change.
+func (f *Faults[F]) Serve(mux *http.ServeMux, changed func(F)) {
+	mux.HandleFunc("GET "+FaultsPath, func(w http.ResponseWriter, _ *http.Request) {
+		WriteJSON(w, http.StatusOK, f.Get())
+	})
+	mux.HandleFunc("PUT "+FaultsPath, func(w http.ResponseWriter, r *http.Request) {
+		var faults F
+		if err := ReadJSON(w, r, &faults); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		f.Set(faults)
+		changed(faults)
+		WriteJSON(w, http.StatusOK, faults)
+	})
+}
+
+// Gate closes once. It tells waiting handlers that a stand-in stops.
+type Gate struct {
+	once sync.Once
+	done chan struct{}
+}
+
+// NewGate returns an open gate.
+func NewGate() *Gate {
+	return &Gate{done: make(chan struct{})}
+}
+
+// Close closes the gate. A second call does nothing.
+func (g *Gate) Close() {
+	g.once.Do(func() { close(g.done) })
+}
+
+// Closed returns a channel that is closed with the gate.
+func (g *Gate) Closed() <-chan struct{} {
+	return g.done
+}
