Read settings and environment documents strictly

Cause: daemons and operators need YAML files whose faults are all shown at once with path, line and what is allowed.

Ruled out: Decoder.KnownFields of yaml/v3, because its errors name Go types and a file that fails to decode is not checked further. Aliases, anchors and tags are refused as a whole; a bound on expansion would be a second rule.

Change: strictyaml walks the YAML nodes along the Go types, keeps the line of each path and maps faults of validator/v10 to lines. settings holds the types and the defaults of entryd and controld. envdoc decodes, cross-checks, hashes and compares environment documents.

Conclusion: the other parts can load settings and documents.

--- /dev/null
+++ b/internal/protocol/settings/defaults.go
@@ -0,0 +1,43 @@
+package settings
+
+import "time"
+
+// DefaultEntryd returns the defaults of the entry process.
+func DefaultEntryd() *Entryd {
+	return &Entryd{
+		Common: defaultCommon(),
+		Limits: Limits{
+			BodyBytes:  4 << 20,
+			HeaderTime: 5 * time.Second,
+			// At the target scale an instance starts 35 requests/s, of which 5%
+			// run for minutes: about 500 streams at once, and several times that
+			// when other instances fail.
+			MaxStreams: 4096,
+		},
+		// docs/design.md section 9: endpoint answers expire, plus 2 s.
+		Drain: Drain{Margin: 2 * time.Second},
+	}
+}
+
+// DefaultControld returns the defaults of the control process. The intervals
+// are those of docs/design.md sections 8 and 9.
+func DefaultControld() *Controld {
+	return &Controld{
+		Common: defaultCommon(),
+		Polls: Polls{
+			Document:        2500 * time.Millisecond,
+			Instances:       2 * time.Second,
+			Upstreams:       time.Second,
+			Gossip:          500 * time.Millisecond,
+			GossipRegions:   2 * time.Second,
+			PlatformTimeout: 2 * time.Second,
+		},
+	}
+}
+
+func defaultCommon() Common {
+	return Common{
+		Log:   Log{Format: "text", Level: "info"},
+		Trace: Trace{Sample: 0.01},
+	}
+}
--- /dev/null
+++ b/internal/protocol/strictyaml/file.go
@@ -0,0 +1,99 @@
+package strictyaml
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// File is a decoded file: where each path stands, and what is wrong.
+type File struct {
+	lines  map[string]int
+	faulty map[string]bool
+	faults Faults
+}
+
+// Decode decodes src over out, a pointer to a struct whose fields have yaml
+// tags and hold the defaults. Fields without a fault are set even when others
+// are faulty, so that the caller can check them too.
+func Decode(src []byte, out any, maxBytes int) *File {
+	f := &File{lines: map[string]int{"": 1}, faulty: map[string]bool{}}
+	if len(src) > maxBytes {
+		f.add("", 0, "the file has %d bytes; at most %d are allowed", len(src), maxBytes)
+		return f
+	}
+	root, err := parse(src)
+	if err != nil {
+		f.add("", 0, "%s", strings.TrimPrefix(err.Error(), "yaml: "))
+		return f
+	}
+	f.decode(root, out)
+	return f
+}
+
+// parse returns the root node of the only document in src.
+func parse(src []byte) (*yaml.Node, error) {
+	decoder := yaml.NewDecoder(bytes.NewReader(src))
+	var document, next yaml.Node
+	err := decoder.Decode(&document)
+	if errors.Is(err, io.EOF) {
+		return nil, errors.New("the file is empty")
+	}
+	if err != nil {
+		return nil, err
+	}
+	if err := decoder.Decode(&next); !errors.Is(err, io.EOF) {
+		return nil, errors.New("the file holds more than one YAML document")
+	}
+	return document.Content[0], nil
+}
+
+// Add records a fault at the path, unless the path or one that encloses it has
+// a fault: a value that could not be decoded needs no second message.
+func (f *File) Add(path, format string, args ...any) {
+	for p := path; p != ""; p = enclosing(p) {
+		if f.faulty[p] {
+			return
+		}
+	}
+	if !f.faulty[""] {
+		f.add(path, f.Line(path), format, args...)
+	}
+}
+
+func (f *File) add(path string, line int, format string, args ...any) {
+	f.faulty[path] = true
+	f.report(path, line, format, args...)
+}
+
+// report records a fault that leaves the value at the path usable.
+func (f *File) report(path string, line int, format string, args ...any) {
+	f.faults = append(f.faults, Fault{Path: path, Line: line, Message: fmt.Sprintf(format, args...)})
+}
+
+// Line returns the line of the path, or of the closest enclosing path that
+// the file has.
+func (f *File) Line(path string) int {
+	for path != "" {
+		if line, ok := f.lines[path]; ok {
+			return line
+		}
+		path = enclosing(path)
+	}
+	return f.lines[""]
+}
+
+// enclosing returns the path one level up.
+func enclosing(path string) string {
+	return path[:max(strings.LastIndexAny(path, ".["), 0)]
+}
+
+// Faults returns all faults found so far, ordered by line.
+func (f *File) Faults() Faults {
+	f.faults.Sort()
+	return f.faults
+}
