Run calls to plain services at most once, and retry idempotent ones

Cause: a non-idempotent call must run at most once and a refusal that says "not run" must be true, while the table loses answers and upstreams die.

Ruled out: sending under an unresolved claim, and handing a claim over. Only the instance that made a nonce may send for it, so barring the call in that instance's table makes "not run" true whatever became of the row. A claim write that may still land is overtaken by a write of the final state.

Change: state/call holds the calls of this instance, the retry budget and the route latencies; coordination/call claims, sends, records and releases, and retries or hedges idempotent calls; transport/service sends over a connection of its own without a rewindable body.

--- /dev/null
+++ b/internal/coordination/call/fakes_test.go
@@ -0,0 +1,216 @@
+package call
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// TestMain fixes the seed of rapid unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+// tableFault is what the fake table does with a request.
+type tableFault int
+
+const (
+	tableWorks tableFault = iota
+	tableDown
+	tableSlow       // answers after 300 ms
+	tableLost       // no effect, no answer
+	tableAnswerLost // takes effect, no answer
+	tableLate       // no answer, takes effect 1.5 s later
+	tableFaults
+)
+
+// fakeTable implements store.Rows[Claim] with faults.
+type fakeTable struct {
+	mu       sync.Mutex
+	fault    tableFault
+	rows     map[string]store.Keyed[Claim]
+	revision int
+	late     sync.WaitGroup
+}
+
+func newFakeTable() *fakeTable { return &fakeTable{rows: map[string]store.Keyed[Claim]{}} }
+
+func (f *fakeTable) setFault(fault tableFault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+func (f *fakeTable) current() tableFault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fault
+}
+
+func (f *fakeTable) Get(ctx context.Context, key string) (store.Keyed[Claim], error) {
+	switch f.current() {
+	case tableDown:
+		return store.Keyed[Claim]{}, store.ErrUnavailable
+	case tableSlow:
+		time.Sleep(300 * time.Millisecond)
+	case tableLost, tableAnswerLost, tableLate:
+		<-ctx.Done()
+		return store.Keyed[Claim]{}, ctx.Err()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	row, ok := f.rows[key]
+	if !ok {
+		return row, store.ErrNotFound
+	}
+	return row, nil
+}
+
+func (f *fakeTable) Put(ctx context.Context, key string, value Claim, expected store.Revision) (store.Revision, error) {
+	switch f.current() {
+	case tableDown:
+		return "", store.ErrUnavailable
+	case tableSlow:
+		time.Sleep(300 * time.Millisecond)
+	case tableLost:
+		<-ctx.Done()
+		return "", store.ErrUnknownOutcome
+	case tableAnswerLost:
+		_, _ = f.put(key, value, expected)
+		return "", store.ErrUnknownOutcome
+	case tableLate:
+		f.late.Go(func() {
+			time.Sleep(1500 * time.Millisecond)
+			_, _ = f.put(key, value, expected)
+		})
+		return "", store.ErrUnknownOutcome
+	}
+	return f.put(key, value, expected)
+}
+
+func (f *fakeTable) put(key string, value Claim, expected store.Revision) (store.Revision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.rows[key].Revision != expected {
+		return "", store.ErrConflict
+	}
+	f.revision++
+	revision := store.Revision(fmt.Sprint(f.revision))
+	f.rows[key] = store.Keyed[Claim]{Key: key, Value: value, Revision: revision}
+	return revision, nil
+}
+
+func (f *fakeTable) List(context.Context, string) ([]store.Keyed[Claim], error) {
+	return nil, errors.ErrUnsupported
+}
+
+// senderFault is what the fake upstream does with a call.
+type senderFault int
+
+const (
+	upstreamWorks senderFault = iota
+	upstreamSlow              // runs and answers after 400 ms
+	upstreamRefuses
+	upstreamDiesBefore // takes the request, does not run it
+	upstreamDiesAfter  // runs the request, does not answer
+	upstreamRunsLate   // runs it 3 s later, whatever became of the caller
+	senderPauses       // process pauses for 5 s before it sends
+	senderFaults
+)
+
+// fakeSender implements Sender and records the runs of each call.
+type fakeSender struct {
+	mu    sync.Mutex
+	fault senderFault
+	runs  map[string][]model.RequestID // by idempotency key
+	late  sync.WaitGroup
+}
+
+func newFakeSender() *fakeSender { return &fakeSender{runs: map[string][]model.RequestID{}} }
+
+func (f *fakeSender) setFault(fault senderFault) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fault = fault
+}
+
+func (f *fakeSender) run(req Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[req.IdempotencyKey] = append(f.runs[req.IdempotencyKey], req.ID)
+}
+
+var errReset = errors.New("connection reset")
+
+func (f *fakeSender) Send(ctx context.Context, upstream model.Upstream, req Request) (Response, error) {
+	f.mu.Lock()
+	fault := f.fault
+	f.mu.Unlock()
+	switch fault {
+	case upstreamSlow:
+		time.Sleep(400 * time.Millisecond)
+	case upstreamRefuses:
+		return Response{}, &SendError{Err: errReset}
+	case upstreamDiesBefore:
+		return Response{}, &SendError{Sent: true, Err: errReset}
+	case upstreamDiesAfter:
+		f.run(req)
+		return Response{}, errReset // untyped errors count as sent
+	case upstreamRunsLate:
+		f.late.Go(func() {
+			time.Sleep(3 * time.Second)
+			f.run(req)
+		})
+		<-ctx.Done()
+		return Response{}, &SendError{Sent: true, Err: ctx.Err()}
+	case senderPauses:
+		time.Sleep(5 * time.Second)
+		if ctx.Err() != nil {
+			return Response{}, &SendError{Err: ctx.Err()}
+		}
+	}
+	f.run(req)
+	return Response{Status: 200, Body: []byte("ran " + string(req.ID)), Upstream: upstream.ID}, nil
+}
+
+// newInstance returns a manager with its own pool and call table.
+func newInstance(name model.InstanceID, claims store.Rows[Claim], sender Sender, upstreams ...model.UpstreamID) *Manager {
+	return New(Options{
+		Pool:     worker.NewPool(worker.Options{Workers: 2}),
+		Instance: name,
+		Calls:    call.NewTable(),
+		Claims:   claims,
+		Sender:   sender,
+		Pick:     pickFirst(upstreams),
+	})
+}
+
+// pickFirst returns the first upstream that was not tried.
+func pickFirst(upstreams []model.UpstreamID) func(Request) (model.Upstream, bool) {
+	return func(req Request) (model.Upstream, bool) {
+		tried := map[model.UpstreamID]bool{}
+		for _, id := range req.Tried {
+			tried[id] = true
+		}
+		for _, id := range upstreams {
+			if !tried[id] {
+				return model.Upstream{ID: id}, true
+			}
+		}
+		return model.Upstream{}, false
+	}
+}
--- /dev/null
+++ b/internal/transport/service/client.go
@@ -0,0 +1,188 @@
+// Package service is the HTTP client for plain services.
+package service
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
+)
+
+const (
+	dialTimeout = time.Second
+	// maxResponseBytes bounds the memory of one response. A larger one ends
+	// the call with an unknown outcome, since it cannot be handed on whole.
+	maxResponseBytes = 16 << 20
+	maxIdlePerHost   = 16
+	idleTimeout      = 30 * time.Second
+	tracerName       = "github.com/sequoiavalve/sequoiavalve/internal/transport/service"
+)
+
+// hopHeaders belong to one connection and are not passed on. Expect is among
+// them because the body is sent at once.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Host",
+}
+
+// Client implements call.Sender over HTTP/1.1.
+type Client struct {
+	fresh  *http.Transport // for calls that must not be repeated
+	pooled *http.Transport // for idempotent calls
+}
+
+// New returns a client.
+func New() *Client {
+	return &Client{
+		fresh:  newTransport(false),
+		pooled: newTransport(true),
+	}
+}
+
+func newTransport(reuse bool) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		DisableKeepAlives:   !reuse,
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: maxIdlePerHost,
+		IdleConnTimeout:     idleTimeout,
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.pooled.CloseIdleConnections()
+}
+
+// Send implements call.Sender. It uses the transport without http.Client, so
+// that no redirect is followed. net/http resends a request only on a reused
+// connection; a call that is not idempotent gets a connection of its own and
+// a body that cannot be rewound.
+func (c *Client) Send(ctx context.Context, upstream model.Upstream, req call.Request) (call.Response, error) {
+	ctx, span := startSpan(ctx, upstream, req)
+	defer span.End()
+	resp, err := c.send(ctx, upstream, req)
+	if err != nil {
+		span.RecordError(err)
+		span.SetStatus(codes.Error, "no response")
+		return call.Response{}, err
+	}
+	span.SetAttributes(attribute.Int("http.response.status_code", resp.Status))
+	return resp, nil
+}
+
+func startSpan(ctx context.Context, upstream model.Upstream, req call.Request) (context.Context, oteltrace.Span) {
+	parent := propagation.MapCarrier{"traceparent": req.TraceParent}
+	ctx = propagation.TraceContext{}.Extract(ctx, parent)
+	return otel.Tracer(tracerName).Start(ctx, "service call",
+		oteltrace.WithSpanKind(oteltrace.SpanKindClient),
+		oteltrace.WithAttributes(
+			attribute.String("request_id", string(req.ID)),
+			attribute.String("upstream", string(upstream.ID)),
+			attribute.String("http.route", req.Route.Path),
+			attribute.Int("attempt", len(req.Tried)+1),
+		))
+}
+
+func (c *Client) send(ctx context.Context, upstream model.Upstream, req call.Request) (call.Response, error) {
+	var handed atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		// The transport writes to the connection only after this hook. So an
+		// error without it means that no byte was handed over.
+		GotConn: func(httptrace.GotConnInfo) { handed.Store(true) },
+	})
+	out, err := newRequest(ctx, upstream, req)
+	if err != nil {
+		return call.Response{}, &call.SendError{Err: err}
+	}
+	in, err := c.transport(req).RoundTrip(out)
+	if err != nil {
+		return call.Response{}, &call.SendError{Sent: handed.Load(), Err: trace.ConnectionProblem(err, "upstream %q", upstream.ID)}
+	}
+	defer func() { _ = in.Body.Close() }() // readBody reports a failed read
+	body, err := readBody(in.Body)
+	if err != nil {
+		return call.Response{}, &call.SendError{Sent: true, Err: trace.ConnectionProblem(err, "response of upstream %q", upstream.ID)}
+	}
+	return call.Response{Status: in.StatusCode, Header: passedOn(in.Header), Body: body, Upstream: upstream.ID}, nil
+}
+
+func (c *Client) transport(req call.Request) *http.Transport {
+	if req.Route.Idempotent {
+		return c.pooled
+	}
+	return c.fresh
+}
+
+// onceReader hides the type of its reader, from which net/http would derive a
+// way to rewind the body.
+type onceReader struct{ io.Reader }
+
+func newRequest(ctx context.Context, upstream model.Upstream, req call.Request) (*http.Request, error) {
+	target := url.URL{Scheme: "http", Host: upstream.Address, Path: req.Path, RawQuery: req.Query}
+	out, err := http.NewRequestWithContext(ctx, req.Method, target.String(), nil)
+	if err != nil {
+		return nil, trace.BadParameter("request for upstream %q: %v", upstream.ID, err)
+	}
+	if len(req.Body) > 0 {
+		out.Body = io.NopCloser(onceReader{bytes.NewReader(req.Body)})
+		out.ContentLength = int64(len(req.Body))
+	}
+	out.Header = passedOn(req.Header)
+	if req.IdempotencyKey != "" {
+		out.Header.Set("Idempotency-Key", req.IdempotencyKey)
+	}
+	out.Header.Set("X-Request-ID", string(req.ID))
+	out.Header.Del("traceparent")
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(out.Header))
+	return out, nil
+}
+
+// passedOn copies the headers without those of one connection, which include
+// the ones that Connection names.
+func passedOn(in map[string][]string) http.Header {
+	out := http.Header{}
+	for name, values := range in {
+		out[textproto.CanonicalMIMEHeaderKey(name)] = values
+	}
+	out = out.Clone()
+	for _, list := range out["Connection"] {
+		for name := range bytes.SplitSeq([]byte(list), []byte(",")) {
+			out.Del(string(bytes.TrimSpace(name)))
+		}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+var errResponseTooLarge = errors.New("response body is too large")
+
+func readBody(in io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(in, maxResponseBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > maxResponseBytes {
+		return nil, errResponseTooLarge
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/transport/service/client_test.go
@@ -0,0 +1,174 @@
+package service
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+)
+
+// server counts requests. It answers the first on each connection and, when
+// asked to, drops the connection on the second without an answer.
+type server struct {
+	listener net.Listener
+	requests atomic.Int32
+	answer   func(n int, conn net.Conn, req *http.Request) bool // false closes
+}
+
+func listen(t *testing.T, answer func(int, net.Conn, *http.Request) bool) *server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &server{listener: l, answer: answer}
+	go s.accept()
+	t.Cleanup(func() { _ = l.Close() })
+	return s
+}
+
+func (s *server) accept() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serve(conn)
+	}
+}
+
+func (s *server) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	for n := 1; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		s.requests.Add(1)
+		if !s.answer(n, conn, req) {
+			return
+		}
+	}
+}
+
+func ok(conn net.Conn) {
+	_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+}
+
+// dropSecond runs each request but drops the second one of a connection.
+func dropSecond(n int, conn net.Conn, _ *http.Request) bool {
+	if n > 1 {
+		return false
+	}
+	ok(conn)
+	return true
+}
+
+func stamp() call.Request {
+	return call.Request{
+		ID: "i1-r1", Method: http.MethodPost, Path: "/stamp", Body: []byte("permit 7"), IdempotencyKey: "k1",
+		Route: model.Route{Method: http.MethodPost, Path: "/stamp"},
+	}
+}
+
+func (s *server) upstream() model.Upstream {
+	return model.Upstream{ID: "s1", Address: s.listener.Addr().String()}
+}
+
+// Guards against a resend by net/http: its default client sends a keyed POST
+// again when a reused connection dies after the upstream has run the request.
+func TestKeyedPostIsSentOnce(t *testing.T) {
+	s := listen(t, dropSecond)
+	client := &http.Client{Transport: &http.Transport{}}
+	for range 2 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+s.upstream().Address+"/stamp", bytes.NewReader([]byte("permit 7")))
+		assert.NilError(t, err)
+		req.Header.Set("Idempotency-Key", "k1")
+		resp, err := client.Do(req)
+		assert.NilError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, resp.Body.Close())
+	}
+	assert.Equal(t, s.requests.Load(), int32(3), "the default client resends")
+	client.CloseIdleConnections()
+
+	s = listen(t, dropSecond)
+	c := New()
+	for range 2 {
+		_, err := c.Send(t.Context(), s.upstream(), stamp())
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, s.requests.Load(), int32(2), "ours does not")
+}
+
+// Guards against a resend or a "not sent" when the upstream drops the
+// connection after it ran the request, with and without a body.
+func TestDroppedConnectionCountsAsSent(t *testing.T) {
+	s := listen(t, func(int, net.Conn, *http.Request) bool { return false })
+	for _, body := range [][]byte{[]byte("permit 7"), nil} {
+		s.requests.Store(0)
+		req := stamp()
+		req.Body = body
+		_, err := New().Send(t.Context(), s.upstream(), req)
+		var sendErr *call.SendError
+		assert.Assert(t, errors.As(err, &sendErr))
+		assert.Assert(t, sendErr.Sent)
+		assert.Equal(t, s.requests.Load(), int32(1))
+	}
+}
+
+// Guards against "sent" for a refused connection, which would make the
+// outcome unknown, and for a call whose deadline had passed.
+func TestNoConnectionCountsAsNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	closed := model.Upstream{ID: "s1", Address: l.Addr().String()}
+	assert.NilError(t, l.Close())
+	expired, cancel := context.WithDeadline(t.Context(), time.Now().Add(-time.Second))
+	defer cancel()
+	live := listen(t, dropSecond)
+	for _, try := range []struct {
+		ctx      context.Context
+		upstream model.Upstream
+	}{{t.Context(), closed}, {expired, live.upstream()}} {
+		_, err := New().Send(try.ctx, try.upstream, stamp())
+		var sendErr *call.SendError
+		assert.Assert(t, errors.As(err, &sendErr))
+		assert.Assert(t, !sendErr.Sent, "%v", err)
+	}
+	assert.Equal(t, live.requests.Load(), int32(0))
+}
+
+// Guards against a followed redirect, a lost trace context, and connection
+// headers that reach the upstream.
+func TestRequestIsPassedOnAsItIs(t *testing.T) {
+	const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"
+	seen := make(chan http.Header, 2)
+	s := listen(t, func(_ int, conn net.Conn, req *http.Request) bool {
+		seen <- req.Header
+		_, _ = io.WriteString(conn, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /stamp\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	req := stamp()
+	req.TraceParent = parent
+	req.Header = map[string][]string{"connection": {"x-hop"}, "X-Hop": {"1"}, "X-Kept": {"2"}, "Expect": {"100-continue"}}
+	resp, err := New().Send(t.Context(), s.upstream(), req)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.Status, http.StatusTemporaryRedirect)
+	h := <-seen
+	assert.Equal(t, h.Get("traceparent"), parent)
+	assert.Equal(t, h.Get("X-Kept"), "2")
+	assert.Equal(t, h.Get("X-Hop")+h.Get("Expect"), "")
+	assert.Equal(t, s.requests.Load(), int32(1))
+}
