Add a stand-in for a model engine

Cause: resume, routing, orders and roll-back need engines that batch, cache prefixes, outlive their connections and fail in known ways.

Ruled out: one timer for each stream, which at 64 slots costs 64 timer events for each token time; one item of the worker pool advances the whole batch. Holding the fault table's lock in a step, because no stand-in holds two locks.

Change: streams over server-sent events with slots, priorities, prefill by uncached prompt bytes, prefix cache with late and lost events, attach within a grace time, cancel, lagging load, fenced orders with load time, leaving notice, Kill and Restart, and the faults that PUT /faults switches. Token and NoisyToken are the oracles.

Conclusion: engines can be wired in process or through cmd/standin.

--- /dev/null
+++ b/internal/transport/standin/engine/batch.go
@@ -0,0 +1,196 @@
+package engine
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin"
+)
+
+// pace holds what a step of the batch depends on.
+type pace struct {
+	now         time.Time
+	tokenTime   time.Duration
+	prefillRate float64
+	faults      Faults
+}
+
+// batch holds the streams and everything that a step changes. mu has
+// standin.RankData and guards the other fields and the streams.
+//
+// Invariants: waiting holds exactly the streams in phaseWaiting and running
+// those in phaseRunning; running has at most slots streams; streams holds all
+// streams that a connection can attach to.
+type batch struct {
+	mu       lock.Mutex
+	slots    int
+	capacity int // of waiting
+	grace    time.Duration
+	blocks   int // capacity of cache
+
+	streams  map[string]*stream
+	waiting  waitQueue
+	running  []*stream
+	cache    *prefixCache
+	cacheLog cacheLog
+	load     loadHistory
+	stats    Stats
+	arrivals uint64
+	stepAt   time.Time // earliest time of the next step
+
+	incarnation uint64
+	dead        bool      // killed
+	closed      bool      // has left
+	leaveAt     time.Time // deadline of the leaving notice; zero means not leaving
+}
+
+func newBatch(opts Options, lose func() bool, now time.Time) *batch {
+	return &batch{
+		mu:          lock.New(standin.RankData),
+		slots:       opts.Slots,
+		capacity:    opts.MaxWaiting,
+		grace:       opts.Grace,
+		blocks:      opts.CacheBlocks,
+		streams:     map[string]*stream{},
+		cache:       newPrefixCache(opts.CacheBlocks),
+		cacheLog:    cacheLog{delay: opts.CacheEventDelay, lose: lose},
+		load:        newLoadHistory(opts.LoadLag, now),
+		stats:       Stats{PromptRuns: map[string]int64{}},
+		incarnation: uint64(now.UnixNano()),
+	}
+}
+
+// advance runs what is due: it ends streams that nobody reads, fills the slots
+// and produces one token for each stream that is ready. It returns when to run
+// next, zero meaning when something changes, and whether the engine crashes.
+func (b *batch) advance(p pace) (due time.Time, crash bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.expire(p.now)
+	b.fill(p)
+	if !p.faults.Freeze && !p.now.Before(b.stepAt) {
+		if b.step(p) {
+			return time.Time{}, true
+		}
+		b.fill(p)
+	}
+	b.recordLoad(p.now)
+	return b.nextDue(p), false
+}
+
+// expire drops streams that had no reader for the grace time.
+func (b *batch) expire(now time.Time) {
+	for _, s := range b.streams {
+		if s.expiresAt.IsZero() || s.expiresAt.After(now) {
+			continue
+		}
+		if s.phase != phaseFinished {
+			b.stats.Expired++
+		}
+		b.drop(s)
+	}
+}
+
+// drop ends a stream and forgets it.
+func (b *batch) drop(s *stream) {
+	delete(b.streams, s.id)
+	if i := slices.Index(b.waiting, s); i >= 0 {
+		heap.Remove(&b.waiting, i)
+	}
+	b.running = slices.DeleteFunc(b.running, func(r *stream) bool { return r == s })
+	if s.phase != phaseFinished {
+		s.phase = phaseGone
+	}
+	s.signalReaders()
+}
+
+// fill gives free slots to the streams that wait.
+func (b *batch) fill(p pace) {
+	for len(b.running) < b.slots && len(b.waiting) > 0 {
+		s := heap.Pop(&b.waiting).(*stream)
+		slow := p.faults.slow(len(b.running) + len(b.waiting) + 1)
+		s.phase = phaseRunning
+		s.readyAt = p.now.Add(time.Duration(slow * b.prefill(s, p) * float64(time.Second)))
+		b.running = append(b.running, s)
+		b.stats.countRun(s.request.Prompt)
+	}
+}
+
+// prefill returns the seconds that the prefill of a stream takes, and caches
+// its blocks.
+func (b *batch) prefill(s *stream, p pace) float64 {
+	input := s.input()
+	blocks := PrefixBlocks(input)
+	cached := b.cache.cached(blocks) * BlockBytes
+	b.cache.use(blocks, &b.cacheLog, p.now)
+	b.stats.CachedBytes += int64(cached)
+	b.stats.PrefillBytes += int64(len(input) - cached)
+	return float64(len(input)-cached) / p.prefillRate
+}
+
+// step produces one token for each stream whose prefill is done. It reports
+// whether the engine crashes.
+func (b *batch) step(p pace) (crash bool) {
+	produced := false
+	slow := p.faults.slow(len(b.running) + len(b.waiting))
+	for _, s := range b.running {
+		if s.readyAt.After(p.now) {
+			continue
+		}
+		if s.crashes(p.faults.CrashMarker, p.faults.CrashAt) {
+			return true
+		}
+		if s.produce() {
+			b.stats.Tokens++
+		}
+		produced = true
+		s.signalReaders()
+	}
+	if !produced {
+		return false
+	}
+	b.running = slices.DeleteFunc(b.running, func(s *stream) bool { return s.phase == phaseFinished })
+	b.stepAt = nextStep(b.stepAt, p.now, time.Duration(slow*float64(p.tokenTime)))
+	return false
+}
+
+// nextStep keeps the pace when a step ran a little late, and starts anew after
+// a pause.
+func nextStep(last, now time.Time, interval time.Duration) time.Time {
+	if now.Sub(last) < interval {
+		return last.Add(interval)
+	}
+	return now.Add(interval)
+}
+
+// nextDue returns the time of the next step or expiry, zero if there is none.
+func (b *batch) nextDue(p pace) time.Time {
+	var due time.Time
+	sooner := func(at time.Time) {
+		if due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	for _, s := range b.streams {
+		if !s.expiresAt.IsZero() {
+			sooner(s.expiresAt)
+		}
+	}
+	if p.faults.Freeze {
+		return due
+	}
+	for _, s := range b.running {
+		if s.readyAt.After(b.stepAt) {
+			sooner(s.readyAt)
+		} else {
+			sooner(b.stepAt)
+		}
+	}
+	return due
+}
+
+func (b *batch) recordLoad(now time.Time) {
+	b.load.record(loadSample{at: now, running: len(b.running), waiting: len(b.waiting)})
+}
--- /dev/null
+++ b/internal/transport/standin/engine/faults_test.go
@@ -0,0 +1,108 @@
+package engine
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin"
+)
+
+// Guards against a fault that does not happen, so that a test of its handling
+// passes without it.
+func TestStreamFaults(t *testing.T) {
+	for name, test := range map[string]struct {
+		faults Faults
+		check  func(t *testing.T, got received)
+	}{
+		"cut": {Faults{CutAfter: 3}, func(t *testing.T, got received) {
+			assert.Assert(t, got.err != nil && !got.done)
+			assert.DeepEqual(t, got.tokens, want("p", 0, 3))
+		}},
+		"cut with a proper body": {Faults{CutAfter: 3, CutClean: true}, func(t *testing.T, got received) {
+			assert.NilError(t, got.err)
+			assert.Assert(t, !got.done && got.finish == "")
+			assert.DeepEqual(t, got.tokens, want("p", 0, 3))
+		}},
+		"duplicates": {Faults{DuplicateFraction: 0.5}, func(t *testing.T, got received) {
+			assert.Assert(t, len(got.tokens) > 40 && got.total == 40)
+			assert.Assert(t, slices.IsSorted(got.positions))
+		}},
+		"skips": {Faults{SkipFraction: 0.5}, func(t *testing.T, got received) {
+			assert.Assert(t, len(got.tokens) < 40 && got.total == 40)
+		}},
+		"wrong stream": {Faults{WrongStreamFraction: 0.5}, func(t *testing.T, got received) {
+			assert.Assert(t, slices.Contains(got.ids, "other") && slices.Contains(got.ids, "a"))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, Options{Seed: 1}, func(t *testing.T, h harness) {
+				other := h.start(request("other", "q", 1000))
+				time.Sleep(time.Second)
+				code, _ := h.status("PUT", standin.FaultsPath, test.faults)
+				assert.Equal(t, code, http.StatusOK)
+				test.check(t, collect(t, h.start(request("a", "p", 40)), 0))
+				_ = other.Body.Close()
+			})
+		})
+	}
+}
+
+// Guards against times that faults do not change.
+func TestPaceFaults(t *testing.T) {
+	elapsed := func(h harness, faults Faults) time.Duration {
+		h.engine.SetFaults(faults)
+		began := time.Now()
+		collect(h.t, h.start(request(time.Now().String(), "", 11)), 0)
+		return time.Since(began)
+	}
+	run(t, Options{TokenTime: 100 * time.Millisecond}, func(t *testing.T, h harness) {
+		assert.Equal(t, elapsed(h, Faults{}), time.Second)
+		time.Sleep(time.Minute)
+		assert.Equal(t, elapsed(h, Faults{SlowFactor: 3}), 3*time.Second)
+		time.Sleep(time.Minute)
+		assert.Equal(t, elapsed(h, Faults{SlowFactor: 3, AboveLoad: 1}), time.Second)
+		time.Sleep(time.Minute)
+		assert.Equal(t, elapsed(h, Faults{LateFraction: 1, LateMS: 5000, CutAfter: 1, CutClean: true}), 5*time.Second)
+		time.Sleep(time.Minute)
+		time.AfterFunc(time.Minute, func() { h.engine.SetFaults(Faults{}) })
+		assert.Assert(t, elapsed(h, Faults{Freeze: true}) >= time.Minute)
+	})
+}
+
+// Guards against a version that fails under load only, but fails always.
+func TestFailsAboveALoad(t *testing.T) {
+	run(t, Options{Faults: Faults{FailFraction: 1, AboveLoad: 2}}, func(t *testing.T, h harness) {
+		first, second := h.start(request("a", "p", 100)), h.start(request("b", "p", 100))
+		code, _ := h.status("POST", engineapi.CompletionsPath, request("c", "p", 1))
+		assert.Equal(t, code, http.StatusInternalServerError)
+		assert.Assert(t, collect(t, first, 0).done && collect(t, second, 0).done)
+		assert.Assert(t, collect(t, h.start(request("c", "p", 1)), 0).done)
+		assert.Equal(t, h.engine.Stats().Failed, int64(1))
+	})
+}
+
+// Guards against a crash at another position than the one asked for, or by a
+// prompt without the marker.
+func TestCrashMarker(t *testing.T) {
+	run(t, Options{Faults: Faults{CrashMarker: "poison", CrashAt: 5}}, func(t *testing.T, h harness) {
+		innocent := h.start(request("a", "p", 100))
+		assert.Equal(t, len(collect(t, h.start(request("b", "p", 20)), 0).tokens), 20)
+		got := collect(t, h.start(request("c", "some poison", 20)), 0)
+		assert.DeepEqual(t, got.tokens, want("some poison", 0, 5))
+		assert.Assert(t, got.err != nil)
+		assert.Assert(t, collect(t, innocent, 0).err != nil)
+	})
+}
+
+// Guards against a misspelt fault that leaves a test without its fault.
+func TestUnknownFaultIsRefused(t *testing.T) {
+	run(t, Options{}, func(t *testing.T, h harness) {
+		code, _ := h.status("PUT", standin.FaultsPath, map[string]int{"cut_afer": 3})
+		assert.Equal(t, code, http.StatusBadRequest)
+	})
+}
