--- /dev/null
+++ b/internal/protocol/problem/problem.go
@@ -0,0 +1,90 @@
+// Package problem encodes refusals as JSON error bodies with their HTTP
+// status and headers.
+package problem
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// Headers of responses.
+const (
+	HeaderRequestID  = "X-Request-ID"
+	HeaderRetryAfter = "Retry-After"
+)
+
+// Body is the JSON body of each error response.
+type Body struct {
+	Error Detail `json:"error"`
+}
+
+// Detail is the content of a Body. Outcome tells whether the request took
+// effect.
+type Detail struct {
+	Code      string          `json:"code"`
+	Message   string          `json:"message"`
+	RequestID model.RequestID `json:"request_id"`
+	Outcome   model.Outcome   `json:"outcome"`
+}
+
+// Of returns the refusal that err is or wraps. Any other error becomes the
+// code internal with an unknown outcome; its text is for the log, not for the
+// caller.
+func Of(err error) *model.Refusal {
+	var refusal *model.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return &model.Refusal{Code: CodeInternal, Message: "internal error; see the log under the request ID", Outcome: model.OutcomeUnknown}
+}
+
+// Encode returns the body of a refusal, as for an error event of a stream.
+func Encode(id model.RequestID, r *model.Refusal) []byte {
+	detail := Detail{Code: r.Code, Message: r.Message, RequestID: id, Outcome: r.Outcome}
+	// A struct of strings always encodes.
+	body, _ := json.Marshal(Body{Error: detail})
+	return body
+}
+
+// Write answers a request with a refusal. The error is that of the connection.
+func Write(w http.ResponseWriter, id model.RequestID, r *model.Refusal) error {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Cache-Control", "no-store")
+	header.Set(HeaderRequestID, string(id))
+	if r.RetryAfter > 0 {
+		header.Set(HeaderRetryAfter, retryAfter(r.RetryAfter))
+	}
+	w.WriteHeader(Status(r.Code))
+	_, err := w.Write(Encode(id, r))
+	return trace.ConvertSystemError(err)
+}
+
+// retryAfter rounds up to whole seconds, the unit of the header.
+func retryAfter(d time.Duration) string {
+	return strconv.FormatInt(int64(math.Ceil(d.Seconds())), 10)
+}
+
+// Decode reads an error response. Header may be nil.
+func Decode(header http.Header, body []byte) (model.RequestID, *model.Refusal, error) {
+	var b Body
+	if err := json.Unmarshal(body, &b); err != nil {
+		return "", nil, trace.BadParameter("error body is not JSON: %v", err)
+	}
+	if b.Error.Code == "" {
+		return "", nil, trace.BadParameter("error body has no code")
+	}
+	refusal := &model.Refusal{Code: b.Error.Code, Message: b.Error.Message, Outcome: b.Error.Outcome}
+	if seconds, err := strconv.ParseUint(header.Get(HeaderRetryAfter), 10, 31); err == nil {
+		refusal.RetryAfter = time.Duration(seconds) * time.Second
+	}
+	return b.Error.RequestID, refusal, nil
+}
