Admit generations by capacity, priority, fair share and deadline

Cause: an instance must bound its work for each model and share it between organisations; a resumed generation must not wait behind new ones.

Ruled out: a drain rate counted from departures, which falls while a model is idle and then refuses a burst that would be served in time. The rate is the capacity divided by the smoothed time a request holds its slot.

--- /dev/null
+++ b/internal/state/organisation/organisation.go
@@ -0,0 +1,147 @@
+// Package organisation holds the organisations' shares and what each of them
+// has waiting and in flight on this instance.
+package organisation
+
+import (
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// Organisation is one customer's share and use.
+type Organisation struct {
+	Weight      int
+	MaxInFlight int  // 0 means no limit
+	InFlight    int  // admitted requests of all models
+	Configured  bool // named in the document
+}
+
+// Waiting is a request in a queue.
+type Waiting struct {
+	Request      model.RequestID
+	Organisation model.OrganisationID
+	Priority     model.Priority
+	Deadline     time.Time // zero means none
+	// Admitted is called once, outside the table's lock.
+	Admitted func(*model.Refusal)
+}
+
+// Turn is one organisation's place in a round.
+type Turn struct {
+	Organisation model.OrganisationID
+	Deficit      int // requests that are left to it in this round
+	Waiting      []Waiting
+}
+
+// Class holds the waiting requests of one priority. Turns has one entry for
+// each organisation with waiting requests; Next is the index of the current.
+type Class struct {
+	Turns []Turn
+	Next  int
+}
+
+// Queue is the state of one model.
+type Queue struct {
+	Classes  [model.PriorityBatch + 1]Class // by priority; the one of resumes stays empty
+	MaxQueue int                            // waiting requests; 0 means the default
+	InFlight int
+	Hold     time.Duration // smoothed time from admission to leaving; zero means unknown
+}
+
+// Place says where a request is.
+type Place struct {
+	Serves       string
+	Organisation model.OrganisationID
+	Priority     model.Priority
+	Admitted     bool
+	Since        time.Time // time of admission
+}
+
+// State is the content of the table.
+type State struct {
+	Organisations map[model.OrganisationID]Organisation
+	Queues        map[string]*Queue
+	Places        map[model.RequestID]Place
+}
+
+// Table holds the state. mu has lock.RankOrganisation and guards state.
+//
+// Invariants: each waiting request is in one class and has a place that is
+// not admitted; InFlight of a queue and of an organisation equals the number
+// of its admitted places.
+type Table struct {
+	mu    lock.Mutex
+	state State
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{
+		mu: lock.New(lock.RankOrganisation),
+		state: State{
+			Organisations: map[model.OrganisationID]Organisation{},
+			Queues:        map[string]*Queue{},
+			Places:        map[model.RequestID]Place{},
+		},
+	}
+}
+
+// Update changes the state in place under the table's lock. change must not
+// block, call out, or keep a reference to the state.
+func (t *Table) Update(change func(*State)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(&t.state)
+}
+
+// Queue returns the queue of a model and makes it if needed.
+func (s *State) Queue(serves string) *Queue {
+	q, ok := s.Queues[serves]
+	if !ok {
+		q = &Queue{}
+		s.Queues[serves] = q
+	}
+	return q
+}
+
+// Weight returns the organisation's weight, at least 1.
+func (s *State) Weight(id model.OrganisationID) int {
+	return max(1, s.Organisations[id].Weight)
+}
+
+// MayRun reports whether the organisation is below its limit.
+func (s *State) MayRun(id model.OrganisationID) bool {
+	o := s.Organisations[id]
+	return o.MaxInFlight <= 0 || o.InFlight < o.MaxInFlight
+}
+
+// AddInFlight changes the number of the organisation's admitted requests. An
+// organisation that is not configured is forgotten with its last request.
+func (s *State) AddInFlight(id model.OrganisationID, n int) {
+	o := s.Organisations[id]
+	o.InFlight += n
+	if o.InFlight == 0 && !o.Configured {
+		delete(s.Organisations, id)
+		return
+	}
+	s.Organisations[id] = o
+}
+
+// Len returns the number of waiting requests.
+func (c *Class) Len() int {
+	n := 0
+	for _, t := range c.Turns {
+		n += len(t.Waiting)
+	}
+	return n
+}
+
+// Len returns the number of waiting requests of all priorities.
+func (q *Queue) Len() int {
+	n := 0
+	for i := range q.Classes {
+		n += q.Classes[i].Len()
+	}
+	return n
+}
