Test the platform client over TLS

Cause: the TLS dialer had no test.

Change: one call with a trusted certificate, one with an unknown one, which must count as not sent.

Conclusion: the handshake does not count as a part of the request.

--- a/internal/transport/platform/client_test.go
+++ b/internal/transport/platform/client_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
+	"log"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -205,3 +207,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, len(machines.Upstreams), 0)
 }
+
+// Guards against a TLS handshake that counts as a part of the request, and
+// against a server whose certificate is not checked.
+func TestTLS(t *testing.T) {
+	server := httptest.NewTLSServer(standin.New(standin.Options{}))
+	defer server.Close()
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	trusting, err := platform.New(platform.Options{
+		BaseURL: server.URL,
+		TLS:     server.Client().Transport.(*http.Transport).TLSClientConfig,
+	})
+	assert.NilError(t, err)
+	defer trusting.Close()
+	_, err = platform.NewRows[record](trusting, "t").Put(t.Context(), "k", record{}, store.NoRow)
+	assert.NilError(t, err)
+	strict, err := platform.New(platform.Options{BaseURL: server.URL})
+	assert.NilError(t, err)
+	_, err = platform.NewRows[record](strict, "t").Put(t.Context(), "k", record{}, store.NoRow)
+	assert.ErrorIs(t, err, store.ErrUnavailable)
+}
