Add svctl, the operators' command-line client

Cause: operators check, compare and promote documents and need to see moves, instances, upstreams and the attempts of one request.

The platform client is injected through operator.Connect; until it is wired, commands that need it exit with 1. debugapi holds the answer to explain.

Conclusion: needs the platform client to be of use against a platform.

--- /dev/null
+++ b/internal/transport/operator/lists.go
@@ -0,0 +1,136 @@
+package operator
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+type movesCommand struct {
+	Environment string `arg:"" enum:"trial,production" help:"trial or production."`
+}
+
+// Help implements kong's detailed help.
+func (movesCommand) Help() string {
+	return "Lists the records of version moves, the latest last.\n\nExample: svctl moves production"
+}
+
+// listedMove is the JSON form of a move.
+type listedMove struct {
+	Name     string    `json:"name"`
+	Target   string    `json:"target"`
+	Previous string    `json:"previous"`
+	State    string    `json:"state"`
+	Share    float64   `json:"share"`
+	FinishBy time.Time `json:"finish_by"`
+	Reason   string    `json:"reason"`
+	At       time.Time `json:"at"`
+}
+
+// Run implements the command.
+func (c *movesCommand) Run(r *run) error {
+	p, err := r.platform()
+	if err != nil {
+		return err
+	}
+	rows, err := p.Moves.List(r.ctx, movesPrefix(c.Environment))
+	if err != nil {
+		return trace.Wrap(err, "moves of environment %s", c.Environment)
+	}
+	list := make([]listedMove, 0, len(rows))
+	for _, row := range rows {
+		list = append(list, listedMove(row.Value))
+	}
+	slices.SortStableFunc(list, func(a, b listedMove) int { return a.At.Compare(b.At) })
+	t := table{header: []any{"NAME", "TARGET", "PREVIOUS", "STATE", "SHARE", "FINISH BY", "AT", "REASON"}}
+	for _, m := range list {
+		share := fmt.Sprintf("%.0f%%", 100*m.Share)
+		t.rows = append(t.rows, []any{m.Name, m.Target, dash(m.Previous), m.State, share, timeText(m.FinishBy), timeText(m.At), dash(m.Reason)})
+	}
+	return r.out.print(list, t)
+}
+
+type instancesCommand struct{}
+
+// Help implements kong's detailed help.
+func (instancesCommand) Help() string {
+	return "The platform's list lags behind.\n\nExample: svctl instances --output json"
+}
+
+// listedInstance is the JSON form of an instance.
+type listedInstance struct {
+	ID             model.InstanceID    `json:"id"`
+	State          model.InstanceState `json:"state"`
+	Region         string              `json:"region"`
+	FailureDomain  model.FailureDomain `json:"failure_domain"`
+	CallerAddress  string              `json:"caller_address"`
+	EntryAddress   string              `json:"entry_address"`
+	ControlAddress string              `json:"control_address"`
+}
+
+// Run implements the command.
+func (c *instancesCommand) Run(r *run) error {
+	p, err := r.platform()
+	if err != nil {
+		return err
+	}
+	found, err := p.Instances(r.ctx)
+	if err != nil {
+		return trace.Wrap(err, "list of instances")
+	}
+	list := make([]listedInstance, 0, len(found))
+	for _, i := range found {
+		list = append(list, listedInstance{i.ID, i.State, i.Region, i.FailureDomain, i.CallerAddress, i.EntryAddress, i.ControlAddress})
+	}
+	slices.SortFunc(list, func(a, b listedInstance) int { return cmp.Compare(a.ID, b.ID) })
+	t := table{header: []any{"ID", "STATE", "REGION", "FAILURE DOMAIN", "CALLERS", "ENTRY", "CONTROL"}}
+	for _, i := range list {
+		t.rows = append(t.rows, []any{i.ID, i.State, i.Region, i.FailureDomain, dash(i.CallerAddress), dash(i.EntryAddress), dash(i.ControlAddress)})
+	}
+	return r.out.print(list, t)
+}
+
+type upstreamsCommand struct {
+	Environment string `arg:"" optional:"" enum:"trial,production" default:"production" help:"trial or production (default)."`
+}
+
+// Help implements kong's detailed help.
+func (upstreamsCommand) Help() string {
+	return "Example: svctl upstreams trial"
+}
+
+// listedUpstream is the JSON form of an upstream.
+type listedUpstream struct {
+	ID            model.UpstreamID    `json:"id"`
+	Kind          model.UpstreamKind  `json:"kind"`
+	Address       string              `json:"address"`
+	Region        string              `json:"region"`
+	FailureDomain model.FailureDomain `json:"failure_domain"`
+	Serves        string              `json:"serves"`
+	Version       string              `json:"version"`
+	Fencing       model.FencingMode   `json:"fencing"`
+}
+
+// Run implements the command.
+func (c *upstreamsCommand) Run(r *run) error {
+	p, err := r.platform()
+	if err != nil {
+		return err
+	}
+	found, err := r.requireInForce(p, c.Environment)
+	if err != nil {
+		return err
+	}
+	list := make([]listedUpstream, 0, len(found.doc.Upstreams))
+	t := table{header: []any{"ID", "KIND", "SERVES", "VERSION", "ADDRESS", "REGION", "FAILURE DOMAIN", "FENCING"}}
+	for _, u := range found.doc.Upstreams {
+		list = append(list, listedUpstream(u))
+		t.rows = append(t.rows, []any{u.ID, u.Kind, u.Serves, u.Version, u.Address, u.Region, u.FailureDomain, u.Fencing})
+	}
+	return r.out.print(list, t)
+}
--- /dev/null
+++ b/internal/transport/operator/operator_test.go
@@ -0,0 +1,201 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/golden"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+const (
+	archive = "../../../examples/archive-workshop.yaml"
+	permits = "../../../examples/permit-office.yaml"
+	request = "north-a-1-abcdefghijklmnopqrstuvwx23"
+)
+
+// fakeRows keeps rows in memory. A set err is returned by each request.
+type fakeRows[T any] struct {
+	rows map[string]T
+	err  error
+}
+
+func (f *fakeRows[T]) Get(_ context.Context, key string) (store.Keyed[T], error) {
+	value, ok := f.rows[key]
+	if f.err == nil && !ok {
+		return store.Keyed[T]{}, store.ErrNotFound
+	}
+	return store.Keyed[T]{Key: key, Value: value, Revision: "r"}, f.err
+}
+
+func (f *fakeRows[T]) Put(_ context.Context, key string, value T, expected store.Revision) (store.Revision, error) {
+	if _, ok := f.rows[key]; ok != (expected == "r") {
+		return "", store.ErrConflict
+	}
+	f.rows[key] = value
+	return "r", f.err
+}
+
+func (f *fakeRows[T]) List(_ context.Context, prefix string) ([]store.Keyed[T], error) {
+	var list []store.Keyed[T]
+	for key, value := range f.rows {
+		if strings.HasPrefix(key, prefix) {
+			list = append(list, store.Keyed[T]{Key: key, Value: value})
+		}
+	}
+	return list, f.err
+}
+
+type fakeObjects map[string][]byte
+
+func (f fakeObjects) GetObject(_ context.Context, key string) ([]byte, error) { return f[key], nil }
+
+func (f fakeObjects) PutObject(_ context.Context, key string, body []byte) error {
+	f[key] = body
+	return nil
+}
+
+// bench runs command lines against one platform in memory.
+type bench struct {
+	t      *testing.T
+	heads  *fakeRows[environment.Head]
+	moves  *fakeRows[Move]
+	stdout bytes.Buffer
+	stderr bytes.Buffer
+	config Config
+}
+
+func newBench(t *testing.T) *bench {
+	t.Setenv("USER", "ann")
+	t.Setenv("SVCTL_PLATFORM", "http://127.0.0.1:1")
+	now := time.Date(2026, 10, 1, 12, 0, 0, 0, time.UTC)
+	b := &bench{t: t, heads: &fakeRows[environment.Head]{rows: map[string]environment.Head{}}, moves: &fakeRows[Move]{rows: map[string]Move{}}}
+	b.moves.rows["moves/production/bake-log/4"] = Move{Name: "bake-log", Target: "2.1", Previous: "2.0", State: "moving", Share: 0.25, FinishBy: now, At: now}
+	b.moves.rows["moves/production/bake-log/3"] = Move{Name: "bake-log", Target: "2.0", State: "finished", Share: 1, Reason: "in time", At: now.Add(-time.Hour)}
+	platform := &Platform{Heads: b.heads, Moves: b.moves, Objects: fakeObjects{}}
+	platform.Instances = func(context.Context) ([]model.Instance, error) {
+		return []model.Instance{{ID: "b-1", State: model.InstanceLeaving}, {ID: "a-1", State: model.InstanceLive, CallerAddress: "10.0.0.1:80"}}, nil
+	}
+	b.config = Config{
+		Stdout: &b.stdout, Stderr: &b.stderr, Now: func() time.Time { return now },
+		Connect: func(string) (*Platform, error) { return platform, nil },
+	}
+	return b
+}
+
+// run carries out one command line and returns what it printed.
+func (b *bench) run(want int, line string) string {
+	b.t.Helper()
+	b.stdout.Reset()
+	b.stderr.Reset()
+	code := Run(context.Background(), strings.Fields(line), b.config)
+	assert.Equal(b.t, code, want, "%s: %s", line, b.stderr.String())
+	return b.stdout.String() + b.stderr.String()
+}
+
+// Guards against output that changes unseen, and against a promotion that
+// overwrites what another operator promoted.
+func TestCommands(t *testing.T) {
+	b := newBench(t)
+	var all strings.Builder
+	for _, step := range []struct {
+		code int
+		line string
+	}{
+		{ExitOK, "check " + archive},
+		{ExitUsage, "show trial"},
+		{ExitOK, "promote --to trial --seen 0 --change-id c1 --file " + archive},
+		{ExitOK, "promote --to trial --seen 0 --change-id c1 --file " + archive},
+		{ExitConflict, "promote --to trial --seen 0 --change-id c2 --file " + permits},
+		{ExitOK, "promote --to production --seen 0 --change-id c3 --from trial"},
+		{ExitOK, "diff production " + archive},
+		{ExitOK, "show production"},
+		{ExitOK, "upstreams"},
+		{ExitOK, "moves production"},
+		{ExitOK, "instances"},
+		{ExitOK, "instances --output json"},
+	} {
+		all.WriteString("$ svctl " + step.line + "\n" + b.run(step.code, step.line))
+	}
+	golden.Assert(t, all.String(), "commands.golden")
+	source, err := os.ReadFile(archive)
+	assert.NilError(t, err)
+	assert.Equal(t, b.run(ExitOK, "show production --source"), string(source))
+	for _, line := range []string{"show trial", "moves trial", "upstreams trial", "diff trial " + permits, "check " + permits} {
+		assert.Assert(t, json.Valid([]byte(b.run(ExitOK, line+" --output json"))), line)
+	}
+}
+
+// Guards against an outage that scripts take for a conflict or a success.
+func TestUnavailablePlatform(t *testing.T) {
+	b := newBench(t)
+	b.heads.err, b.moves.err = store.ErrUnavailable, store.ErrUnavailable
+	b.run(ExitUnavailable, "show trial")
+	b.run(ExitUnavailable, "moves trial")
+	b.run(ExitUnavailable, "promote --to trial --seen 0 --file "+archive)
+	b.heads.err = store.ErrUnknownOutcome
+	b.run(ExitUnavailable, "promote --to trial --seen 0 --timeout 1s --file "+archive)
+	b.config.Connect = nil
+	b.run(ExitFailed, "show trial")
+}
+
+// Guards against wrong input that is carried out in part, or whose message
+// does not name the field, the value and what is allowed.
+func TestWrongInput(t *testing.T) {
+	b := newBench(t)
+	bad := filepath.Join(t.TempDir(), "bad.yaml")
+	assert.NilError(t, os.WriteFile(bad, []byte("models: []\ncolour: red\n"), 0o600))
+	var all strings.Builder
+	for _, line := range []string{
+		"", "bogus", "show", "show staging", "--output xml instances", "check no-such-file", "--timeout 0s instances",
+		"promote --to trial --seen 1", "promote --to trial --seen 1 --from trial --file x",
+		"promote --to trial --seen 1 --from production", "promote --to trial --seen 1 --from trial",
+		"promote --to production --seen 1 --file x", "promote --to staging --seen 1 --file x",
+		"promote --to trial --file x", "promote --to trial --seen -1 --file x", "promote --to trial --seen one --file x",
+		"--platform 10.0.0.1 instances", "explain x --entry http://127.0.0.1:1", "explain " + request + " --entry x",
+	} {
+		all.WriteString("$ svctl " + line + "\n" + b.run(ExitUsage, line))
+	}
+	golden.Assert(t, all.String(), "wrong-input.golden")
+	for _, line := range []string{"check ", "diff trial ", "promote --to trial --seen 0 --file "} {
+		out := b.run(ExitUsage, line+bad)
+		assert.Assert(t, strings.Contains(out, "colour: line 2: unknown key") && strings.Contains(out, "no model and no service"), out)
+	}
+	assert.Equal(t, len(b.heads.rows), 0)
+	assert.Assert(t, strings.Contains(b.run(ExitOK, "promote --help"), "Examples:"))
+}
+
+// Guards against an explanation that hides why a request is not found.
+func TestExplain(t *testing.T) {
+	b := newBench(t)
+	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != debugapi.RequestPath+request {
+			_ = problem.Write(w, "", &model.Refusal{Code: problem.CodeUnknownRequest, Message: "no record", Outcome: model.OutcomeUnknown})
+			return
+		}
+		started := time.Date(2026, 10, 1, 12, 0, 0, 0, time.UTC)
+		_ = json.NewEncoder(w).Encode(debugapi.Request{Request: request, Model: "bake-log", Version: "2.0", Attempts: []debugapi.Attempt{
+			{Upstream: "bake-a1", Started: started, Tokens: 40, Loss: "reset"}, {Upstream: "bake-b1", Started: started.Add(time.Second), Tokens: 2},
+		}})
+	}))
+	defer entry.Close()
+	golden.Assert(t, b.run(ExitOK, "explain "+request+" --entry "+entry.URL), "explain.golden")
+	other := strings.Replace(request, "23", "24", 1)
+	assert.Assert(t, strings.Contains(b.run(ExitFailed, "explain "+other+" --entry "+entry.URL), "unknown_request: no record"))
+	entry.Close()
+	b.run(ExitFailed, "explain "+request+" --entry "+entry.URL)
+}
--- /dev/null
+++ b/internal/transport/operator/platform.go
@@ -0,0 +1,38 @@
+package operator
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// Platform is what the commands need of the platform.
+type Platform struct {
+	Heads     store.Rows[environment.Head]
+	Moves     store.Rows[Move]
+	Objects   store.Objects
+	Instances func(context.Context) ([]model.Instance, error)
+}
+
+// Connect returns a client of the platform at the URL.
+type Connect func(url string) (*Platform, error)
+
+// Move is a record under moves/<environment>/<name>/<generation>.
+type Move struct {
+	Name     string
+	Target   string
+	Previous string
+	State    string
+	Share    float64
+	FinishBy time.Time
+	Reason   string
+	At       time.Time
+}
+
+// movesPrefix returns the prefix of the keys of an environment's moves.
+func movesPrefix(environment string) string {
+	return "moves/" + environment + "/"
+}
--- /dev/null
+++ b/internal/transport/operator/promote.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"fmt"
+
+	"github.com/google/uuid"
+	"github.com/gravitational/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/envdoc"
+)
+
+// Names of the environments.
+const (
+	trial      = "trial"
+	production = "production"
+)
+
+type promoteCommand struct {
+	From     string `help:"Environment whose document is taken: trial." placeholder:"trial"`
+	File     string `help:"File that is taken; to trial only." placeholder:"FILE"`
+	To       string `help:"Environment that gets the document: trial or production." enum:"trial,production" required:""`
+	Seen     uint64 `help:"Generation of --to that you saw with svctl show; 0 for none." required:""`
+	By       string `help:"Who promotes." env:"USER" default:"unknown"`
+	ChangeID string `help:"ID of the change. Give the same ID to repeat a promotion whose outcome is unknown." placeholder:"ID"`
+}
+
+// Help implements kong's detailed help.
+func (promoteCommand) Help() string {
+	return `The document is checked first. It comes into force only if the generation seen is still in force.
+
+Examples:
+  svctl promote --file examples/archive-workshop.yaml --to trial --seen 4
+  svctl promote --from trial --to production --seen 11`
+}
+
+// Validate implements kong's check of flags.
+func (c *promoteCommand) Validate() error {
+	switch {
+	case (c.From == "") == (c.File == ""):
+		return trace.BadParameter("one of --from and --file is required, not %s", given(c.From != ""))
+	case c.From != "" && c.From != trial:
+		return trace.BadParameter("--from must be %s, not %q", trial, c.From)
+	case c.From == c.To:
+		return trace.BadParameter("--from and --to must differ, not both be %q", c.To)
+	case c.File != "" && c.To == production:
+		return trace.BadParameter("--to production takes a document from trial only, not from --file %q; promote the file to trial first", c.File)
+	}
+	return nil
+}
+
+func given(both bool) string {
+	if both {
+		return "both"
+	}
+	return "none"
+}
+
+// promoted is the JSON form of the result of promote.
+type promoted struct {
+	Environment string `json:"environment"`
+	Generation  uint64 `json:"generation"`
+	Hash        string `json:"hash"`
+	ChangeID    string `json:"change_id"`
+	InForce     uint64 `json:"in_force"` // higher when another promotion followed
+}
+
+// Run implements the command.
+func (c *promoteCommand) Run(r *run) error {
+	source, err := c.file()
+	if err != nil {
+		return err
+	}
+	p, err := r.platform()
+	if err != nil {
+		return err
+	}
+	if source == nil {
+		found, err := r.requireInForce(p, c.From)
+		if err != nil {
+			return err
+		}
+		source = found.source
+	}
+	if _, faults := envdoc.ParseForPromotion(source, r.config.Now()); len(faults) > 0 {
+		return faults
+	}
+	head, err := environment.Promote(r.ctx, p.Heads, p.Objects, c.promotion(r, source))
+	if err != nil {
+		return err
+	}
+	return c.print(r, head)
+}
+
+// file reads --file, or returns nil when --from is given.
+func (c *promoteCommand) file() ([]byte, error) {
+	if c.File == "" {
+		return nil, nil
+	}
+	return readFile(c.File)
+}
+
+func (c *promoteCommand) promotion(r *run, source []byte) environment.Promotion {
+	id := c.ChangeID
+	if id == "" {
+		id = uuid.NewString()
+	}
+	return environment.Promotion{
+		Environment: c.To,
+		Source:      source,
+		Hash:        envdoc.Hash(source),
+		Seen:        c.Seen,
+		ChangeID:    id,
+		PromotedBy:  c.By,
+		At:          r.config.Now().UTC(),
+	}
+}
+
+func (c *promoteCommand) print(r *run, head environment.Head) error {
+	inForce := head.Recent[len(head.Recent)-1].Generation
+	text := fmt.Sprintf("generation %d of environment %s is accepted, change %s", head.Generation, c.To, head.ChangeID)
+	if inForce != head.Generation {
+		text += fmt.Sprintf("; generation %d has replaced it since", inForce)
+	}
+	result := promoted{c.To, head.Generation, head.Hash, head.ChangeID, inForce}
+	return r.out.print(result, table{rows: [][]any{{text}}})
+}
