Bound the entries and the faults of a YAML file

Cause: a trial with a 4 MiB document of 2 million list items took 20.1 s and grew the heap to 2.7 GB, although the size bound allowed it.

Ruled out: a lower size bound, because a document with 3,500 upstreams already has 0.5 MB, and a time limit, which the parser cannot observe.

Change: strictyaml counts the bytes that can start an entry before it parses (at most 262,144) and keeps at most 1,000 faults.

Conclusion: parse time and memory of a wrong file are bounded.

--- a/internal/protocol/envdoc/envdoc_test.go
+++ b/internal/protocol/envdoc/envdoc_test.go
@@ -72,6 +72,10 @@
 func TestBounds(t *testing.T) {
 	_, faults := Parse([]byte(strings.Repeat("#", MaxBytes+1)))
 	assert.ErrorContains(t, faults.Err(), "at most 4194304 are allowed")
+	_, faults = Parse([]byte("models: [" + strings.Repeat("a,", MaxBytes/2-20) + "]"))
+	assert.ErrorContains(t, faults.Err(), "at most 262144 are allowed")
+	_, faults = Parse([]byte("models: [" + strings.Repeat("a,", 250_000) + "]"))
+	assert.Equal(t, len(faults), 1000)
 	bomb := "a: &a [x,x,x,x]\n"
 	for i := range 30 {
 		bomb += fmt.Sprintf("a%d: &a%d [*a,*a,*a,*a]\n", i, i)
--- a/internal/protocol/strictyaml/file.go
+++ b/internal/protocol/strictyaml/file.go
@@ -10,6 +10,14 @@
 	"go.yaml.in/yaml/v3"
 )
 
+const (
+	// maxEntries bounds the list items, keys and lines of a file, because each
+	// allocates about 1 KB. A document with 3,500 upstreams has 35,000.
+	maxEntries = 256 << 10
+	// maxFaults bounds the faults that are kept of one file.
+	maxFaults = 1000
+)
+
 // File is a decoded file: where each path stands, and what is wrong.
 type File struct {
 	lines  map[string]int
@@ -26,6 +34,10 @@
 		f.add("", 0, "the file has %d bytes; at most %d are allowed", len(src), maxBytes)
 		return f
 	}
+	if n := entries(src); n > maxEntries {
+		f.add("", 0, "the file has %d entries and lines; at most %d are allowed", n, maxEntries)
+		return f
+	}
 	root, err := parse(src)
 	if err != nil {
 		f.add("", 0, "%s", strings.TrimPrefix(err.Error(), "yaml: "))
@@ -35,6 +47,15 @@
 	return f
 }
 
+// entries counts the bytes that can start an entry, before the file is parsed.
+func entries(src []byte) int {
+	n := bytes.Count(src, []byte("- "))
+	for _, c := range []byte("\n\r,[{?") {
+		n += bytes.Count(src, []byte{c})
+	}
+	return n
+}
+
 // parse returns the root node of the only document in src.
 func parse(src []byte) (*yaml.Node, error) {
 	decoder := yaml.NewDecoder(bytes.NewReader(src))
@@ -72,6 +93,9 @@
 
 // report records a fault that leaves the value at the path usable.
 func (f *File) report(path string, line int, format string, args ...any) {
+	if len(f.faults) == maxFaults {
+		return
+	}
 	f.faults = append(f.faults, Fault{Path: path, Line: line, Message: fmt.Sprintf(format, args...)})
 }
 
--- a/internal/protocol/strictyaml/validate.go
+++ b/internal/protocol/strictyaml/validate.go
@@ -74,8 +74,12 @@
 	return urlPathPattern.MatchString(text) && path.Clean(text) == text
 }
 
-// Validate checks the struct against its validate tags and records the faults.
+// Validate checks the struct against its validate tags and records the faults,
+// unless the file has more of them than are kept.
 func (f *File) Validate(decoded any) {
+	if len(f.faults) == maxFaults {
+		return
+	}
 	var found validator.ValidationErrors
 	if !errors.As(checks.Struct(decoded), &found) {
 		return
