--- /dev/null
+++ b/internal/coordination/suspicion/sim_test.go
@@ -0,0 +1,383 @@
+package suspicion
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of rapid unless the command line gives one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	simTick    = 100 * time.Millisecond // time of one token
+	simPrefill = 3                      // ticks before the first token
+	simRestart = 3 * time.Second
+	simSpread  = 1200 * time.Millisecond // a repeat comes at least this long after a death
+	killer     = suspect.Fingerprint("killer")
+)
+
+// plan is a generated run.
+type plan struct {
+	Delays  []time.Duration // one for each instance, below 900 ms: time until its rows arrive
+	Engines int
+	KillAt  int
+	MuteOne bool // the first gate does not answer
+	Submits []submit
+}
+
+type submit struct {
+	Instance int
+	Request  int // 0 is the killer, others are innocent; a repeated number is a repeat
+	Length   int
+	Wait     time.Duration
+}
+
+func genPlan(t *rapid.T) plan {
+	p := plan{
+		Delays:  rapid.SliceOfN(rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, 800 * time.Millisecond}), 2, 4).Draw(t, "delays"),
+		Engines: rapid.IntRange(2, 6).Draw(t, "engines"),
+		KillAt:  rapid.IntRange(0, 15).Draw(t, "killAt"),
+		MuteOne: rapid.Bool().Draw(t, "mute"),
+	}
+	for range rapid.IntRange(2, 16).Draw(t, "submits") {
+		p.Submits = append(p.Submits, submit{
+			Instance: rapid.IntRange(0, len(p.Delays)-1).Draw(t, "instance"),
+			Request:  rapid.SampledFrom([]int{0, 0, 1, 2, 3, 4, 5, 6}).Draw(t, "request"),
+			Length:   rapid.IntRange(5, 100).Draw(t, "length"),
+			Wait:     rapid.SampledFrom([]time.Duration{0, simTick, time.Second, 4 * time.Second}).Draw(t, "wait"),
+		})
+	}
+	return p
+}
+
+// runner is one request with the simplest possible relay.
+type runner struct {
+	id       model.RequestID
+	instance int
+	fp       suspect.Fingerprint
+	length   int
+	position int
+	prefill  int
+	ran      bool
+	end      string // "finished" or "refused"
+}
+
+type engine struct {
+	id          model.UpstreamID
+	incarnation uint64
+	upAt        time.Time
+	running     []*runner
+}
+
+// sim has its own lock, which is never held while a manager is called from a
+// worker's item.
+type sim struct {
+	mu        sync.Mutex
+	plan      plan
+	managers  []*Manager
+	engines   []*engine
+	runners   []*runner
+	killed    int
+	lastDeath time.Time
+	late      sync.WaitGroup
+}
+
+// gate is an instance's gate as others reach it.
+type gate struct {
+	m    *Manager
+	mute bool
+}
+
+func (g gate) Permit(ctx context.Context, fp suspect.Fingerprint) (bool, error) {
+	if g.mute {
+		<-ctx.Done()
+		return false, errors.New("no answer")
+	}
+	time.Sleep(20 * time.Millisecond)
+	return g.m.Grant(fp), nil
+}
+
+func newSim(p plan) *sim {
+	s := &sim{plan: p}
+	for i := range p.Engines {
+		s.engines = append(s.engines, &engine{id: model.UpstreamID(fmt.Sprint("e", i)), incarnation: 1})
+	}
+	var gates []Gate
+	for i := range p.Delays {
+		m := New(Options{
+			Pool:     worker.NewPool(worker.Options{Workers: 2}),
+			Suspects: suspect.NewTable(model.InstanceID(fmt.Sprint("i", i))),
+			Gates:    func(suspect.Fingerprint) []Gate { return gates },
+		})
+		s.managers = append(s.managers, m)
+		gates = append(gates, gate{m: m, mute: i == 0 && p.MuteOne})
+	}
+	return s
+}
+
+// run plays the plan and returns what went wrong.
+func (s *sim) run() []string {
+	for n, sub := range s.plan.Submits {
+		if sub.Request == 0 {
+			s.awaitSpread()
+		}
+		s.submit(n, sub)
+		s.advance(sub.Wait)
+	}
+	for limit := 0; limit < 3000 && !s.ended(); limit++ {
+		s.advance(simTick)
+	}
+	s.late.Wait()
+	for _, m := range s.managers {
+		m.Pool.Close()
+	}
+	return s.violations()
+}
+
+// awaitSpread holds a repeat of the killer back until the notice of its last
+// death has spread; before the first death only one copy runs.
+func (s *sim) awaitSpread() {
+	for range 3000 {
+		if s.killed == 0 && !s.submitted(killer) || s.killed > 0 && time.Since(s.lastDeath) > simSpread {
+			return
+		}
+		s.advance(simTick)
+	}
+}
+
+func (s *sim) submitted(fp suspect.Fingerprint) bool {
+	return slices.ContainsFunc(s.runners, func(r *runner) bool { return r.fp == fp })
+}
+
+func (s *sim) submit(n int, sub submit) {
+	r := &runner{
+		id: model.RequestID(fmt.Sprint("r", n)), instance: sub.Instance, length: sub.Length,
+		fp: suspect.Fingerprint(fmt.Sprint("innocent", sub.Request)),
+	}
+	if sub.Request == 0 {
+		r.fp = killer
+	}
+	s.runners = append(s.runners, r)
+	s.place(r)
+}
+
+func (s *sim) advance(d time.Duration) {
+	for range d / simTick {
+		s.gossip()
+		s.tick()
+		time.Sleep(simTick)
+	}
+	synctest.Wait()
+}
+
+// gossip sends each instance's rows to the others, with its delay.
+func (s *sim) gossip() {
+	for i, from := range s.managers {
+		rows := from.Suspects.Snapshot(time.Now())
+		s.late.Go(func() {
+			time.Sleep(s.plan.Delays[i])
+			for j, to := range s.managers {
+				if j != i {
+					to.Suspects.Merge(rows, time.Now())
+				}
+			}
+		})
+	}
+}
+
+func (s *sim) live() []model.UpstreamID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ids []model.UpstreamID
+	for _, e := range s.engines {
+		if !time.Now().Before(e.upAt) {
+			ids = append(ids, e.id)
+		}
+	}
+	return ids
+}
+
+func (s *sim) place(r *runner) {
+	m := s.managers[r.instance]
+	req := PlaceRequest{ID: r.id, Fingerprint: r.fp, Engines: s.live, Ran: r.ran}
+	m.Place(req, func(p Placement, refusal *model.Refusal) {
+		if refusal != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			r.end = "refused"
+			return
+		}
+		s.start(r, p.Upstream)
+	})
+}
+
+// start runs the request, or places it again when there is no live engine.
+func (s *sim) start(r *runner, upstream model.UpstreamID) {
+	m := s.managers[r.instance]
+	if upstream == "" {
+		upstream = s.free(m)
+	}
+	m.Started(r.fp, upstream)
+	if s.join(r, upstream) {
+		return
+	}
+	m.Stopped(r.fp, upstream)
+	m.Pool.After(simTick, worker.Key(r.id), worker.Func(func() { s.place(r) }))
+}
+
+// free returns the live engine with the least work, without a suspect if
+// there is one.
+func (s *sim) free(m *Manager) model.UpstreamID {
+	var best model.UpstreamID
+	least := 1 << 20
+	for _, id := range s.live() {
+		load := s.load(id)
+		if m.Occupied(id) {
+			load += 1000
+		}
+		if load < least {
+			best, least = id, load
+		}
+	}
+	return best
+}
+
+func (s *sim) load(id model.UpstreamID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if e.id == id {
+			return len(e.running)
+		}
+	}
+	return 0
+}
+
+func (s *sim) join(r *runner, id model.UpstreamID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range s.engines {
+		if e.id == id && !time.Now().Before(e.upAt) {
+			r.prefill, r.ran = simPrefill, true
+			e.running = append(e.running, r)
+			return true
+		}
+	}
+	return false
+}
+
+// tick makes each engine produce one token for each request.
+func (s *sim) tick() {
+	for _, e := range s.engines {
+		s.mu.Lock()
+		running := slices.Clone(e.running)
+		s.mu.Unlock()
+		for _, r := range running {
+			if r.prefill > 0 {
+				r.prefill--
+				continue
+			}
+			if r.fp == killer && r.position == s.plan.KillAt {
+				s.kill(e)
+				break
+			}
+			s.token(e, r)
+		}
+	}
+}
+
+func (s *sim) token(e *engine, r *runner) {
+	m := s.managers[r.instance]
+	r.position++
+	m.Progressed(r.fp, r.position)
+	if r.position < r.length || r.fp == killer {
+		return
+	}
+	m.Finished(r.fp)
+	m.Stopped(r.fp, e.id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.end = "finished"
+	e.running = slices.DeleteFunc(e.running, func(other *runner) bool { return other == r })
+}
+
+// kill ends the engine process. Each instance reports what it ran there.
+func (s *sim) kill(e *engine) {
+	s.mu.Lock()
+	lost, incarnation := e.running, e.incarnation
+	e.running, e.incarnation, e.upAt = nil, incarnation+1, time.Now().Add(simRestart)
+	s.killed++
+	s.lastDeath = time.Now()
+	s.mu.Unlock()
+	for i, m := range s.managers {
+		var running []Running
+		for _, r := range lost {
+			if r.instance == i {
+				running = append(running, Running{Fingerprint: r.fp, Position: r.position})
+			}
+		}
+		m.EngineDied(e.id, incarnation, running)
+	}
+	for _, r := range lost {
+		s.managers[r.instance].Stopped(r.fp, e.id)
+	}
+	for _, r := range lost {
+		s.place(r)
+	}
+}
+
+func (s *sim) ended() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !slices.ContainsFunc(s.runners, func(r *runner) bool { return r.end == "" })
+}
+
+func (s *sim) violations() []string {
+	var bad []string
+	if s.killed > 3 {
+		bad = append(bad, fmt.Sprintf("%d engines died", s.killed))
+	}
+	for _, r := range s.runners {
+		want := "finished"
+		if r.fp == killer {
+			want = "refused"
+		}
+		if r.end != want {
+			bad = append(bad, fmt.Sprintf("%s (%s) ended as %q", r.id, r.fp, r.end))
+		}
+	}
+	return bad
+}
+
+// Guards against a request that takes down more than three engines with its
+// repeats through any instance, and against the refusal of requests that ran
+// beside it, while notices arrive late and one gate does not answer.
+func TestKillerIsStoppedAndInnocentsFinish(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		p := genPlan(rt)
+		var bad []string
+		synctest.Test(t, func(*testing.T) { bad = newSim(p).run() })
+		if len(bad) > 0 {
+			rt.Fatal(bad)
+		}
+	})
+}
--- /dev/null
+++ b/internal/state/suspect/suspect_test.go
@@ -0,0 +1,89 @@
+package suspect
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// Guards against instances that disagree for good: rows that arrive in any
+// order, in parts and repeatedly, lead to the same counts.
+func TestMergeIsOrderIndependent(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		var parts []Rows
+		for range 12 {
+			fp := Fingerprint(fmt.Sprint("f", random.IntN(3)))
+			at := start.Add(time.Duration(random.IntN(5)) * time.Second)
+			id := DeathID{Upstream: "e", Incarnation: random.Uint64N(3)}
+			parts = append(parts, Rows{Deaths: []Death{{ID: id, Fingerprint: fp, Position: random.IntN(9), At: at}}})
+			if random.IntN(4) == 0 {
+				parts = append(parts, Rows{Clears: []Clear{{Fingerprint: fp, At: at}}})
+			}
+		}
+		now := start.Add(time.Minute)
+		a, b := NewTable("a"), NewTable("b")
+		for _, i := range random.Perm(len(parts)) {
+			a.Merge(parts[i], now)
+		}
+		for _, i := range random.Perm(len(parts)) {
+			b.Merge(parts[i], now)
+			b.Merge(a.Snapshot(now), now)
+		}
+		assert.Assert(t, !a.Merge(b.Snapshot(now), now), "nothing is new")
+		for _, fp := range []Fingerprint{"f0", "f1", "f2"} {
+			na, pa := a.Count(fp, now)
+			nb, pb := b.Count(fp, now)
+			assert.DeepEqual(t, []int{na, pa}, []int{nb, pb})
+		}
+	}
+}
+
+func death(n uint64, position int, at time.Time) Rows {
+	return Rows{Deaths: []Death{{ID: DeathID{Upstream: "e", Incarnation: n}, Fingerprint: "f", Position: position, At: at}}}
+}
+
+// Guards against a death that counts twice, clears too early, or counts for
+// ever, and against a second permit.
+func TestDeathsClearsAndPermits(t *testing.T) {
+	table := NewTable("a")
+	count := func(now time.Time) int {
+		n, _ := table.Count("f", now)
+		return n
+	}
+	table.Merge(death(1, 3, start), start)
+	table.Merge(death(1, 7, start.Add(time.Second)), start.Add(time.Second))
+	assert.Equal(t, count(start), 1)
+	assert.Assert(t, table.Grant("f", start))
+	assert.Assert(t, !table.Grant("f", start.Add(time.Second)), "one permit")
+	table.Progress("f", 7, false, start.Add(2*time.Second))
+	assert.Equal(t, count(start), 1, "position 7 was reached before")
+	table.Progress("f", 8, false, start.Add(2*time.Second))
+	assert.Equal(t, count(start), 0)
+	table.Merge(death(2, 0, start.Add(time.Second)), start.Add(3*time.Second))
+	assert.Equal(t, count(start), 0, "a clear mark wins over an older death")
+	assert.Assert(t, table.Grant("f", start.Add(3*time.Second)), "the clear mark ended the permit")
+	table.Merge(death(3, 0, start.Add(4*time.Second)), start.Add(4*time.Second))
+	assert.Equal(t, count(start.Add(5*time.Second)), 1)
+	assert.Equal(t, count(start.Add(4*time.Second+expiry)), 0, "expired")
+	table.Merge(death(4, 0, start.Add(time.Hour)), start)
+	assert.Equal(t, count(start.Add(5*time.Second)), 1, "a clock that is far ahead is ignored")
+}
+
+// Guards against unbounded growth under many distinct prompts.
+func TestRowsAreBounded(t *testing.T) {
+	table := NewTable("a")
+	var rows Rows
+	for n := range maxRows + 10 {
+		rows.Deaths = append(rows.Deaths, Death{Fingerprint: Fingerprint(fmt.Sprint(n)), At: start.Add(time.Duration(n) * time.Millisecond)})
+	}
+	table.Merge(rows, start.Add(10*time.Second))
+	assert.Equal(t, len(table.Snapshot(start.Add(10*time.Second)).Deaths), maxRows)
+	oldest, _ := table.Count("0", start.Add(10*time.Second))
+	assert.Equal(t, oldest, 0)
+}
