--- /dev/null
+++ b/internal/coordination/replication/takeover.go
@@ -0,0 +1,104 @@
+package replication
+
+import (
+	"crypto/rand"
+	"slices"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// record returns the copy as a record of its own line.
+func (c *Copy) record() generation.Record {
+	return generation.Record{
+		Spec:    c.Header.Spec,
+		Line:    c.Header.Line,
+		Forks:   c.Header.Forks,
+		Tokens:  c.Tokens,
+		Attempt: c.Attempt,
+		Resumes: c.Header.Resumes,
+		Created: c.Header.Created,
+		End:     c.End,
+	}
+}
+
+// fit grades how well a copy serves a request: 2 if it holds the position, 1
+// if it only lacks tokens before the position that the stream of its attempt
+// can supply, 0 otherwise.
+func (c *Copy) fit(m Fetch) int {
+	r := c.record()
+	switch {
+	case !c.Found:
+		return 0
+	case r.Holds(m.Line, m.Position):
+		return 2
+	case r.Line == m.Line && m.Position > len(r.Tokens) && c.attachable():
+		return 1
+	}
+	return 0
+}
+
+// attachable reports whether the engine stream of the copy's attempt goes on
+// from the copy's end. A stream has no tokens before its first position.
+func (c *Copy) attachable() bool {
+	return c.End == nil && c.Attempt.Stream != "" && c.Attempt.First <= len(c.Tokens)
+}
+
+// better reports whether copy a serves the request better than copy b.
+func better(a, b Copy, m Fetch) bool {
+	fitA, fitB := a.fit(m), b.fit(m)
+	if fitA != fitB {
+		return fitA > fitB
+	}
+	if fitA == 0 {
+		return a.Found && !b.Found
+	}
+	if (a.End != nil) != (b.End != nil) {
+		return a.End != nil
+	}
+	if fitA == 1 && a.Attempt.Number != b.Attempt.Number {
+		return a.Attempt.Number > b.Attempt.Number
+	}
+	return len(a.Tokens) > len(b.Tokens)
+}
+
+// takeOver forks a new line at the end of a copied log. The attempt keeps its
+// stream only if the stream can be attached to. A log that ended keeps its
+// line, since nothing more is produced.
+func takeOver(c Copy, line model.LineID, position int) generation.Record {
+	r := c.record()
+	if !c.attachable() {
+		r.Attempt.Stream = ""
+	}
+	r.Shown = min(position, len(r.Tokens))
+	r.Tokens = slices.Clip(r.Tokens)
+	if r.End != nil {
+		return r
+	}
+	fork := generation.Fork{Line: r.Line, Position: len(r.Tokens)}
+	r.Forks = append([]generation.Fork{fork}, r.Forks...)
+	r.Line = line
+	return r
+}
+
+// ExtendFork moves the fork of a taken-over record forward to the given
+// position, at most to its last token. The relay calls it for tokens from the
+// engine stream that the lost owner had attached to: they are the parent
+// line's own tokens. It must not be called for tokens of another attempt.
+func ExtendFork(r *generation.Record, position int) {
+	if len(r.Forks) == 0 {
+		return
+	}
+	position = min(position, len(r.Tokens))
+	if position <= r.Forks[0].Position {
+		return
+	}
+	r.Forks = slices.Clone(r.Forks)
+	r.Forks[0].Position = position
+}
+
+// randomLine returns a line ID of at least 64 random bits without a dot, which
+// separates the parts of stream and event IDs.
+func randomLine() model.LineID {
+	return model.LineID(rand.Text()[:16])
+}
