Encode messages between processes as CBOR

Cause: the design names the messages but nothing encodes them. The typed exchange of gossip is declared in coordination/gossip. Ruled out: self-delimiting CBOR on the stream, as the size of a message is not known before it is decoded.

--- /dev/null
+++ b/internal/coordination/gossip/types.go
@@ -0,0 +1,159 @@
+// Package gossip exchanges state between control processes.
+package gossip
+
+import (
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// Origin is an instance as a source of entries. A higher incarnation replaces
+// all entries of a lower one.
+type Origin struct {
+	ID          model.InstanceID
+	Incarnation uint64
+}
+
+// Vector says up to which version the sender has the entries of each origin
+// of one region. Versions are in the order of the roster, which is sorted by
+// ID. Origins names the roster; it is empty when the receiver is expected to
+// have the same one.
+type Vector struct {
+	Region   string
+	Roster   uint64 // hash of the roster's IDs and incarnations
+	Versions []uint64
+	Origins  []Origin
+}
+
+// Sections of a Digest that are exchanged as whole sets.
+const (
+	setStates = iota
+	setStops
+	setShares
+	setLeaves
+	setDeaths
+	setClears
+	setCount
+)
+
+// DocumentHead names a document.
+type DocumentHead struct {
+	Generation uint64
+	Hash       string
+}
+
+// Digest says what its sender has.
+type Digest struct {
+	Region   string // of the sender
+	Vectors  []Vector
+	Sets     [setCount]uint64 // one hash for each set
+	Document DocumentHead
+}
+
+// Delta holds what its receiver lacks.
+type Delta struct {
+	Updates  []Update
+	States   []Status
+	Stops    []model.Stop
+	Shares   []model.Share
+	Leaves   []Leave
+	Deaths   []Death
+	Clears   []Clear
+	Steps    []DocumentStep  // lead to the sender's document one by one
+	Document *model.Document // whole, when no steps are known
+}
+
+// Empty reports whether the delta holds nothing.
+func (d *Delta) Empty() bool {
+	return len(d.Updates) == 0 && len(d.States) == 0 && len(d.Stops) == 0 && len(d.Shares) == 0 &&
+		len(d.Leaves) == 0 && len(d.Deaths) == 0 && len(d.Clears) == 0 && len(d.Steps) == 0 && d.Document == nil
+}
+
+// Exchange is a message between two control processes: a request with a
+// digest, its reply with a digest and a delta, or a delta alone.
+type Exchange struct {
+	Digest *Digest
+	Delta  *Delta
+}
+
+// Update holds the entries of one origin with versions above From, up to To.
+// A receiver that has all entries up to From then has all up to To.
+type Update struct {
+	Origin   Origin
+	From     uint64
+	To       uint64
+	Instance *model.Instance // nil when unchanged
+	Reports  []Report
+	Evidence []EvidenceRow
+}
+
+// Report is an upstream's report. One that is not wide stays in the region.
+type Report struct {
+	upstream.Report
+	Wide bool
+}
+
+// EvidenceRow is one row of an instance's counters.
+type EvidenceRow struct {
+	Key    evidence.Key
+	Counts evidence.Counts
+}
+
+// Status is a state of an instance that is not live.
+type Status struct {
+	Origin Origin
+	State  model.InstanceState
+}
+
+// Leave says that an upstream leaves for the rest of an incarnation.
+type Leave struct {
+	Upstream    model.UpstreamID
+	Incarnation uint64
+}
+
+// Death is an engine death that a request may have caused.
+type Death struct {
+	Fingerprint uint64
+	Upstream    model.UpstreamID
+	Incarnation uint64 // of the upstream
+	Position    int    // of the request's log at the time
+	At          time.Time
+}
+
+// Clear says that a request is innocent of the deaths before At.
+type Clear struct {
+	Fingerprint uint64
+	At          time.Time
+}
+
+// Splice replaces Delete rows of a list from row At on by Insert.
+type Splice[T any] struct {
+	At     int
+	Delete int
+	Insert []T
+}
+
+// DocumentStep turns one document into a later one. A document of 3,500
+// upstreams is about 700 kB, while a usual edit changes a few rows, so only
+// the rows are exchanged.
+type DocumentStep struct {
+	From              DocumentHead
+	To                DocumentHead
+	RequireCredential bool
+	Organisations     []Splice[model.Organisation]
+	Models            []Splice[model.Model]
+	Services          []Splice[model.Service]
+	Upstreams         []Splice[model.Upstream]
+}
+
+// Suspects is the table of engine deaths. Its methods are safe for concurrent
+// use and do not block. The table drops old rows by the time in them, so that
+// all instances drop the same rows.
+type Suspects interface {
+	AddDeath(Death) bool // reports whether it was new
+	AddClear(Clear) bool
+	Deaths() []Death
+	Clears() []Clear
+}
--- /dev/null
+++ b/internal/protocol/peerwire/log.go
@@ -0,0 +1,141 @@
+package peerwire
+
+import (
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// appendWire is an array, since an append is sent for nearly each token.
+type appendWire struct {
+	_       struct{} `cbor:",toarray"`
+	Request model.RequestID
+	Line    model.LineID
+	First   int
+	Tokens  []string
+	Attempt *generation.Attempt
+}
+
+type ackWire struct {
+	_       struct{} `cbor:",toarray"`
+	Known   bool
+	Refused bool
+	Held    int
+}
+
+type batchWire struct {
+	_      struct{} `cbor:",toarray"`
+	Line   model.LineID
+	First  int
+	Tokens []string
+	End    *generation.End
+	Gone   bool
+}
+
+// EncodeOpen encodes an Open.
+func EncodeOpen(o replication.Open) (Message, error) { return encodeBody(KindLogOpen, o) }
+
+// DecodeOpen decodes an Open.
+func DecodeOpen(m Message) (replication.Open, error) {
+	o, err := decodeBody[replication.Open](KindLogOpen, m)
+	if err != nil {
+		return o, err
+	}
+	return o, checkForks(o.Header.Forks, o.Attempt)
+}
+
+func checkForks(forks []generation.Fork, attempt generation.Attempt) error {
+	for _, f := range forks {
+		if err := checkPosition("fork position", f.Position); err != nil {
+			return err
+		}
+	}
+	return checkPosition("attempt's first position", attempt.First)
+}
+
+// EncodeAppend encodes an Append.
+func EncodeAppend(a replication.Append) (Message, error) {
+	return encodeBody(KindLogAppend, appendWire{
+		Request: a.Request, Line: a.Line, First: a.First, Tokens: a.Tokens, Attempt: a.Attempt,
+	})
+}
+
+// DecodeAppend decodes an Append.
+func DecodeAppend(m Message) (replication.Append, error) {
+	w, err := decodeBody[appendWire](KindLogAppend, m)
+	if err != nil {
+		return replication.Append{}, err
+	}
+	a := replication.Append{Request: w.Request, Line: w.Line, First: w.First, Tokens: w.Tokens, Attempt: w.Attempt}
+	if a.Attempt != nil {
+		if err := checkPosition("attempt's first position", a.Attempt.First); err != nil {
+			return a, err
+		}
+	}
+	return a, checkPosition("first position", a.First)
+}
+
+// EncodeClose encodes a Close.
+func EncodeClose(c replication.Close) (Message, error) { return encodeBody(KindLogClose, c) }
+
+// DecodeClose decodes a Close.
+func DecodeClose(m Message) (replication.Close, error) {
+	c, err := decodeBody[replication.Close](KindLogClose, m)
+	if err != nil {
+		return c, err
+	}
+	return c, checkPosition("first position", c.First)
+}
+
+// EncodeAck encodes an Ack to a message of the given kind.
+func EncodeAck(kind Kind, a replication.Ack) (Message, error) {
+	return encodeBody(kind, ackWire{Known: a.Known, Refused: a.Refused, Held: a.Held})
+}
+
+// DecodeAck decodes an Ack to a message of the given kind.
+func DecodeAck(kind Kind, m Message) (replication.Ack, error) {
+	w, err := decodeBody[ackWire](kind, m)
+	if err != nil {
+		return replication.Ack{}, err
+	}
+	return replication.Ack{Known: w.Known, Refused: w.Refused, Held: w.Held}, checkPosition("held tokens", w.Held)
+}
+
+// EncodeFetch encodes a Fetch for a log.fetch or log.follow message.
+func EncodeFetch(kind Kind, f replication.Fetch) (Message, error) { return encodeBody(kind, f) }
+
+// DecodeFetch decodes a Fetch of a log.fetch or log.follow message.
+func DecodeFetch(kind Kind, m Message) (replication.Fetch, error) {
+	f, err := decodeBody[replication.Fetch](kind, m)
+	if err != nil {
+		return f, err
+	}
+	return f, checkPosition("position", f.Position)
+}
+
+// EncodeCopy encodes a Copy.
+func EncodeCopy(c replication.Copy) (Message, error) { return encodeBody(KindLogFetch, c) }
+
+// DecodeCopy decodes a Copy.
+func DecodeCopy(m Message) (replication.Copy, error) {
+	c, err := decodeBody[replication.Copy](KindLogFetch, m)
+	if err != nil {
+		return c, err
+	}
+	return c, checkForks(c.Header.Forks, c.Attempt)
+}
+
+// EncodeBatch encodes one Batch of a followed log.
+func EncodeBatch(b generation.Batch) (Message, error) {
+	return encodeBody(KindLogFollow, batchWire{Line: b.Line, First: b.First, Tokens: b.Tokens, End: b.End, Gone: b.Gone})
+}
+
+// DecodeBatch decodes one Batch of a followed log.
+func DecodeBatch(m Message) (generation.Batch, error) {
+	w, err := decodeBody[batchWire](KindLogFollow, m)
+	if err != nil {
+		return generation.Batch{}, err
+	}
+	b := generation.Batch{Line: w.Line, First: w.First, Tokens: w.Tokens, End: w.End, Gone: w.Gone}
+	return b, checkPosition("first position", b.First)
+}
