--- /dev/null
+++ b/internal/coordination/frontend/reader.go
@@ -0,0 +1,77 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+var errGone = errors.New("it is no longer remembered")
+
+// Reader reads one generation for one caller. When another instance owns the
+// generation and is lost, the reader takes the generation over and goes on.
+// A Reader is used by one goroutine.
+type Reader struct {
+	frontend *Frontend
+	id       model.RequestID
+	source   replication.Reader
+	isLocal  bool
+	line     model.LineID
+	position int
+	finished bool
+}
+
+func (f *Frontend) local(id model.RequestID, position int) *Reader {
+	f.opts.Relay.Join(id)
+	return &Reader{
+		frontend: f,
+		id:       id,
+		source:   f.opts.Generations.Read(id, position),
+		isLocal:  true,
+		position: position,
+	}
+}
+
+func (f *Frontend) remote(id model.RequestID, line model.LineID, position int, source replication.Reader) *Reader {
+	return &Reader{frontend: f, id: id, source: source, line: line, position: position}
+}
+
+// Next waits for tokens or the end.
+func (r *Reader) Next(ctx context.Context) (generation.Batch, *model.Refusal) {
+	batch, err := r.source.Next(ctx)
+	if err != nil && ctx.Err() == nil && !r.isLocal {
+		batch, err = r.takeOver(ctx)
+	}
+	switch {
+	case err != nil:
+		return generation.Batch{}, notLocated(err)
+	case batch.Gone:
+		return generation.Batch{}, notLocated(errGone)
+	}
+	r.line = batch.Line
+	r.position += len(batch.Tokens)
+	r.finished = batch.End != nil
+	return batch, nil
+}
+
+// takeOver replaces the lost source.
+func (r *Reader) takeOver(ctx context.Context) (generation.Batch, error) {
+	next, refusal := r.frontend.Resume(ctx, r.id, r.line, r.position)
+	if refusal != nil {
+		return generation.Batch{}, refusal
+	}
+	r.source, r.isLocal = next.source, next.isLocal
+	return r.source.Next(ctx)
+}
+
+// Close ends the reading. A generation without a reader runs on for the grace
+// time, so that its caller can reconnect.
+func (r *Reader) Close() {
+	if r.isLocal && !r.finished {
+		r.frontend.opts.Relay.Leave(r.id, relay.ReconnectGrace)
+	}
+}
--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -93,6 +93,9 @@
 		r.Attempt.FirstWait = at.Sub(r.Attempt.Started)
 	}
 	r.Tokens = append(r.Tokens, tokens...)
+	if r.Attempt.Attached && r.Attempt.Stream == r.TakenOver {
+		r.ExtendFork()
+	}
 	r.Attempt.LastSeen = at
 	r.Failures = 0
 }
@@ -133,10 +136,11 @@
 // complete ends the generation with the whole answer.
 func (m *Manager) complete(r generation.Record, reason string) {
 	id := r.Spec.Request
-	m.opts.Generations.Update(id, func(r *generation.Record) { closeRecord(r, "finished", time.Now()) })
+	m.opts.Generations.Update(id, func(r *generation.Record) { closeRecord(r, "", time.Now()) })
 	m.opts.Upstreams.Release(r.Attempt.Upstream)
 	m.opts.Upstreams.Succeeded(r.Attempt.Upstream)
 	m.opts.Guard.Finished(r.Print)
+	m.opts.Guard.Stopped(r.Print, r.Attempt.Upstream)
 	m.observe(r, false)
 	m.finish(id, generation.End{FinishReason: reason})
 }
--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -9,6 +9,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
@@ -16,6 +17,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/prefix"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/stop"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
@@ -239,14 +241,19 @@
 func (noCopier) Ended(model.RequestID)    {}
 
 // openGuard lets everything run.
-type openGuard struct{}
+type openGuard struct{ pool *worker.Pool }
 
-func (openGuard) Fingerprint(model.GenerationSpec) uint64    { return 1 }
-func (openGuard) Check(uint64) GuardVerdict                  { return GuardFree }
-func (openGuard) Permit(uint64, worker.Key, func(bool))      {}
-func (openGuard) Died(model.UpstreamID, uint64, uint64, int) {}
-func (openGuard) Progressed(uint64, int)                     {}
-func (openGuard) Finished(uint64)                            {}
+func (g openGuard) Place(req suspicion.PlaceRequest, then func(suspicion.Placement, *model.Refusal)) {
+	g.pool.Post(key(req.ID), worker.Func(func() { then(suspicion.Placement{}, nil) }))
+}
+
+func (openGuard) Check(suspect.Fingerprint) suspicion.Verdict              { return suspicion.Free }
+func (openGuard) Occupied(model.UpstreamID) bool                           { return false }
+func (openGuard) Started(suspect.Fingerprint, model.UpstreamID)            {}
+func (openGuard) Stopped(suspect.Fingerprint, model.UpstreamID)            {}
+func (openGuard) EngineDied(model.UpstreamID, uint64, []suspicion.Running) {}
+func (openGuard) Progressed(suspect.Fingerprint, int)                      {}
+func (openGuard) Finished(suspect.Fingerprint)                             {}
 
 // bench is a relay over fake engines.
 type bench struct {
@@ -281,7 +288,7 @@
 		Engines:     b.fake,
 		Admission:   openAdmission{pool},
 		Copier:      noCopier{},
-		Guard:       openGuard{},
+		Guard:       openGuard{pool},
 		Observe:     func(model.Upstream, evidence.Observation) {},
 		NewLine: func() model.LineID {
 			mu.Lock()
--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -19,7 +20,7 @@
 	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != number {
 		return
 	}
-	action := next(m.situation(r, kind))
+	action := m.opts.Decide(m.situation(r, kind))
 	if action == Stay {
 		return
 	}
@@ -39,6 +40,7 @@
 		Shown:      r.Shown,
 		OtherReady: m.usable(r),
 		Failures:   r.Failures + failureOf(r),
+		StreamOnly: len(r.Tokens) < r.StreamOnly,
 	}
 }
 
@@ -76,12 +78,14 @@
 	m.opts.Generations.Update(r.Spec.Request, func(r *generation.Record) {
 		closeRecord(r, reason, time.Now())
 		r.Failures += failures
+		r.Resumes++
 		if r.LostAt.IsZero() && !r.FirstAt.IsZero() {
 			r.LostAt = r.Attempt.LastSeen
 		}
 		after = *r
 	})
 	m.opts.Upstreams.Release(r.Attempt.Upstream)
+	m.opts.Guard.Stopped(r.Print, r.Attempt.Upstream)
 	return after
 }
 
@@ -94,27 +98,20 @@
 	if !ok {
 		return
 	}
-	counts := countsAgainstVersion(kind) && m.opts.Guard.Check(r.Print) == GuardFree
+	counts := countsAgainstVersion(kind) && m.opts.Guard.Check(r.Print) == suspicion.Free
 	if concernsEngine(kind) {
 		counts = counts && row.Usable(now)
 		m.opts.Upstreams.Failed(r.Attempt.Upstream, now.Add(downTime))
 	}
 	if diedUnder(kind, reattachFailed(r)) {
-		m.reportDeath(r, row.Report.Incarnation)
+		running := []suspicion.Running{{Fingerprint: r.Print, Position: len(r.Tokens)}}
+		m.opts.Guard.EngineDied(r.Attempt.Upstream, r.Attempt.Incarnation, running)
 	}
 	if counts {
 		m.observe(r, true)
 	}
 }
 
-func (m *Manager) reportDeath(r generation.Record, incarnation uint64) {
-	m.opts.Guard.Died(r.Attempt.Upstream, incarnation, r.Print, len(r.Tokens))
-	m.opts.Generations.Update(r.Spec.Request, func(r *generation.Record) {
-		r.Deaths++
-		r.Permitted = false
-	})
-}
-
 // follow carries out the action after a loss.
 func (m *Manager) follow(r generation.Record, kind Loss, detail string, action Action) {
 	id := r.Spec.Request
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -51,7 +52,7 @@
 	i.m.opts.Admission.Enter(resumed, func(*model.Refusal) {
 		row, known := i.m.opts.Upstreams.Get(r.Attempt.Upstream)
 		if !known {
-			i.m.place(i.id)
+			i.m.withoutStream(r)
 			return
 		}
 		i.m.opts.Upstreams.Acquire(r.Attempt.Upstream)
@@ -59,37 +60,83 @@
 	})
 }
 
+// withoutStream continues a generation whose engine stream is out of reach.
+func (m *Manager) withoutStream(r generation.Record) {
+	if len(r.Tokens) < r.StreamOnly {
+		m.refuse(r, noEngine(r))
+		return
+	}
+	m.place(r.Spec.Request)
+}
+
 // place finds an engine for the generation and starts a stream there. The
 // version of a line never changes.
 func (m *Manager) place(id model.RequestID) {
+	r, ok := m.unplaced(id)
+	if !ok {
+		return
+	}
+	request := suspicion.PlaceRequest{
+		ID:          id,
+		Fingerprint: r.Print,
+		Engines:     func() []model.UpstreamID { return m.candidates(id) },
+		Deadline:    r.Spec.Deadline,
+		Ran:         r.Attempt.Number > 0,
+	}
+	m.opts.Guard.Place(request, func(where suspicion.Placement, refusal *model.Refusal) {
+		m.placed(id, where, refusal)
+	})
+}
+
+// unplaced returns the record if the generation needs an engine.
+func (m *Manager) unplaced(id model.RequestID) (generation.Record, bool) {
 	r, ok := m.opts.Generations.Get(id)
-	if !ok || r.End != nil || r.Attempt.Open {
+	return r, ok && r.End == nil && !r.Attempt.Open
+}
+
+// candidates returns the engines that may take the generation now.
+func (m *Manager) candidates(id model.RequestID) []model.UpstreamID {
+	r, ok := m.opts.Generations.Get(id)
+	if !ok {
+		return nil
+	}
+	version, now := m.version(r), time.Now()
+	var ids []model.UpstreamID
+	for _, row := range m.opts.Upstreams.Serving(r.Spec.Model) {
+		if (version == "" || row.Upstream.Version == version) && row.Usable(now) {
+			ids = append(ids, row.Upstream.ID)
+		}
+	}
+	return ids
+}
+
+// placed starts the attempt where the guard allows it.
+func (m *Manager) placed(id model.RequestID, where suspicion.Placement, refusal *model.Refusal) {
+	r, ok := m.unplaced(id)
+	if !ok {
 		return
 	}
-	switch m.opts.Guard.Check(r.Print) {
-	case GuardRefuse:
-		m.refuse(r, killsEngines(r))
+	if refusal != nil {
+		m.refuse(r, refusal)
 		return
-	case GuardPermit:
-		if !r.Permitted {
-			m.askPermit(r)
-			return
-		}
 	}
-	up, estimate, ok := m.pick(r)
+	up, estimate, ok := m.pick(r, where)
 	if !ok {
+		m.release(r, where)
 		m.waitForEngine(r)
 		return
 	}
+	m.opts.Guard.Started(r.Print, up.ID)
 	m.start(r, up, estimate)
 }
 
-func killsEngines(r generation.Record) *model.Refusal {
-	return &model.Refusal{
-		Code:    "request_kills_engines",
-		Message: "Engines died while they ran this request; it is not run again.",
-		Outcome: outcomeOf(r),
+// release gives back an engine that the guard had set aside.
+func (m *Manager) release(r generation.Record, where suspicion.Placement) {
+	if where.Upstream == "" {
+		return
 	}
+	m.opts.Guard.Started(r.Print, where.Upstream)
+	m.opts.Guard.Stopped(r.Print, where.Upstream)
 }
 
 // outcomeOf is not_run until the first attempt was handed to an engine.
@@ -100,35 +147,33 @@
 	return model.OutcomeUnknown
 }
 
-func (m *Manager) askPermit(r generation.Record) {
-	id := r.Spec.Request
-	m.opts.Guard.Permit(r.Print, key(id), func(granted bool) {
-		if !granted {
-			m.refuse(r, killsEngines(r))
-			return
-		}
-		m.opts.Generations.Update(id, func(r *generation.Record) { r.Permitted = true })
-		m.place(id)
-	})
+// version returns the version that the generation must run on.
+func (m *Manager) version(r generation.Record) string {
+	if r.Version != "" {
+		return r.Version
+	}
+	return m.opts.Router.Version(r.Spec.Model, r.Spec.Request)
 }
 
-// pick chooses version and engine. The engine of the last attempt is avoided
-// as long as there is another one.
-func (m *Manager) pick(r generation.Record) (model.Upstream, routing.Estimate, bool) {
-	version := r.Version
-	if version == "" {
-		version = m.opts.Router.Version(r.Spec.Model, r.Spec.Request)
-	}
+// pick chooses the engine. The engine of the last attempt and engines that run
+// a suspect are avoided as long as there is another one.
+func (m *Manager) pick(r generation.Record, where suspicion.Placement) (model.Upstream, routing.Estimate, bool) {
 	placement := routing.Placement{
 		Serves:  r.Spec.Model,
-		Version: version,
+		Version: m.version(r),
 		Work:    work(r),
 		Blocks:  prefix.Blocks(r.Spec.Prompt),
 		Now:     time.Now(),
-		Avoid:   m.avoid(r),
+	}
+	if where.Upstream != "" {
+		placement.Avoid = func(id model.UpstreamID) bool { return id != where.Upstream }
+		return m.opts.Router.Pick(placement)
+	}
+	placement.Avoid = func(id model.UpstreamID) bool {
+		return (r.Attempt.Number > 0 && id == r.Attempt.Upstream) || m.opts.Guard.Occupied(id)
 	}
 	up, estimate, ok := m.opts.Router.Pick(placement)
-	if ok || r.Attempt.Number == 0 {
+	if ok {
 		return up, estimate, ok
 	}
 	placement.Avoid = nil
@@ -143,45 +188,23 @@
 	return routing.Work{PromptBytes: bytes, Tokens: r.Spec.Sampling.MaxTokens - len(r.Tokens)}
 }
 
-// avoid keeps the generation away from the engine that it just lost and, for a
-// suspect, from the engines that run other suspects.
-func (m *Manager) avoid(r generation.Record) func(model.UpstreamID) bool {
-	avoided := map[model.UpstreamID]bool{}
-	if r.Attempt.Number > 0 {
-		avoided[r.Attempt.Upstream] = true
-	}
-	if m.opts.Guard.Check(r.Print) != GuardFree {
-		m.addSuspectEngines(r, avoided)
-	}
-	return func(id model.UpstreamID) bool { return avoided[id] }
-}
-
-func (m *Manager) addSuspectEngines(r generation.Record, avoided map[model.UpstreamID]bool) {
-	m.opts.Generations.Each(func(other generation.Record) {
-		if other.Spec.Request == r.Spec.Request || !other.Attempt.Open || other.Print == r.Print {
-			return
-		}
-		if m.opts.Guard.Check(other.Print) != GuardFree {
-			avoided[other.Attempt.Upstream] = true
-		}
-	})
-}
-
 // start opens a new attempt on the engine.
 func (m *Manager) start(r generation.Record, up model.Upstream, estimate routing.Estimate) {
 	number := r.Attempt.Number + 1
+	row, _ := m.opts.Upstreams.Get(up.ID)
 	stream := model.StreamID(fmt.Sprintf("%s.%s.%d", r.Spec.Request, r.Line, number))
 	now := time.Now()
 	attempt := generation.Attempt{
-		Number:   number,
-		Stream:   stream,
-		Upstream: up.ID,
-		Version:  up.Version,
-		First:    len(r.Tokens),
-		Started:  now,
-		LastSeen: now,
-		Expected: estimate.FirstToken,
-		Open:     true,
+		Number:      number,
+		Stream:      stream,
+		Upstream:    up.ID,
+		Incarnation: row.Report.Incarnation,
+		Version:     up.Version,
+		First:       len(r.Tokens),
+		Started:     now,
+		LastSeen:    now,
+		Expected:    estimate.FirstToken,
+		Open:        true,
 	}
 	r = m.openAttempt(r.Spec.Request, attempt)
 	req := StreamRequest{Stream: stream, Spec: r.Spec, Version: up.Version, Continue: r.Tokens}
@@ -191,6 +214,7 @@
 	m.opts.Engines.Start(up, req, m.events(r, up))
 	m.armSilence(r)
 	m.opts.Copier.Opened(r)
+	m.opts.Copier.Accepted(r.Spec.Request)
 }
 
 // attach opens a new attempt on the stream of the last one.
@@ -203,6 +227,7 @@
 	attempt.First = len(r.Tokens)
 	attempt.Attached = true
 	attempt.Open = true
+	m.opts.Guard.Started(r.Print, up.ID)
 	r = m.openAttempt(r.Spec.Request, attempt)
 	req := StreamRequest{Stream: attempt.Stream, Spec: r.Spec, Version: up.Version}
 	m.opts.Engines.Attach(up, req, len(r.Tokens), reattachTimeout, m.events(r, up))
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -18,14 +18,17 @@
 package relay
 
 import (
+	"crypto/rand"
 	"time"
 
 	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
@@ -66,30 +69,24 @@
 // items under the request's key.
 type Copier interface {
 	Opened(r generation.Record)
+	// Accepted says that the log has new tokens or a new attempt.
 	Accepted(id model.RequestID)
 	Ended(id model.RequestID)
 }
 
-// GuardVerdict says whether a request may run after engines died under it.
-type GuardVerdict int
-
-// Guard verdicts.
-const (
-	GuardFree       GuardVerdict = iota
-	GuardQuarantine              // run apart from other suspects
-	GuardPermit                  // run only with a permit
-	GuardRefuse
-)
-
-// Guard limits the engines that one request can kill.
+// Guard limits the engines that one request can kill. suspicion.Manager
+// implements it.
 type Guard interface {
-	Fingerprint(spec model.GenerationSpec) uint64
-	Check(fingerprint uint64) GuardVerdict
-	// Permit calls then exactly once, as an item under the key.
-	Permit(fingerprint uint64, key worker.Key, then func(granted bool))
-	Died(up model.UpstreamID, incarnation, fingerprint uint64, position int)
-	Progressed(fingerprint uint64, position int)
-	Finished(fingerprint uint64)
+	// Place calls then once, as an item under the request's key.
+	Place(req suspicion.PlaceRequest, then func(suspicion.Placement, *model.Refusal))
+	Check(fp suspect.Fingerprint) suspicion.Verdict
+	// Occupied reports whether a suspect runs on the engine.
+	Occupied(up model.UpstreamID) bool
+	Started(fp suspect.Fingerprint, up model.UpstreamID)
+	Stopped(fp suspect.Fingerprint, up model.UpstreamID)
+	EngineDied(up model.UpstreamID, incarnation uint64, running []suspicion.Running)
+	Progressed(fp suspect.Fingerprint, position int)
+	Finished(fp suspect.Fingerprint)
 }
 
 // Options configure a Manager.
@@ -103,8 +100,11 @@
 	Copier      Copier
 	Guard       Guard
 	// Observe counts one attempt as evidence on its version.
-	Observe   func(up model.Upstream, o evidence.Observation)
-	NewLine   func() model.LineID
+	Observe func(up model.Upstream, o evidence.Observation)
+	NewLine func() model.LineID
+	// Decide chooses what follows a loss. Nil means the package's own rules; a
+	// measurement sets its baseline here.
+	Decide    func(Situation) Action
 	CopyAfter time.Duration // age from which tokens are copied
 	Retain    time.Duration // how long an ended generation is kept for reconnects
 	Log       log.Interface
@@ -118,9 +118,15 @@
 // New returns a Manager.
 func New(opts Options) *Manager {
 	opts.Log = opts.Log.WithField("part", "relay")
+	if opts.Decide == nil {
+		opts.Decide = next
+	}
 	return &Manager{opts: opts}
 }
 
+// RandomLine returns a line ID of at least 64 random bits.
+func RandomLine() model.LineID { return model.LineID(rand.Text()[:16]) }
+
 func key(id model.RequestID) worker.Key { return worker.Key(id) }
 
 // Submit takes a new generation. Its tokens and its end appear in the
@@ -129,7 +135,7 @@
 	now := time.Now()
 	m.opts.Generations.Insert(generation.Record{
 		Spec:      spec,
-		Print:     m.opts.Guard.Fingerprint(spec),
+		Print:     suspicion.Fingerprint(spec),
 		Line:      m.opts.NewLine(),
 		Created:   now,
 		CopyAfter: now.Add(m.opts.CopyAfter),
@@ -137,16 +143,26 @@
 	m.opts.Pool.Post(key(spec.Request), requestArrived{m, spec})
 }
 
-// Adopt takes over a generation from its token log. The record has a line of
-// its own and the attempt that the lost owner had under way.
-func (m *Manager) Adopt(r generation.Record) {
+// Adopt takes over a generation from its copied log, for a caller that has
+// seen the tokens up to position. The record has a line of its own and the
+// attempt that the lost owner had under way. Adopt reports false if this
+// instance has the generation already.
+func (m *Manager) Adopt(r generation.Record, position int) bool {
+	r.Print = suspicion.Fingerprint(r.Spec)
+	r.Version = r.Attempt.Version
 	r.CopyAfter = time.Now()
 	r.LostAt = r.Attempt.LastSeen
 	r.Attempt.Open = false
+	r.Shown = position
+	r.StreamOnly = position
+	r.TakenOver = r.Attempt.Stream
 	if !m.opts.Generations.Insert(r) {
-		return // another reconnect was first
+		return false
+	}
+	if r.End == nil {
+		m.opts.Pool.Post(key(r.Spec.Request), adopted{m, r.Spec.Request})
 	}
-	m.opts.Pool.Post(key(r.Spec.Request), adopted{m, r.Spec.Request})
+	return true
 }
 
 // Abandon ends a generation that no caller waits for.
--- a/internal/coordination/relay/resume.go
+++ b/internal/coordination/relay/resume.go
@@ -52,6 +52,7 @@
 	Shown      int  // handed to the caller
 	OtherReady bool // another usable engine of the version exists
 	Failures   int  // attempts in a row that brought no token
+	StreamOnly bool // the caller has seen tokens that only the lost stream has
 	Waited     time.Duration
 }
 
@@ -65,6 +66,8 @@
 		return Stay
 	case s.Loss == LossReset && !s.Attached, s.Loss == LossTruncated && !s.Attached:
 		return Reattach
+	case s.StreamOnly:
+		return GiveUp
 	case s.OtherReady && s.Tokens > 0:
 		return Continue
 	case s.Shown == 0 && s.Waited < maxUnplacedWait:
--- a/internal/protocol/debugapi/debugapi.go
+++ b/internal/protocol/debugapi/debugapi.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
@@ -17,13 +18,65 @@
 	Request  model.RequestID `json:"request"`
 	Model    string          `json:"model"`
 	Version  string          `json:"version"`
+	Line     model.LineID    `json:"line"`
+	Tokens   int             `json:"tokens"` // accepted
+	State    string          `json:"state"`  // running, waiting, finished, or the code of a refusal
 	Attempts []Attempt       `json:"attempts"`
+	Resumed  []float64       `json:"resumed_seconds"` // time without output of each loss
 }
 
 // Attempt is one run on one engine.
 type Attempt struct {
+	Number   int              `json:"number"`
 	Upstream model.UpstreamID `json:"upstream"`
 	Started  time.Time        `json:"started"`
-	Tokens   int              `json:"tokens"` // accepted from this attempt
-	Loss     string           `json:"loss"`   // reason; empty while it runs and after its end
+	Tokens   int              `json:"tokens"`   // accepted from this attempt
+	Attached bool             `json:"attached"` // joined the stream of the attempt before
+	Loss     string           `json:"loss"`     // reason; empty while it runs and after its end
+}
+
+// FromRecord describes a generation.
+func FromRecord(r generation.Record) Request {
+	reply := Request{
+		Request: r.Spec.Request,
+		Model:   r.Spec.Model,
+		Version: r.Version,
+		Line:    r.Line,
+		Tokens:  len(r.Tokens),
+		State:   state(r),
+	}
+	for _, past := range r.History {
+		reply.Attempts = append(reply.Attempts, attempt(past.Attempt, past.Tokens, past.Reason))
+	}
+	if r.Attempt.Open {
+		reply.Attempts = append(reply.Attempts, attempt(r.Attempt, len(r.Tokens)-r.Attempt.First, ""))
+	}
+	for _, d := range r.Resumed {
+		reply.Resumed = append(reply.Resumed, d.Seconds())
+	}
+	return reply
+}
+
+func attempt(a generation.Attempt, tokens int, loss string) Attempt {
+	return Attempt{
+		Number:   a.Number,
+		Upstream: a.Upstream,
+		Started:  a.Started,
+		Tokens:   tokens,
+		Attached: a.Attached,
+		Loss:     loss,
+	}
+}
+
+func state(r generation.Record) string {
+	switch {
+	case r.End == nil && r.Attempt.Open:
+		return "running"
+	case r.End == nil:
+		return "waiting"
+	case r.End.Refusal != nil:
+		return r.End.Refusal.Code
+	default:
+		return "finished"
+	}
 }
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 )
 
 const shardCount = 32 // keeps lock contention low at 1,000 and more streams
@@ -22,18 +23,19 @@
 
 // Attempt is the current run of a generation on an engine.
 type Attempt struct {
-	Number    int
-	Stream    model.StreamID
-	Upstream  model.UpstreamID
-	Version   string
-	First     int // position of the first token that this attempt produces
-	Started   time.Time
-	LastSeen  time.Time     // arrival of the last token, or Started
-	Interval  time.Duration // smoothed time between tokens; zero before the second
-	FirstWait time.Duration // from Started to the first token; zero before it
-	Expected  time.Duration // estimated time to the first token
-	Attached  bool          // joined a running stream, nothing is recomputed
-	Open      bool          // the engine still works on it
+	Number      int
+	Incarnation uint64 // of the engine, as known at the start
+	Stream      model.StreamID
+	Upstream    model.UpstreamID
+	Version     string
+	First       int // position of the first token that this attempt produces
+	Started     time.Time
+	LastSeen    time.Time     // arrival of the last token, or Started
+	Interval    time.Duration // smoothed time between tokens; zero before the second
+	FirstWait   time.Duration // from Started to the first token; zero before it
+	Expected    time.Duration // estimated time to the first token
+	Attached    bool          // joined a running stream, nothing is recomputed
+	Open        bool          // the engine still works on it
 }
 
 // PastAttempt is what is remembered of an ended attempt.
@@ -53,21 +55,27 @@
 // Record is the state of one generation. Table hands out copies that share
 // the token slice; tokens are only appended, never changed.
 type Record struct {
-	Spec      model.GenerationSpec
-	Print     uint64 // fingerprint of the request
-	Line      model.LineID
-	Version   string // version of the line's engines; empty until placed
-	Forks     []Fork // ancestors, nearest first
-	Tokens    []string
-	HoldBack  bool // show only copied tokens
-	Copied    int  // tokens known to be held by the copy holder
-	Shown     int  // tokens handed to the caller, at most
-	Attempt   Attempt
-	History   []PastAttempt
-	Failures  int             // attempts in a row that brought no token
+	Spec     model.GenerationSpec
+	Print    suspect.Fingerprint // of the request
+	Line     model.LineID
+	Version  string // version of the line's engines; empty until placed
+	Forks    []Fork // ancestors, nearest first
+	Tokens   []string
+	HoldBack bool // show only copied tokens
+	Copied   int  // tokens known to be held by the copy holder
+	Shown    int  // tokens handed to the caller, at most
+	Attempt  Attempt
+	History  []PastAttempt
+	Failures int // attempts in a row that brought no token
+	Resumes  int // losses that were followed by another attempt
+	// StreamOnly is the position below which tokens may come only from the
+	// stream that was taken over: a caller has seen them, no copy has them.
+	StreamOnly int
+	// TakenOver is the engine stream of the lost owner. Its tokens belong to
+	// the parent line as well.
+	TakenOver model.StreamID
 	Readers   int             // caller connections that read the log
 	Deaths    int             // engines that died under this request
-	Permitted bool            // holds a permit to run in spite of the deaths
 	LostAt    time.Time       // when output stopped; zero while an attempt makes progress
 	Resumed   []time.Duration // time without output of each loss
 	Recompute int             // prompt and output bytes that resuming prefilled again
@@ -101,6 +109,16 @@
 	return false
 }
 
+// ExtendFork moves the nearest fork to the last token. It is called for tokens
+// from the engine stream of the parent line: they are that line's own tokens.
+func (r *Record) ExtendFork() {
+	if len(r.Forks) == 0 || r.Forks[0].Position >= len(r.Tokens) {
+		return
+	}
+	r.Forks = slices.Clone(r.Forks)
+	r.Forks[0].Position = len(r.Tokens)
+}
+
 // entry is a record and the channel that is closed at its next change.
 type entry struct {
 	record  Record
--- /dev/null
+++ b/internal/transport/caller/caller.go
@@ -0,0 +1,242 @@
+// Package caller is a client of the system as a caller sees it: it asks for
+// endpoints, streams generations, reconnects with Last-Event-ID when a
+// connection is lost, and checks what it received. The load tool uses it.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+)
+
+const (
+	reconnectPause = 100 * time.Millisecond
+	maxEventBytes  = 1 << 20
+	maxReplyBytes  = 1 << 20
+)
+
+// Client calls one deployment.
+type Client struct {
+	http      *http.Client
+	bootstrap []string // addresses that answer /v1/endpoints
+	org       string
+}
+
+// New returns a client that starts from the given addresses.
+func New(organisation string, bootstrap ...string) *Client {
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost:   256,
+			ResponseHeaderTimeout: time.Minute,
+		}},
+		bootstrap: bootstrap,
+		org:       organisation,
+	}
+}
+
+// Generation is a request for a streamed completion.
+type Generation struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	Seed      int64
+}
+
+// Transcript is what a caller received.
+type Transcript struct {
+	RequestID  string
+	Tokens     []string
+	FirstToken time.Duration
+	Intervals  []time.Duration // between events
+	Reconnects int
+	Finish     string // finish reason; empty if the answer is not whole
+	Failure    string // code of the refusal
+	// Disorder names the first event whose ID did not follow from the tokens
+	// received before it.
+	Disorder string
+}
+
+// LongestGap returns the longest time without a token after the first one.
+func (t *Transcript) LongestGap() time.Duration {
+	var longest time.Duration
+	for _, d := range t.Intervals {
+		longest = max(longest, d)
+	}
+	return longest
+}
+
+// Text returns the tokens as one text.
+func (t *Transcript) Text() string { return strings.Join(t.Tokens, "") }
+
+// stream is the state of one streamed generation over its connections.
+type stream struct {
+	client     *Client
+	body       []byte
+	started    time.Time
+	last       time.Time
+	lastID     string
+	transcript Transcript
+	watch      func(*Transcript)
+}
+
+// Stream runs a generation and reconnects until its end. watch, if not nil, is
+// called after each event.
+func (c *Client) Stream(ctx context.Context, g Generation, watch func(*Transcript)) (Transcript, error) {
+	body, err := json.Marshal(map[string]any{
+		"model": g.Model, "prompt": g.Prompt, "max_tokens": g.MaxTokens, "seed": g.Seed, "stream": true,
+	})
+	if err != nil {
+		return Transcript{}, fmt.Errorf("encode request: %w", err)
+	}
+	s := &stream{client: c, body: body, started: time.Now(), watch: watch}
+	for attempt := 0; ; attempt++ {
+		done, err := s.connect(ctx, attempt)
+		if done || ctx.Err() != nil {
+			return s.transcript, errors.Join(ctx.Err(), err)
+		}
+		s.transcript.Reconnects++
+		select {
+		case <-time.After(reconnectPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// connect reads one connection. It reports true when the generation ended.
+func (s *stream) connect(ctx context.Context, attempt int) (bool, error) {
+	address, err := s.client.endpoint(ctx, attempt)
+	if err != nil {
+		return false, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(s.body))
+	if err != nil {
+		return true, fmt.Errorf("build request: %w", err)
+	}
+	s.client.setHeaders(req)
+	if s.lastID != "" {
+		req.Header.Set("Last-Event-ID", s.lastID)
+	}
+	resp, err := s.client.http.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	s.transcript.RequestID = resp.Header.Get("X-Request-ID")
+	if resp.StatusCode != http.StatusOK {
+		return s.refused(resp)
+	}
+	return s.read(resp.Body), nil
+}
+
+// refused reports true for an answer that a repeat would not change.
+func (s *stream) refused(resp *http.Response) (bool, error) {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	s.transcript.Failure = failureCode(string(body))
+	retry := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
+	return !retry, fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(body))
+}
+
+func failureCode(body string) string {
+	var reply struct {
+		Error struct {
+			Code string `json:"code"`
+		} `json:"error"`
+	}
+	_ = json.Unmarshal([]byte(body), &reply) // a body that is no JSON has no code
+	return reply.Error.Code
+}
+
+// read takes events until the connection ends. It reports true at the end of
+// the generation.
+func (s *stream) read(body io.Reader) bool {
+	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+		switch {
+		case err != nil:
+			return false
+		case event.Data == "[DONE]":
+			return true
+		case event.Type == "error":
+			s.transcript.Failure = failureCode(event.Data)
+			return true
+		}
+		s.take(event)
+	}
+	return false
+}
+
+// take adds one event to the transcript.
+func (s *stream) take(event sse.Event) {
+	var chunk struct {
+		Choices []struct {
+			Text         string `json:"text"`
+			FinishReason string `json:"finish_reason"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(event.Data), &chunk); err != nil || len(chunk.Choices) != 1 {
+		s.disorder(event, "malformed chunk")
+		return
+	}
+	choice := chunk.Choices[0]
+	if choice.FinishReason != "" {
+		s.transcript.Finish = choice.FinishReason
+	}
+	tokens := splitTokens(choice.Text)
+	if len(tokens) > 0 {
+		s.arrived(tokens)
+		s.checkID(event)
+	}
+	s.lastID = event.LastEventID
+	if s.watch != nil {
+		s.watch(&s.transcript)
+	}
+}
+
+func (s *stream) arrived(tokens []string) {
+	now := time.Now()
+	if len(s.transcript.Tokens) == 0 {
+		s.transcript.FirstToken = now.Sub(s.started)
+	} else {
+		s.transcript.Intervals = append(s.transcript.Intervals, now.Sub(s.last))
+	}
+	s.last = now
+	s.transcript.Tokens = append(s.transcript.Tokens, tokens...)
+}
+
+// checkID compares the position in the event ID with the tokens received.
+func (s *stream) checkID(event sse.Event) {
+	i := strings.LastIndexByte(event.LastEventID, '.')
+	if want := fmt.Sprint(len(s.transcript.Tokens)); event.LastEventID[i+1:] != want {
+		s.disorder(event, "position is not "+want)
+	}
+}
+
+func (s *stream) disorder(event sse.Event, reason string) {
+	if s.transcript.Disorder == "" {
+		s.transcript.Disorder = fmt.Sprintf("event %q: %s", event.LastEventID, reason)
+	}
+}
+
+// splitTokens cuts a text of the stand-in engines into tokens; each token
+// there begins with the only space that it holds.
+func splitTokens(text string) []string {
+	var tokens []string
+	for _, word := range strings.Fields(text) {
+		tokens = append(tokens, " "+word)
+	}
+	return tokens
+}
+
+func (c *Client) setHeaders(req *http.Request) {
+	req.Header.Set("Content-Type", "application/json")
+	if c.org != "" {
+		req.Header.Set("X-Organisation", c.org)
+	}
+}
--- /dev/null
+++ b/internal/transport/callers/generate.go
@@ -0,0 +1,143 @@
+package callers
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/eventid"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/openai"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// headerTimeout lets a caller bound the wait for an answer, in milliseconds.
+const headerTimeout = "X-Request-Timeout-Ms"
+
+func credential(r *http.Request) string {
+	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !found {
+		return ""
+	}
+	return token
+}
+
+func invalid(message string) *model.Refusal {
+	return &model.Refusal{Code: problem.CodeInvalidRequest, Message: message, Outcome: model.OutcomeNotRun}
+}
+
+// completion handles a new generation, or a reconnect to one.
+func (s *Server) completion(chat bool) func(*exchange) {
+	return func(x *exchange) {
+		if last := x.r.Header.Get("Last-Event-ID"); last != "" {
+			s.reconnect(x, chat, last)
+			return
+		}
+		if x.r.Method != http.MethodPost {
+			s.refuse(x, &model.Refusal{Code: problem.CodeMethodNotAllowed, Message: "Use POST.", Outcome: model.OutcomeNotRun})
+			return
+		}
+		s.generate(x, chat)
+	}
+}
+
+func (s *Server) generate(x *exchange, chat bool) {
+	body, refusal := s.body(x)
+	if refusal != nil {
+		s.refuse(x, refusal)
+		return
+	}
+	spec, streamed, err := openai.Decode(body, chat)
+	if err != nil {
+		s.refuse(x, invalid(err.Error()))
+		return
+	}
+	spec.Request = x.id
+	spec.Organisation = x.organisation
+	spec.TraceParent = traceParent(x.r.Context())
+	spec.Deadline, refusal = deadline(x.r)
+	if refusal == nil {
+		refusal = s.opts.Frontend.Generate(spec)
+	}
+	if refusal != nil {
+		s.refuse(x, refusal)
+		return
+	}
+	format := openai.Format{Chat: chat, ID: string(x.id), Model: spec.Model, Created: time.Now().Unix()}
+	if streamed {
+		s.stream(x, s.opts.Frontend.Reader(x.id), format)
+		return
+	}
+	s.whole(x, format)
+}
+
+// body reads the request body within the limit.
+func (s *Server) body(x *exchange) ([]byte, *model.Refusal) {
+	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.opts.BodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &model.Refusal{
+			Code:    problem.CodeBodyTooLarge,
+			Message: "The request body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes.",
+			Outcome: model.OutcomeNotRun,
+		}
+	case err != nil:
+		return nil, invalid("The request body could not be read.")
+	}
+	return body, nil
+}
+
+func deadline(r *http.Request) (time.Time, *model.Refusal) {
+	text := r.Header.Get(headerTimeout)
+	if text == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.Atoi(text)
+	if err != nil || ms <= 0 {
+		return time.Time{}, invalid(headerTimeout + " must be a positive number of milliseconds.")
+	}
+	return time.Now().Add(time.Duration(ms) * time.Millisecond), nil
+}
+
+// whole answers with the whole text.
+func (s *Server) whole(x *exchange, format openai.Format) {
+	record, err := s.opts.Frontend.Await(x.r.Context(), x.id)
+	if err != nil || record.End == nil {
+		return // the caller has left
+	}
+	if record.End.Refusal != nil {
+		s.refuse(x, record.End.Refusal)
+		return
+	}
+	body, err := format.Whole(strings.Join(record.Tokens, ""), record.End.FinishReason, len(record.Tokens))
+	if err != nil {
+		s.refuse(x, problem.Of(err))
+		return
+	}
+	x.w.Header().Set("Content-Type", "application/json")
+	if _, err := x.w.Write(body); err != nil {
+		s.opts.Log.WithField("request_id", string(x.id)).Debug("answer not delivered")
+	}
+}
+
+// reconnect continues a stream after the last event that the caller has.
+func (s *Server) reconnect(x *exchange, chat bool, last string) {
+	id, err := eventid.Parse(last)
+	if err != nil {
+		s.refuse(x, invalid("Last-Event-ID: "+err.Error()))
+		return
+	}
+	x.id = id.Request
+	x.w.Header().Set(problem.HeaderRequestID, string(x.id))
+	reader, refusal := s.opts.Frontend.Resume(x.r.Context(), id.Request, id.Line, id.Position)
+	if refusal != nil {
+		s.refuse(x, refusal)
+		return
+	}
+	format := openai.Format{Chat: chat, ID: string(x.id), Created: time.Now().Unix()}
+	s.stream(x, reader, format)
+}
--- /dev/null
+++ b/internal/transport/callers/server.go
@@ -0,0 +1,126 @@
+// Package callers is the caller-facing HTTP server, built on the kratos HTTP
+// transport. It decodes requests, hands them to the frontend and encodes what
+// comes back; it decides nothing.
+package callers
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+	kratos "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/frontend"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+// Endpoints answers which instances a caller should use.
+type Endpoints interface {
+	Endpoints(callerKey string, now time.Time) (instances []model.Instance, ttl time.Duration)
+}
+
+// Options configure a Server.
+type Options struct {
+	Address    string // TCP IP:port
+	Frontend   *frontend.Frontend
+	Endpoints  Endpoints
+	Metrics    http.Handler
+	BodyBytes  int64
+	HeaderTime time.Duration
+	Log        log.Interface
+}
+
+// Server serves callers.
+type Server struct {
+	opts    Options
+	http    *kratos.Server
+	tracer  trace.Tracer
+	leaving atomic.Bool
+}
+
+// New returns a Server that does not listen yet.
+func New(opts Options) *Server {
+	opts.Log = opts.Log.WithField("part", "callers")
+	s := &Server{opts: opts, tracer: otel.Tracer("sequoiavalve/callers")}
+	s.http = kratos.NewServer(
+		kratos.Address(opts.Address),
+		kratos.Timeout(0), // streams run for minutes
+	)
+	s.http.ReadHeaderTimeout = opts.HeaderTime
+	s.http.HandleFunc("/v1/chat/completions", s.wrap("chat.completions", s.completion(true)))
+	s.http.HandleFunc("/v1/completions", s.wrap("completions", s.completion(false)))
+	s.http.HandleFunc("/v1/endpoints", s.wrap("endpoints", s.endpoints))
+	s.http.HandleFunc("/healthz", s.health)
+	s.http.HandleFunc("/readyz", s.ready)
+	s.http.HandlePrefix(debugapi.RequestPath, s.wrap("explain", s.explain))
+	s.http.Handle("/metrics", opts.Metrics)
+	s.http.HandlePrefix("/", s.wrap("call", s.call))
+	return s
+}
+
+// Start implements the kratos transport.Server interface.
+func (s *Server) Start(ctx context.Context) error {
+	err := s.http.Start(ctx)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Stop ends the server after the requests in flight. It implements the kratos
+// transport.Server interface.
+func (s *Server) Stop(context.Context) error {
+	// The context of the kratos app would cut streams after its stop timeout.
+	return s.http.Shutdown(context.Background())
+}
+
+// Leave turns readiness off. Requests are still served.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// exchange is one request with its identity.
+type exchange struct {
+	w            http.ResponseWriter
+	r            *http.Request
+	id           model.RequestID
+	organisation model.OrganisationID
+}
+
+// refuse answers with a refusal.
+func (s *Server) refuse(x *exchange, refusal *model.Refusal) {
+	s.opts.Log.WithField("request_id", string(x.id)).WithField("code", refusal.Code).Info("request refused")
+	if err := problem.Write(x.w, x.id, refusal); err != nil {
+		s.opts.Log.WithField("request_id", string(x.id)).WithError(err).Debug("refusal not delivered")
+	}
+}
+
+// wrap gives a request its ID, its span and its organisation.
+func (s *Server) wrap(name string, handle func(*exchange)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := s.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		x := &exchange{w: w, r: r.WithContext(ctx), id: s.opts.Frontend.NewRequestID()}
+		w.Header().Set(problem.HeaderRequestID, string(x.id))
+		organisation, refusal := s.opts.Frontend.Identify(credential(r), r.Header.Get("X-Organisation"))
+		if refusal != nil {
+			s.refuse(x, refusal)
+			return
+		}
+		x.organisation = organisation
+		handle(x)
+	}
+}
+
+// traceParent returns the W3C trace context of the request's span.
+func traceParent(ctx context.Context) string {
+	carrier := propagation.MapCarrier{}
+	otel.GetTextMapPropagator().Inject(ctx, carrier)
+	return carrier["traceparent"]
+}
--- /dev/null
+++ b/internal/transport/callers/status.go
@@ -0,0 +1,77 @@
+package callers
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+type endpointsReply struct {
+	Endpoints  []endpoint `json:"endpoints"`
+	TTLSeconds int        `json:"ttl_seconds"`
+}
+
+type endpoint struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// endpoints answers which instances the caller should use, best first.
+func (s *Server) endpoints(x *exchange) {
+	host, _, err := net.SplitHostPort(x.r.RemoteAddr)
+	if err != nil {
+		host = x.r.RemoteAddr
+	}
+	instances, ttl := s.opts.Endpoints.Endpoints(host+"/"+string(x.organisation), time.Now())
+	reply := endpointsReply{Endpoints: []endpoint{}, TTLSeconds: int(ttl / time.Second)}
+	for _, in := range instances {
+		reply.Endpoints = append(reply.Endpoints, endpoint{in.CallerAddress, string(in.FailureDomain)})
+	}
+	s.writeJSON(x.w, reply)
+}
+
+// health answers that the process runs.
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	s.writeJSON(w, map[string]string{"status": "ok"})
+}
+
+// ready answers whether new callers should come here.
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	refusal := s.opts.Frontend.Ready()
+	if s.leaving.Load() {
+		refusal = &model.Refusal{Code: problem.CodeLeaving, Message: "This instance is leaving.", Outcome: model.OutcomeNotRun}
+	}
+	if refusal != nil {
+		_ = problem.Write(w, "", refusal)
+		return
+	}
+	s.writeJSON(w, map[string]string{"status": "ready"})
+}
+
+// explain tells where a request went, while it is remembered.
+func (s *Server) explain(x *exchange) {
+	id := model.RequestID(strings.TrimPrefix(x.r.URL.Path, debugapi.RequestPath))
+	record, ok := s.opts.Frontend.Explain(id)
+	if !ok {
+		s.refuse(x, &model.Refusal{
+			Code:    problem.CodeUnknownRequest,
+			Message: "This instance does not remember the request.",
+			Outcome: model.OutcomeNotRun,
+		})
+		return
+	}
+	s.writeJSON(x.w, debugapi.FromRecord(record))
+}
+
+func (s *Server) writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(value); err != nil {
+		s.opts.Log.Debug("response not delivered")
+	}
+}
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -68,6 +68,9 @@
 	}
 }
 
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
 // Start implements relay.Engines.
 func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) {
 	body, err := json.Marshal(completionRequest(req))
@@ -202,18 +205,9 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
-	if timeout > 0 {
-		timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
-		defer timer.Stop()
-		resp, err := c.http.Do(req)
-		timer.Stop()
-		return c.read(resp, err, events)
-	}
+	stop := headerTimer(timeout, cancel)
 	resp, err := c.http.Do(req)
-	return c.read(resp, err, events)
-}
-
-func (c *Client) read(resp *http.Response, err error, events relay.Events) (relay.Loss, string) {
+	stop()
 	if err != nil {
 		return lossOf(err), err.Error()
 	}
@@ -224,6 +218,16 @@
 	return readStream(resp.Body, events)
 }
 
+// headerTimer cancels the exchange after the timeout, if it is positive. The
+// returned function stops it.
+func headerTimer(timeout time.Duration, cancel context.CancelCauseFunc) func() {
+	if timeout <= 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	return func() { timer.Stop() }
+}
+
 // lossOf tells a refused connection from a broken one.
 func lossOf(err error) relay.Loss {
 	var op *net.OpError
--- /dev/null
+++ b/internal/transport/measure/fleet.go
@@ -0,0 +1,141 @@
+// Package measure runs the measurements that docs/MEASUREMENTS.md keeps:
+// resume latency, recomputed work and relay cost, each beside a baseline of
+// our own. It uses in-process stand-in engines behind real HTTP connections on
+// loopback.
+package measure
+
+import (
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/prefix"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/stop"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/engine"
+	standin "github.com/sequoiavalve/sequoiavalve/internal/transport/standin/engine"
+)
+
+const (
+	modelName = "m"
+	version   = "v1"
+)
+
+// fleet is a relay in front of in-process engines.
+type fleet struct {
+	pool    *worker.Pool
+	engines []*standin.Engine
+	servers []*httptest.Server
+	table   *generation.Table
+	ups     *upstream.Table
+	client  *engine.Client
+	relay   *relay.Manager
+}
+
+// newFleet starts n engines and a relay with the given decision after a loss;
+// nil means the relay's own.
+func newFleet(n int, opts standin.Options, decide func(relay.Situation) relay.Action) *fleet {
+	f := &fleet{pool: worker.NewPool(worker.Options{}), table: generation.NewTable(), ups: upstream.NewTable(), client: engine.New()}
+	doc := &model.Document{Generation: 1, Models: []model.Model{{Name: modelName}}}
+	opts.Model, opts.Version = modelName, version
+	for i := range n {
+		e := standin.New(opts)
+		s := httptest.NewServer(e)
+		f.engines = append(f.engines, e)
+		f.servers = append(f.servers, s)
+		doc.Upstreams = append(doc.Upstreams, model.Upstream{
+			ID:      model.UpstreamID(fmt.Sprintf("e%d", i)),
+			Kind:    model.KindEngine,
+			Address: strings.TrimPrefix(s.URL, "http://"),
+			Serves:  modelName,
+			Version: version,
+		})
+	}
+	docs := document.NewTable()
+	docs.Apply(doc)
+	f.ups.Configure(doc.Upstreams)
+	router := routing.New(routing.Options{
+		Documents: docs, Upstreams: f.ups, Stops: stop.NewTable(), Prefixes: prefix.NewTable(),
+	})
+	f.relay = relay.New(relay.Options{
+		Pool:        f.pool,
+		Generations: f.table,
+		Upstreams:   f.ups,
+		Router:      router,
+		Engines:     f.client,
+		Admission:   admitAll{f.pool},
+		Copier:      noCopies{},
+		Guard: suspicion.New(suspicion.Options{
+			Pool:     f.pool,
+			Suspects: suspect.NewTable("measure"),
+			Gates:    func(suspect.Fingerprint) []suspicion.Gate { return nil },
+		}),
+		Observe: func(model.Upstream, evidence.Observation) {},
+		NewLine: relay.RandomLine,
+		Decide:  decide,
+		Retain:  time.Minute,
+		Log:     &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
+	})
+	return f
+}
+
+func (f *fleet) close() {
+	f.client.Close()
+	for i, e := range f.engines {
+		f.servers[i].CloseClientConnections()
+		e.Close()
+		f.servers[i].Close()
+	}
+	f.pool.Close()
+}
+
+// computed returns the tokens and prompt bytes that all engines computed.
+func (f *fleet) computed() (tokens, prefill int64) {
+	for _, e := range f.engines {
+		s := e.Stats()
+		tokens += s.Tokens
+		prefill += s.PrefillBytes
+	}
+	return tokens, prefill
+}
+
+// engineOf returns the index of the engine that runs the request now.
+func (f *fleet) engineOf(id model.RequestID) int {
+	r, ok := f.table.Get(id)
+	if !ok {
+		return -1
+	}
+	var i int
+	if _, err := fmt.Sscanf(string(r.Attempt.Upstream), "e%d", &i); err != nil {
+		return -1
+	}
+	return i
+}
+
+// admitAll admits every generation at once.
+type admitAll struct{ pool *worker.Pool }
+
+func (a admitAll) Enter(spec model.GenerationSpec, admitted func(*model.Refusal)) {
+	a.pool.Post(worker.Key(spec.Request), worker.Func(func() { admitted(nil) }))
+}
+
+func (admitAll) Leave(model.RequestID) {}
+
+// noCopies makes no copies of token logs.
+type noCopies struct{}
+
+func (noCopies) Opened(generation.Record) {}
+func (noCopies) Accepted(model.RequestID) {}
+func (noCopies) Ended(model.RequestID)    {}
