Carry peer messages over QUIC with mutual TLS

Cause: processes have no way to exchange messages. Change: server and client on quic-go with one connection for each address and one stream for each request; long streams of replies; certificate files read again when they change; backoff after failed or short-lived connections; spans and counters of messages and packets. devcert makes a CA and certificates for tests and development. Keep-alive can be switched off for gossip, whose many connections would spend the control budget on probes. Ruled out: an idle timeout of 1.8 s with probes each 0.5 s, as a dead peer was noticed after 2.3 s; the times add up. Session resumption, as it would skip a changed CA. Conclusion: both ends refuse a certificate of another CA.

--- /dev/null
+++ b/internal/transport/peer/client.go
@@ -0,0 +1,229 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+)
+
+// Client sends requests to peers and reuses its connections.
+type Client struct {
+	conns  *connections
+	meter  *meter
+	tracer oteltrace.Tracer
+	probed bool // connections have keep-alive
+}
+
+// NewClient returns a client without connections.
+func NewClient(o Options) (*Client, error) {
+	o.setDefaults()
+	creds, err := newCredentials(o)
+	if err != nil {
+		return nil, err
+	}
+	meter, err := newMeter(o, "client")
+	if err != nil {
+		return nil, err
+	}
+	conns, err := newConnections(o, creds, meter)
+	if err != nil {
+		return nil, err
+	}
+	return &Client{conns: conns, meter: meter, tracer: o.Tracers.Tracer(instrumentationKey), probed: o.KeepAlive > 0}, nil
+}
+
+// Traffic returns the traffic of all connections since the start.
+func (c *Client) Traffic() Traffic { return c.meter.traffic() }
+
+// Close ends all connections.
+func (c *Client) Close() error { return c.conns.close() }
+
+// Request sends a message and returns the reply. An error reply becomes an
+// error that holds a *peerwire.RemoteError.
+func (c *Client) Request(ctx context.Context, addr string, m peerwire.Message) (peerwire.Message, error) {
+	ctx, span := c.startSpan(ctx, &m)
+	defer span.End()
+	reply, err := c.request(ctx, addr, m)
+	if err != nil {
+		span.SetStatus(codes.Error, err.Error())
+	}
+	return reply, err
+}
+
+func (c *Client) request(ctx context.Context, addr string, m peerwire.Message) (peerwire.Message, error) {
+	conn, err := c.conns.get(ctx, addr)
+	if err != nil {
+		return peerwire.Message{}, err
+	}
+	reply, err := c.exchange(ctx, conn, m)
+	if err != nil && ctx.Err() != nil && !c.probed {
+		c.conns.replace(addr, conn)
+	}
+	return reply, err
+}
+
+func (c *Client) exchange(ctx context.Context, conn *quic.Conn, m peerwire.Message) (peerwire.Message, error) {
+	stream, err := c.open(ctx, conn, m)
+	if err != nil {
+		return peerwire.Message{}, err
+	}
+	stop := context.AfterFunc(ctx, func() { abandon(stream) })
+	defer stop()
+	reply, err := c.read(ctx, stream)
+	if err != nil {
+		abandon(stream)
+		if ctx.Err() != nil {
+			return peerwire.Message{}, trace.Wrap(context.Cause(ctx))
+		}
+		return peerwire.Message{}, err
+	}
+	drain(stream)
+	return reply, peerwire.AsError(reply)
+}
+
+// drain reads the end of a stream, which usually came with the reply. To stop
+// reading instead would cost a frame in each direction.
+func drain(stream *quic.Stream) {
+	var rest [1]byte
+	if _, err := stream.Read(rest[:]); err == nil {
+		stream.CancelRead(0)
+	}
+}
+
+// open starts a stream with one message.
+func (c *Client) open(ctx context.Context, conn *quic.Conn, m peerwire.Message) (*quic.Stream, error) {
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "open stream to %s: %v", conn.RemoteAddr(), err)
+	}
+	stop := context.AfterFunc(ctx, func() { abandon(stream) })
+	defer stop()
+	n, err := peerwire.WriteMessage(stream, m)
+	if err != nil {
+		abandon(stream)
+		return nil, err
+	}
+	c.meter.count(ctx, m.Kind, true, n)
+	if err := stream.Close(); err != nil {
+		return nil, trace.ConnectionProblem(err, "send %s message: %v", m.Kind, err)
+	}
+	return stream, nil
+}
+
+func (c *Client) read(ctx context.Context, stream *quic.Stream) (peerwire.Message, error) {
+	m, n, err := peerwire.ReadMessage(stream)
+	if err != nil {
+		return peerwire.Message{}, err
+	}
+	c.meter.count(ctx, m.Kind, false, n)
+	return m, nil
+}
+
+// abandon ends both directions of a stream.
+func abandon(stream *quic.Stream) {
+	stream.CancelRead(0)
+	stream.CancelWrite(0)
+}
+
+// startSpan starts the request's span and puts its context into the message,
+// unless it is not sampled.
+func (c *Client) startSpan(ctx context.Context, m *peerwire.Message) (context.Context, oteltrace.Span) {
+	ctx, span := c.tracer.Start(ctx, "peer.request "+string(m.Kind), oteltrace.WithSpanKind(oteltrace.SpanKindClient))
+	if span.SpanContext().IsSampled() {
+		carrier := propagation.MapCarrier{}
+		propagation.TraceContext{}.Inject(ctx, carrier)
+		m.TraceParent = carrier["traceparent"]
+	}
+	return ctx, span
+}
+
+// MessageStream receives messages from a peer until Close.
+type MessageStream interface {
+	// Next waits for a message. It returns io.EOF after the last one, and the
+	// peer's error or the loss of the peer as an error.
+	Next(ctx context.Context) (peerwire.Message, error)
+	Close()
+}
+
+// Stream sends a message that opens a stream of replies. The stream ends when
+// ctx ends or at Close.
+func (c *Client) Stream(ctx context.Context, addr string, m peerwire.Message) (MessageStream, error) {
+	_, span := c.startSpan(ctx, &m)
+	conn, err := c.conns.get(ctx, addr)
+	if err != nil {
+		span.End()
+		return nil, err
+	}
+	stream, err := c.open(ctx, conn, m)
+	if err != nil {
+		span.End()
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r := &receiver{cancel: cancel, received: make(chan received)}
+	context.AfterFunc(ctx, func() {
+		abandon(stream)
+		span.End()
+	})
+	go r.receive(ctx, c, stream)
+	return r, nil
+}
+
+// receiver reads a stream on a goroutine of its own, so that Next can stop
+// waiting in the middle of a message.
+type receiver struct {
+	cancel   context.CancelFunc
+	received chan received
+}
+
+type received struct {
+	message peerwire.Message
+	err     error
+}
+
+func (r *receiver) receive(ctx context.Context, c *Client, stream *quic.Stream) {
+	defer close(r.received)
+	for {
+		m, err := c.read(ctx, stream)
+		if err == nil {
+			err = peerwire.AsError(m)
+		}
+		select {
+		case r.received <- received{m, err}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Next implements MessageStream.
+func (r *receiver) Next(ctx context.Context) (peerwire.Message, error) {
+	select {
+	case got, ok := <-r.received:
+		if !ok {
+			return peerwire.Message{}, io.EOF
+		}
+		return got.message, got.err
+	case <-ctx.Done():
+		return peerwire.Message{}, ctx.Err()
+	}
+}
+
+// Close implements MessageStream.
+func (r *receiver) Close() { r.cancel() }
+
+// closeLater ends a connection after its requests in flight had time to end.
+func closeLater(conn *quic.Conn) {
+	time.AfterFunc(lingerTime, func() { _ = conn.CloseWithError(0, "connection replaced") })
+}
--- /dev/null
+++ b/internal/transport/peer/peer_test.go
@@ -0,0 +1,232 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer/devcert"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func issue(t *testing.T, dir, name string) Options {
+	t.Helper()
+	ca, err := devcert.New(dir)
+	assert.NilError(t, err)
+	return issueFrom(t, ca, name)
+}
+
+func issueFrom(t *testing.T, ca *devcert.Authority, name string) Options {
+	t.Helper()
+	f, err := ca.Issue(name)
+	assert.NilError(t, err)
+	return Options{Address: "127.0.0.1:0", CertFile: f.Cert, KeyFile: f.Key, CAFile: f.CA}
+}
+
+func startServer(t *testing.T, o Options, h Handler) *Server {
+	t.Helper()
+	s, err := NewServer(o, h)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, s.Close()) })
+	return s
+}
+
+func startClient(t *testing.T, o Options) *Client {
+	t.Helper()
+	c, err := NewClient(o)
+	assert.NilError(t, err)
+	t.Cleanup(func() { assert.NilError(t, c.Close()) })
+	return c
+}
+
+// echo replies with the peer's name as an error for kind "log.open", streams
+// numbered messages for "log.follow" until the peer leaves, and echoes others.
+func echo(ctx context.Context, from Peer, m peerwire.Message, w MessageWriter) error {
+	switch m.Kind {
+	case peerwire.KindLogOpen:
+		return trace.NotFound("no log for %s", from.Name)
+	case peerwire.KindLogFollow:
+		for ctx.Err() == nil {
+			if err := w.Write(m); err != nil {
+				return err
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		return ctx.Err()
+	}
+	return w.Write(m)
+}
+
+func message(kind peerwire.Kind) peerwire.Message {
+	return peerwire.Message{Kind: kind, Body: []byte{0x01}}
+}
+
+func request(t *testing.T, c *Client, addr string, kind peerwire.Kind) error {
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	_, err := c.Request(ctx, addr, message(kind))
+	return err
+}
+
+// Guards against lost replies, a wrong peer name, and connections that are
+// not reused.
+func TestRequestAndStream(t *testing.T) {
+	ca, err := devcert.New(t.TempDir())
+	assert.NilError(t, err)
+	s := startServer(t, issueFrom(t, ca, "entry-1"), HandlerFunc(echo))
+	c := startClient(t, issueFrom(t, ca, "entry-2"))
+	for range 20 {
+		assert.NilError(t, request(t, c, s.Address(), peerwire.KindView))
+	}
+	err = request(t, c, s.Address(), peerwire.KindLogOpen)
+	var remote *peerwire.RemoteError
+	assert.Assert(t, errors.As(err, &remote))
+	assert.Equal(t, remote.Code, peerwire.CodeNotFound)
+	assert.ErrorContains(t, err, "entry-2")
+	stream, err := c.Stream(t.Context(), s.Address(), message(peerwire.KindLogFollow))
+	assert.NilError(t, err)
+	for range 5 {
+		_, err := stream.Next(t.Context())
+		assert.NilError(t, err)
+	}
+	stream.Close()
+	assert.Equal(t, len(c.meter.live), 1)
+	assert.Equal(t, c.Traffic().MessagesSent, uint64(22))
+}
+
+// Guards against a peer whose certificate is of another CA, on either side.
+func TestCertificateOfOtherCAIsRefused(t *testing.T) {
+	ours, err := devcert.New(t.TempDir())
+	assert.NilError(t, err)
+	good, bad := issueFrom(t, ours, "entry-1"), issue(t, t.TempDir(), "intruder")
+	var served atomic.Int32
+	count := HandlerFunc(func(ctx context.Context, from Peer, m peerwire.Message, w MessageWriter) error {
+		served.Add(1)
+		return echo(ctx, from, m, w)
+	})
+	s := startServer(t, good, count)
+	bad.CAFile = good.CAFile // the intruder accepts our server
+	assert.Assert(t, request(t, startClient(t, bad), s.Address(), peerwire.KindView) != nil)
+	assert.Equal(t, served.Load(), int32(0))
+
+	foreign := startServer(t, issue(t, t.TempDir(), "foreign"), count)
+	err = request(t, startClient(t, good), foreign.Address(), peerwire.KindView)
+	assert.ErrorContains(t, err, "certificate")
+	assert.Equal(t, served.Load(), int32(0))
+}
+
+// Guards against certificates that are only read at the start.
+func TestReplacedCertificatesAreUsed(t *testing.T) {
+	dir, next := t.TempDir(), t.TempDir()
+	old := issue(t, dir, "entry-1")
+	s := startServer(t, old, HandlerFunc(echo))
+	renewed := issue(t, next, "entry-1")
+	c := startClient(t, renewed)
+	assert.Assert(t, request(t, c, s.Address(), peerwire.KindView) != nil)
+	for from, to := range map[string]string{renewed.CertFile: old.CertFile, renewed.KeyFile: old.KeyFile, renewed.CAFile: old.CAFile} {
+		data, err := os.ReadFile(from)
+		assert.NilError(t, err)
+		assert.NilError(t, os.WriteFile(to, data, 0o600))
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if err := request(t, c, s.Address(), peerwire.KindView); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(5*time.Second), poll.WithDelay(20*time.Millisecond))
+}
+
+// gate forwards datagrams between one client and a server until it is shut,
+// so that the server looks dead without any notice.
+type gate struct {
+	socket *net.UDPConn
+	server *net.UDPAddr
+	shut   atomic.Bool
+	first  atomic.Int32 // datagrams of the size of a handshake's first ones
+}
+
+func newGate(t *testing.T, server string) *gate {
+	t.Helper()
+	to, err := net.ResolveUDPAddr("udp", server)
+	assert.NilError(t, err)
+	socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	assert.NilError(t, err)
+	g := &gate{socket: socket, server: to}
+	go g.forward()
+	t.Cleanup(func() { _ = socket.Close() })
+	return g
+}
+
+func (g *gate) forward() {
+	buf := make([]byte, 64<<10)
+	var client *net.UDPAddr
+	for {
+		n, from, err := g.socket.ReadFromUDP(buf)
+		if err != nil {
+			return
+		}
+		to := g.server
+		if from.Port == g.server.Port {
+			to = client
+		} else {
+			client = from
+			if n >= 1200 {
+				g.first.Add(1)
+			}
+		}
+		if !g.shut.Load() && to != nil {
+			_, _ = g.socket.WriteToUDP(buf[:n], to)
+		}
+	}
+}
+
+// Guards against a stream that waits for a dead peer for longer than 2 s.
+func TestDeadPeerIsNoticed(t *testing.T) {
+	ca, err := devcert.New(t.TempDir())
+	assert.NilError(t, err)
+	s := startServer(t, issueFrom(t, ca, "entry-1"), HandlerFunc(echo))
+	c := startClient(t, issueFrom(t, ca, "entry-2"))
+	g := newGate(t, s.Address())
+	stream, err := c.Stream(t.Context(), g.socket.LocalAddr().String(), message(peerwire.KindLogFollow))
+	assert.NilError(t, err)
+	defer stream.Close()
+	_, err = stream.Next(t.Context())
+	assert.NilError(t, err)
+	g.shut.Store(true)
+	start := time.Now()
+	for err == nil {
+		_, err = stream.Next(t.Context())
+	}
+	waited := time.Since(start)
+	assert.Assert(t, !errors.Is(err, io.EOF) && waited < 2100*time.Millisecond, "%v after %s", err, waited)
+	t.Logf("dead peer noticed after %s", waited)
+}
+
+// Guards against a tight loop of handshakes with a peer that is down.
+func TestBackoffAfterFailedHandshake(t *testing.T) {
+	ca, err := devcert.New(t.TempDir())
+	assert.NilError(t, err)
+	bad := issue(t, t.TempDir(), "foreign")
+	s := startServer(t, bad, HandlerFunc(echo))
+	g := newGate(t, s.Address())
+	c := startClient(t, issueFrom(t, ca, "entry-2"))
+	deadline := time.Now().Add(time.Second)
+	for time.Now().Before(deadline) {
+		assert.Assert(t, request(t, c, g.socket.LocalAddr().String(), peerwire.KindView) != nil)
+		time.Sleep(time.Millisecond)
+	}
+	t.Logf("%d first datagrams of handshakes in 1 s", g.first.Load())
+	assert.Assert(t, g.first.Load() >= 1 && g.first.Load() < 30)
+}
--- /dev/null
+++ b/internal/transport/peer/server.go
@@ -0,0 +1,183 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+	"github.com/quic-go/quic-go"
+	"go.opentelemetry.io/otel/codes"
+	"go.opentelemetry.io/otel/propagation"
+	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+)
+
+// Peer is the other end of a connection.
+type Peer struct {
+	Name    string // instance name in the peer's certificate
+	Address string // UDP IP:port
+}
+
+// MessageWriter sends the replies to one request.
+type MessageWriter interface {
+	Write(m peerwire.Message) error
+}
+
+// Handler answers requests. ServePeer runs on a network goroutine for each
+// request; it hands decisions over to workers and waits for their answer. It
+// writes one reply, or many for a request that opens a stream, and returns
+// nil, or returns an error, which is sent to the peer. ctx ends when the peer
+// gives up the request or is lost.
+type Handler interface {
+	ServePeer(ctx context.Context, from Peer, m peerwire.Message, w MessageWriter) error
+}
+
+// HandlerFunc makes a Handler of a function.
+type HandlerFunc func(ctx context.Context, from Peer, m peerwire.Message, w MessageWriter) error
+
+// ServePeer implements Handler.
+func (f HandlerFunc) ServePeer(ctx context.Context, from Peer, m peerwire.Message, w MessageWriter) error {
+	return f(ctx, from, m, w)
+}
+
+// Mux hands messages over by kind.
+type Mux map[peerwire.Kind]Handler
+
+// ServePeer implements Handler.
+func (x Mux) ServePeer(ctx context.Context, from Peer, m peerwire.Message, w MessageWriter) error {
+	h, ok := x[m.Kind]
+	if !ok {
+		return trace.NotImplemented("this process does not serve messages of kind %q", m.Kind)
+	}
+	return h.ServePeer(ctx, from, m, w)
+}
+
+// Server accepts connections from peers with a certificate of the CA.
+type Server struct {
+	handler  Handler
+	listener *quic.Listener
+	socket   net.PacketConn
+	meter    *meter
+	tracer   oteltrace.Tracer
+	ctx      context.Context
+	stop     context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// NewServer listens and serves until Close.
+func NewServer(o Options, h Handler) (*Server, error) {
+	o.setDefaults()
+	creds, err := newCredentials(o)
+	if err != nil {
+		return nil, err
+	}
+	meter, err := newMeter(o, "server")
+	if err != nil {
+		return nil, err
+	}
+	socket, err := net.ListenPacket("udp", o.Address)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "listen on %s: %v", o.Address, err)
+	}
+	listener, err := quic.Listen(socket, creds.serverTLS(), quicConfig(-1, QuietIdleTimeout))
+	if err != nil {
+		return nil, trace.NewAggregate(err, socket.Close())
+	}
+	s := &Server{handler: h, listener: listener, socket: socket, meter: meter, tracer: o.Tracers.Tracer(instrumentationKey)}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.running.Go(s.accept)
+	return s, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Traffic returns the traffic of all connections since the start.
+func (s *Server) Traffic() Traffic { return s.meter.traffic() }
+
+// Close ends all connections and waits for the handlers.
+func (s *Server) Close() error {
+	s.stop()
+	err := trace.NewAggregate(s.listener.Close(), s.socket.Close())
+	s.running.Wait()
+	return err
+}
+
+func (s *Server) accept() {
+	for {
+		conn, err := s.listener.Accept(s.ctx)
+		if err != nil {
+			return
+		}
+		s.meter.watch(conn)
+		s.running.Go(func() { s.serveConn(conn) })
+	}
+}
+
+func (s *Server) serveConn(conn *quic.Conn) {
+	stop := context.AfterFunc(s.ctx, func() { _ = conn.CloseWithError(0, "server closes") })
+	defer stop()
+	from := Peer{Name: certificateName(conn.ConnectionState().TLS), Address: conn.RemoteAddr().String()}
+	for {
+		stream, err := conn.AcceptStream(s.ctx)
+		if err != nil {
+			return
+		}
+		s.running.Go(func() { s.serveStream(from, stream) })
+	}
+}
+
+// requestTimeout bounds the arrival of a request after its stream opened.
+const requestTimeout = 10 * time.Second
+
+func (s *Server) serveStream(from Peer, stream *quic.Stream) {
+	defer func() { _ = stream.Close() }()
+	if err := stream.SetReadDeadline(time.Now().Add(requestTimeout)); err != nil {
+		return
+	}
+	m, n, err := peerwire.ReadMessage(stream)
+	w := &writer{stream: stream, meter: s.meter}
+	if err != nil {
+		stream.CancelRead(0)
+		_ = w.Write(peerwire.EncodeError(err))
+		return
+	}
+	s.meter.count(stream.Context(), m.Kind, false, n)
+	if err := s.serve(stream.Context(), from, m, w); err != nil && stream.Context().Err() == nil {
+		_ = w.Write(peerwire.EncodeError(err))
+	}
+}
+
+// serve runs the handler in a span that continues the sender's trace.
+func (s *Server) serve(ctx context.Context, from Peer, m peerwire.Message, w *writer) error {
+	carrier := propagation.MapCarrier{"traceparent": m.TraceParent}
+	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
+	ctx, span := s.tracer.Start(ctx, "peer.serve "+string(m.Kind), oteltrace.WithSpanKind(oteltrace.SpanKindServer))
+	defer span.End()
+	err := s.handler.ServePeer(ctx, from, m, w)
+	if err != nil && !errors.Is(err, context.Canceled) {
+		span.SetStatus(codes.Error, err.Error())
+		log.WithField("part", "peer").WithField("peer", from.Name).WithError(err).Debugf("%s request failed", m.Kind)
+	}
+	return err
+}
+
+type writer struct {
+	stream *quic.Stream
+	meter  *meter
+}
+
+// Write implements MessageWriter.
+func (w *writer) Write(m peerwire.Message) error {
+	n, err := peerwire.WriteMessage(w.stream, m)
+	if err != nil {
+		return err
+	}
+	w.meter.count(w.stream.Context(), m.Kind, true, n)
+	return nil
+}
