Run the whole path as separate processes

Cause: the parts had never run together.

Ruled out: one process for both duties (docs/design.md, section 2).

Watching is not shared out yet and control processes do not gossip yet.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINT := $(GOBIN)/golangci-lint
 SEED ?= 1
 
-.PHONY: build test check fmt lint
+.PHONY: build test check fmt demo
 
 build:
 	go build -o bin/ ./cmd/...
@@ -22,6 +22,10 @@
 	go mod verify
 	$(LINT) run ./...
 
+# Streams a long generation through a killed engine, with all parts as processes.
+demo: build
+	scripts/demo.sh
+
 fmt:
 	gofmt -w cmd internal
 
--- /dev/null
+++ b/cmd/entryd/entry.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apex/log"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/frontend"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/settings"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callers"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/controllink"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/engine"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peerlink"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/platform"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/service"
+)
+
+const (
+	copyAfter = time.Second // age from which tokens are copied
+	retain    = time.Minute // how long an ended generation is remembered
+)
+
+// entry holds the parts of the process.
+type entry struct {
+	settings *settings.Entryd
+	log      log.Interface
+	pool     *worker.Pool
+	tables   *tables
+
+	engines   *engine.Client
+	services  *service.Client
+	platform  *platform.Client
+	peers     *peer.Client
+	server    *peer.Server
+	callers   *callers.Server
+	admission *admission.Manager
+
+	link     *controllink.Link
+	draining atomic.Bool
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// newEntry wires the parts. Nothing but the peer listener is started.
+func newEntry(s *settings.Entryd, metrics http.Handler, logger log.Interface) (*entry, error) {
+	e := &entry{
+		settings: s,
+		log:      logger.WithField("part", "entry"),
+		pool:     worker.NewPool(worker.Options{Workers: s.Workers}),
+		tables:   newTables(s.Instance),
+		engines:  engine.New(),
+		services: service.New(),
+	}
+	var err error
+	if e.platform, err = platform.New(platform.Options{BaseURL: s.Platform}); err != nil {
+		return nil, err
+	}
+	files := peer.Options{CertFile: s.TLS.Cert, KeyFile: s.TLS.Key, CAFile: s.TLS.CA}
+	if e.peers, err = peer.NewClient(files); err != nil {
+		return nil, err
+	}
+	logs := e.wire(metrics)
+	files.Address = s.PeerListen
+	if e.server, err = peer.NewServer(files, logs.Handlers()); err != nil {
+		return nil, fmt.Errorf("peer listener: %w", err)
+	}
+	e.link = &controllink.Link{Client: e.peers, Control: s.Control, Log: logger.WithField("part", "control link")}
+	return e, nil
+}
+
+// wire connects the decisions with each other and with the transport.
+func (e *entry) wire(metrics http.Handler) peerlink.Logs {
+	t, self := e.tables, e.settings.Instance
+	logClient := peerlink.NewClient(e.peers)
+	holder := replication.NewHolder(replication.HolderOptions{Pool: e.pool})
+	copies := replication.NewManager(replication.Options{
+		Self: self, Pool: e.pool, Table: t.generations, Instances: t.instances, Peers: logClient, Holder: holder,
+	})
+	guard := suspicion.New(suspicion.Options{Pool: e.pool, Suspects: t.suspects, Planned: e.planned})
+	guard.Gates = e.gates(logClient, guard)
+	router := routing.New(routing.Options{
+		Documents: t.documents, Upstreams: t.upstreams, Stops: t.stops, Prefixes: t.prefixes,
+	})
+	e.admission = admission.New(admission.Options{Pool: e.pool, Organisations: t.organisations, Capacity: e.capacity})
+	generations := relay.New(relay.Options{
+		Pool:        e.pool,
+		Generations: t.generations,
+		Upstreams:   t.upstreams,
+		Router:      router,
+		Engines:     e.engines,
+		Admission:   admitter{e.admission},
+		Copier:      copies,
+		Guard:       guard,
+		Observe:     e.observeGeneration,
+		NewLine:     relay.RandomLine,
+		CopyAfter:   copyAfter,
+		Retain:      retain,
+		Log:         e.log,
+	})
+	calls := call.New(call.Options{
+		Pool:     e.pool,
+		Instance: self,
+		Calls:    t.calls,
+		Claims:   platform.NewRows[call.Claim](e.platform, platform.StateTable),
+		Sender:   e.services,
+		Pick:     pickService(router, t.upstreams),
+		Observe:  e.observeCall,
+	})
+	front := frontend.New(frontend.Options{
+		Instance: self, Documents: t.documents, Generations: t.generations, Relay: generations, Replication: copies, Calls: calls,
+	})
+	e.callers = callers.New(callers.Options{
+		Address:    e.settings.Listen,
+		Frontend:   front,
+		Endpoints:  endpoints{t.instances, self, &e.draining},
+		Metrics:    metrics,
+		BodyBytes:  e.settings.Limits.BodyBytes,
+		HeaderTime: e.settings.Limits.HeaderTime,
+		Log:        e.log,
+	})
+	return peerlink.Logs{
+		Holder:  holder,
+		Manager: copies,
+		Join:    func(id model.RequestID) { generations.Join(id) },
+		Leave:   func(id model.RequestID) { generations.Leave(id, relay.ReconnectGrace) },
+		Grant:   guard.Grant,
+	}
+}
+
+// start follows the control process.
+func (e *entry) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	e.cancel = cancel
+	e.running.Go(func() { e.link.Follow(ctx, e.takeView) })
+	reporter := &view.Reporter{
+		Self:      e.settings.Instance,
+		Evidence:  e.tables.evidence,
+		Stops:     e.tables.stops,
+		Upstreams: e.tables.upstreams,
+		Suspects:  e.tables.suspects,
+	}
+	e.running.Go(func() { e.link.SendReports(ctx, reporter, e.draining.Load) })
+}
+
+// takeView hands a view over to a worker. Views keep their order.
+func (e *entry) takeView(v view.View) {
+	e.pool.Post("view", worker.Func(func() {
+		view.Apply(e.tables.viewed(), v, time.Now(), func(d *model.Document) {
+			e.admission.Configure(d.Organisations, d.Models)
+			e.log.WithField("generation", d.Generation).Info("document is in force")
+		})
+		if d := e.tables.documents.Current(); d != nil {
+			for _, m := range d.Models {
+				e.admission.Kick(m.Name)
+			}
+		}
+	}))
+}
+
+// drain takes the instance out of the endpoint answers and waits until no
+// caller can hold an answer that names it. Requests are served meanwhile; the
+// caller-facing server then ends after the requests in flight.
+func (e *entry) drain(context.Context) error {
+	e.log.Info("draining")
+	e.draining.Store(true)
+	e.callers.Leave()
+	time.Sleep(endpointTTL + e.settings.Drain.Margin)
+	return nil
+}
+
+// stop ends the parts in the reverse order of their start.
+func (e *entry) stop() {
+	e.cancel()
+	e.running.Wait()
+	e.pool.Close()
+	if err := e.server.Close(); err != nil {
+		e.log.WithError(err).Warn("peer listener did not close")
+	}
+	if err := e.peers.Close(); err != nil {
+		e.log.WithError(err).Warn("peer connections did not close")
+	}
+	e.engines.Close()
+	e.services.Close()
+	e.platform.Close()
+	e.log.Info("stopped")
+}
--- /dev/null
+++ b/cmd/entryd/parts.go
@@ -0,0 +1,169 @@
+package main
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
+	callstate "github.com/sequoiavalve/sequoiavalve/internal/state/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/prefix"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/stop"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peerlink"
+)
+
+const (
+	endpointTTL   = 10 * time.Second
+	routeGenerate = "generate" // route of engines in the evidence
+)
+
+// tables are the shared tables of the process.
+type tables struct {
+	documents     *document.Table
+	instances     *instance.Table
+	upstreams     *upstream.Table
+	prefixes      *prefix.Table
+	stops         *stop.Table
+	evidence      *evidence.Table
+	organisations *organisation.Table
+	suspects      *suspect.Table
+	generations   *generation.Table
+	calls         *callstate.Table
+}
+
+func newTables(self model.InstanceID) *tables {
+	return &tables{
+		documents:     document.NewTable(),
+		instances:     instance.NewTable(),
+		upstreams:     upstream.NewTable(),
+		prefixes:      prefix.NewTable(),
+		stops:         stop.NewTable(),
+		evidence:      evidence.NewTable(),
+		organisations: organisation.NewTable(),
+		suspects:      suspect.NewTable(self),
+		generations:   generation.NewTable(),
+		calls:         callstate.NewTable(),
+	}
+}
+
+// viewed returns the tables that the control process fills.
+func (t *tables) viewed() view.Tables {
+	return view.Tables{
+		Documents: t.documents, Instances: t.instances, Upstreams: t.upstreams, Stops: t.stops, Suspects: t.suspects,
+	}
+}
+
+// admitter adapts the admission manager to the relay.
+type admitter struct{ manager *admission.Manager }
+
+func (a admitter) Enter(spec model.GenerationSpec, admitted func(*model.Refusal)) {
+	a.manager.Enter(admission.Request{
+		ID:           spec.Request,
+		Serves:       spec.Model,
+		Organisation: spec.Organisation,
+		Priority:     spec.Priority,
+		Deadline:     spec.Deadline,
+	}, admitted)
+}
+
+func (a admitter) Leave(id model.RequestID) { a.manager.Leave(id) }
+
+// capacity is the number of generations that this instance may run now.
+func (e *entry) capacity(serves string) int {
+	live := 0
+	for _, in := range e.tables.instances.All() {
+		if in.State == model.InstanceLive {
+			live++
+		}
+	}
+	return routing.Capacity(e.tables.upstreams.Serving(serves), live, time.Now())
+}
+
+// planned reports whether the end of an engine was announced.
+func (e *entry) planned(id model.UpstreamID, incarnation uint64) bool {
+	row, ok := e.tables.upstreams.Get(id)
+	return ok && row.Report.Health == upstream.HealthLeaving && row.Report.Incarnation == incarnation
+}
+
+// gates returns the function that orders the instances which grant permits.
+func (e *entry) gates(client *peerlink.Client, own *suspicion.Manager) func(suspect.Fingerprint) []suspicion.Gate {
+	return func(fp suspect.Fingerprint) []suspicion.Gate {
+		return suspicion.Gates(fp, e.tables.instances.All(), func(in model.Instance) suspicion.Gate {
+			if in.ID == e.settings.Instance {
+				return suspicion.LocalGate{Manager: own}
+			}
+			return client.Gate(e.settings.Instance, in)
+		})
+	}
+}
+
+func (e *entry) observeGeneration(up model.Upstream, o evidence.Observation) {
+	e.observe(up, routeGenerate, o)
+}
+
+func (e *entry) observeCall(up model.Upstream, route string, o evidence.Observation) {
+	e.observe(up, route, o)
+}
+
+// observe counts one request as evidence on its version.
+func (e *entry) observe(up model.Upstream, route string, o evidence.Observation) {
+	e.tables.evidence.Observe(evidence.Key{
+		Instance: e.settings.Instance,
+		Version:  model.VersionKey{Serves: up.Serves, Version: up.Version},
+		Route:    route,
+		Minute:   time.Now().Unix() / 60,
+	}, o)
+}
+
+// pickService returns the function that chooses an upstream for a call.
+func pickService(router *routing.Router, upstreams *upstream.Table) func(call.Request) (model.Upstream, bool) {
+	return func(req call.Request) (model.Upstream, bool) {
+		up, _, ok := router.Pick(routing.Placement{
+			Serves:  req.Service,
+			Version: router.Version(req.Service, req.ID),
+			Now:     time.Now(),
+			Avoid:   func(id model.UpstreamID) bool { return slices.Contains(req.Tried, id) },
+		})
+		if ok {
+			// The manager does not tell when a call ends, and calls are short.
+			upstreams.Release(up.ID)
+		}
+		return up, ok
+	}
+}
+
+// endpoints answers which instances callers should use.
+type endpoints struct {
+	instances *instance.Table
+	self      model.InstanceID
+	draining  *atomic.Bool
+}
+
+// Endpoints implements callers.Endpoints.
+func (e endpoints) Endpoints(callerKey string, _ time.Time) ([]model.Instance, time.Duration) {
+	live := slices.DeleteFunc(e.instances.All(), func(in model.Instance) bool {
+		return in.State != model.InstanceLive || (in.ID == e.self && e.draining.Load())
+	})
+	weight := func(in model.Instance) uint64 { return xxhash.Sum64String(callerKey + "\x00" + string(in.ID)) }
+	slices.SortFunc(live, func(a, b model.Instance) int {
+		if weight(a) > weight(b) {
+			return -1
+		}
+		return 1
+	})
+	return live, endpointTTL
+}
--- /dev/null
+++ b/cmd/loadgen/load.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/caller"
+	"golang.org/x/sync/errgroup"
+)
+
+const maxLatency = 10 * time.Minute
+
+type loadCommand struct {
+	target
+	Model         string        `help:"Model to ask." required:""`
+	Streams       int           `help:"Generations at once." default:"20"`
+	Duration      time.Duration `help:"Time during which new generations start." default:"30s"`
+	Tokens        int           `help:"Mean number of tokens." default:"200"`
+	PromptBytes   int           `help:"Size of the prompts." default:"2048"`
+	Seed          uint64        `help:"Seed of prompts and lengths." default:"1"`
+	VerifyVersion []string      `help:"Compare the tokens with those of stand-in engines of these versions."`
+	MaxGap        time.Duration `help:"Longest allowed time without a token." default:"5s"`
+	AllowRefused  bool          `help:"Do not fail on refusals before the first token."`
+}
+
+// loadResult sums up all generations. mu guards the other fields.
+type loadResult struct {
+	mu       sync.Mutex
+	first    *hdrhistogram.Histogram // ms
+	interval *hdrhistogram.Histogram // ms
+	gap      *hdrhistogram.Histogram // ms, longest of each generation
+	whole    int
+	refused  int
+	broken   []string
+}
+
+// Run streams generations until the duration is over.
+func (c *loadCommand) Run(ctx context.Context) error {
+	result := &loadResult{first: newHistogram(), interval: newHistogram(), gap: newHistogram()}
+	client := c.client()
+	until := time.Now().Add(c.Duration)
+	group, ctx := errgroup.WithContext(ctx)
+	for i := range c.Streams {
+		group.Go(func() error {
+			rng := rand.New(rand.NewPCG(c.Seed, uint64(i)))
+			for time.Now().Before(until) && ctx.Err() == nil {
+				c.one(ctx, client, rng, result)
+			}
+			return nil
+		})
+	}
+	_ = group.Wait() // the workers return no errors
+	return result.report(c)
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatency.Milliseconds(), 3)
+}
+
+// one streams a generation and records what came of it.
+func (c *loadCommand) one(ctx context.Context, client *caller.Client, rng *rand.Rand, result *loadResult) {
+	g := caller.Generation{
+		Model:     c.Model,
+		Prompt:    prompt(rng, c.PromptBytes),
+		MaxTokens: 1 + rng.IntN(2*c.Tokens),
+		Seed:      rng.Int64(),
+	}
+	t, err := client.Stream(ctx, g, nil)
+	if ctx.Err() != nil {
+		return
+	}
+	wrong := errors.Join(check(t, g, c.VerifyVersion), checkGap(t, c.MaxGap))
+	result.add(t, wrong, err)
+}
+
+// prompt makes a text of which the first half is one of a few, so that prefix
+// caches have something to find.
+func prompt(rng *rand.Rand, size int) string {
+	common := strings.Repeat(fmt.Sprintf("shared %02d ", rng.IntN(10)), size/20+1)[:size/2]
+	return common + fmt.Sprintf("own %016x ", rng.Uint64())
+}
+
+func (r *loadResult) add(t caller.Transcript, wrong, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if t.Failure != "" && len(t.Tokens) == 0 {
+		r.refused++
+		return
+	}
+	if wrong = errors.Join(wrong, err); wrong != nil {
+		r.broken = append(r.broken, fmt.Sprintf("%s: %v", t.RequestID, wrong))
+		return
+	}
+	r.whole++
+	_ = r.first.RecordValue(t.FirstToken.Milliseconds()) // bounded by the timeout
+	_ = r.gap.RecordValue(t.LongestGap().Milliseconds())
+	for _, d := range t.Intervals {
+		_ = r.interval.RecordValue(d.Milliseconds())
+	}
+}
+
+func (r *loadResult) report(c *loadCommand) error {
+	fmt.Printf("seed %d: %d whole, %d refused, %d broken\n", c.Seed, r.whole, r.refused, len(r.broken))
+	printQuantiles("first token", r.first)
+	printQuantiles("interval", r.interval)
+	printQuantiles("longest gap", r.gap)
+	for _, b := range r.broken {
+		fmt.Println("broken:", b)
+	}
+	if len(r.broken) > 0 {
+		return fmt.Errorf("%d answers were not whole", len(r.broken))
+	}
+	if r.refused > 0 && !c.AllowRefused {
+		return fmt.Errorf("%d generations were refused", r.refused)
+	}
+	return nil
+}
+
+func printQuantiles(name string, h *hdrhistogram.Histogram) {
+	fmt.Printf("%-12s p50 %d ms, p95 %d ms, p99 %d ms, max %d ms\n", name,
+		h.ValueAtQuantile(50), h.ValueAtQuantile(95), h.ValueAtQuantile(99), h.Max())
+}
--- a/cmd/svctl/main.go
+++ b/cmd/svctl/main.go
@@ -7,16 +7,33 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/operator"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/platform"
 )
 
-// connect makes the platform client. It is nil in a build without one; the
-// commands that need the platform then say so.
-var connect operator.Connect
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := operator.Run(ctx, os.Args[1:], operator.Config{Stdout: os.Stdout, Stderr: os.Stderr, Connect: connect})
 	stop()
 	os.Exit(code)
 }
+
+// connect makes the platform client.
+func connect(url string) (*operator.Platform, error) {
+	client, err := platform.New(platform.Options{BaseURL: url})
+	if err != nil {
+		return nil, err
+	}
+	directory := platform.NewDirectory(client)
+	return &operator.Platform{
+		Heads:   platform.NewRows[environment.Head](client, platform.StateTable),
+		Moves:   platform.NewRows[operator.Move](client, platform.StateTable),
+		Objects: platform.NewObjects(client),
+		Instances: func(ctx context.Context) ([]model.Instance, error) {
+			machines, err := directory.List(ctx)
+			return machines.Instances, err
+		},
+	}, nil
+}
--- /dev/null
+++ b/internal/coordination/view/view.go
@@ -0,0 +1,122 @@
+// Package view carries state between the two processes of an instance: the
+// control process hands a View to its entry process, and the entry process
+// hands back a Report. Both are sets of rows whose merging is idempotent, so a
+// repeat or a restart of either process does no harm.
+package view
+
+import (
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/stop"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// View is what a control process sends to its entry process. The first one
+// holds everything; a later one holds what changed.
+type View struct {
+	Document  *model.Document
+	Shares    []model.Share
+	Stops     []model.Stop
+	Upstreams []upstream.Report
+	Instances []model.Instance
+	Suspects  suspect.Rows
+}
+
+// Empty reports whether the view holds nothing.
+func (v View) Empty() bool {
+	return v.Document == nil && len(v.Shares) == 0 && len(v.Stops) == 0 && len(v.Upstreams) == 0 &&
+		len(v.Instances) == 0 && v.Suspects.Empty()
+}
+
+// Report is what an entry process sends to its control process.
+type Report struct {
+	Evidence []gossip.EvidenceRow // whole rows; counts only grow
+	Stops    []model.Stop
+	Leaves   []gossip.Leave
+	Suspects suspect.Rows
+	Draining bool // the instance leaves
+}
+
+// Empty reports whether the report holds nothing.
+func (r Report) Empty() bool {
+	return len(r.Evidence) == 0 && len(r.Stops) == 0 && len(r.Leaves) == 0 && r.Suspects.Empty() && !r.Draining
+}
+
+// Tables are the tables of either process that views and reports fill.
+type Tables struct {
+	Documents *document.Table
+	Instances *instance.Table
+	Upstreams *upstream.Table
+	Stops     *stop.Table
+	Suspects  *suspect.Table
+}
+
+// position says up to which versions of the tables a receiver is up to date.
+type position struct {
+	generation uint64
+	instances  uint64
+	upstreams  uint64
+	stops      uint64
+	suspects   uint64
+}
+
+// Publisher makes the views for one receiver. It is used by one goroutine.
+type Publisher struct {
+	tables Tables
+	sent   position
+}
+
+// NewPublisher returns a publisher whose first view holds everything.
+func NewPublisher(t Tables) *Publisher { return &Publisher{tables: t} }
+
+// Next returns what changed since the last call. The document goes first:
+// reports on upstreams that the receiver does not know would be dropped.
+func (p *Publisher) Next(now time.Time) View {
+	var v View
+	if d := p.tables.Documents.Current(); d != nil && d.Generation > p.sent.generation {
+		v.Document = d
+		p.sent.generation = d.Generation
+		p.sent.upstreams = 0
+	}
+	if n := p.tables.Stops.Version(); n > p.sent.stops {
+		v.Shares, v.Stops = p.tables.Stops.Shares(), p.tables.Stops.Stops()
+		p.sent.stops = n
+	}
+	if n := p.tables.Instances.Version(); n > p.sent.instances {
+		v.Instances = p.tables.Instances.All()
+		p.sent.instances = n
+	}
+	if n := p.tables.Suspects.Version(); n > p.sent.suspects {
+		v.Suspects = p.tables.Suspects.Snapshot(now)
+		p.sent.suspects = n
+	}
+	v.Upstreams, p.sent.upstreams = p.tables.Upstreams.ReportsSince(p.sent.upstreams)
+	return v
+}
+
+// Apply merges a view into the entry process's tables. configured is called
+// after a new document was put in force.
+func Apply(t Tables, v View, now time.Time, configured func(*model.Document)) {
+	if v.Document != nil && t.Documents.Apply(v.Document) {
+		t.Upstreams.Configure(v.Document.Upstreams)
+		configured(v.Document)
+	}
+	for _, s := range v.Shares {
+		t.Stops.SetShare(s)
+	}
+	for _, s := range v.Stops {
+		t.Stops.Add(s)
+	}
+	for _, r := range v.Upstreams {
+		t.Upstreams.Apply(r)
+	}
+	for _, in := range v.Instances {
+		t.Instances.Merge(in)
+	}
+	t.Suspects.Merge(v.Suspects, now)
+}
--- a/internal/protocol/peerwire/bodies.go
+++ b/internal/protocol/peerwire/bodies.go
@@ -3,47 +3,14 @@
 import (
 	"github.com/gravitational/trace"
 
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
-	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 )
 
-// View is what a control process sends to its entry process, on one stream.
-// The first message holds everything; a later one holds what changed, and a
-// nil field means no change.
-type View struct {
-	Document      *model.Document
-	Shares        []model.Share
-	Stops         []model.Stop
-	Upstreams     []upstream.Report
-	Leaves        []gossip.Leave
-	Instances     []model.Instance
-	SilentRegions *[]string // regions that are left out of endpoint answers
-	Deaths        []gossip.Death
-	Clears        []gossip.Clear
-}
-
-// Report is what an entry process sends to its control process.
-type Report struct {
-	Evidence []gossip.EvidenceRow // whole rows; counts only grow
-	Stops    []model.Stop
-	Leaves   []gossip.Leave
-	Marks    []Mark
-	Deaths   []gossip.Death
-	Clears   []gossip.Clear
-	Draining bool // the instance leaves
-}
-
-// Mark is a connection failure on an upstream.
-type Mark struct {
-	Upstream model.UpstreamID
-	Failures int
-}
-
 // Permit asks for the last run of a fingerprint.
 type Permit struct {
-	Fingerprint uint64
-	Request     model.RequestID
+	Fingerprint suspect.Fingerprint
 	From        model.InstanceID
 }
 
@@ -53,19 +20,21 @@
 }
 
 // EncodeView encodes a View.
-func EncodeView(v View) (Message, error) { return encodeBody(KindView, v) }
+func EncodeView(v view.View) (Message, error) { return encodeBody(KindView, v) }
 
 // DecodeView decodes a View.
-func DecodeView(m Message) (View, error) { return decodeBody[View](KindView, m) }
+func DecodeView(m Message) (view.View, error) { return decodeBody[view.View](KindView, m) }
 
 // ViewRequest opens the stream of views.
 func ViewRequest() (Message, error) { return encodeBody(KindView, struct{}{}) }
 
 // EncodeReport encodes a Report.
-func EncodeReport(r Report) (Message, error) { return encodeBody(KindReport, r) }
+func EncodeReport(r view.Report) (Message, error) { return encodeBody(KindReport, r) }
 
 // DecodeReport decodes a Report.
-func DecodeReport(m Message) (Report, error) { return decodeBody[Report](KindReport, m) }
+func DecodeReport(m Message) (view.Report, error) {
+	return decodeBody[view.Report](KindReport, m)
+}
 
 // ReportReply acknowledges a Report.
 func ReportReply() (Message, error) { return encodeBody(KindReport, struct{}{}) }
--- a/internal/protocol/peerwire/peerwire_test.go
+++ b/internal/protocol/peerwire/peerwire_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -148,7 +149,7 @@
 	assert.NilError(f, err)
 	batch, err := EncodeBatch(generation.Batch{Line: "L", Tokens: []string{"a"}, End: &generation.End{FinishReason: "stop"}})
 	assert.NilError(f, err)
-	view, err := EncodeView(View{Shares: []model.Share{{Serves: "m", Share: 0.5}}})
+	viewed, err := EncodeView(view.View{Shares: []model.Share{{Serves: "m", Share: 0.5}}})
 	assert.NilError(f, err)
-	return []Message{exchange, open, batch, view, EncodeError(errors.New("no"))}
+	return []Message{exchange, open, batch, viewed, EncodeError(errors.New("no"))}
 }
--- a/internal/state/stop/stop.go
+++ b/internal/state/stop/stop.go
@@ -10,14 +10,15 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
-// Table holds stops and shares. mu has lock.RankStop and guards both maps.
+// Table holds stops and shares. mu has lock.RankStop and guards the maps and version.
 //
 // Invariants: stops only grow, and for one version the highest epoch is kept;
 // the revision of a share never falls.
 type Table struct {
-	mu     lock.Mutex
-	stops  map[model.VersionKey]model.Stop
-	shares map[string]model.Share
+	mu      lock.Mutex
+	stops   map[model.VersionKey]model.Stop
+	shares  map[string]model.Share
+	version uint64 // rises with each change
 }
 
 // NewTable returns an empty table.
@@ -37,6 +38,7 @@
 		return false
 	}
 	t.stops[s.Key] = s
+	t.version++
 	return true
 }
 
@@ -48,6 +50,7 @@
 		return false
 	}
 	t.shares[s.Serves] = s
+	t.version++
 	return true
 }
 
@@ -72,6 +75,13 @@
 	return !ok || share.Target != key.Version || s.Epoch >= share.Epoch
 }
 
+// Version rises with each change.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Stops returns all stops sorted by version.
 func (t *Table) Stops() []model.Stop {
 	t.mu.Lock()
--- a/internal/state/suspect/merge.go
+++ b/internal/state/suspect/merge.go
@@ -32,6 +32,7 @@
 	if changed {
 		t.prune(now)
 		t.index()
+		t.version++
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
--- a/internal/state/suspect/suspect.go
+++ b/internal/state/suspect/suspect.go
@@ -104,6 +104,7 @@
 	hosts   map[HostID]Host
 	running map[Fingerprint]local
 	changed chan struct{}
+	version uint64 // rises with each change
 }
 
 // NewTable returns an empty table of the given instance.
@@ -130,6 +131,13 @@
 	return t.merge(in, now)
 }
 
+// Version rises with each change.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Snapshot returns all rows that have not expired.
 func (t *Table) Snapshot(now time.Time) Rows {
 	t.mu.Lock()
@@ -231,3 +239,8 @@
 	}
 	return t.merge(Rows{Permits: []Permit{{Fingerprint: fp, At: now}}}, now)
 }
+
+// Empty reports whether the set has no rows.
+func (r Rows) Empty() bool {
+	return len(r.Deaths) == 0 && len(r.Clears) == 0 && len(r.Permits) == 0 && len(r.Hosts) == 0
+}
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -44,15 +44,18 @@
 	Sent      int       // this instance's requests since Report
 	DownUntil time.Time // a local connection failure keeps new work away until then
 	Failures  int       // consecutive local connection failures
+	Version   uint64    // of the table when Report last changed
 }
 
-// Table maps upstream IDs to rows. mu has lock.RankUpstream and guards rows.
+// Table maps upstream IDs to rows. mu has lock.RankUpstream and guards rows
+// and version.
 //
 // Invariants: an upstream that left stays out until a higher incarnation is
 // reported; InFlight equals the number of Acquire calls less Release calls.
 type Table struct {
-	mu   lock.Mutex
-	rows map[model.UpstreamID]*Row
+	mu      lock.Mutex
+	rows    map[model.UpstreamID]*Row
+	version uint64 // rises with each change of a report
 }
 
 // NewTable returns an empty table.
@@ -103,7 +106,7 @@
 	if r.Incarnation == old.Incarnation && old.Health == HealthLeaving {
 		r.Health = HealthLeaving
 	}
-	row.Report = r
+	t.setReport(row, r)
 	row.Sent = 0
 	if r.Health == HealthUp && r.Incarnation > old.Incarnation {
 		row.DownUntil = time.Time{}
@@ -120,10 +123,36 @@
 	if !ok || row.Report.Health == HealthLeaving {
 		return false
 	}
-	row.Report.Health = HealthLeaving
+	r := row.Report
+	r.Health = HealthLeaving
+	t.setReport(row, r)
 	return true
 }
 
+// setReport stores a report under a new version. The caller holds mu.
+func (t *Table) setReport(row *Row, r Report) {
+	t.version++
+	row.Report = r
+	row.Version = t.version
+}
+
+// ReportsSince returns the reports that changed after the given version, and
+// the version up to which they are complete.
+func (t *Table) ReportsSince(version uint64) ([]Report, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if version == t.version {
+		return nil, version
+	}
+	var reports []Report
+	for _, row := range t.rows {
+		if row.Version > version {
+			reports = append(reports, row.Report)
+		}
+	}
+	return reports, t.version
+}
+
 // Acquire counts one request in flight.
 func (t *Table) Acquire(id model.UpstreamID) {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/transport/peerlink/server.go
@@ -0,0 +1,120 @@
+package peerlink
+
+import (
+	"context"
+	"errors"
+
+	"github.com/gravitational/trace"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
+)
+
+// Logs are the parts of an entry process that serve other instances.
+type Logs struct {
+	Holder  *replication.Holder
+	Manager *replication.Manager
+	// Join and Leave count a follower as a reader of an own generation.
+	Join  func(model.RequestID)
+	Leave func(model.RequestID)
+	Grant func(suspect.Fingerprint) bool
+}
+
+// Handlers returns the handlers of an entry process's peer messages.
+func (l Logs) Handlers() peer.Mux {
+	return peer.Mux{
+		peerwire.KindLogOpen:       acknowledge(peerwire.KindLogOpen, peerwire.DecodeOpen, l.Holder.HandleOpen),
+		peerwire.KindLogAppend:     acknowledge(peerwire.KindLogAppend, peerwire.DecodeAppend, l.Holder.HandleAppend),
+		peerwire.KindLogClose:      acknowledge(peerwire.KindLogClose, peerwire.DecodeClose, l.Holder.HandleClose),
+		peerwire.KindLogFetch:      peer.HandlerFunc(l.fetch),
+		peerwire.KindLogFollow:     peer.HandlerFunc(l.follow),
+		peerwire.KindSuspectPermit: peer.HandlerFunc(l.permit),
+	}
+}
+
+// acknowledge makes the handler of a message that is answered with an Ack.
+func acknowledge[T any](kind peerwire.Kind, decode func(peerwire.Message) (T, error),
+	handle func(context.Context, T) (replication.Ack, error)) peer.Handler {
+	return peer.HandlerFunc(func(ctx context.Context, _ peer.Peer, m peerwire.Message, w peer.MessageWriter) error {
+		request, err := decode(m)
+		if err != nil {
+			return err
+		}
+		ack, err := handle(ctx, request)
+		if err != nil {
+			return err
+		}
+		return write(w)(peerwire.EncodeAck(kind, ack))
+	})
+}
+
+// write returns a function that sends an encoded message, or returns the error
+// of its encoding.
+func write(w peer.MessageWriter) func(peerwire.Message, error) error {
+	return func(m peerwire.Message, err error) error {
+		if err != nil {
+			return err
+		}
+		return w.Write(m)
+	}
+}
+
+func (l Logs) fetch(ctx context.Context, _ peer.Peer, m peerwire.Message, w peer.MessageWriter) error {
+	want, err := peerwire.DecodeFetch(peerwire.KindLogFetch, m)
+	if err != nil {
+		return err
+	}
+	found, err := l.Holder.HandleFetch(ctx, want)
+	if err != nil {
+		return err
+	}
+	return write(w)(peerwire.EncodeCopy(found))
+}
+
+// follow sends an empty batch to accept, and then the log from the position.
+func (l Logs) follow(ctx context.Context, _ peer.Peer, m peerwire.Message, w peer.MessageWriter) error {
+	want, err := peerwire.DecodeFetch(peerwire.KindLogFollow, m)
+	if err != nil {
+		return err
+	}
+	reader, err := l.Manager.HandleFollow(want)
+	if errors.Is(err, replication.ErrNotHeld) {
+		return trace.NotFound("no log of request %s holds position %d", want.Request, want.Position)
+	}
+	if err != nil {
+		return err
+	}
+	l.Join(want.Request)
+	defer l.Leave(want.Request)
+	if err := write(w)(peerwire.EncodeBatch(generation.Batch{Line: want.Line, First: want.Position})); err != nil {
+		return err
+	}
+	return send(ctx, reader, w)
+}
+
+func send(ctx context.Context, reader replication.Reader, w peer.MessageWriter) error {
+	for {
+		batch, err := reader.Next(ctx)
+		if err != nil {
+			return err
+		}
+		if err := write(w)(peerwire.EncodeBatch(batch)); err != nil {
+			return err
+		}
+		if batch.End != nil || batch.Gone {
+			return nil
+		}
+	}
+}
+
+func (l Logs) permit(_ context.Context, _ peer.Peer, m peerwire.Message, w peer.MessageWriter) error {
+	request, err := peerwire.DecodePermit(m)
+	if err != nil {
+		return err
+	}
+	reply := peerwire.PermitReply{Granted: l.Grant(request.Fingerprint)}
+	return write(w)(peerwire.EncodePermitReply(reply))
+}
