Count generations, losses and resume times as metrics

Cause: an operator could see losses only in the log, one by one.

Ruled out: a metrics interface of our own with an adapter in transport; the OpenTelemetry API already separates counting from export.

--- a/cmd/controld/main.go
+++ b/cmd/controld/main.go
@@ -34,16 +34,7 @@
 	if err != nil || cli.CheckConfig {
 		return err
 	}
-	tel, err := telemetry.Setup(telemetry.Options{
-		Process:       "controld",
-		Instance:      string(s.Instance),
-		Region:        s.Region,
-		FailureDomain: string(s.FailureDomain),
-		LogFormat:     s.Log.Format,
-		LogLevel:      s.Log.Level,
-		TraceEndpoint: s.Trace.Endpoint,
-		TraceSample:   s.Trace.Sample,
-	})
+	tel, err := telemetry.Setup(telemetry.FromSettings("controld", s.Common))
 	if err != nil {
 		return err
 	}
--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -25,6 +25,7 @@
 		return
 	}
 	m.logLoss(r, kind, detail, action)
+	m.metrics.countLoss(kind, action)
 	r = m.closeAttempt(r, string(kind), failureOf(r))
 	if action != Reattach {
 		m.learnFrom(r, kind)
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -112,7 +112,8 @@
 
 // Manager runs the generations of one instance.
 type Manager struct {
-	opts Options
+	opts    Options
+	metrics *metrics
 }
 
 // New returns a Manager.
@@ -121,7 +122,7 @@
 	if opts.Decide == nil {
 		opts.Decide = next
 	}
-	return &Manager{opts: opts}
+	return &Manager{opts: opts, metrics: newMetrics()}
 }
 
 // RandomLine returns a line ID of at least 64 random bits.
@@ -193,6 +194,9 @@
 			r.End = &end
 		}
 	})
+	if r, ok := m.opts.Generations.Get(id); ok {
+		m.metrics.countEnd(r)
+	}
 	m.opts.Admission.Leave(id)
 	m.opts.Copier.Ended(id)
 	m.opts.Pool.After(m.opts.Retain, key(id), worker.Func(func() {
--- a/internal/transport/telemetry/options.go
+++ b/internal/transport/telemetry/options.go
@@ -1,7 +1,11 @@
 // Package telemetry sets up logs, metrics and traces of a process.
 package telemetry
 
-import "io"
+import (
+	"io"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/settings"
+)
 
 // Log formats.
 const (
@@ -23,3 +27,17 @@
 	TraceEndpoint string
 	TraceSample   float64 // share of new traces that is recorded, 0 to 1
 }
+
+// FromSettings returns the options of a daemon.
+func FromSettings(process string, s settings.Common) Options {
+	return Options{
+		Process:       process,
+		Instance:      string(s.Instance),
+		Region:        s.Region,
+		FailureDomain: string(s.FailureDomain),
+		LogFormat:     s.Log.Format,
+		LogLevel:      s.Log.Level,
+		TraceEndpoint: s.Trace.Endpoint,
+		TraceSample:   s.Trace.Sample,
+	}
+}
