--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -20,6 +20,9 @@
 	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != number {
 		return
 	}
+	if kind == LossLeaving {
+		m.opts.Upstreams.Leave(r.Attempt.Upstream)
+	}
 	action := m.opts.Decide(m.situation(r, kind))
 	if action == Stay {
 		return
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -117,6 +117,27 @@
 	})
 }
 
+// Guards against new work for an engine that gave notice, also when the
+// running generation has nowhere to go.
+func TestLeavingEngineGetsNoNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2, "v1")
+		defer b.close()
+		b.manager.Submit(spec("r1", 20))
+		time.Sleep(100 * time.Millisecond)
+		first, _ := b.table.Get("r1")
+		b.fake.fault(first.Attempt.Upstream, "leave")
+		time.Sleep(10 * time.Millisecond)
+		for i := range 5 {
+			id := model.RequestID(fmt.Sprintf("n%d", i))
+			b.manager.Submit(spec(string(id), 5))
+			time.Sleep(100 * time.Millisecond)
+			r, _ := b.table.Get(id)
+			assert.Assert(t, r.Attempt.Upstream != first.Attempt.Upstream)
+		}
+	})
+}
+
 // Guards against a splice of two versions when the version of a shown answer
 // has no engine left.
 func TestShownAnswerIsNotContinuedOnAnotherVersion(t *testing.T) {
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -215,6 +215,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return lossOfStatus(resp)
 	}
+	if resp.Header.Get(engineapi.HeaderLeaving) == "true" {
+		events.Lost(relay.LossLeaving, "response header")
+	}
 	return readStream(resp.Body, events)
 }
 
