Send engine orders over HTTP and bound their loads by settings

Cause: the order package had no transport.

Change: transport/engine.Orders reads states and gives orders over the engine API and turns 409 and 429 into the order package's errors; controld's settings take the weight store's rate.

Ruled out: asking the weight store for its rate; it publishes none but 429.

Conclusion: ready to be wired into controld.

--- a/internal/protocol/settings/defaults.go
+++ b/internal/protocol/settings/defaults.go
@@ -32,6 +32,7 @@
 			GossipRegions:   2 * time.Second,
 			PlatformTimeout: 2 * time.Second,
 		},
+		Weights: Weights{LoadsPerSecond: 1, Burst: 4},
 	}
 }
 
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -101,8 +101,16 @@
 	// Entry is the UDP address of the instance's entry process.
 	Entry string `yaml:"entry" validate:"required,ipport"`
 	// EntryAdvertised is the TCP address of the entry process that callers use.
-	EntryAdvertised string `yaml:"entry_advertised" validate:"required,ipport"`
-	Polls           Polls  `yaml:"polls"`
+	EntryAdvertised string  `yaml:"entry_advertised" validate:"required,ipport"`
+	Polls           Polls   `yaml:"polls"`
+	Weights         Weights `yaml:"weights"`
+}
+
+// Weights bound the loads that the region's engines are ordered to make from
+// the weight store.
+type Weights struct {
+	LoadsPerSecond float64 `yaml:"loads_per_second" validate:"min=0.01,max=1000"`
+	Burst          int     `yaml:"burst" validate:"min=1,max=1000"`
 }
 
 // LoadEntryd reads the settings of the entry process.
--- /dev/null
+++ b/internal/transport/engine/orders.go
@@ -0,0 +1,107 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/order"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+)
+
+const maxStateBytes = 64 << 10
+
+// defaultRetryAfter applies to a 429 without a usable Retry-After.
+const defaultRetryAfter = time.Second
+
+// Orders gives orders to engines. It implements order.Engines.
+type Orders struct {
+	http   *http.Client
+	tracer trace.Tracer
+}
+
+// NewOrders returns an Orders.
+func NewOrders() *Orders {
+	return &Orders{
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		tracer: otel.Tracer("sequoiavalve/orders"),
+	}
+}
+
+// Close closes the idle connections.
+func (o *Orders) Close() { o.http.CloseIdleConnections() }
+
+// State implements order.Engines. An engine that loads another state reports
+// the one that it is about to serve.
+func (o *Orders) State(ctx context.Context, u model.Upstream) (order.State, error) {
+	reply, err := o.exchange(ctx, u, http.MethodGet, engineapi.StatePath, nil)
+	if err != nil {
+		return order.State{}, err
+	}
+	return order.State{Model: reply.Desired.Model, Version: reply.Desired.Version}, nil
+}
+
+// Order implements order.Engines.
+func (o *Orders) Order(ctx context.Context, u model.Upstream, fencing uint64, desired order.State) error {
+	body, err := json.Marshal(engineapi.Order{
+		Fencing: fencing,
+		Desired: engineapi.State{Model: desired.Model, Version: desired.Version},
+	})
+	if err != nil {
+		return fmt.Errorf("encode order: %w", err)
+	}
+	_, err = o.exchange(ctx, u, http.MethodPost, engineapi.OrdersPath, body)
+	return err
+}
+
+func (o *Orders) exchange(ctx context.Context, u model.Upstream, method, path string, body []byte) (engineapi.StateReply, error) {
+	ctx, span := o.tracer.Start(ctx, method+" "+path, trace.WithSpanKind(trace.SpanKindClient))
+	defer span.End()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+u.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return engineapi.StateReply{}, fmt.Errorf("build request: %w", err)
+	}
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	resp, err := o.http.Do(req)
+	if err != nil {
+		return engineapi.StateReply{}, fmt.Errorf("%s %s of %s: %w", method, path, u.ID, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return engineapi.StateReply{}, orderError(u, resp)
+	}
+	var reply engineapi.StateReply
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&reply)
+	return reply, err
+}
+
+// orderError turns an engine's refusal into the order package's errors.
+func orderError(u model.Upstream, resp *http.Response) error {
+	switch resp.StatusCode {
+	case http.StatusConflict:
+		return order.ErrStaleFencing
+	case http.StatusTooManyRequests:
+		return &order.RetryAfterError{After: retryAfter(resp.Header.Get("Retry-After"))}
+	}
+	return errors.New("engine " + string(u.ID) + " answered " + resp.Status)
+}
+
+func retryAfter(header string) time.Duration {
+	seconds, err := strconv.Atoi(header)
+	if err != nil || seconds < 0 {
+		return defaultRetryAfter
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+var _ order.Engines = (*Orders)(nil)
