Gossip between control processes and membership

Cause: instances need each other's state within seconds at 22 kB/s each. Change: each instance is the origin of versioned entries; its version is its heartbeat. Peers compare vectors of versions by roster, so a digest takes a byte for each origin. Stops, shares, leaving upstreams, deaths and states are sets that outlive their origin, compared by hash. Documents travel as changed rows. membership judges silence, orders endpoints and lists seeds. Ruled out: one report for each upstream and origin, as a later load figure that stays in the region replaced a change of health that other regions still lacked. Suspecting instances of other regions one by one, as their heartbeats arrive late. Sending records of an origin's own region only within the region, as instances that start from a seed in another region never met. Conclusion: stores converge after cuts and restarts; no document or stop reverts.

--- /dev/null
+++ b/internal/coordination/gossip/manager_test.go
@@ -0,0 +1,143 @@
+package gossip
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// memoryNet connects managers without a network.
+type memoryNet struct {
+	mu   sync.Mutex
+	runs map[string]*Manager
+	cut  map[string]bool // "from>to"
+}
+
+type memoryPeers struct {
+	net  *memoryNet
+	from string
+}
+
+var errCut = errors.New("link is cut")
+
+func (p memoryPeers) Exchange(ctx context.Context, address string, e Exchange) (Exchange, error) {
+	p.net.mu.Lock()
+	m, ok := p.net.runs[address]
+	there, back := p.net.cut[p.from+">"+address], p.net.cut[address+">"+p.from]
+	p.net.mu.Unlock()
+	if !ok || there {
+		<-ctx.Done()
+		return Exchange{}, errCut
+	}
+	reply, err := m.HandleExchange(ctx, e)
+	if back {
+		<-ctx.Done()
+		return Exchange{}, errCut
+	}
+	return reply, err
+}
+
+// cluster starts managers that know only the first one's address.
+func cluster(count int) (*memoryNet, []*Manager, func()) {
+	net := &memoryNet{runs: map[string]*Manager{}, cut: map[string]bool{}}
+	var managers []*Manager
+	for i := range count {
+		address := fmt.Sprint(i)
+		m := NewManager(Options{
+			Self: model.Instance{
+				ID: model.InstanceID("i" + address), Incarnation: 1, Region: []string{"r0", "r1"}[i%2], ControlAddress: address,
+			},
+			Pool:   worker.NewPool(worker.Options{Workers: 1}),
+			Peers:  memoryPeers{net, address},
+			Tables: newTables(),
+			Seeds:  []string{"0"},
+			Random: rand.New(rand.NewPCG(uint64(i), 1)),
+		})
+		net.runs[address] = m
+		managers = append(managers, m)
+	}
+	for _, m := range managers {
+		m.Start()
+	}
+	return net, managers, func() {
+		for _, m := range managers {
+			m.opts.Pool.Close()
+		}
+	}
+}
+
+func stateAt(m *Manager, i int) model.InstanceState {
+	in, _ := m.opts.Tables.Instances.Get(model.InstanceID(fmt.Sprintf("i%d", i)))
+	return in.State
+}
+
+// Guards against an urgent change or a document that waits for rounds, and a
+// wrong time of suspicion.
+func TestTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, managers, stop := cluster(12)
+		defer stop()
+		time.Sleep(15 * time.Second)
+		for _, m := range managers {
+			assert.Equal(t, len(m.opts.Tables.Instances.All()), 12)
+		}
+		key := model.VersionKey{Serves: "m", Version: "v"}
+		managers[3].Announce(Delta{Stops: []model.Stop{{Key: key, Epoch: 1}}})
+		managers[4].opts.Tables.Documents.Apply(&model.Document{Generation: 1, Hash: "h"})
+		managers[4].DocumentChanged()
+		time.Sleep(time.Second)
+		for i, m := range managers {
+			assert.Assert(t, m.opts.Tables.Stops.Stopped(key), "node %d has no stop after 1 s", i)
+			assert.Assert(t, m.opts.Tables.Documents.Current() != nil, "node %d has no document after 1 s", i)
+		}
+
+		net.mu.Lock()
+		delete(net.runs, "5")
+		net.mu.Unlock()
+		managers[5].opts.Pool.Close()
+		time.Sleep(2500 * time.Millisecond)
+		assert.Equal(t, stateAt(managers[7], 5), model.InstanceLive, "silent for less than 3 s")
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, stateAt(managers[7], 5), model.InstanceSuspected)
+		time.Sleep(8 * time.Second)
+		assert.Equal(t, stateAt(managers[7], 5), model.InstanceDead)
+		assert.Equal(t, stateAt(managers[0], 5), model.InstanceDead, "learned from the other region")
+	})
+}
+
+// Guards against a suspicion because of a cut link, and against one that an
+// instance cannot refute.
+func TestCutLinkAndRefutation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net, managers, stop := cluster(6)
+		defer stop()
+		time.Sleep(15 * time.Second)
+		net.mu.Lock()
+		net.cut["0>2"], net.cut["2>0"], net.cut["1>3"] = true, true, true
+		net.mu.Unlock()
+		time.Sleep(20 * time.Second)
+		for i, m := range managers {
+			for j := range managers {
+				assert.Equal(t, stateAt(m, j), model.InstanceLive, "node %d about node %d", i, j)
+			}
+		}
+		managers[1].post(func() {
+			managers[1].store.addState(Status{Origin{"i3", 1}, model.InstanceSuspected}, time.Now())
+		})
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, stateAt(managers[0], 3), model.InstanceLive)
+		managers[2].Leave()
+		time.Sleep(time.Second)
+		assert.Equal(t, stateAt(managers[5], 2), model.InstanceLeaving)
+	})
+}
--- /dev/null
+++ b/internal/coordination/gossip/sets.go
@@ -0,0 +1,99 @@
+package gossip
+
+import (
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// overrides reports whether a state replaces another one of an instance.
+func overrides(a, b Status) bool {
+	if a.Origin.Incarnation != b.Origin.Incarnation {
+		return a.Origin.Incarnation > b.Origin.Incarnation
+	}
+	return instance.StateRank(a.State) > instance.StateRank(b.State)
+}
+
+// applyLeave marks an upstream in the table as leaving. The mark of an
+// incarnation that the table does not know yet brings that incarnation.
+func (s *Store) applyLeave(l Leave) {
+	row, ok := s.tables.Upstreams.Get(l.Upstream)
+	switch {
+	case !ok || row.Report.Incarnation > l.Incarnation:
+	case row.Report.Incarnation == l.Incarnation:
+		s.tables.Upstreams.Leave(l.Upstream)
+	default:
+		s.tables.Upstreams.Apply(upstream.Report{
+			Upstream:    l.Upstream,
+			Incarnation: l.Incarnation,
+			Health:      upstream.HealthLeaving,
+		})
+	}
+}
+
+// setHashes returns one hash for each set. It does not depend on the order of
+// the items.
+func (s *Store) setHashes() [setCount]uint64 {
+	var sums [setCount]uint64
+	for _, st := range s.states {
+		sums[setStates] += hashOf(st.Origin.ID, st.Origin.Incarnation, st.State)
+	}
+	for _, st := range s.tables.Stops.Stops() {
+		sums[setStops] += hashOf(st.Key, st.Epoch)
+	}
+	for _, sh := range s.tables.Stops.Shares() {
+		sums[setShares] += hashOf(sh.Serves, sh.Revision)
+	}
+	for _, l := range s.leaves {
+		sums[setLeaves] += hashOf(l.Upstream, l.Incarnation)
+	}
+	if s.tables.Suspects == nil {
+		return sums
+	}
+	for _, d := range s.tables.Suspects.Deaths() {
+		sums[setDeaths] += hashOf(d.Fingerprint, d.Upstream, d.Incarnation)
+	}
+	for _, c := range s.tables.Suspects.Clears() {
+		sums[setClears] += hashOf(c.Fingerprint, c.At.UnixNano())
+	}
+	return sums
+}
+
+func hashOf(fields ...any) uint64 {
+	d := xxhash.New()
+	_, _ = fmt.Fprintf(d, "%#v", fields)
+	return d.Sum64()
+}
+
+// addSets adds the sets whose hashes differ from the peer's.
+func (s *Store) addSets(delta *Delta, peer [setCount]uint64) {
+	own := s.setHashes()
+	if own[setStates] != peer[setStates] {
+		for _, st := range s.states {
+			delta.States = append(delta.States, st)
+		}
+	}
+	if own[setStops] != peer[setStops] {
+		delta.Stops = s.tables.Stops.Stops()
+	}
+	if own[setShares] != peer[setShares] {
+		delta.Shares = s.tables.Stops.Shares()
+	}
+	if own[setLeaves] != peer[setLeaves] {
+		for _, l := range s.leaves {
+			delta.Leaves = append(delta.Leaves, l)
+		}
+	}
+	if s.tables.Suspects == nil {
+		return
+	}
+	if own[setDeaths] != peer[setDeaths] {
+		delta.Deaths = s.tables.Suspects.Deaths()
+	}
+	if own[setClears] != peer[setClears] {
+		delta.Clears = s.tables.Suspects.Clears()
+	}
+}
--- a/internal/coordination/gossip/types.go
+++ b/internal/coordination/gossip/types.go
@@ -1,4 +1,3 @@
-// Package gossip exchanges state between control processes.
 package gossip
 
 import (
@@ -18,12 +17,13 @@
 
 // Vector says up to which version the sender has the entries of each origin
 // of one region. Versions are in the order of the roster, which is sorted by
-// ID. Origins names the roster; it is empty when the receiver is expected to
-// have the same one.
+// ID. A named vector lists the roster in Origins; another one is for a
+// receiver that is expected to have the same roster.
 type Vector struct {
 	Region   string
 	Roster   uint64 // hash of the roster's IDs and incarnations
 	Versions []uint64
+	Named    bool
 	Origins  []Origin
 }
 
@@ -47,6 +47,7 @@
 // Digest says what its sender has.
 type Digest struct {
 	Region   string // of the sender
+	Full     bool   // Vectors holds all regions that the sender knows
 	Vectors  []Vector
 	Sets     [setCount]uint64 // one hash for each set
 	Document DocumentHead
@@ -79,7 +80,8 @@
 }
 
 // Update holds the entries of one origin with versions above From, up to To.
-// A receiver that has all entries up to From then has all up to To.
+// A receiver that has all entries up to From then has all up to To. With To 0
+// it only introduces the instance.
 type Update struct {
 	Origin   Origin
 	From     uint64
@@ -111,6 +113,7 @@
 type Leave struct {
 	Upstream    model.UpstreamID
 	Incarnation uint64
+	At          time.Time // when it was noticed
 }
 
 // Death is an engine death that a request may have caused.
--- /dev/null
+++ b/internal/coordination/membership/membership_test.go
@@ -0,0 +1,82 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// Guards against a process that suspects all others after it was paused or
+// cut off itself.
+func TestPausedOrIsolatedProcessSuspectsNobody(t *testing.T) {
+	tr := NewTracker("a", "r")
+	tr.Heard("b", 1, 5, "r", start)
+	tr.Contact(start)
+	tr.Tick(start)
+	assert.Equal(t, len(tr.Tick(start.Add(time.Minute))), 0, "paused for a minute")
+
+	tr = NewTracker("a", "r")
+	tr.Heard("b", 1, 5, "r", start)
+	tr.Contact(start)
+	for i := range 40 {
+		assert.Equal(t, len(tr.Tick(start.Add(time.Duration(i)*500*time.Millisecond))), 0, "isolated")
+	}
+}
+
+// Guards against a stale counter that keeps a dead instance alive, and against
+// single suspicions in other regions.
+func TestSilence(t *testing.T) {
+	tr := NewTracker("a", "r")
+	tr.Heard("b", 1, 5, "r", start)
+	tr.Heard("c", 1, 5, "other", start)
+	var verdicts []Verdict
+	for i := range 30 {
+		now := start.Add(time.Duration(i) * 500 * time.Millisecond)
+		tr.Contact(now)
+		tr.Heard("b", 1, 5, "r", now)
+		verdicts = tr.Tick(now)
+		switch at := now.Sub(start); {
+		case at < SuspectAfter:
+			assert.Equal(t, len(verdicts), 0)
+		case at < DeadAfter:
+			assert.DeepEqual(t, verdicts, []Verdict{{"b", 1, model.InstanceSuspected}})
+		}
+	}
+	assert.DeepEqual(t, verdicts, []Verdict{{"b", 1, model.InstanceDead}})
+	assert.DeepEqual(t, tr.SilentRegions(start.Add(DeadAfter)), []string{"other"})
+}
+
+// Guards against callers that all move when one instance leaves.
+func TestOrderIsStable(t *testing.T) {
+	var all []model.Instance
+	for _, id := range []model.InstanceID{"a", "b", "c", "d"} {
+		all = append(all, model.Instance{ID: id, Region: "r", CallerAddress: "x", State: model.InstanceLive})
+	}
+	before := Order(all, nil, "caller")
+	all[0].State, all[1].State = model.InstanceLeaving, model.InstanceSuspected
+	after := Order(all, nil, "caller")
+	assert.Equal(t, len(after), 3)
+	assert.Equal(t, after[2].ID, model.InstanceID("b"), "suspected instances come last")
+	var kept []model.InstanceID
+	for _, in := range before {
+		if in.ID == "c" || in.ID == "d" {
+			kept = append(kept, in.ID)
+		}
+	}
+	assert.DeepEqual(t, kept, []model.InstanceID{after[0].ID, after[1].ID})
+	assert.Equal(t, len(Order(all, []string{"r"}, "caller")), 0)
+}
+
+// Guards against known addresses that are asked again and again.
+func TestSeeds(t *testing.T) {
+	s := NewSeeds([]string{"1", "2"})
+	s.SetListed([]Listed{{ControlAddress: "3"}, {ControlAddress: "4", Leaving: true}})
+	known := func(address string) bool { return address == "1" }
+	assert.DeepEqual(t, []string{s.Next(known), s.Next(known), s.Next(known)}, []string{"2", "3", "2"})
+	assert.Equal(t, s.Next(func(string) bool { return true }), "")
+}
--- a/internal/coordination/replication/replication_test.go
+++ b/internal/coordination/replication/replication_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"flag"
 	"fmt"
+	"os"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -329,3 +331,9 @@
 	_, ok = Owner("nodash")
 	assert.Assert(t, !ok)
 }
+
+// TestMain sets a seed. Flags of the command line override it.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
--- a/internal/protocol/peerwire/gossip.go
+++ b/internal/protocol/peerwire/gossip.go
@@ -18,6 +18,7 @@
 	Sets       []uint64     `cbor:"3,keyasint,omitempty"`
 	Generation uint64       `cbor:"4,keyasint,omitempty"`
 	Hash       string       `cbor:"5,keyasint,omitempty"`
+	Full       bool         `cbor:"6,keyasint,omitempty"`
 }
 
 type vectorWire struct {
@@ -74,10 +75,13 @@
 	if d == nil {
 		return nil
 	}
-	w := &digestWire{Region: d.Region, Sets: d.Sets[:], Generation: d.Document.Generation, Hash: d.Document.Hash}
+	w := &digestWire{
+		Region: d.Region, Full: d.Full, Sets: d.Sets[:],
+		Generation: d.Document.Generation, Hash: d.Document.Hash,
+	}
 	for _, v := range d.Vectors {
 		wire := vectorWire{Region: v.Region, Roster: v.Roster, Versions: packVersions(v.Versions)}
-		if len(v.Origins) > 0 {
+		if v.Named {
 			wire.Origins = packOrigins(v.Origins)
 		}
 		w.Vectors = append(w.Vectors, wire)
@@ -89,7 +93,10 @@
 	if w == nil {
 		return nil, nil
 	}
-	d := &gossip.Digest{Region: w.Region, Document: gossip.DocumentHead{Generation: w.Generation, Hash: w.Hash}}
+	d := &gossip.Digest{
+		Region: w.Region, Full: w.Full,
+		Document: gossip.DocumentHead{Generation: w.Generation, Hash: w.Hash},
+	}
 	copy(d.Sets[:], w.Sets)
 	for _, v := range w.Vectors {
 		vector, err := vectorFromWire(v)
@@ -102,12 +109,12 @@
 }
 
 func vectorFromWire(w vectorWire) (gossip.Vector, error) {
-	v := gossip.Vector{Region: w.Region, Roster: w.Roster}
+	v := gossip.Vector{Region: w.Region, Roster: w.Roster, Named: len(w.Origins) > 0}
 	var err error
 	if v.Versions, err = unpackVersions(w.Versions); err != nil {
 		return v, err
 	}
-	if len(w.Origins) == 0 {
+	if !v.Named {
 		return v, nil
 	}
 	if v.Origins, err = unpackOrigins(w.Origins); err != nil {
