Give every refusal code its HTTP status

Cause: the coordination layer names its codes itself, as it does not import protocol, and nothing compared them with the status table. Ten codes had no status and reached callers as 500: an Idempotency-Key that is too long, for example, and no_engine, outcome_unknown and upstream_unreachable.

Ruled out: importing the problem package in coordination, which the layer rule forbids.

Change: the table has the missing codes; seven codes that nothing uses are gone.

--- a/internal/protocol/problem/codes.go
+++ b/internal/protocol/problem/codes.go
@@ -2,60 +2,72 @@
 
 import "net/http"
 
-// Codes of refusals. They are stable: callers' programs depend on them.
+// Codes of refusals. They are stable: callers' programs depend on them. Those
+// that the coordination layer makes are repeated here, as it does not import
+// this package.
 const (
 	CodeInvalidRequest          = "invalid_request"
 	CodeIdempotencyKeyRequired  = "idempotency_key_required"
+	CodeIdempotencyKeyInvalid   = "idempotency_key_invalid"
+	CodeRejectedByEngine        = "rejected_by_engine"
 	CodeCredentialRequired      = "credential_required"
-	CodeUnknownOrganisation     = "unknown_organisation"
 	CodeUnknownModel            = "unknown_model"
-	CodeUnknownService          = "unknown_service"
 	CodeUnknownRoute            = "unknown_route"
 	CodeUnknownRequest          = "unknown_request"
 	CodeMethodNotAllowed        = "method_not_allowed"
-	CodeCallInProgress          = "call_in_progress"
+	CodeDuplicateRequest        = "duplicate_request"
+	CodeResultNotKept           = "result_not_kept"
 	CodeBodyTooLarge            = "body_too_large"
 	CodeIdempotencyKeyReused    = "idempotency_key_reused"
 	CodeRequestKillsEngines     = "request_kills_engines"
 	CodeOverloaded              = "overloaded"
-	CodeOrganisationLimit       = "organisation_limit"
+	CodeCallerLeft              = "caller_left"
+	CodeCancelled               = "cancelled"
 	CodeInternal                = "internal"
-	CodeUpstreamFailed          = "upstream_failed"
-	CodeCallOutcomeUnknown      = "call_outcome_unknown"
+	CodeOutcomeUnknown          = "outcome_unknown"
 	CodeNotReady                = "not_ready"
 	CodeLeaving                 = "leaving"
+	CodeNoEngine                = "no_engine"
 	CodeNoUpstream              = "no_upstream"
+	CodeUpstreamUnreachable     = "upstream_unreachable"
 	CodeClaimsUnavailable       = "claims_unavailable"
-	CodeDeadlineUnreachable     = "deadline_unreachable"
+	CodeDeadlineUnmet           = "deadline_unmet"
 	CodeContinuationUnavailable = "continuation_unavailable"
 	CodeDeadlineExceeded        = "deadline_exceeded"
 )
 
+// statusCallerLeft is not a registered status. Servers commonly log it for a
+// request whose client closed the connection.
+const statusCallerLeft = 499
+
 // statuses gives the HTTP status of each code.
 var statuses = map[string]int{
 	CodeInvalidRequest:          http.StatusBadRequest,
 	CodeIdempotencyKeyRequired:  http.StatusBadRequest,
+	CodeIdempotencyKeyInvalid:   http.StatusBadRequest,
+	CodeRejectedByEngine:        http.StatusBadRequest,
 	CodeCredentialRequired:      http.StatusUnauthorized,
-	CodeUnknownOrganisation:     http.StatusForbidden,
 	CodeUnknownModel:            http.StatusNotFound,
-	CodeUnknownService:          http.StatusNotFound,
 	CodeUnknownRoute:            http.StatusNotFound,
 	CodeUnknownRequest:          http.StatusNotFound,
 	CodeMethodNotAllowed:        http.StatusMethodNotAllowed,
-	CodeCallInProgress:          http.StatusConflict,
+	CodeDuplicateRequest:        http.StatusConflict,
+	CodeResultNotKept:           http.StatusGone,
 	CodeBodyTooLarge:            http.StatusRequestEntityTooLarge,
 	CodeIdempotencyKeyReused:    http.StatusUnprocessableEntity,
 	CodeRequestKillsEngines:     http.StatusUnprocessableEntity,
 	CodeOverloaded:              http.StatusTooManyRequests,
-	CodeOrganisationLimit:       http.StatusTooManyRequests,
+	CodeCallerLeft:              statusCallerLeft,
+	CodeCancelled:               statusCallerLeft,
 	CodeInternal:                http.StatusInternalServerError,
-	CodeUpstreamFailed:          http.StatusBadGateway,
-	CodeCallOutcomeUnknown:      http.StatusBadGateway,
+	CodeOutcomeUnknown:          http.StatusBadGateway,
 	CodeNotReady:                http.StatusServiceUnavailable,
 	CodeLeaving:                 http.StatusServiceUnavailable,
+	CodeNoEngine:                http.StatusServiceUnavailable,
 	CodeNoUpstream:              http.StatusServiceUnavailable,
+	CodeUpstreamUnreachable:     http.StatusServiceUnavailable,
 	CodeClaimsUnavailable:       http.StatusServiceUnavailable,
-	CodeDeadlineUnreachable:     http.StatusServiceUnavailable,
+	CodeDeadlineUnmet:           http.StatusServiceUnavailable,
 	CodeContinuationUnavailable: http.StatusServiceUnavailable,
 	CodeDeadlineExceeded:        http.StatusGatewayTimeout,
 }
