Count the reconnect grace from the last reader that left

Cause: each reader that leaves starts a timer, and a timer ended the generation if it found no reader, even when one had left a moment before. A caller that lost its connection 29 s after an earlier one had 1 s to come back. Apart from this, a record that was taken over after its end was never removed, because only finish schedules the removal.

Ruled out: cancelling the earlier timer, which needs a handle for each record in the manager.

Change: the record keeps the time at which the last reader left, and the timer compares it. Adopt schedules the removal of an ended record.

TestAdoptedEndIsForgotten covers the removal.

Conclusion: the grace time holds for every caller.

--- a/internal/coordination/relay/readers.go
+++ b/internal/coordination/relay/readers.go
@@ -19,10 +19,13 @@
 // Leave ends one caller connection. Without a reader the generation ends after
 // the grace time.
 func (m *Manager) Leave(id model.RequestID, grace time.Duration) {
-	m.opts.Generations.Update(id, func(r *generation.Record) { r.Readers-- })
+	m.opts.Generations.Update(id, func(r *generation.Record) {
+		r.Readers--
+		r.LeftAt = time.Now()
+	})
 	m.opts.Pool.After(grace, key(id), worker.Func(func() {
 		r, ok := m.opts.Generations.Get(id)
-		if ok && r.Readers == 0 {
+		if ok && r.Readers == 0 && time.Since(r.LeftAt) >= grace {
 			m.abandon(id)
 		}
 	}))
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -159,9 +159,11 @@
 	if !m.opts.Generations.Insert(r) {
 		return false
 	}
-	if r.End == nil {
-		m.opts.Pool.Post(key(r.Spec.Request), adopted{m, r.Spec.Request})
+	if r.End != nil {
+		m.forgetLater(r.Spec.Request)
+		return true
 	}
+	m.opts.Pool.Post(key(r.Spec.Request), adopted{m, r.Spec.Request})
 	return true
 }
 
@@ -195,6 +197,12 @@
 	})
 	m.opts.Admission.Leave(id)
 	m.opts.Copier.Ended(id)
+	m.forgetLater(id)
+}
+
+// forgetLater removes the record of an ended generation once callers have had
+// time to reconnect.
+func (m *Manager) forgetLater(id model.RequestID) {
 	m.opts.Pool.After(m.opts.Retain, key(id), worker.Func(func() {
 		m.opts.Generations.Remove(id)
 	}))
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -153,6 +153,39 @@
 	})
 }
 
+// Guards against ended records that are kept for good after a takeover.
+func TestAdoptedEndIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1, "v1")
+		defer b.close()
+		ended := generation.Record{Spec: spec("r", 1), Line: "l", Tokens: []string{"a"}, End: &generation.End{FinishReason: "stop"}}
+		assert.Assert(t, b.manager.Adopt(ended, 1))
+		time.Sleep(2 * time.Minute)
+		assert.Equal(t, b.table.Len(), 0)
+	})
+}
+
+// Guards against a generation that is given up before its last caller has been
+// away for the grace time, because another one left earlier.
+func TestGraceCountsFromTheLastReader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(1, "v1")
+		defer b.close()
+		b.manager.Submit(spec("r", 100_000))
+		for range 2 {
+			b.manager.Join("r")
+			time.Sleep(ReconnectGrace / 2)
+			b.manager.Leave("r", ReconnectGrace)
+		}
+		time.Sleep(ReconnectGrace * 3 / 4) // the first grace time has passed
+		r, _ := b.table.Get("r")
+		assert.Assert(t, r.End == nil)
+		time.Sleep(ReconnectGrace / 2)
+		r, _ = b.table.Get("r")
+		assert.Equal(t, r.End.Refusal.Code, "caller_left")
+	})
+}
+
 // Guards against a restart that drops tokens which a caller has seen, when
 // they are shown between the decision and the restart.
 func TestRestartRefusesOnceShown(t *testing.T) {
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -75,6 +75,7 @@
 	// the parent line as well.
 	TakenOver model.StreamID
 	Readers   int             // caller connections that read the log
+	LeftAt    time.Time       // when the last of them left
 	Deaths    int             // engines that died under this request
 	LostAt    time.Time       // when output stopped; zero while an attempt makes progress
 	Resumed   []time.Duration // time without output of each loss
