--- a/internal/coordination/replication/locate.go
+++ b/internal/coordination/replication/locate.go
@@ -124,13 +124,30 @@
 	return Source{Kind: SourceRemote, Owner: owner, Reader: reader}, true
 }
 
+// HandleFetch returns the own log if it holds the position, or else what the
+// own copies have: an instance that took a log over may not have found a
+// holder yet.
+func (m *Manager) HandleFetch(ctx context.Context, want Fetch) (Copy, error) {
+	if r, ok := m.opts.Table.Get(want.Request); ok && r.Holds(want.Line, want.Position) {
+		return Copy{Found: true, Header: header(m.opts.Self, &r), Attempt: r.Attempt, Tokens: r.Tokens, End: r.End}, nil
+	}
+	if m.opts.Holder == nil {
+		return Copy{}, nil
+	}
+	return m.opts.Holder.HandleFetch(ctx, want)
+}
+
 // fetchBest asks the possible holders, three at a time, and returns the best
-// copy, or the reason for which there is none.
+// copy, or the reason for which there is none. An owner asks itself too: its
+// log may have been taken over while it was paused, and then copied to it.
 func (m *Manager) fetchBest(ctx context.Context, owner model.InstanceID, want Fetch) (Copy, Reason) {
 	const perRound = 3
 	var best Copy
 	reason := ReasonUnreachable
 	holders := m.possibleHolders(owner, want.Request)
+	if self, ok := m.opts.Instances.Get(m.opts.Self); ok && owner == self.ID {
+		holders = append([]model.Instance{self}, holders...)
+	}
 	for len(holders) > 0 && best.fit(want) < 2 {
 		n := min(perRound, len(holders))
 		copies, answered := m.fetchAll(ctx, holders[:n], want)
@@ -181,10 +198,7 @@
 // fetch asks one instance, which can be this one.
 func (m *Manager) fetch(ctx context.Context, from model.Instance, want Fetch) (Copy, error) {
 	if from.ID == m.opts.Self {
-		if m.opts.Holder == nil {
-			return Copy{}, nil
-		}
-		return m.opts.Holder.HandleFetch(ctx, want)
+		return m.HandleFetch(ctx, want)
 	}
 	return m.opts.Peers.Fetch(ctx, from, want)
 }
--- a/internal/coordination/replication/network_test.go
+++ b/internal/coordination/replication/network_test.go
@@ -163,7 +163,7 @@
 }
 
 func (l *link) Fetch(ctx context.Context, to model.Instance, m Fetch) (Copy, error) {
-	return deliver(ctx, l, to, func(n *node) (Copy, error) { return n.holder.HandleFetch(context.Background(), m) })
+	return deliver(ctx, l, to, func(n *node) (Copy, error) { return n.manager.HandleFetch(context.Background(), m) })
 }
 
 func (l *link) Follow(ctx context.Context, to model.Instance, m Fetch) (Reader, error) {
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	found, err := l.Holder.HandleFetch(ctx, want)
+	found, err := l.Manager.HandleFetch(ctx, want)
 	if err != nil {
 		return err
 	}
