Name the model after a reconnect and refuse wrong methods

Cause: chunks after a reconnect had an empty model, because only the first request's body names it. /v1/endpoints, the explain path and a reconnect took any method. /healthz, /readyz and /metrics had no X-Request-ID.

Ruled out: taking the model from the body of the reconnect; an event source sends none.

Change: a batch of tokens carries the model, also between instances. The paths answer 405 method_not_allowed with Allow. Every answer has an X-Request-ID.

--- a/internal/protocol/peerwire/log.go
+++ b/internal/protocol/peerwire/log.go
@@ -25,6 +25,7 @@
 
 type batchWire struct {
 	_      struct{} `cbor:",toarray"`
+	Model  string
 	Line   model.LineID
 	First  int
 	Tokens []string
@@ -127,7 +128,7 @@
 
 // EncodeBatch encodes one Batch of a followed log.
 func EncodeBatch(b generation.Batch) (Message, error) {
-	return encodeBody(KindLogFollow, batchWire{Line: b.Line, First: b.First, Tokens: b.Tokens, End: b.End, Gone: b.Gone})
+	return encodeBody(KindLogFollow, batchWire{Model: b.Model, Line: b.Line, First: b.First, Tokens: b.Tokens, End: b.End, Gone: b.Gone})
 }
 
 // DecodeBatch decodes one Batch of a followed log.
@@ -136,6 +137,6 @@
 	if err != nil {
 		return generation.Batch{}, err
 	}
-	b := generation.Batch{Line: w.Line, First: w.First, Tokens: w.Tokens, End: w.End, Gone: w.Gone}
+	b := generation.Batch{Model: w.Model, Line: w.Line, First: w.First, Tokens: w.Tokens, End: w.End, Gone: w.Gone}
 	return b, checkPosition("first position", b.First)
 }
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -281,6 +281,7 @@
 // Batch is what a cursor returns: tokens, or the end, or neither after the
 // record was removed.
 type Batch struct {
+	Model  string // that the caller asked for
 	Line   model.LineID
 	First  int // position of Tokens[0]
 	Tokens []string
@@ -313,7 +314,7 @@
 		return Batch{Gone: true}, nil
 	}
 	r := &e.record
-	batch := Batch{Line: r.Line, First: c.position}
+	batch := Batch{Model: r.Spec.Model, Line: r.Line, First: c.position}
 	visible := r.Visible()
 	if r.End != nil {
 		visible = len(r.Tokens)
--- a/internal/transport/callers/generate.go
+++ b/internal/transport/callers/generate.go
@@ -32,15 +32,13 @@
 // completion handles a new generation, or a reconnect to one.
 func (s *Server) completion(chat bool) func(*exchange) {
 	return func(x *exchange) {
-		if last := x.r.Header.Get("Last-Event-ID"); last != "" {
+		last := x.r.Header.Get("Last-Event-ID")
+		switch {
+		case last != "" && s.allows(x, http.MethodPost, http.MethodGet):
 			s.reconnect(x, chat, last)
-			return
+		case last == "" && s.allows(x, http.MethodPost):
+			s.generate(x, chat)
 		}
-		if x.r.Method != http.MethodPost {
-			s.refuse(x, &model.Refusal{Code: problem.CodeMethodNotAllowed, Message: "Use POST.", Outcome: model.OutcomeNotRun})
-			return
-		}
-		s.generate(x, chat)
 	}
 }
 
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -7,6 +7,8 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -57,10 +59,10 @@
 	s.http.HandleFunc("/v1/chat/completions", s.wrap("chat.completions", s.completion(true)))
 	s.http.HandleFunc("/v1/completions", s.wrap("completions", s.completion(false)))
 	s.http.HandleFunc("/v1/endpoints", s.wrap("endpoints", s.endpoints))
-	s.http.HandleFunc("/healthz", s.health)
-	s.http.HandleFunc("/readyz", s.ready)
+	s.http.HandleFunc("/healthz", s.numbered(s.health))
+	s.http.HandleFunc("/readyz", s.numbered(s.ready))
 	s.http.HandlePrefix(debugapi.RequestPath, s.wrap("explain", s.explain))
-	s.http.Handle("/metrics", opts.Metrics)
+	s.http.HandleFunc("/metrics", s.numbered(func(x *exchange) { opts.Metrics.ServeHTTP(x.w, x.r) }))
 	s.http.HandlePrefix("/", s.wrap("call", s.call))
 	return s
 }
@@ -100,22 +102,42 @@
 	}
 }
 
+// allows reports whether the request's method is one of those given, and
+// refuses the request if not.
+func (s *Server) allows(x *exchange, methods ...string) bool {
+	if slices.Contains(methods, x.r.Method) {
+		return true
+	}
+	allowed := strings.Join(methods, ", ")
+	x.w.Header().Set("Allow", allowed)
+	s.refuse(x, &model.Refusal{Code: problem.CodeMethodNotAllowed, Message: "Use " + allowed + ".", Outcome: model.OutcomeNotRun})
+	return false
+}
+
+// numbered gives a request its ID.
+func (s *Server) numbered(handle func(*exchange)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		x := &exchange{w: w, r: r, id: s.opts.Frontend.NewRequestID()}
+		w.Header().Set(problem.HeaderRequestID, string(x.id))
+		handle(x)
+	}
+}
+
 // wrap gives a request its ID, its span and its organisation.
 func (s *Server) wrap(name string, handle func(*exchange)) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		ctx := otel.GetTextMapPropagator().Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+	return s.numbered(func(x *exchange) {
+		ctx := otel.GetTextMapPropagator().Extract(x.r.Context(), propagation.HeaderCarrier(x.r.Header))
 		ctx, span := s.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
-		x := &exchange{w: w, r: r.WithContext(ctx), id: s.opts.Frontend.NewRequestID()}
-		w.Header().Set(problem.HeaderRequestID, string(x.id))
-		organisation, refusal := s.opts.Frontend.Identify(credential(r), r.Header.Get("X-Organisation"))
+		x.r = x.r.WithContext(ctx)
+		organisation, refusal := s.opts.Frontend.Identify(credential(x.r), x.r.Header.Get("X-Organisation"))
 		if refusal != nil {
 			s.refuse(x, refusal)
 			return
 		}
 		x.organisation = organisation
 		handle(x)
-	}
+	})
 }
 
 // traceParent returns the W3C trace context of the request's span.
--- a/internal/transport/callers/status.go
+++ b/internal/transport/callers/status.go
@@ -24,6 +24,9 @@
 
 // endpoints answers which instances the caller should use, best first.
 func (s *Server) endpoints(x *exchange) {
+	if !s.allows(x, http.MethodGet, http.MethodHead) {
+		return
+	}
 	host, _, err := net.SplitHostPort(x.r.RemoteAddr)
 	if err != nil {
 		host = x.r.RemoteAddr
@@ -37,25 +40,28 @@
 }
 
 // health answers that the process runs.
-func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
-	s.writeJSON(w, map[string]string{"status": "ok"})
+func (s *Server) health(x *exchange) {
+	s.writeJSON(x.w, map[string]string{"status": "ok"})
 }
 
 // ready answers whether new callers should come here.
-func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) ready(x *exchange) {
 	refusal := s.opts.Frontend.Ready()
 	if s.leaving.Load() {
 		refusal = &model.Refusal{Code: problem.CodeLeaving, Message: "This instance is leaving.", Outcome: model.OutcomeNotRun}
 	}
 	if refusal != nil {
-		_ = problem.Write(w, "", refusal)
+		_ = problem.Write(x.w, x.id, refusal) // the prober asks again
 		return
 	}
-	s.writeJSON(w, map[string]string{"status": "ready"})
+	s.writeJSON(x.w, map[string]string{"status": "ready"})
 }
 
 // explain tells where a request went, while it is remembered.
 func (s *Server) explain(x *exchange) {
+	if !s.allows(x, http.MethodGet, http.MethodHead) {
+		return
+	}
 	id := model.RequestID(strings.TrimPrefix(x.r.URL.Path, debugapi.RequestPath))
 	record, ok := s.opts.Frontend.Explain(id)
 	if !ok {
--- a/internal/transport/callers/stream.go
+++ b/internal/transport/callers/stream.go
@@ -79,6 +79,7 @@
 }
 
 func (e *eventStream) chunk(b generation.Batch, text, finish string) error {
+	e.format.Model = b.Model
 	data, err := e.format.Chunk(text, finish)
 	if err != nil {
 		return err
