Let the caller client leave a silent stream

Cause: a frozen instance keeps its connections, so a caller that waits for an event waits until the instance thaws.

Change: Client.Silence bounds the wait for the next event of a stream that has begun; the client then reconnects with the last event ID. The transcript names that ID. Zero keeps the present behaviour, so the load tool is unchanged.

--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -25,6 +26,10 @@
 
 // Client calls one deployment.
 type Client struct {
+	// Silence is the longest wait for the next event of a stream that has
+	// begun, after which the client reconnects. Zero means no limit.
+	Silence time.Duration
+
 	http      *http.Client
 	bootstrap []string // addresses that answer /v1/endpoints
 	org       string
@@ -56,6 +61,7 @@
 	Tokens     []string
 	FirstToken time.Duration
 	Intervals  []time.Duration // between events
+	LastID     string          // ID of the last event
 	Reconnects int
 	Finish     string // finish reason; empty if the answer is not whole
 	Failure    string // code of the refusal
@@ -82,9 +88,16 @@
 	body       []byte
 	started    time.Time
 	last       time.Time
-	lastID     string
 	transcript Transcript
 	watch      func(*Transcript)
+	silence    *time.Timer // ends the connection
+}
+
+// awaitEvent starts the wait for the next event anew.
+func (s *stream) awaitEvent() {
+	if s.client.Silence > 0 && s.transcript.LastID != "" {
+		s.silence.Reset(s.client.Silence)
+	}
 }
 
 // Stream runs a generation and reconnects until its end. watch, if not nil, is
@@ -116,13 +129,18 @@
 	if err != nil {
 		return false, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.silence = time.AfterFunc(math.MaxInt64, cancel)
+	defer s.silence.Stop()
+	s.awaitEvent()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(s.body))
 	if err != nil {
 		return true, fmt.Errorf("build request: %w", err)
 	}
 	s.client.setHeaders(req)
-	if s.lastID != "" {
-		req.Header.Set("Last-Event-ID", s.lastID)
+	if s.transcript.LastID != "" {
+		req.Header.Set("Last-Event-ID", s.transcript.LastID)
 	}
 	resp, err := s.client.http.Do(req)
 	if err != nil {
@@ -193,10 +211,11 @@
 		s.arrived(tokens)
 		s.checkID(event)
 	}
-	s.lastID = event.LastEventID
+	s.transcript.LastID = event.LastEventID
 	if s.watch != nil {
 		s.watch(&s.transcript)
 	}
+	s.awaitEvent()
 }
 
 func (s *stream) arrived(tokens []string) {
