Run resume trials side by side and count only those that were hurt

Cause: the trials ran one after another, and three kinds of trial counted although nothing was lost: an engine that was not known at the moment of the fault, a second fault that hit the dead engine again because the log still held tokens of it, and an answer that ended before its fault took effect.

Change: 24 trials run at once. A trial records the engines that it hit and the attempts that were lost; a trial without effect is reported as unhurt and left out of the figures. The moment of the fault depends on the seed and the trial number only, so that both policies lose their engine at the same token.

--- a/internal/transport/measure/fleet.go
+++ b/internal/transport/measure/fleet.go
@@ -111,17 +111,17 @@
 	return tokens, prefill
 }
 
-// engineOf returns the index of the engine that runs the request now.
-func (f *fleet) engineOf(id model.RequestID) int {
+// current returns the index of the engine that runs the request now, -1 if
+// there is none, and the position of the first token that it produces.
+func (f *fleet) current(id model.RequestID) (engine, first int) {
 	r, ok := f.table.Get(id)
-	if !ok {
-		return -1
+	if !ok || !r.Attempt.Open {
+		return -1, 0
 	}
-	var i int
-	if _, err := fmt.Sscanf(string(r.Attempt.Upstream), "e%d", &i); err != nil {
-		return -1
+	if _, err := fmt.Sscanf(string(r.Attempt.Upstream), "e%d", &engine); err != nil {
+		return -1, 0
 	}
-	return i
+	return engine, r.Attempt.First
 }
 
 // admitAll admits every generation at once.
--- a/internal/transport/measure/resume.go
+++ b/internal/transport/measure/resume.go
@@ -1,25 +1,15 @@
 package measure
 
 import (
-	"context"
-	"fmt"
-	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
-	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
-	standin "github.com/sequoiavalve/sequoiavalve/internal/transport/standin/engine"
+	"golang.org/x/sync/errgroup"
 )
 
-// Sizes of a resume trial.
-const (
-	resumeEngines = 6
-	resumeTokens  = 300
-	promptBytes   = 8 << 10
-	trialTimeout  = time.Minute
-)
+// trialsAtOnce bounds the trials that run together. A trial mostly waits; 24 of
+// them take about half a core, so that they do not delay one another.
+const trialsAtOnce = 24
 
 // Loss is a way to lose an engine.
 type Loss string
@@ -32,13 +22,29 @@
 	LossTwice  Loss = "two engines killed in a row"
 )
 
+// Losses are all ways to lose an engine, in the order of the report.
+var Losses = []Loss{LossKill, LossFreeze, LossCut, LossTwice}
+
+// Policy is what happens after a loss.
+type Policy string
+
+// Policies.
+const (
+	PolicyResume  Policy = "resume"  // the relay's own
+	PolicyRestart Policy = "restart" // the baseline: a new generation from the start
+)
+
 // ResumeRow holds the figures for one kind of loss and one policy.
 type ResumeRow struct {
-	Loss          Loss
-	Policy        string // "resume", or the baseline "restart"
-	Trials        int
-	Whole         int // answers that arrived whole and right
-	P50, P95, P99 time.Duration
+	Loss    Loss
+	Policy  Policy
+	Trials  int // with every fault applied; the other figures are of these
+	Unhurt  int // trials without effect: a fault was not applied or no attempt was lost
+	Whole   int // answers that arrived whole and right
+	P50     time.Duration
+	P95     time.Duration
+	P99     time.Duration
+	Longest time.Duration
 	// ExtraTokens is the number of tokens computed beyond those delivered, for
 	// each token delivered; ExtraPrefill is the prompt bytes prefilled beyond
 	// the first time, for each prompt byte.
@@ -47,156 +53,56 @@
 
 // Resume measures the time without output after a loss, with trials for each
 // kind of loss, for the relay's policy and for the baseline that restarts from
-// the start.
+// the start. Trial i has the same prompt and the same moment of the fault
+// under each policy and each kind of loss.
 func Resume(seed uint64, trials int) []ResumeRow {
 	var rows []ResumeRow
-	for _, loss := range []Loss{LossKill, LossFreeze, LossCut, LossTwice} {
-		rows = append(rows, resumeRow(loss, "resume", seed, trials), resumeRow(loss, "restart", seed, trials))
+	for _, loss := range Losses {
+		rows = append(rows, ResumeRow{Loss: loss, Policy: PolicyResume}, ResumeRow{Loss: loss, Policy: PolicyRestart})
+	}
+	results := make([][]result, len(rows))
+	var group errgroup.Group
+	group.SetLimit(trialsAtOnce)
+	for i, row := range rows {
+		results[i] = make([]result, trials)
+		for number := range trials {
+			group.Go(func() error {
+				results[i][number] = runTrial(row.Loss, row.Policy, seed, number)
+				return nil
+			})
+		}
+	}
+	_ = group.Wait() // trials return no error
+	for i := range rows {
+		rows[i].summarise(results[i])
 	}
 	return rows
 }
 
-func resumeRow(loss Loss, policy string, seed uint64, trials int) ResumeRow {
-	row := ResumeRow{Loss: loss, Policy: policy, Trials: trials}
+// summarise fills the figures from the trials whose faults took effect.
+func (r *ResumeRow) summarise(results []result) {
 	histogram := hdrhistogram.New(1, trialTimeout.Microseconds(), 3)
-	rng := rand.New(rand.NewPCG(seed, 1))
 	var delivered, extraTokens, extraPrefill float64
-	for i := range trials {
-		t := newTrial(loss, policy, i, rng)
-		t.run()
-		_ = histogram.RecordValue(t.longestGap.Microseconds()) // bounded by trialTimeout
-		tokens, prefill := t.fleet.computed()
-		delivered += float64(len(t.received))
-		extraTokens += float64(tokens) - float64(len(t.received))
-		extraPrefill += float64(prefill)/float64(len(t.prompt)) - 1
-		if t.whole() {
-			row.Whole++
+	for _, one := range results {
+		if !one.hurt {
+			r.Unhurt++
+			continue
+		}
+		r.Trials++
+		if one.whole {
+			r.Whole++
 		}
-		t.fleet.close()
+		_ = histogram.RecordValue(min(one.gap, trialTimeout).Microseconds()) // within the bounds
+		delivered += float64(one.delivered)
+		extraTokens += float64(one.tokens) - float64(one.delivered)
+		extraPrefill += float64(one.prefill)/promptBytes - 1
 	}
-	row.P50, row.P95, row.P99 = quantile(histogram, 50), quantile(histogram, 95), quantile(histogram, 99)
-	row.ExtraTokens = extraTokens / max(delivered, 1)
-	row.ExtraPrefill = extraPrefill / float64(trials)
-	return row
+	r.P50, r.P95, r.P99 = quantile(histogram, 50), quantile(histogram, 95), quantile(histogram, 99)
+	r.Longest = time.Duration(histogram.Max()) * time.Microsecond
+	r.ExtraTokens = extraTokens / max(delivered, 1)
+	r.ExtraPrefill = extraPrefill / float64(max(r.Trials, 1))
 }
 
 func quantile(h *hdrhistogram.Histogram, q float64) time.Duration {
 	return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
 }
-
-// trial is one generation that loses its engine.
-type trial struct {
-	fleet      *fleet
-	loss       Loss
-	policy     string
-	prompt     string
-	faultAt    int // tokens received before the fault
-	received   []string
-	last       time.Time
-	longestGap time.Duration
-	restarts   int
-	ended      bool
-}
-
-func newTrial(loss Loss, policy string, number int, rng *rand.Rand) *trial {
-	var decide func(relay.Situation) relay.Action
-	if policy == "restart" {
-		decide = func(relay.Situation) relay.Action { return relay.GiveUp }
-	}
-	opts := standin.Options{TokenTime: 5 * time.Millisecond, PrefillRate: 200_000, Slots: 8}
-	return &trial{
-		fleet:   newFleet(resumeEngines, opts, decide),
-		loss:    loss,
-		policy:  policy,
-		prompt:  strings.Repeat(fmt.Sprintf("%08d", number), promptBytes/8),
-		faultAt: 20 + rng.IntN(resumeTokens/2),
-	}
-}
-
-func (t *trial) run() {
-	ctx, cancel := context.WithTimeout(context.Background(), trialTimeout)
-	defer cancel()
-	for !t.ended && ctx.Err() == nil {
-		t.attempt(ctx)
-	}
-}
-
-// attempt reads one generation. The baseline starts another one after a loss
-// and skips what it has received already.
-func (t *trial) attempt(ctx context.Context) {
-	id := model.RequestID(fmt.Sprintf("r%d", t.restarts))
-	t.fleet.relay.Submit(model.GenerationSpec{
-		Request:  id,
-		Model:    modelName,
-		Prompt:   t.prompt,
-		Sampling: model.Sampling{MaxTokens: resumeTokens},
-	})
-	cursor := t.fleet.table.Read(id, 0)
-	faults := 0
-	for position := 0; ; {
-		batch, err := cursor.Next(ctx)
-		if err != nil {
-			return
-		}
-		for _, token := range batch.Tokens {
-			if position++; position > len(t.received) {
-				t.take(token)
-			}
-		}
-		if batch.End != nil {
-			t.ended = batch.End.Refusal == nil
-			t.restarts++
-			return
-		}
-		if t.due(faults, position) {
-			faults++
-			t.fault(id)
-		}
-	}
-}
-
-func (t *trial) take(token string) {
-	now := time.Now()
-	if len(t.received) > 0 {
-		t.longestGap = max(t.longestGap, now.Sub(t.last))
-	}
-	t.last = now
-	t.received = append(t.received, token)
-}
-
-// due reports whether the next fault is to happen now.
-func (t *trial) due(faults, position int) bool {
-	if t.loss == LossTwice {
-		// The second engine dies right after its first token.
-		return faults+t.restarts < 2 && position >= t.faultAt+faults+t.restarts
-	}
-	return faults+t.restarts == 0 && position >= t.faultAt
-}
-
-func (t *trial) fault(id model.RequestID) {
-	i := t.fleet.engineOf(id)
-	if i < 0 {
-		return
-	}
-	switch t.loss {
-	case LossFreeze:
-		t.fleet.engines[i].SetFaults(standin.Faults{Freeze: true})
-	case LossCut:
-		t.fleet.servers[i].CloseClientConnections()
-	default:
-		t.fleet.engines[i].Kill()
-	}
-}
-
-// whole reports whether the received tokens are the whole right answer.
-func (t *trial) whole() bool {
-	if len(t.received) != resumeTokens {
-		return false
-	}
-	for i, token := range t.received {
-		if token != standin.Token(version, t.prompt, 0, i) {
-			return false
-		}
-	}
-	return true
-}
