Check an attempt for silence from its first token on

Cause: the check for silence was armed once, for the wait for the first token (1 to 4 s), and looked at the shorter limit between tokens only when that wait was over. An engine that froze soon after its first token was found up to 4 s later than its limit of 400 ms to 1.5 s, so two losses in a row could exceed the 5 s target.

Ruled out: arming the check at the shortest limit from the start, which would wake each waiting attempt several times.

Change: the first token of an attempt arms a check of its own and the check for the first token ends. There is still one timer for each attempt.

Conclusion: the silence limit now holds from the first token on.

--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -48,9 +48,12 @@
 
 // Run implements worker.Item.
 func (i tokensArrived) Run() {
-	verdict, r := i.apply()
+	verdict, first, r := i.apply()
 	switch verdict {
 	case Accepted:
+		if first {
+			i.m.armSilence(r)
+		}
 		i.m.opts.Guard.Progressed(r.Print, len(r.Tokens))
 		i.m.opts.Copier.Accepted(i.id)
 	case Stale:
@@ -63,18 +66,19 @@
 }
 
 // apply appends the tokens that are new and returns the record as it is after.
-func (i tokensArrived) apply() (Verdict, generation.Record) {
-	verdict := Stale
-	var after generation.Record
+// first reports whether they are the first ones of the attempt.
+func (i tokensArrived) apply() (verdict Verdict, first bool, after generation.Record) {
+	verdict = Stale
 	i.m.opts.Generations.Update(i.id, func(r *generation.Record) {
 		var skip int
 		verdict, skip = accept(r.Attempt, len(r.Tokens), i.from, i.position, len(i.tokens))
 		if verdict == Accepted {
+			first = len(r.Tokens) == r.Attempt.First
 			appendTokens(r, i.tokens[skip:], i.at)
 		}
 		after = *r
 	})
-	return verdict, after
+	return verdict, first, after
 }
 
 func appendTokens(r *generation.Record, tokens []string, at time.Time) {
@@ -181,17 +185,20 @@
 	i.m.lose(i.id, i.number, i.kind, i.detail)
 }
 
-// silenceDue checks an attempt for silence and arms itself again.
+// silenceDue checks an attempt for silence and arms itself again. The check
+// for the first token ends when that token is there: the limit is shorter from
+// then on, and the token armed a check of its own.
 type silenceDue struct {
-	m      *Manager
-	id     model.RequestID
-	number int
+	m        *Manager
+	id       model.RequestID
+	number   int
+	gotToken bool // the check is for the tokens after the first one
 }
 
 // Run implements worker.Item.
 func (i silenceDue) Run() {
 	r, ok := i.m.opts.Generations.Get(i.id)
-	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != i.number {
+	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != i.number || gotToken(r) != i.gotToken {
 		return
 	}
 	if left := time.Until(silentUntil(r)); left > 0 {
@@ -202,15 +209,17 @@
 }
 
 func (m *Manager) armSilence(r generation.Record) {
-	due := silenceDue{m, r.Spec.Request, r.Attempt.Number}
+	due := silenceDue{m, r.Spec.Request, r.Attempt.Number, gotToken(r)}
 	m.opts.Pool.After(time.Until(silentUntil(r)), key(r.Spec.Request), due)
 }
 
 // silentUntil is the time until which the attempt may stay silent.
 func silentUntil(r generation.Record) time.Time {
-	gotToken := len(r.Tokens) > r.Attempt.First
 	resumed := r.Attempt.Number > 1 && r.Shown > 0
-	return r.Attempt.LastSeen.Add(silenceLimit(r.Attempt, gotToken, resumed))
+	return r.Attempt.LastSeen.Add(silenceLimit(r.Attempt, gotToken(r), resumed))
 }
 
+// gotToken reports whether the attempt has brought a token.
+func gotToken(r generation.Record) bool { return len(r.Tokens) > r.Attempt.First }
+
 var _ worker.Item = silenceDue{}
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// Guards against an engine that freezes right after its first token and is
+// found only when the longer wait for the first token would have ended.
+func TestSilenceLimitShrinksWithTheFirstToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2, "v1")
+		defer b.close()
+		b.manager.Submit(spec("r", 20))
+		time.Sleep(fakePrefill + 5*fakeInterval)
+		r, _ := b.table.Get("r")
+		b.fake.fault(r.Attempt.Upstream, "freeze")
+		got := b.read(t.Fatalf, "r")
+		got.check(t.Fatalf, "r", 20)
+		for _, gap := range got.gaps {
+			assert.Assert(t, gap < minSilence+2*fakePrefill, "gap of %v", gap)
+		}
+	})
+}
+
 // Guards against a reattachment that computes tokens again.
 func TestCutConnectionIsReattached(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
