Simulate engines to compare routing policies

Cause: the choice of an upstream by earliest finish was never measured beside its baseline, the least loaded of two random ones.

Change: routing/bench draws traces (shared prefixes, skewed lengths, lagging load reports, several instances with a view each) and runs them through the real Router and tables in front of simulated engines: one prompt at a time, continuous batching, a bounded prefix cache. Options.Rand lets the bench seed the router's choices, so that a run depends on trace and seed only.

Ruled out: the HTTP stand-in engines, whose prompts do not delay one another and which would need the real time of each trace.

--- /dev/null
+++ b/internal/coordination/routing/bench/bench.go
@@ -0,0 +1,89 @@
+// Package bench compares routing policies on traces of requests. A small
+// discrete-event simulation plays the engines for this one decision; the
+// instances use the real Router over real tables, each with its own view.
+package bench
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
+)
+
+// Policy is a routing policy with its name.
+type Policy struct {
+	Name   string
+	Choose routing.Policy
+}
+
+// Policies are the policy in use and its baseline.
+var Policies = []Policy{
+	{Name: "earliest finish", Choose: routing.EarliestFinish},
+	{Name: "least loaded of two", Choose: routing.LeastLoadedOfTwo},
+}
+
+// Row holds the figures of one trace under one policy.
+type Row struct {
+	Trace    string
+	Policy   string
+	Requests int
+	// Times from the arrival of a request.
+	FirstMean, FirstP95   time.Duration
+	FinishMean, FinishP95 time.Duration
+	Cached                float64 // part of the prompt bytes found cached
+	WorstLoad             float64 // mean requests on the most loaded engine over the mean of all
+}
+
+// Run draws the traces of all shapes and runs them under both policies.
+func Run(seed uint64, duration time.Duration) []Row {
+	var rows []Row
+	for _, shape := range Shapes(duration) {
+		trace := Draw(shape, seed)
+		for _, policy := range Policies {
+			rows = append(rows, Measure(trace, policy, seed))
+		}
+	}
+	return rows
+}
+
+// Measure runs one trace under one policy.
+func Measure(trace Trace, policy Policy, seed uint64) Row {
+	s := newSimulation(trace, policy.Choose, seed)
+	s.run()
+	row := Row{Trace: trace.Name, Policy: policy.Name, Requests: len(s.done)}
+	row.FirstMean, row.FirstP95 = spread(s.done, func(j *job) time.Duration { return j.first - j.request.At })
+	row.FinishMean, row.FinishP95 = spread(s.done, func(j *job) time.Duration { return j.finish - j.request.At })
+	row.Cached = cachedPart(s.done)
+	row.WorstLoad = worstLoad(s.engines)
+	return row
+}
+
+// spread returns the mean and the 95th percentile.
+func spread(jobs []*job, of func(*job) time.Duration) (mean, p95 time.Duration) {
+	const longest = 24 * time.Hour
+	h := hdrhistogram.New(1, longest.Microseconds(), 3)
+	var sum time.Duration
+	for _, j := range jobs {
+		sum += of(j)
+		_ = h.RecordValue(min(of(j), longest).Microseconds()) // within the bounds
+	}
+	return sum / time.Duration(max(len(jobs), 1)), time.Duration(h.ValueAtQuantile(95)) * time.Microsecond
+}
+
+func cachedPart(jobs []*job) float64 {
+	var cached, total float64
+	for _, j := range jobs {
+		cached += float64(j.cached)
+		total += float64(j.request.PromptBytes)
+	}
+	return cached / max(total, 1)
+}
+
+func worstLoad(engines []*engine) float64 {
+	var worst, total time.Duration
+	for _, e := range engines {
+		worst = max(worst, e.busy)
+		total += e.busy
+	}
+	return float64(worst) * float64(len(engines)) / max(float64(total), 1)
+}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -23,6 +23,9 @@
 	Stops     *stop.Table
 	Prefixes  *prefix.Table
 	Policy    Policy // nil means EarliestFinish
+	// Rand returns the generator for one choice. Nil means one with a random
+	// seed; a measurement sets a seeded one.
+	Rand func() *rand.Rand
 }
 
 // Router chooses versions and upstreams.
@@ -35,6 +38,9 @@
 	if opts.Policy == nil {
 		opts.Policy = EarliestFinish
 	}
+	if opts.Rand == nil {
+		opts.Rand = newRand
+	}
 	return &Router{opts: opts}
 }
 
@@ -93,7 +99,7 @@
 // flight there. The caller releases it with upstream.Table.Release.
 func (r *Router) Pick(p Placement) (model.Upstream, Estimate, bool) {
 	candidates := r.candidates(p)
-	i := r.opts.Policy(candidates, p.Work, newRand())
+	i := r.opts.Policy(candidates, p.Work, r.opts.Rand())
 	if i < 0 {
 		return model.Upstream{}, Estimate{}, false
 	}
