Measure version moves against timed steps

Cause: the policy must be compared with timed steps without judgement, on good and bad versions, each time it changes.

Ruled out: running the Manager with fake tables for the measurement; it took seconds for each move under the race detector.

--- /dev/null
+++ b/internal/coordination/rollout/bench/bench.go
@@ -0,0 +1,80 @@
+// Package bench measures the policy of version moves against timed steps
+// without judgement, on simulated traffic with fixed seeds.
+//
+// It simulates requests only, not processes: a stop reaches all instances
+// after one second, and pooled evidence reaches the holder after two.
+package bench
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Policy is a way to run a move.
+type Policy string
+
+// Policies.
+const (
+	Judged Policy = "judged" // this system
+	Timed  Policy = "timed"  // baseline: equal timed steps without judgement
+)
+
+// Row is the result of the moves of one kind under one policy.
+type Row struct {
+	Kind           string
+	Good           bool // the target is not worse than the previous version
+	Policy         Policy
+	Moves          int
+	HighestShare   float64       // mean over the moves
+	SentAfterFault float64       // mean requests to the target after the fault showed
+	TimeToTakeBack time.Duration // mean over the moves that were taken back
+	TakenBack      float64       // fraction of the moves
+	OnTime         float64       // fraction that finished by finish_by
+}
+
+// result is the outcome of one move.
+type result struct {
+	highest   float64
+	sent      int
+	takenBack bool
+	took      time.Duration
+	onTime    bool
+}
+
+// Run simulates moves of each kind under both policies.
+func Run(seed int64, moves int) []Row {
+	var rows []Row
+	for i, k := range scenarios() {
+		for _, p := range []Policy{Judged, Timed} {
+			results := make([]result, moves)
+			for n := range results {
+				rng := rand.New(rand.NewPCG(uint64(seed), uint64(i)<<32|uint64(n)))
+				results[n] = newSimulation(k, rng).run(p)
+			}
+			rows = append(rows, summary(k, p, results))
+		}
+	}
+	return rows
+}
+
+func summary(k scenario, p Policy, results []result) Row {
+	row := Row{Kind: k.name, Good: k.good(), Policy: p, Moves: len(results)}
+	n := float64(len(results))
+	takenBack := 0
+	for _, r := range results {
+		row.HighestShare += r.highest / n
+		row.SentAfterFault += float64(r.sent) / n
+		if r.onTime {
+			row.OnTime += 1 / n
+		}
+		if r.takenBack {
+			takenBack++
+			row.TimeToTakeBack += r.took
+		}
+	}
+	if takenBack > 0 {
+		row.TimeToTakeBack /= time.Duration(takenBack)
+	}
+	row.TakenBack = float64(takenBack) / n
+	return row
+}
