Open the copy of a taken-over log with its first token

Cause: opening it when the relay attaches made matters worse where the engine is lost too. The next attempt then held its tokens back for the 500 ms in which a dead holder could acknowledge the header, and went on under a third line.

Ruled out: a shorter time for the header, which bounds a handshake and a prompt of 1 MB.

Change: the copy is opened once the attached stream brings a token. If it brings none, the next attempt opens the copy, as before.

--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -52,6 +52,9 @@
 	switch verdict {
 	case Accepted:
 		i.m.opts.Guard.Progressed(r.Print, len(r.Tokens))
+		if r.Attempt.Attached { // a log that was taken over has no copy of its line yet
+			i.m.opts.Copier.Opened(r)
+		}
 		i.m.opts.Copier.Accepted(i.id)
 	case Stale:
 		i.cancelStale(r)
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -232,7 +232,6 @@
 	req := StreamRequest{Stream: attempt.Stream, Spec: r.Spec, Version: up.Version}
 	m.opts.Engines.Attach(up, req, len(r.Tokens), reattachTimeout, m.events(r, up))
 	m.armSilence(r)
-	m.opts.Copier.Opened(r) // a log that was taken over has no copy of its line yet
 }
 
 func (m *Manager) openAttempt(id model.RequestID, a generation.Attempt) generation.Record {
