Test the real binaries as processes

Cause: caller-facing and failure behaviour was shown only by scripts/demo.sh.

Change: tests/e2e builds the binaries with the lock check, starts clusters on free loopback ports, signals its own processes by ID, and ends them with the test; a parent death signal covers a test binary that panics.

Ruled out: one shared cluster, since a killed process would disturb the other tests; listening on port 0 in the daemons, whose addresses are in each other's settings.

--- /dev/null
+++ b/tests/e2e/process_test.go
@@ -0,0 +1,166 @@
+package e2e
+
+import (
+	"bytes"
+	"errors"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// bin holds the binaries of this run.
+var bin string
+
+func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "sequoiavalve-e2e-")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	bin = dir
+	build := exec.Command("go", "build", "-tags", "lockcheck", "-o", dir+"/", "../../cmd/entryd", "../../cmd/controld",
+		"../../cmd/standin", "../../cmd/svctl")
+	if out, err := build.CombinedOutput(); err != nil {
+		_, _ = os.Stderr.Write(out)
+		return 1
+	}
+	return m.Run()
+}
+
+// ports hands each port out once in a run, also to parallel clusters.
+var ports = struct {
+	sync.Mutex
+	used map[int]bool
+}{used: map[int]bool{}}
+
+// freePort returns a port that was free for TCP and UDP a moment ago. Another
+// process can take it meanwhile, so its user must be ready to try another.
+func freePort(t testing.TB) int {
+	t.Helper()
+	ports.Lock()
+	defer ports.Unlock()
+	for range 100 {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := listener.Addr().(*net.TCPAddr).Port
+		socket, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+		_ = listener.Close()
+		if err != nil {
+			continue
+		}
+		_ = socket.Close()
+		if !ports.used[port] {
+			ports.used[port] = true
+			return port
+		}
+	}
+	t.Fatal("no free port")
+	return 0
+}
+
+// process is one process of a cluster.
+type process struct {
+	name   string
+	binary string
+	args   []string
+	log    string // file
+
+	mu     sync.Mutex
+	cmd    *exec.Cmd
+	exited chan struct{} // closed when cmd has ended
+}
+
+func newProcess(dir, name, binary string, args ...string) *process {
+	return &process{name: name, binary: binary, args: args, log: filepath.Join(dir, name+".log")}
+}
+
+// start runs the process. After its end it can be started again.
+func (p *process) start() error {
+	out, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(filepath.Join(bin, p.binary), p.args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	// A test binary that panics or times out runs no cleanup.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	exited := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.exited = cmd, exited
+	p.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // exitCode tells
+		close(exited)
+	}()
+	return nil
+}
+
+func (p *process) current() (*exec.Cmd, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd, p.exited
+}
+
+func (p *process) running() bool {
+	_, exited := p.current()
+	select {
+	case <-exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// signal sends a signal to this process only.
+func (p *process) signal(s os.Signal) {
+	cmd, _ := p.current()
+	if err := cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		panic(err)
+	}
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// kill ends the process at once; a frozen one too.
+func (p *process) kill() {
+	cmd, exited := p.current()
+	if cmd == nil {
+		return
+	}
+	p.signal(syscall.SIGKILL)
+	<-exited
+}
+
+// exitCode waits for the end of the process.
+func (p *process) exitCode(t testing.TB, limit time.Duration) int {
+	t.Helper()
+	cmd, exited := p.current()
+	select {
+	case <-exited:
+		return cmd.ProcessState.ExitCode()
+	case <-time.After(limit):
+		t.Fatalf("%s still runs after %v", p.name, limit)
+		return -1
+	}
+}
+
+// tail returns the last lines of the log.
+func (p *process) tail(lines int) string {
+	text, _ := os.ReadFile(p.log)
+	all := bytes.Split(bytes.TrimSpace(text), []byte("\n"))
+	return string(bytes.Join(all[max(0, len(all)-lines):], []byte("\n")))
+}
