Wire gossip, shared watching, version moves and engine orders

Cause: the control process read the platform's list and probed every upstream by itself; nothing judged version moves, and instances did not share engine deaths.

Change: controld runs gossip, membership, watching by two instances for each upstream, moves under a lease and engine orders; suspects travel in gossip as whole rows (deaths, clear marks, permits, hosts), because the bound of three engines needs all four; entryd stops versions on its own hard evidence and follows shares; endpoint answers are ordered by the caller's address with its port, because callers behind one address were all sent to the same instance. scripts/soak.sh and `make soak`.

Ruled out: marking an upstream as leaving for the incarnation known now when the platform lists it: the list lags, and a restarted upstream would stay out for good.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 LINT := $(GOBIN)/golangci-lint
 SEED ?= 1
 
-.PHONY: build test check fmt demo
+.PHONY: build test check fmt demo soak
 
 build:
 	go build -o bin/ ./cmd/...
@@ -26,6 +26,10 @@
 demo: build
 	scripts/demo.sh
 
+# Today's size under load and seeded faults: SEED=1 SECONDS_LONG=120 make soak.
+soak: build
+	scripts/soak.sh
+
 fmt:
 	gofmt -w cmd internal
 
--- /dev/null
+++ b/cmd/controld/duties.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/lease"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/order"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/watch"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/envdoc"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peerlink"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/platform"
+)
+
+// wire connects the duties of the process.
+func (c *control) wire() {
+	s, t := c.settings, c.tables
+	leases := platform.NewRows[lease.Record](c.platform, platform.StateTable)
+	c.watcher = environment.NewWatcher(environment.Options{
+		Environment: s.Environment,
+		Rows:        platform.NewRows[environment.Head](c.platform, platform.StateTable),
+		Objects:     platform.NewObjects(c.platform),
+		Table:       t.documents,
+		Pool:        c.pool,
+		Parse:       envdoc.Decode,
+		Applied:     func(*model.Document) { c.gossip.DocumentChanged() },
+		Interval:    s.Polls.Document,
+	})
+	c.gossip = gossip.NewManager(gossip.Options{
+		Self:  c.self,
+		Pool:  c.pool,
+		Peers: peerlink.NewControlClient(c.peers),
+		Tables: gossip.Tables{
+			Documents: t.documents,
+			Instances: t.instances,
+			Upstreams: t.upstreams,
+			Stops:     t.stops,
+			Evidence:  t.evidence,
+			Suspects:  t.suspects,
+		},
+		Directory: t.directory,
+		Seeds:     s.Peers,
+		Lister:    newLister(c),
+	})
+	c.watch = watch.NewManager(watch.Options{
+		Self:      s.Instance,
+		Pool:      c.pool,
+		Documents: t.documents,
+		Instances: t.instances,
+		Upstreams: t.upstreams,
+		Prober:    c.prober,
+		Publisher: c.gossip,
+	})
+	c.moves = rollout.NewManager(rollout.Config{
+		Self:       s.Instance,
+		Pool:       c.pool,
+		Moves:      platform.NewRows[rollout.Move](c.platform, platform.StateTable),
+		Leases:     leases,
+		Documents:  t.documents,
+		Stops:      t.stops,
+		Evidence:   t.evidence,
+		Candidates: func() []model.InstanceID { return c.live("") },
+	})
+	c.orders = order.NewManager(order.Config{
+		Self:           s.Instance,
+		Region:         s.Region,
+		Pool:           c.pool,
+		Leases:         leases,
+		Documents:      t.documents,
+		Engines:        c.engines,
+		Candidates:     func() []model.InstanceID { return c.live(s.Region) },
+		LoadsPerSecond: s.Weights.LoadsPerSecond,
+		LoadBurst:      s.Weights.Burst,
+	})
+	c.running.Go(c.configureUpstreams)
+}
+
+// live returns the live instances of a region, or of all regions.
+func (c *control) live(region string) []model.InstanceID {
+	var ids []model.InstanceID
+	for _, in := range c.tables.instances.All() {
+		if in.State == model.InstanceLive && (region == "" || in.Region == region) {
+			ids = append(ids, in.ID)
+		}
+	}
+	return ids
+}
+
+// configureUpstreams makes the upstream table match each document that comes
+// into force, from the store or from peers.
+func (c *control) configureUpstreams() {
+	generation := uint64(0)
+	for {
+		changed := c.tables.documents.Changed()
+		if d := c.tables.documents.Current(); d != nil && d.Generation > generation {
+			generation = d.Generation
+			c.tables.upstreams.Configure(d.Upstreams)
+			c.log.WithField("generation", d.Generation).Info("document is in force")
+		}
+		select {
+		case <-changed:
+		case <-c.stopping.Done():
+			return
+		}
+	}
+}
+
+// takeReport merges what the entry process found, and spreads it.
+func (c *control) takeReport(r view.Report) {
+	c.pool.Post("report", worker.Func(func() {
+		for _, row := range r.Evidence {
+			c.tables.evidence.Merge(row.Key, row.Counts)
+		}
+		found := gossip.Delta{Stops: r.Stops, Leaves: r.Leaves, Suspects: r.Suspects}
+		if !found.Empty() {
+			c.gossip.Announce(found)
+		}
+		if r.Draining && c.entryLeft.CompareAndSwap(false, true) {
+			c.gossip.Leave()
+			c.log.Info("entry process drains, the instance is leaving")
+		}
+	}))
+}
+
+// lister reads the platform's list of machines. It implements
+// membership.Lister.
+type lister struct {
+	directory *platform.Directory
+	control   *control
+	// working holds the incarnation of each upstream when the list last showed
+	// it as working.
+	working map[model.UpstreamID]uint64
+}
+
+func newLister(c *control) *lister {
+	return &lister{directory: platform.NewDirectory(c.platform), control: c, working: map[model.UpstreamID]uint64{}}
+}
+
+// ListInstances implements membership.Lister. It registers this instance, and
+// marks the upstreams that the platform lists as leaving.
+func (l *lister) ListInstances(ctx context.Context) ([]membership.Listed, error) {
+	if err := l.directory.RegisterInstance(ctx, l.control.self); err != nil {
+		return nil, err
+	}
+	machines, err := l.directory.List(ctx)
+	if err != nil {
+		return nil, err
+	}
+	l.takeUpstreams(machines.Upstreams)
+	listed := make([]membership.Listed, 0, len(machines.Instances))
+	for _, in := range machines.Instances {
+		listed = append(listed, membership.Listed{
+			ID:             in.ID,
+			Incarnation:    in.Incarnation,
+			ControlAddress: in.ControlAddress,
+			Leaving:        in.State == model.InstanceLeaving,
+		})
+	}
+	return listed, nil
+}
+
+// takeUpstreams announces the upstreams that the list shows as leaving. The
+// list lags and names no incarnation, so the mark is for the incarnation that
+// was known when the list still showed the upstream as working; an upstream
+// that has restarted meanwhile is not marked.
+func (l *lister) takeUpstreams(list []platform.ListedUpstream) {
+	var leaves []gossip.Leave
+	for _, u := range list {
+		id := u.Upstream.ID
+		row, ok := l.control.tables.upstreams.Get(id)
+		if !ok || row.Report.Incarnation == 0 {
+			continue
+		}
+		incarnation, known := l.working[id]
+		switch {
+		case !u.Leaving:
+			l.working[id] = row.Report.Incarnation
+		case known:
+			leaves = append(leaves, gossip.Leave{Upstream: id, Incarnation: incarnation, At: time.Now()})
+			delete(l.working, id)
+		}
+	}
+	if len(leaves) > 0 {
+		l.control.gossip.Announce(gossip.Delta{Leaves: leaves})
+	}
+}
--- a/cmd/entryd/entry.go
+++ b/cmd/entryd/entry.go
@@ -13,13 +13,16 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/frontend"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/settings"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/callers"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/controllink"
@@ -49,6 +52,7 @@
 	server    *peer.Server
 	callers   *callers.Server
 	admission *admission.Manager
+	detector  *rollout.Detector
 
 	link     *controllink.Link
 	draining atomic.Bool
@@ -96,6 +100,7 @@
 	router := routing.New(routing.Options{
 		Documents: t.documents, Upstreams: t.upstreams, Stops: t.stops, Prefixes: t.prefixes,
 	})
+	e.detector = rollout.NewDetector(self, e.pool, t.stops, e.stopped)
 	e.admission = admission.New(admission.Options{Pool: e.pool, Organisations: t.organisations, Capacity: e.capacity})
 	generations := relay.New(relay.Options{
 		Pool:        e.pool,
@@ -106,7 +111,7 @@
 		Admission:   admitter{e.admission},
 		Copier:      copies,
 		Guard:       guard,
-		Observe:     e.observeGeneration,
+		Observe:     func(up model.Upstream, o evidence.Observation) { e.observe(up, rollout.GenerateRoute, o) },
 		NewLine:     relay.RandomLine,
 		CopyAfter:   copyAfter,
 		Retain:      retain,
@@ -119,7 +124,7 @@
 		Claims:   platform.NewRows[call.Claim](e.platform, platform.StateTable),
 		Sender:   e.services,
 		Pick:     pickService(router, t.upstreams),
-		Observe:  e.observeCall,
+		Observe:  e.observe,
 	})
 	front := frontend.New(frontend.Options{
 		Instance: self, Documents: t.documents, Generations: t.generations, Relay: generations, Replication: copies, Calls: calls,
@@ -127,7 +132,7 @@
 	e.callers = callers.New(callers.Options{
 		Address:    e.settings.Listen,
 		Frontend:   front,
-		Endpoints:  endpoints{t.instances, self, &e.draining},
+		Endpoints:  endpoints{t.directory, self, &e.draining},
 		Metrics:    metrics,
 		BodyBytes:  e.settings.Limits.BodyBytes,
 		HeaderTime: e.settings.Limits.HeaderTime,
@@ -179,7 +184,7 @@
 	e.log.Info("draining")
 	e.draining.Store(true)
 	e.callers.Leave()
-	time.Sleep(endpointTTL + e.settings.Drain.Margin)
+	time.Sleep(membership.EndpointTTL + e.settings.Drain.Margin)
 	return nil
 }
 
--- a/cmd/entryd/parts.go
+++ b/cmd/entryd/parts.go
@@ -5,10 +5,9 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
@@ -26,11 +25,6 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peerlink"
 )
 
-const (
-	endpointTTL   = 10 * time.Second
-	routeGenerate = "generate" // route of engines in the evidence
-)
-
 // tables are the shared tables of the process.
 type tables struct {
 	documents     *document.Table
@@ -43,12 +37,14 @@
 	suspects      *suspect.Table
 	generations   *generation.Table
 	calls         *callstate.Table
+	directory     *membership.Directory
 }
 
 func newTables(self model.InstanceID) *tables {
+	instances := instance.NewTable()
 	return &tables{
 		documents:     document.NewTable(),
-		instances:     instance.NewTable(),
+		instances:     instances,
 		upstreams:     upstream.NewTable(),
 		prefixes:      prefix.NewTable(),
 		stops:         stop.NewTable(),
@@ -57,13 +53,19 @@
 		suspects:      suspect.NewTable(self),
 		generations:   generation.NewTable(),
 		calls:         callstate.NewTable(),
+		directory:     membership.NewDirectory(instances),
 	}
 }
 
 // viewed returns the tables that the control process fills.
 func (t *tables) viewed() view.Tables {
 	return view.Tables{
-		Documents: t.documents, Instances: t.instances, Upstreams: t.upstreams, Stops: t.stops, Suspects: t.suspects,
+		Documents: t.documents,
+		Instances: t.instances,
+		Upstreams: t.upstreams,
+		Stops:     t.stops,
+		Suspects:  t.suspects,
+		Directory: t.directory,
 	}
 }
 
@@ -111,22 +113,23 @@
 	}
 }
 
-func (e *entry) observeGeneration(up model.Upstream, o evidence.Observation) {
-	e.observe(up, routeGenerate, o)
-}
-
-func (e *entry) observeCall(up model.Upstream, route string, o evidence.Observation) {
-	e.observe(up, route, o)
-}
-
 // observe counts one request as evidence on its version.
 func (e *entry) observe(up model.Upstream, route string, o evidence.Observation) {
+	version := model.VersionKey{Serves: up.Serves, Version: up.Version}
 	e.tables.evidence.Observe(evidence.Key{
 		Instance: e.settings.Instance,
-		Version:  model.VersionKey{Serves: up.Serves, Version: up.Version},
+		Version:  version,
 		Route:    route,
 		Minute:   time.Now().Unix() / 60,
 	}, o)
+	e.detector.Observe(version, route, o.Failed)
+}
+
+// stopped logs a stop on this instance's own evidence. The reporter sends it
+// to the control process.
+func (e *entry) stopped(s model.Stop) {
+	e.log.WithField("version", s.Key.Version).WithField("serves", s.Key.Serves).
+		WithField("reason", s.Reason).Error("version gets no new work")
 }
 
 // pickService returns the function that chooses an upstream for a call.
@@ -148,22 +151,18 @@
 
 // endpoints answers which instances callers should use.
 type endpoints struct {
-	instances *instance.Table
+	directory *membership.Directory
 	self      model.InstanceID
 	draining  *atomic.Bool
 }
 
-// Endpoints implements callers.Endpoints.
-func (e endpoints) Endpoints(callerKey string, _ time.Time) ([]model.Instance, time.Duration) {
-	live := slices.DeleteFunc(e.instances.All(), func(in model.Instance) bool {
-		return in.State != model.InstanceLive || (in.ID == e.self && e.draining.Load())
-	})
-	weight := func(in model.Instance) uint64 { return xxhash.Sum64String(callerKey + "\x00" + string(in.ID)) }
-	slices.SortFunc(live, func(a, b model.Instance) int {
-		if weight(a) > weight(b) {
-			return -1
-		}
-		return 1
-	})
-	return live, endpointTTL
+// Endpoints implements callers.Endpoints. This instance knows first that it
+// drains.
+func (e endpoints) Endpoints(callerKey string, now time.Time) ([]model.Instance, time.Duration) {
+	answer := e.directory.Endpoints(callerKey, now)
+	if !e.draining.Load() {
+		return answer.Instances, answer.TTL
+	}
+	others := slices.DeleteFunc(answer.Instances, func(in model.Instance) bool { return in.ID == e.self })
+	return others, answer.TTL
 }
--- a/cmd/loadgen/load.go
+++ b/cmd/loadgen/load.go
@@ -43,11 +43,11 @@
 // Run streams generations until the duration is over.
 func (c *loadCommand) Run(ctx context.Context) error {
 	result := &loadResult{first: newHistogram(), interval: newHistogram(), gap: newHistogram()}
-	client := c.client()
 	until := time.Now().Add(c.Duration)
 	group, ctx := errgroup.WithContext(ctx)
 	for i := range c.Streams {
 		group.Go(func() error {
+			client := c.client() // a caller of its own, with its own connections
 			rng := rand.New(rand.NewPCG(c.Seed, uint64(i)))
 			for time.Now().Before(until) && ctx.Err() == nil {
 				c.one(ctx, client, rng, result)
--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -15,6 +15,8 @@
 	Stream streamCommand `cmd:"" help:"Stream one generation, reconnect when the connection is lost, and check each token."`
 	Load   loadCommand   `cmd:"" help:"Stream many generations at once and report latencies."`
 	Call   callCommand   `cmd:"" help:"Call a service route under an idempotency key."`
+
+	Bookings bookingsCommand `cmd:"" help:"Call a non-idempotent route under many keys, each of them twice."`
 }
 
 func main() {
--- a/internal/coordination/gossip/merge.go
+++ b/internal/coordination/gossip/merge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 )
 
 // merge takes a delta. What is new is passed on by TakeUrgent.
@@ -25,12 +26,7 @@
 	for _, l := range d.Leaves {
 		s.AddLeave(l, now)
 	}
-	for _, death := range d.Deaths {
-		s.AddDeath(death)
-	}
-	for _, c := range d.Clears {
-		s.AddClear(c)
-	}
+	s.AddSuspects(d.Suspects, now)
 }
 
 // mergeDocument puts a later document in force. The table refuses others.
@@ -219,17 +215,10 @@
 	s.applyLeave(l)
 }
 
-// AddDeath stores an engine death.
-func (s *Store) AddDeath(d Death) {
-	if s.tables.Suspects != nil && s.tables.Suspects.AddDeath(d) {
-		s.urgent.Deaths = append(s.urgent.Deaths, d)
-	}
-}
-
-// AddClear stores that a request is innocent.
-func (s *Store) AddClear(c Clear) {
-	if s.tables.Suspects != nil && s.tables.Suspects.AddClear(c) {
-		s.urgent.Clears = append(s.urgent.Clears, c)
+// AddSuspects merges rows on requests that kill engines.
+func (s *Store) AddSuspects(rows suspect.Rows, now time.Time) {
+	if s.tables.Suspects != nil && !rows.Empty() && s.tables.Suspects.Merge(rows, now) {
+		s.urgent.Suspects = s.tables.Suspects.Snapshot(now)
 	}
 }
 
@@ -239,8 +228,9 @@
 	s.merge(&d, now)
 	s.urgent.Stops = union(s.urgent.Stops, d.Stops)
 	s.urgent.Leaves = union(s.urgent.Leaves, d.Leaves)
-	s.urgent.Deaths = union(s.urgent.Deaths, d.Deaths)
-	s.urgent.Clears = union(s.urgent.Clears, d.Clears)
+	if s.tables.Suspects != nil && !d.Suspects.Empty() {
+		s.urgent.Suspects = s.tables.Suspects.Snapshot(now)
+	}
 	s.urgent.Shares = union(s.urgent.Shares, d.Shares)
 }
 
--- a/internal/coordination/gossip/sets.go
+++ b/internal/coordination/gossip/sets.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
@@ -53,13 +55,26 @@
 	if s.tables.Suspects == nil {
 		return sums
 	}
-	for _, d := range s.tables.Suspects.Deaths() {
-		sums[setDeaths] += hashOf(d.Fingerprint, d.Upstream, d.Incarnation)
+	sums[setSuspects] = suspectsHash(s.tables.Suspects.Snapshot(time.Now()))
+	return sums
+}
+
+// suspectsHash covers what a merge can change in a row.
+func suspectsHash(rows suspect.Rows) uint64 {
+	var sum uint64
+	for _, d := range rows.Deaths {
+		sum += hashOf("death", d.ID, d.Fingerprint, d.Position, d.At.UnixNano())
 	}
-	for _, c := range s.tables.Suspects.Clears() {
-		sums[setClears] += hashOf(c.Fingerprint, c.At.UnixNano())
+	for _, c := range rows.Clears {
+		sum += hashOf("clear", c.Fingerprint, c.At.UnixNano())
 	}
-	return sums
+	for _, p := range rows.Permits {
+		sum += hashOf("permit", p.Fingerprint, p.At.UnixNano())
+	}
+	for _, h := range rows.Hosts {
+		sum += hashOf("host", h.ID, h.Revision)
+	}
+	return sum
 }
 
 func hashOf(fields ...any) uint64 {
@@ -90,10 +105,7 @@
 	if s.tables.Suspects == nil {
 		return
 	}
-	if own[setDeaths] != peer[setDeaths] {
-		delta.Deaths = s.tables.Suspects.Deaths()
-	}
-	if own[setClears] != peer[setClears] {
-		delta.Clears = s.tables.Suspects.Clears()
+	if own[setSuspects] != peer[setSuspects] {
+		delta.Suspects = s.tables.Suspects.Snapshot(time.Now())
 	}
 }
--- a/internal/coordination/gossip/store.go
+++ b/internal/coordination/gossip/store.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/stop"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
@@ -20,7 +21,7 @@
 	Upstreams *upstream.Table
 	Stops     *stop.Table
 	Evidence  *evidence.Table
-	Suspects  Suspects // nil while nothing tracks engine deaths
+	Suspects  *suspect.Table // nil while nothing tracks engine deaths
 }
 
 // Times of the store.
--- a/internal/coordination/gossip/types.go
+++ b/internal/coordination/gossip/types.go
@@ -5,6 +5,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
@@ -33,8 +34,7 @@
 	setStops
 	setShares
 	setLeaves
-	setDeaths
-	setClears
+	setSuspects
 	setCount
 )
 
@@ -60,8 +60,7 @@
 	Stops    []model.Stop
 	Shares   []model.Share
 	Leaves   []Leave
-	Deaths   []Death
-	Clears   []Clear
+	Suspects suspect.Rows
 	Steps    []DocumentStep  // lead to the sender's document one by one
 	Document *model.Document // whole, when no steps are known
 }
@@ -69,7 +68,7 @@
 // Empty reports whether the delta holds nothing.
 func (d *Delta) Empty() bool {
 	return len(d.Updates) == 0 && len(d.States) == 0 && len(d.Stops) == 0 && len(d.Shares) == 0 &&
-		len(d.Leaves) == 0 && len(d.Deaths) == 0 && len(d.Clears) == 0 && len(d.Steps) == 0 && d.Document == nil
+		len(d.Leaves) == 0 && d.Suspects.Empty() && len(d.Steps) == 0 && d.Document == nil
 }
 
 // Exchange is a message between two control processes: a request with a
@@ -116,21 +115,6 @@
 	At          time.Time // when it was noticed
 }
 
-// Death is an engine death that a request may have caused.
-type Death struct {
-	Fingerprint uint64
-	Upstream    model.UpstreamID
-	Incarnation uint64 // of the upstream
-	Position    int    // of the request's log at the time
-	At          time.Time
-}
-
-// Clear says that a request is innocent of the deaths before At.
-type Clear struct {
-	Fingerprint uint64
-	At          time.Time
-}
-
 // Splice replaces Delete rows of a list from row At on by Insert.
 type Splice[T any] struct {
 	At     int
@@ -150,13 +134,3 @@
 	Services          []Splice[model.Service]
 	Upstreams         []Splice[model.Upstream]
 }
-
-// Suspects is the table of engine deaths. Its methods are safe for concurrent
-// use and do not block. The table drops old rows by the time in them, so that
-// all instances drop the same rows.
-type Suspects interface {
-	AddDeath(Death) bool // reports whether it was new
-	AddClear(Clear) bool
-	Deaths() []Death
-	Clears() []Clear
-}
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/prefix"
@@ -67,12 +68,10 @@
 	plan, _ := Plan(r.opts.Documents.Current(), serves)
 	view := VersionView{
 		Plan:            plan,
+		Share:           rollout.TargetShare(serves, plan, r.opts.Stops),
 		TargetStopped:   r.opts.Stops.Stopped(model.VersionKey{Serves: serves, Version: plan.Target}),
 		PreviousPresent: r.versionPresent(serves, plan.Previous),
 	}
-	if share, ok := r.opts.Stops.Share(serves); ok && share.Target == plan.Target {
-		view.Share = share.Share
-	}
 	return ChooseVersion(view, id)
 }
 
--- a/internal/coordination/view/report.go
+++ b/internal/coordination/view/report.go
@@ -22,7 +22,7 @@
 	sentEvidence map[evidence.Key]uint64 // requests in the row as it was sent
 	sentStops    uint64
 	sentSuspects uint64
-	sentLeaves   map[gossip.Leave]bool
+	sentLeaves   map[model.UpstreamID]uint64 // incarnation
 }
 
 // Next returns what changed since the last call. failed tells that the last
@@ -30,10 +30,10 @@
 func (r *Reporter) Next(now time.Time, failed bool) Report {
 	if failed || r.sentEvidence == nil {
 		r.sentEvidence = map[evidence.Key]uint64{}
-		r.sentLeaves = map[gossip.Leave]bool{}
+		r.sentLeaves = map[model.UpstreamID]uint64{}
 		r.sentStops, r.sentSuspects = 0, 0
 	}
-	report := Report{Evidence: r.changedEvidence(), Leaves: r.newLeaves()}
+	report := Report{Evidence: r.changedEvidence(), Leaves: r.newLeaves(now)}
 	if n := r.Stops.Version(); n > r.sentStops {
 		report.Stops = r.Stops.Stops()
 		r.sentStops = n
@@ -63,15 +63,16 @@
 	return rows
 }
 
-func (r *Reporter) newLeaves() []gossip.Leave {
+func (r *Reporter) newLeaves(now time.Time) []gossip.Leave {
 	var leaves []gossip.Leave
 	for _, row := range r.Upstreams.Serving("") {
-		leave := gossip.Leave{Upstream: row.Upstream.ID, Incarnation: row.Report.Incarnation}
-		if row.Report.Health != upstream.HealthLeaving || r.sentLeaves[leave] {
+		id, incarnation := row.Upstream.ID, row.Report.Incarnation
+		sent, ok := r.sentLeaves[id]
+		if row.Report.Health != upstream.HealthLeaving || (ok && sent == incarnation) {
 			continue
 		}
-		r.sentLeaves[leave] = true
-		leaves = append(leaves, leave)
+		r.sentLeaves[id] = incarnation
+		leaves = append(leaves, gossip.Leave{Upstream: id, Incarnation: incarnation, At: now})
 	}
 	return leaves
 }
--- a/internal/coordination/view/view.go
+++ b/internal/coordination/view/view.go
@@ -5,9 +5,11 @@
 package view
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -25,12 +27,15 @@
 	Upstreams []upstream.Report
 	Instances []model.Instance
 	Suspects  suspect.Rows
+	// SilentRegions are regions that are left out of endpoint answers; nil
+	// means no change.
+	SilentRegions *[]string
 }
 
 // Empty reports whether the view holds nothing.
 func (v View) Empty() bool {
 	return v.Document == nil && len(v.Shares) == 0 && len(v.Stops) == 0 && len(v.Upstreams) == 0 &&
-		len(v.Instances) == 0 && v.Suspects.Empty()
+		len(v.Instances) == 0 && v.Suspects.Empty() && v.SilentRegions == nil
 }
 
 // Report is what an entry process sends to its control process.
@@ -54,6 +59,7 @@
 	Upstreams *upstream.Table
 	Stops     *stop.Table
 	Suspects  *suspect.Table
+	Directory *membership.Directory
 }
 
 // position says up to which versions of the tables a receiver is up to date.
@@ -63,6 +69,7 @@
 	upstreams  uint64
 	stops      uint64
 	suspects   uint64
+	silent     []string
 }
 
 // Publisher makes the views for one receiver. It is used by one goroutine.
@@ -95,6 +102,10 @@
 		v.Suspects = p.tables.Suspects.Snapshot(now)
 		p.sent.suspects = n
 	}
+	if silent := p.tables.Directory.SilentRegions(); !slices.Equal(silent, p.sent.silent) {
+		v.SilentRegions = &silent
+		p.sent.silent = silent
+	}
 	v.Upstreams, p.sent.upstreams = p.tables.Upstreams.ReportsSince(p.sent.upstreams)
 	return v
 }
@@ -119,4 +130,7 @@
 		t.Instances.Merge(in)
 	}
 	t.Suspects.Merge(v.Suspects, now)
+	if v.SilentRegions != nil {
+		t.Directory.SetSilentRegions(*v.SilentRegions)
+	}
 }
--- a/internal/coordination/view/view_test.go
+++ b/internal/coordination/view/view_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
@@ -16,12 +17,14 @@
 )
 
 func newTables() Tables {
+	instances := instance.NewTable()
 	return Tables{
 		Documents: document.NewTable(),
-		Instances: instance.NewTable(),
+		Instances: instances,
 		Upstreams: upstream.NewTable(),
 		Stops:     stop.NewTable(),
 		Suspects:  suspect.NewTable("i"),
+		Directory: membership.NewDirectory(instances),
 	}
 }
 
--- a/internal/protocol/peerwire/gossip.go
+++ b/internal/protocol/peerwire/gossip.go
@@ -5,6 +5,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 )
 
 type exchangeWire struct {
@@ -35,8 +36,7 @@
 	Stops    []model.Stop          `cbor:"3,keyasint,omitempty"`
 	Shares   []model.Share         `cbor:"4,keyasint,omitempty"`
 	Leaves   []gossip.Leave        `cbor:"5,keyasint,omitempty"`
-	Deaths   []gossip.Death        `cbor:"6,keyasint,omitempty"`
-	Clears   []gossip.Clear        `cbor:"7,keyasint,omitempty"`
+	Suspects suspect.Rows          `cbor:"6,keyasint,omitempty"`
 	Steps    []gossip.DocumentStep `cbor:"8,keyasint,omitempty"`
 	Document *model.Document       `cbor:"9,keyasint,omitempty"`
 }
@@ -132,7 +132,7 @@
 	}
 	w := &deltaWire{
 		States: d.States, Stops: d.Stops, Shares: d.Shares, Leaves: d.Leaves,
-		Deaths: d.Deaths, Clears: d.Clears, Steps: d.Steps, Document: d.Document,
+		Suspects: d.Suspects, Steps: d.Steps, Document: d.Document,
 	}
 	for _, u := range d.Updates {
 		w.Updates = append(w.Updates, updateToWire(u))
@@ -157,7 +157,7 @@
 	}
 	d := &gossip.Delta{
 		States: w.States, Stops: w.Stops, Shares: w.Shares, Leaves: w.Leaves,
-		Deaths: w.Deaths, Clears: w.Clears, Steps: w.Steps, Document: w.Document,
+		Suspects: w.Suspects, Steps: w.Steps, Document: w.Document,
 	}
 	for _, u := range w.Updates {
 		update, err := updateFromWire(u)
--- a/internal/protocol/peerwire/peerwire_test.go
+++ b/internal/protocol/peerwire/peerwire_test.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
@@ -45,7 +46,7 @@
 				Reports: []gossip.Report{report("worker-001", 12), report("worker-002", 5)}, Evidence: []gossip.EvidenceRow{row},
 			}},
 			Stops:    []model.Stop{{Key: model.VersionKey{Serves: "m"}, Epoch: 3}},
-			Deaths:   []gossip.Death{{Fingerprint: 1, Upstream: "u", Position: 4, At: at.UTC()}},
+			Suspects: suspect.Rows{Deaths: []suspect.Death{{ID: suspect.DeathID{Upstream: "u"}, Fingerprint: "f", Position: 4, At: at.UTC()}}},
 			Document: &model.Document{Generation: 4, Models: []model.Model{{Name: "m", Plan: model.VersionPlan{FinishBy: at.UTC()}}}},
 		},
 	}
--- a/internal/transport/callers/status.go
+++ b/internal/transport/callers/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -27,11 +26,10 @@
 	if !s.allows(x, http.MethodGet, http.MethodHead) {
 		return
 	}
-	host, _, err := net.SplitHostPort(x.r.RemoteAddr)
-	if err != nil {
-		host = x.r.RemoteAddr
-	}
-	instances, ttl := s.opts.Endpoints.Endpoints(host+"/"+string(x.organisation), time.Now())
+	// The address includes the port: callers behind one address would otherwise
+	// all be sent to the same instance.
+	key := x.r.RemoteAddr + "/" + string(x.organisation)
+	instances, ttl := s.opts.Endpoints.Endpoints(key, time.Now())
 	reply := endpointsReply{Endpoints: []endpoint{}, TTLSeconds: int(ttl / time.Second)}
 	for _, in := range instances {
 		reply.Endpoints = append(reply.Endpoints, endpoint{in.CallerAddress, string(in.FailureDomain)})
