Print the measurements as one table

Cause: resume and routing figures, the cost of the relay and the slopes that the capacity page needs had no common report, and the relay was never measured as a process of its own.

--- a/cmd/loadgen/main.go
+++ b/cmd/loadgen/main.go
@@ -12,9 +12,10 @@
 )
 
 type commandLine struct {
-	Stream streamCommand `cmd:"" help:"Stream one generation, reconnect when the connection is lost, and check each token."`
-	Load   loadCommand   `cmd:"" help:"Stream many generations at once and report latencies."`
-	Call   callCommand   `cmd:"" help:"Call a service route under an idempotency key."`
+	Stream  streamCommand  `cmd:"" help:"Stream one generation, reconnect when the connection is lost, and check each token."`
+	Load    loadCommand    `cmd:"" help:"Stream many generations at once and report latencies."`
+	Call    callCommand    `cmd:"" help:"Call a service route under an idempotency key."`
+	Measure measureCommand `cmd:"" help:"Measure resume latency, routing, relay cost and slopes."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/transport/measure/section.go
@@ -0,0 +1,119 @@
+package measure
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing/bench"
+)
+
+// Config says what to measure.
+type Config struct {
+	Seed uint64
+	// Size scales the number of trials and the length of traces: 1 is the full
+	// size, with 100 trials for each kind of loss.
+	Size float64
+	// Deployment is needed by the sections that measure running processes;
+	// scripts/measure.sh starts one.
+	Deployment Deployment
+}
+
+// scaled returns n times the size, at least low.
+func (c Config) scaled(n, low int) int { return max(int(float64(n)*c.Size), low) }
+
+// errNeedsDeployment means that a section was left out.
+var errNeedsDeployment = errors.New("needs a running deployment; use scripts/measure.sh")
+
+// Section is one part of the report.
+type Section struct {
+	Name string
+	Run  func(context.Context, Config) ([]Row, error)
+}
+
+// Sections are the parts of the report in their order. The version-move bench
+// and the gossip slopes are added here.
+var Sections = []Section{
+	{"resume", resumeSection},
+	{"routing", routingSection},
+	{"upstream", upstreamSection},
+	{"generation", generationSection},
+	{"document", documentSection},
+	{"log", logSection},
+	{"evidence", evidenceSection},
+	{"process", processSection},
+	{"relay", relaySection},
+}
+
+// Run runs the named sections, or all of them if no name is given. A section
+// that needs a deployment which is not there is reported in its row.
+func Run(ctx context.Context, c Config, only []string) ([]Row, error) {
+	for _, name := range only {
+		if !slices.ContainsFunc(Sections, func(s Section) bool { return s.Name == name }) {
+			return nil, fmt.Errorf("section %q does not exist", name)
+		}
+	}
+	var rows []Row
+	for _, s := range Sections {
+		if len(only) > 0 && !slices.Contains(only, s.Name) {
+			continue
+		}
+		got, err := s.Run(ctx, c)
+		switch {
+		case errors.Is(err, errNeedsDeployment):
+			got = []Row{{Section: s.Name, Figure: "not run: " + err.Error()}}
+		case err != nil:
+			return rows, fmt.Errorf("section %s: %w", s.Name, err)
+		}
+		rows = append(rows, got...)
+	}
+	return rows, nil
+}
+
+func resumeSection(_ context.Context, c Config) ([]Row, error) {
+	var rows []Row
+	measured := Resume(c.Seed, c.scaled(100, 4))
+	for i := 0; i < len(measured); i += 2 {
+		ours, base := measured[i], measured[i+1]
+		add := func(figure, unit, value, baseline string) {
+			rows = append(rows, Row{
+				Section: "resume", Case: string(ours.Loss), Figure: figure, Unit: unit, Value: value, Baseline: baseline,
+			})
+		}
+		add("gap p50", "ms", millis(ours.P50), millis(base.P50))
+		add("gap p95", "ms", millis(ours.P95), millis(base.P95))
+		add("gap p99", "ms", millis(ours.P99), millis(base.P99))
+		add("longest gap", "ms", millis(ours.Longest), millis(base.Longest))
+		add("whole answers", "of trials", trials(ours), trials(base))
+		add("trials without effect", "trials", fmt.Sprint(ours.Unhurt), fmt.Sprint(base.Unhurt))
+		add("extra tokens", "each token", number(ours.ExtraTokens), number(base.ExtraTokens))
+		add("extra prefill", "each prompt byte", number(ours.ExtraPrefill), number(base.ExtraPrefill))
+	}
+	return rows, nil
+}
+
+func trials(r ResumeRow) string { return fmt.Sprintf("%d/%d", r.Whole, r.Trials) }
+
+func routingSection(_ context.Context, c Config) ([]Row, error) {
+	const fullTrace = 5 * time.Minute
+	duration := max(time.Duration(c.Size*float64(fullTrace)), 10*time.Second)
+	var rows []Row
+	measured := bench.Run(c.Seed, duration)
+	for i := 0; i < len(measured); i += len(bench.Policies) {
+		ours, base := measured[i], measured[i+1]
+		add := func(figure, unit, value, baseline string) {
+			rows = append(rows, Row{
+				Section: "routing", Case: ours.Trace, Figure: figure, Unit: unit, Value: value, Baseline: baseline,
+			})
+		}
+		add("first token mean", "ms", millis(ours.FirstMean), millis(base.FirstMean))
+		add("first token p95", "ms", millis(ours.FirstP95), millis(base.FirstP95))
+		add("finish mean", "ms", millis(ours.FinishMean), millis(base.FinishMean))
+		add("finish p95", "ms", millis(ours.FinishP95), millis(base.FinishP95))
+		add("prompt found cached", "part", number(ours.Cached), number(base.Cached))
+		add("worst load", "of mean", number(ours.WorstLoad), number(base.WorstLoad))
+	}
+	return rows, nil
+}
