--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -17,6 +17,7 @@
   start_engine "$i" v1 --token-time 50ms --slots 256 --prefill-rate 20000000
 done
 for ((i = 0; i < INSTANCES; i++)); do start_instance "$i"; done
+# The document names a service, which these measurements do not use.
 document "$engines" 0 v1 | sed '/^services:/,/^upstreams:/{/^upstreams:/!d}' >"$run/environment.yaml"
 promote "$run/environment.yaml" 0 0
 for ((i = 0; i < INSTANCES; i++)); do wait_instance "$i"; done
