Report the processor time of entryd for each stream

Change: the relay section also reports entryd's part of a core, whose slope is the cost of one more stream of 20 tokens/s and whose fixed part is the cost of few streams.

--- a/internal/transport/measure/relaycost.go
+++ b/internal/transport/measure/relaycost.go
@@ -32,8 +32,9 @@
 type relayFigures struct {
 	tokens   int64
 	cpu      time.Duration // of entryd
+	entry    float64       // of entryd, part of a core
 	resident float64       // of entryd, bytes
-	control  float64       // part of a core
+	control  float64       // of controld, part of a core
 }
 
 func relaySection(ctx context.Context, c Config) ([]Row, error) {
@@ -41,7 +42,7 @@
 		return nil, errNeedsDeployment
 	}
 	window := max(time.Duration(c.Size*float64(fullWindow)), 3*time.Second)
-	var perToken, perCore, memory, control []point
+	var perToken, perCore, entry, memory, control []point
 	for _, n := range streamCounts {
 		got, err := relayCost(ctx, c, n, window)
 		if err != nil {
@@ -50,11 +51,13 @@
 		each := float64(got.cpu) / float64(time.Microsecond) / float64(max(got.tokens, 1))
 		perToken = append(perToken, point{n, each})
 		perCore = append(perCore, point{n, 1e6 / max(each, 1e-9)})
+		entry = append(entry, point{n, 100 * got.entry})
 		memory = append(memory, point{n, got.resident})
 		control = append(control, point{n, 100 * got.control})
 	}
 	rows := slopeRows("relay", "streams", "processor of entryd", "µs each token", perToken)
 	rows = append(rows, slopeRows("relay", "streams", "rate", "tokens/s each core", perCore)...)
+	rows = append(rows, slopeRows("relay", "streams of 20 tokens/s", "processor of entryd", "% of a core", entry)...)
 	rows = append(rows, slopeRows("relay", "streams", "resident memory of entryd", "bytes", memory)...)
 	return append(rows, slopeRows("relay", "streams", "processor of controld", "% of a core", control)...), nil
 }
@@ -77,16 +80,17 @@
 	time.Sleep(rampTime + settleTime)
 	pids := []int{c.Deployment.EntryPID, c.Deployment.ControlPID}
 	before, err := usages(pids)
-	tokens := received.Load()
+	tokens := -received.Load()
 	time.Sleep(window)
 	after, afterErr := usages(pids)
-	tokens = received.Load() - tokens
+	tokens += received.Load()
 	if err := firstError(group.Wait(), err, afterErr); err != nil {
 		return relayFigures{}, err
 	}
 	return relayFigures{
 		tokens:   tokens,
 		cpu:      after[0].cpu - before[0].cpu,
+		entry:    share(before[0], after[0]),
 		resident: after[0].resident,
 		control:  share(before[1], after[1]),
 	}, nil
