Index upstreams by what they serve and prefixes by block

Cause: a placement copied and sorted all rows and looked up each prompt block for each candidate.

Ruled out: caching sorted rows outside the table, which would need its own invalidation.

Change: the upstream table keeps sorted lists for each model and service; the prefix table maps blocks to upstreams, so that one pass over the blocks serves all candidates. Version moves become a section of the measurements.

--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,9 @@
 GOBIN := $(shell go env GOPATH)/bin
 LINT := $(GOBIN)/golangci-lint
 SEED ?= 1
+SIZE ?= 0.3
 
-.PHONY: build test check fmt demo soak
+.PHONY: build test check fmt demo soak measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -30,6 +31,10 @@
 soak: build
 	scripts/soak.sh
 
+# One table of all measurements: SEED=1 SIZE=1 make measure (about 8 minutes at size 1).
+measure: build
+	scripts/measure.sh --seed $(SEED) --size $(SIZE)
+
 fmt:
 	gofmt -w cmd internal
 
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -104,7 +104,7 @@
 	}
 	chosen := candidates[i]
 	r.opts.Upstreams.Acquire(chosen.Row.Upstream.ID)
-	r.opts.Prefixes.Add(chosen.Row.Upstream.ID, p.Blocks, p.Now)
+	r.opts.Prefixes.Add(chosen.Row.Upstream.ID, p.Blocks)
 	return chosen.Row.Upstream, EstimateFinish(chosen, p.Work), true
 }
 
@@ -116,13 +116,13 @@
 
 func (r *Router) candidates(p Placement) []Candidate {
 	rows := r.opts.Upstreams.Serving(p.Serves)
+	cached := r.opts.Prefixes.CachedBytes(p.Blocks)
 	candidates := make([]Candidate, 0, len(rows))
 	for _, row := range rows {
 		if !r.eligible(row, p) {
 			continue
 		}
-		cached := r.opts.Prefixes.CachedBytes(row.Upstream.ID, p.Blocks)
-		candidates = append(candidates, Candidate{Row: row, CachedBytes: cached})
+		candidates = append(candidates, Candidate{Row: row, CachedBytes: cached[row.Upstream.ID]})
 	}
 	return candidates
 }
--- a/internal/state/prefix/prefix.go
+++ b/internal/state/prefix/prefix.go
@@ -3,8 +3,6 @@
 package prefix
 
 import (
-	"time"
-
 	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
@@ -16,8 +14,11 @@
 	BlockBytes = 256
 	// maxBlocks bounds the blocks of one prompt that are tracked (64 KiB).
 	maxBlocks = 256
-	// capacity bounds the rows; a row takes about 100 bytes.
+	// capacity bounds the blocks; one takes about 150 bytes with its upstreams.
 	capacity = 100_000
+	// maxHolders bounds the upstreams that are remembered for one block. A
+	// prefix that all requests share is cached nearly everywhere anyway.
+	maxHolders = 64
 )
 
 // Block identifies a prompt prefix that ends at a block border.
@@ -36,33 +37,38 @@
 	return blocks
 }
 
-type key struct {
-	upstream model.UpstreamID
-	block    Block
-}
+// holders are the upstreams that have probably cached one block.
+type holders map[model.UpstreamID]struct{}
 
-// Table holds (upstream, block) pairs, least recently used dropped first. mu
-// has lock.RankPrefix and guards pairs.
+// Table maps blocks to their holders, least recently used dropped first. mu
+// has lock.RankPrefix and guards blocks.
 type Table struct {
-	mu    lock.Mutex
-	pairs *simplelru.LRU[key, time.Time]
+	mu     lock.Mutex
+	blocks *simplelru.LRU[Block, holders]
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	pairs, err := simplelru.NewLRU[key, time.Time](capacity, nil)
+	blocks, err := simplelru.NewLRU[Block, holders](capacity, nil)
 	if err != nil {
 		panic(err) // only for a capacity below 1
 	}
-	return &Table{mu: lock.New(lock.RankPrefix), pairs: pairs}
+	return &Table{mu: lock.New(lock.RankPrefix), blocks: blocks}
 }
 
 // Add records that the upstream ran a prompt with these blocks.
-func (t *Table) Add(id model.UpstreamID, blocks []Block, now time.Time) {
+func (t *Table) Add(id model.UpstreamID, blocks []Block) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, b := range blocks {
-		t.pairs.Add(key{id, b}, now)
+		h, ok := t.blocks.Get(b)
+		if !ok {
+			h = holders{}
+			t.blocks.Add(b, h)
+		}
+		if len(h) < maxHolders {
+			h[id] = struct{}{}
+		}
 	}
 }
 
@@ -70,18 +76,27 @@
 func (t *Table) Evicted(id model.UpstreamID, block Block) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.pairs.Remove(key{id, block})
+	if h, ok := t.blocks.Peek(block); ok {
+		delete(h, id)
+	}
 }
 
-// CachedBytes returns the length of the longest prefix that the upstream has
-// probably cached.
-func (t *Table) CachedBytes(id model.UpstreamID, blocks []Block) int {
+// CachedBytes returns for each upstream the length of the longest prefix that
+// it has probably cached. Upstreams without any are left out.
+func (t *Table) CachedBytes(blocks []Block) map[model.UpstreamID]int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	cached := map[model.UpstreamID]int{}
 	for i := len(blocks) - 1; i >= 0; i-- {
-		if t.pairs.Contains(key{id, blocks[i]}) {
-			return (i + 1) * BlockBytes
+		h, ok := t.blocks.Peek(blocks[i])
+		if !ok {
+			continue
+		}
+		for id := range h {
+			if _, longer := cached[id]; !longer {
+				cached[id] = (i + 1) * BlockBytes
+			}
 		}
 	}
-	return 0
+	return cached
 }
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -55,7 +55,8 @@
 type Table struct {
 	mu      lock.Mutex
 	rows    map[model.UpstreamID]*Row
-	version uint64 // rises with each change of a report
+	serving map[string][]*Row // the same rows by what they serve, sorted by ID
+	version uint64            // rises with each change of a report
 }
 
 // NewTable returns an empty table.
@@ -88,6 +89,24 @@
 		}
 		row.Report.Health = HealthLeaving
 	}
+	t.index()
+}
+
+// index rebuilds serving. The empty name stands for all rows. The caller holds
+// mu.
+func (t *Table) index() {
+	t.serving = map[string][]*Row{}
+	for _, row := range t.rows {
+		t.serving[""] = append(t.serving[""], row)
+		if name := row.Upstream.Serves; name != "" {
+			t.serving[name] = append(t.serving[name], row)
+		}
+	}
+	for _, rows := range t.serving {
+		slices.SortFunc(rows, func(a, b *Row) int {
+			return strings.Compare(string(a.Upstream.ID), string(b.Upstream.ID))
+		})
+	}
 }
 
 // Apply stores a report unless a newer one is known, and reports a change of
@@ -208,16 +227,11 @@
 // upstream ID. An empty name returns all rows.
 func (t *Table) Serving(name string) []Row {
 	t.mu.Lock()
-	rows := make([]Row, 0, len(t.rows))
-	for _, row := range t.rows {
-		if name == "" || row.Upstream.Serves == name {
-			rows = append(rows, *row)
-		}
+	defer t.mu.Unlock()
+	rows := make([]Row, 0, len(t.serving[name]))
+	for _, row := range t.serving[name] {
+		rows = append(rows, *row)
 	}
-	t.mu.Unlock()
-	slices.SortFunc(rows, func(a, b Row) int {
-		return strings.Compare(string(a.Upstream.ID), string(b.Upstream.ID))
-	})
 	return rows
 }
 
--- a/internal/transport/measure/section.go
+++ b/internal/transport/measure/section.go
@@ -33,10 +33,10 @@
 	Run  func(context.Context, Config) ([]Row, error)
 }
 
-// Sections are the parts of the report in their order. The version-move bench
-// and the gossip slopes are added here.
+// Sections are the parts of the report in their order.
 var Sections = []Section{
 	{"resume", resumeSection},
+	{"moves", movesSection},
 	{"routing", routingSection},
 	{"upstream", upstreamSection},
 	{"generation", generationSection},
