--- /dev/null
+++ b/internal/transport/controllink/controllink_test.go
@@ -0,0 +1,79 @@
+package controllink
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"gotest.tools/v3/assert"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/stop"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer/devcert"
+)
+
+// Guards against a view or a report that is lost between encoding and handler.
+func TestViewsAndReportsOverQUIC(t *testing.T) {
+	instances := instance.NewTable()
+	tables := view.Tables{
+		Documents: document.NewTable(),
+		Instances: instances,
+		Upstreams: upstream.NewTable(),
+		Stops:     stop.NewTable(),
+		Suspects:  suspect.NewTable("a"),
+		Directory: membership.NewDirectory(instances),
+	}
+	reports := make(chan view.Report, 1)
+	link := start(t, peer.Mux{
+		peerwire.KindView:   ServeViews(tables, func(bool) {}),
+		peerwire.KindReport: ServeReports(func(r view.Report) { reports <- r }),
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	views := make(chan view.View, 1)
+	go link.Follow(ctx, func(v view.View) { views <- v })
+	tables.Documents.Apply(&model.Document{Generation: 3})
+	got := <-views
+	for got.Document == nil {
+		got = <-views
+	}
+	assert.Equal(t, got.Document.Generation, uint64(3))
+
+	stops := stop.NewTable()
+	stops.Add(model.Stop{Key: model.VersionKey{Serves: "m", Version: "2"}, Epoch: 4})
+	reporter := &view.Reporter{
+		Self: "a", Evidence: evidence.NewTable(), Stops: stops, Upstreams: upstream.NewTable(), Suspects: suspect.NewTable("a"),
+	}
+	go link.SendReports(ctx, reporter, func() bool { return false })
+	assert.DeepEqual(t, (<-reports).Stops, stops.Stops())
+}
+
+// start serves the handlers and returns a link to them.
+func start(t *testing.T, handlers peer.Mux) *Link {
+	t.Helper()
+	ca, err := devcert.New(t.TempDir())
+	assert.NilError(t, err)
+	f, err := ca.Issue("a")
+	assert.NilError(t, err)
+	options := peer.Options{Address: "127.0.0.1:0", CertFile: f.Cert, KeyFile: f.Key, CAFile: f.CA}
+	server, err := peer.NewServer(options, handlers)
+	assert.NilError(t, err)
+	client, err := peer.NewClient(options)
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		_ = client.Close()
+		_ = server.Close()
+	})
+	return &Link{Client: client, Control: server.Address(), Log: &log.Logger{Handler: discard.New()}}
+}
