Report the longest pause of the measuring process

Cause: one run of the whole table, at a load average of up to 30, showed gaps of 15.2 to 15.4 s in about 28 of 100 trials with a cut connection. 28 is about the number of trials that run at once, and the gaps ended within 170 ms of one another, which points to a pause of the machine, but nothing recorded it.

Ruled out: a fault that each cut can cause.

Change: the resume section reports how long this process did not run although a timer was due. Trials are not left out for it.

Conclusion: the cause of the long gaps is not proved; the next one can be told from a pause.

--- a/internal/transport/measure/section.go
+++ b/internal/transport/measure/section.go
@@ -74,7 +74,9 @@
 
 func resumeSection(_ context.Context, c Config) ([]Row, error) {
 	var rows []Row
+	pause := watchPauses()
 	measured := Resume(c.Seed, c.scaled(100, 4))
+	longest := pause()
 	for i := 0; i < len(measured); i += 2 {
 		ours, base := measured[i], measured[i+1]
 		add := func(figure, unit, value, baseline string) {
@@ -91,7 +93,7 @@
 		add("extra tokens", "each token", number(ours.ExtraTokens), number(base.ExtraTokens))
 		add("extra prefill", "each prompt byte", number(ours.ExtraPrefill), number(base.ExtraPrefill))
 	}
-	return rows, nil
+	return append(rows, Row{Section: "resume", Case: "this process", Figure: "longest pause", Unit: "ms", Value: millis(longest)}), nil
 }
 
 func trials(r ResumeRow) string { return fmt.Sprintf("%d/%d", r.Whole, r.Trials) }
--- a/internal/transport/measure/section_test.go
+++ b/internal/transport/measure/section_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -25,6 +26,15 @@
 	assert.ErrorContains(t, err, `section "relays" does not exist`)
 }
 
+// Guards against a watch that sees pauses where there are none.
+func TestWatchPauses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stop := watchPauses()
+		time.Sleep(time.Second)
+		assert.Equal(t, stop(), time.Duration(0))
+	})
+}
+
 // Guards against a slope that is taken for the fixed part.
 func TestLine(t *testing.T) {
 	slope, fixed := line([]point{{10, 25}, {20, 45}, {40, 85}})
