List the judged moves in svctl and try a move with real processes

Cause: svctl read move records in a form that nothing writes, and no run of the processes had moved a version.

Ruled out: a second record for operators; the judged record has all that they need.

Change: svctl lists rollout's records with requests and failures; scripts/move.sh and `make demo-move` move a model under load to a version that is good and then to one that fails a third of its requests.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 SIZE ?= 0.3
 
-.PHONY: build test check fmt demo soak measure
+.PHONY: build test check fmt demo demo-move soak measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -29,6 +29,10 @@
 demo: build
 	scripts/demo.sh
 
+# Moves a model to a good and to a bad version under load.
+demo-move: build
+	scripts/move.sh
+
 # Today's size under load and seeded faults: SEED=1 SECONDS_LONG=120 make soak.
 soak: build
 	scripts/soak.sh
--- a/cmd/svctl/main.go
+++ b/cmd/svctl/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/operator"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/platform"
@@ -29,7 +30,7 @@
 	directory := platform.NewDirectory(client)
 	return &operator.Platform{
 		Heads:   platform.NewRows[environment.Head](client, platform.StateTable),
-		Moves:   platform.NewRows[operator.Move](client, platform.StateTable),
+		Moves:   platform.NewRows[rollout.Move](client, platform.StateTable),
 		Objects: platform.NewObjects(client),
 		Instances: func(ctx context.Context) ([]model.Instance, error) {
 			machines, err := directory.List(ctx)
--- a/internal/transport/operator/lists.go
+++ b/internal/transport/operator/lists.go
@@ -8,6 +8,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
@@ -29,7 +30,31 @@
 	Share    float64   `json:"share"`
 	FinishBy time.Time `json:"finish_by"`
 	Reason   string    `json:"reason"`
-	At       time.Time `json:"at"`
+	At       time.Time `json:"at"` // end of the move, or its last change of share
+	// Figures of the target version.
+	Requests     uint64  `json:"requests"`
+	Failures     uint64  `json:"failures"`
+	HighestShare float64 `json:"highest_share"`
+}
+
+func newListedMove(m rollout.Move) listedMove {
+	at := m.Ended
+	if at.IsZero() {
+		at = m.ShareSince
+	}
+	return listedMove{
+		Name:         m.Serves,
+		Target:       m.Plan.Target,
+		Previous:     m.Plan.Previous,
+		State:        string(m.State),
+		Share:        m.Share,
+		FinishBy:     m.Plan.FinishBy,
+		Reason:       m.Reason,
+		At:           at,
+		Requests:     m.Figures.Requests,
+		Failures:     m.Figures.Failures,
+		HighestShare: m.Figures.HighestShare,
+	}
 }
 
 // Run implements the command.
@@ -44,13 +69,13 @@
 	}
 	list := make([]listedMove, 0, len(rows))
 	for _, row := range rows {
-		list = append(list, listedMove(row.Value))
+		list = append(list, newListedMove(row.Value))
 	}
 	slices.SortStableFunc(list, func(a, b listedMove) int { return a.At.Compare(b.At) })
-	t := table{header: []any{"NAME", "TARGET", "PREVIOUS", "STATE", "SHARE", "FINISH BY", "AT", "REASON"}}
+	t := table{header: []any{"NAME", "TARGET", "PREVIOUS", "STATE", "SHARE", "FINISH BY", "AT", "REQUESTS", "FAILURES", "REASON"}}
 	for _, m := range list {
 		share := fmt.Sprintf("%.0f%%", 100*m.Share)
-		t.rows = append(t.rows, []any{m.Name, m.Target, dash(m.Previous), m.State, share, timeText(m.FinishBy), timeText(m.At), dash(m.Reason)})
+		t.rows = append(t.rows, []any{m.Name, m.Target, dash(m.Previous), m.State, share, timeText(m.FinishBy), timeText(m.At), m.Requests, m.Failures, dash(m.Reason)})
 	}
 	return r.out.print(list, t)
 }
--- a/internal/transport/operator/operator_test.go
+++ b/internal/transport/operator/operator_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/golden"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
@@ -73,7 +74,7 @@
 type bench struct {
 	t      *testing.T
 	heads  *fakeRows[environment.Head]
-	moves  *fakeRows[Move]
+	moves  *fakeRows[rollout.Move]
 	stdout bytes.Buffer
 	stderr bytes.Buffer
 	config Config
@@ -83,9 +84,15 @@
 	t.Setenv("USER", "ann")
 	t.Setenv("SVCTL_PLATFORM", "http://127.0.0.1:1")
 	now := time.Date(2026, 10, 1, 12, 0, 0, 0, time.UTC)
-	b := &bench{t: t, heads: &fakeRows[environment.Head]{rows: map[string]environment.Head{}}, moves: &fakeRows[Move]{rows: map[string]Move{}}}
-	b.moves.rows["moves/production/bake-log/4"] = Move{Name: "bake-log", Target: "2.1", Previous: "2.0", State: "moving", Share: 0.25, FinishBy: now, At: now}
-	b.moves.rows["moves/production/bake-log/3"] = Move{Name: "bake-log", Target: "2.0", State: "finished", Share: 1, Reason: "in time", At: now.Add(-time.Hour)}
+	b := &bench{t: t, heads: &fakeRows[environment.Head]{rows: map[string]environment.Head{}}, moves: &fakeRows[rollout.Move]{rows: map[string]rollout.Move{}}}
+	b.moves.rows["moves/production/bake-log/4"] = rollout.Move{
+		Serves: "bake-log", Plan: model.VersionPlan{Target: "2.1", Previous: "2.0", FinishBy: now}, State: rollout.Moving,
+		Share: 0.25, ShareSince: now, Figures: rollout.Figures{Requests: 420, Failures: 3},
+	}
+	b.moves.rows["moves/production/bake-log/3"] = rollout.Move{
+		Serves: "bake-log", Plan: model.VersionPlan{Target: "2.0"}, State: rollout.Finished, Share: 1, Reason: "in time",
+		Ended: now.Add(-time.Hour),
+	}
 	platform := &Platform{Heads: b.heads, Moves: b.moves, Objects: fakeObjects{}}
 	platform.Instances = func(context.Context) ([]model.Instance, error) {
 		return []model.Instance{{ID: "b-1", State: model.InstanceLeaving}, {ID: "a-1", State: model.InstanceLive, CallerAddress: "10.0.0.1:80"}}, nil
--- a/internal/transport/operator/platform.go
+++ b/internal/transport/operator/platform.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -12,7 +12,7 @@
 // Platform is what the commands need of the platform.
 type Platform struct {
 	Heads     store.Rows[environment.Head]
-	Moves     store.Rows[Move]
+	Moves     store.Rows[rollout.Move]
 	Objects   store.Objects
 	Instances func(context.Context) ([]model.Instance, error)
 }
@@ -20,18 +20,6 @@
 // Connect returns a client of the platform at the URL.
 type Connect func(url string) (*Platform, error)
 
-// Move is a record under moves/<environment>/<name>/<generation>.
-type Move struct {
-	Name     string
-	Target   string
-	Previous string
-	State    string
-	Share    float64
-	FinishBy time.Time
-	Reason   string
-	At       time.Time
-}
-
 // movesPrefix returns the prefix of the keys of an environment's moves.
 func movesPrefix(environment string) string {
 	return "moves/" + environment + "/"
