Bound the probes of an instance that finds few others

Cause: an instance that has not met the others yet takes all upstreams of its region. 640 processes on one machine then sent 560,000 probes a second, and the load kept them from meeting. Change: at most 100 probes a second; more upstreams are probed in turns. The cost of gossip is measured in virtual time, go test ./internal/transport/ gossipcost -run TestCost -cost, so that the load of the machine does not change bytes and messages. Ruled out: measuring 640 processes in real time, as they overload 10 cores.

--- a/internal/coordination/watch/judge.go
+++ b/internal/coordination/watch/judge.go
@@ -11,6 +11,10 @@
 	// ProbeInterval is the time between two probes of an upstream.
 	ProbeInterval = time.Second
 	probeTimeout  = 900 * time.Millisecond
+	// maxProbesPerSecond bounds the probes of an instance that finds few others,
+	// for example one that is cut off: it then probes each upstream less often.
+	// At the target size 11 fall to each instance.
+	maxProbesPerSecond = 100
 	// changeAfter is the number of probes in a row that make an upstream down, or
 	// up again. One failure can be a lost packet. Where only one of the two
 	// watchers reaches the upstream, it also bounds how often they overrule each
--- a/internal/coordination/watch/manager.go
+++ b/internal/coordination/watch/manager.go
@@ -50,6 +50,7 @@
 	version  uint64         // of the instance table at the last look
 	others   uint64         // hash of the instances at the last assignment
 	document *model.Document
+	second   uint64 // number of the current second
 }
 
 // NewManager returns a manager that watches nothing yet.
@@ -67,16 +68,18 @@
 func (m *Manager) run() {
 	m.opts.Pool.After(ProbeInterval, Key, worker.Func(m.run))
 	m.reassign()
+	m.second++
+	turns := uint64(1 + (len(m.assigned)-1)/maxProbesPerSecond)
 	for id, u := range m.assigned {
-		m.opts.Pool.After(offset(id), Key, worker.Func(func() { m.probe(u) }))
+		hash := xxhash.Sum64String(string(id))
+		if (hash>>32+m.second)%turns == 0 {
+			// The offset spreads the probes over the second.
+			offset := time.Duration(hash % uint64(ProbeInterval))
+			m.opts.Pool.After(offset, Key, worker.Func(func() { m.probe(u) }))
+		}
 	}
 }
 
-// offset spreads the probes over the interval.
-func offset(id model.UpstreamID) time.Duration {
-	return time.Duration(xxhash.Sum64String(string(id)) % uint64(ProbeInterval))
-}
-
 // reassign computes the own upstreams after a change of instances or of the
 // document.
 func (m *Manager) reassign() {
--- a/internal/transport/gossipcost/fleet.go
+++ b/internal/transport/gossipcost/fleet.go
@@ -33,8 +33,8 @@
 	processes []*process
 }
 
-// startGap is the time between the starts of two processes.
-const startGap = 20 * time.Millisecond
+// startSpan is the time over which the processes start.
+const startSpan = 2 * time.Second
 
 func startFleet(o Options) *fleet {
 	f := &fleet{options: o, net: &network{managers: map[string]*gossip.Manager{}}}
@@ -46,7 +46,7 @@
 		p.gossip.Start()
 		p.watch.Start()
 		p.countRequests(o.Moves)
-		time.Sleep(startGap)
+		time.Sleep(startSpan / time.Duration(o.Instances))
 	}
 	return f
 }
