--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -19,6 +19,9 @@
 )
 
 const (
+	// maxRefusals ends a generation that cannot be continued: after 10 s of
+	// refusals every instance has learnt of the loss.
+	maxRefusals    = 100
 	reconnectPause = 100 * time.Millisecond
 	maxEventBytes  = 1 << 20
 	maxReplyBytes  = 1 << 20
@@ -84,6 +87,7 @@
 
 // stream is the state of one streamed generation over its connections.
 type stream struct {
+	refusals   int // in a row
 	client     *Client
 	body       []byte
 	started    time.Time
@@ -112,7 +116,7 @@
 	s := &stream{client: c, body: body, started: time.Now(), watch: watch}
 	for attempt := 0; ; attempt++ {
 		done, err := s.connect(ctx, attempt)
-		if done || ctx.Err() != nil {
+		if done || ctx.Err() != nil || s.refusals >= maxRefusals {
 			return s.transcript, errors.Join(ctx.Err(), err)
 		}
 		s.transcript.Reconnects++
@@ -151,6 +155,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.refused(resp)
 	}
+	s.refusals = 0
+	s.transcript.Failure = ""
 	return s.read(resp.Body), nil
 }
 
@@ -158,6 +164,7 @@
 func (s *stream) refused(resp *http.Response) (bool, error) {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
 	s.transcript.Failure = failureCode(string(body))
+	s.refusals++
 	retry := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
 	return !retry, fmt.Errorf("status %d: %s", resp.StatusCode, bytes.TrimSpace(body))
 }
