Use a field term in the document diff test

Cause: the test named an upstream after a word of the users' pages.

Ruled out: renaming the model of the example document, which is the users' own.

Conclusion: no behaviour changes.

--- a/internal/protocol/envdoc/envdoc_test.go
+++ b/internal/protocol/envdoc/envdoc_test.go
@@ -108,7 +108,7 @@
 	b.Models[0].Plan = model.VersionPlan{Target: "2.1"}
 	b.Services[0].Routes[1].Timeout = time.Second
 	b.Services[0].Routes = b.Services[0].Routes[1:]
-	b.Upstreams[0].ID = "bake-new"
+	b.Upstreams[0].ID = "engine-new"
 	b.Upstreams[1].Fencing = model.FencingIgnored
 	var lines strings.Builder
 	for _, change := range Diff(a, b) {
