Set no timer that is already due

The in-memory table of the tests waited with time.After(fault.Delay), and the delay is usually 0. In a testing/synctest bubble the Go 1.26 runtime runs a due timer on the goroutine that sets it, under the one race context of the bubble; two goroutines that do so at the same time corrupt it.

Ruled out: load on the machine (ten parallel runs of the package passed) and timers in the future (a reproduction with time.After(1ms) on 8 goroutines passed twice, the same with time.After(0) crashed within 0.05 s).

Change: the six sleeps that stood in as many packages are now wait.Sleep, which returns at once for a duration of 0.

Conclusion: no timer in tests under synctest may be due when it is set.

--- a/internal/coordination/call/idempotent_test.go
+++ b/internal/coordination/call/idempotent_test.go
@@ -12,6 +12,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
 	"gotest.tools/v3/assert"
 )
 
@@ -32,12 +33,10 @@
 
 func status(code int, after time.Duration) func(context.Context) (Response, error) {
 	return func(ctx context.Context) (Response, error) {
-		select {
-		case <-time.After(after):
-			return Response{Status: code}, nil
-		case <-ctx.Done():
-			return Response{}, &SendError{Sent: true, Err: ctx.Err()}
+		if err := wait.Sleep(ctx, after); err != nil {
+			return Response{}, &SendError{Sent: true, Err: err}
 		}
+		return Response{Status: code}, nil
 	}
 }
 
--- a/internal/coordination/environment/promote.go
+++ b/internal/coordination/environment/promote.go
@@ -10,6 +10,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
 )
 
 // Intervals between the tries to resolve a lost answer.
@@ -72,7 +73,7 @@
 // error that matches store.ErrUnavailable when nothing was changed because
 // the store cannot be reached. It blocks on the network.
 func Promote(ctx context.Context, rows store.Rows[Head], objects store.Objects, p Promotion) (Head, error) {
-	run := &promoter{rows: rows, objects: objects, p: p, sleep: sleep}
+	run := &promoter{rows: rows, objects: objects, p: p, sleep: wait.Sleep}
 	return run.promote(ctx)
 }
 
@@ -206,14 +207,3 @@
 	current, err := readHead(ctx, rows, environment)
 	return current.head, trace.Wrap(err, "head of environment %s", environment)
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/coordination/environment/watcher_test.go
+++ b/internal/coordination/environment/watcher_test.go
@@ -38,7 +38,7 @@
 	})
 }
 
-func wait(d time.Duration) {
+func advance(d time.Duration) {
 	time.Sleep(d)
 	synctest.Wait()
 }
@@ -50,7 +50,7 @@
 		for i := range uint64(5) {
 			_, err := promote(s, promotion("change"+string(rune('a'+i)), i))
 			assert.NilError(t, err)
-			wait(3 * time.Second)
+			advance(3 * time.Second)
 			assert.Equal(t, w.generation(), i+1)
 			source, ok := w.Source(i + 1)
 			assert.Assert(t, ok && strings.HasPrefix(string(source), "document of change"))
@@ -58,13 +58,13 @@
 		_, ok := w.Source(4)
 		assert.Assert(t, !ok)
 		reads.Store(0)
-		wait(time.Minute)
+		advance(time.Minute)
 		n := reads.Load()
 		assert.Assert(t, n >= 20 && n <= 30, "%d reads", n)
 		w.Stop()
-		wait(time.Second)
+		advance(time.Second)
 		reads.Store(0)
-		wait(time.Minute)
+		advance(time.Minute)
 		assert.Equal(t, reads.Load(), int64(0))
 	})
 }
@@ -76,9 +76,9 @@
 		s.mu.Lock()
 		s.next = func(int) fault { return faultRefused }
 		s.mu.Unlock()
-		wait(time.Minute)
+		advance(time.Minute)
 		reads.Store(0)
-		wait(time.Minute)
+		advance(time.Minute)
 		n := reads.Load()
 		assert.Assert(t, n >= 4 && n <= 8, "%d reads", n)
 		s.mu.Lock()
@@ -86,7 +86,7 @@
 		s.mu.Unlock()
 		_, err := promote(s, promotion("change", 0))
 		assert.NilError(t, err)
-		wait(outageInterval * 12 / 10)
+		advance(outageInterval * 12 / 10)
 		assert.Equal(t, w.generation(), uint64(1))
 	})
 }
@@ -100,12 +100,12 @@
 		w.Learn(&model.Document{Environment: environment, Generation: 4}, nil)
 		w.Learn(&model.Document{Environment: "production", Generation: 9}, nil)
 		w.LearnSource(8, []byte("bad"))
-		wait(time.Second)
+		advance(time.Second)
 		assert.Equal(t, w.generation(), uint64(5))
 		source, ok := w.Source(5)
 		assert.Assert(t, ok && string(source) == "from a peer")
 		w.Learn(&model.Document{Environment: environment, Generation: 6}, nil)
-		wait(time.Second)
+		advance(time.Second)
 		_, ok = w.Source(6)
 		assert.Assert(t, !ok)
 
@@ -113,12 +113,12 @@
 		s.objects[BodyKey("h")] = []byte("bad")
 		s.head, s.revision = Head{Generation: 7, Hash: "h"}, 1
 		s.mu.Unlock()
-		wait(4 * time.Second)
+		advance(4 * time.Second)
 		assert.Equal(t, w.refused.Generation, uint64(7))
 		s.mu.Lock()
 		delete(s.objects, BodyKey("h")) // a second fetch would start the back-off
 		s.mu.Unlock()
-		wait(10 * time.Second)
+		advance(10 * time.Second)
 		assert.Assert(t, w.pause == nil)
 		assert.Equal(t, w.generation(), uint64(6))
 	})
--- a/internal/coordination/store/storetest/storetest.go
+++ b/internal/coordination/store/storetest/storetest.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
 )
 
 // Fault says how one call goes wrong. The zero value is a call that succeeds
@@ -107,12 +108,7 @@
 	if fault.Down || fault.Lose {
 		return store.ErrUnavailable
 	}
-	select {
-	case <-time.After(fault.Delay):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return wait.Sleep(ctx, fault.Delay)
 }
 
 func (r *Rows[T]) apply(key string, value T, expected store.Revision) (store.Revision, error) {
--- a/internal/transport/controllink/controllink.go
+++ b/internal/transport/controllink/controllink.go
@@ -11,6 +11,7 @@
 	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
 )
 
@@ -89,7 +90,7 @@
 			return
 		}
 		l.Log.WithError(err).Warn("control process is away, the last view stays in force")
-		pause(ctx, reconnectPause)
+		_ = wait.Sleep(ctx, reconnectPause)
 	}
 }
 
@@ -144,12 +145,3 @@
 	_, err = l.Client.Request(ctx, l.Control, m)
 	return err
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/transport/standin/engine/delivery.go
+++ b/internal/transport/standin/engine/delivery.go
@@ -10,6 +10,7 @@
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin"
 )
 
@@ -78,7 +79,7 @@
 	chance := d.engine.faults.Chance
 	d.sent += len(tokens)
 	chunk := d.chunk(engineapi.Choice{Text: strings.Join(tokens, ""), Position: position, Tokens: tokens})
-	if chance(faults.LateFraction) && !pause(d.ctx, faults.late()) {
+	if chance(faults.LateFraction) && wait.Sleep(d.ctx, faults.late()) != nil {
 		return false
 	}
 	copies := 1
@@ -175,15 +176,3 @@
 		}
 	}
 }
-
-// pause waits and reports false if the context ended first.
-func pause(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/transport/standin/platform/platform.go
+++ b/internal/transport/standin/platform/platform.go
@@ -3,13 +3,12 @@
 package platform
 
 import (
-	"context"
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
 )
 
 const defaultWeightBytes = 1024
@@ -125,38 +124,23 @@
 // the call goes no further.
 func (p *Platform) admit(w http.ResponseWriter, r *http.Request, calls *limit) bool {
 	faults := p.faults.Get()
-	if !sleep(r.Context(), faults.latency()) {
+	if wait.Sleep(r.Context(), faults.latency()) != nil {
 		standin.CutConnection()
 	}
 	if faults.Down {
 		refuse(w, http.StatusServiceUnavailable, platformapi.CodeNotApplied, "the platform is down; the request had no effect")
 		return false
 	}
-	wait := calls.take()
-	if wait == 0 {
+	seconds := calls.take()
+	if seconds == 0 {
 		return true
 	}
 	p.counters.rateLimited.Add(1)
-	w.Header().Set("Retry-After", strconv.Itoa(wait))
+	w.Header().Set("Retry-After", strconv.Itoa(seconds))
 	refuse(w, http.StatusTooManyRequests, platformapi.CodeRateLimited, "over the rate; the request had no effect")
 	return false
 }
 
-// sleep waits and reports false if the context ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return true
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func refuse(w http.ResponseWriter, status int, code, message string) {
 	standin.WriteJSON(w, status, platformapi.ErrorReply{Error: platformapi.Problem{Code: code, Message: message}})
 }
