--- a/internal/transport/standin/platform/platform.go
+++ b/internal/transport/standin/platform/platform.go
@@ -7,8 +7,8 @@
 	"strconv"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
-	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin"
 )
 
 const defaultWeightBytes = 1024
