Find the copies of a second owner

The copy of an instance that had taken a generation over was then out of reach whenever its holder was in the first owner's domain. The second part: tokens were shown under the new line before any holder knew it, and the lost owner could be chosen as the holder of the new line.

Ruled out: that the copy did not exist.

Change: a line that is not the first owner's names its owner, and a reconnect follows that name. Until a holder can continue the new line, events name the parent line as long as all tokens come from the parent's engine stream. The header is sent when the stream is attached, no longer at its first token. Owners of parent lines are taken as holders last. ExtendFork stood twice; both are now Record.Append.

Conclusion: what stays open is a loss of the first owner, its holder and the second owner, or of the engine, before the new line is copied.

--- a/cmd/entryd/entry.go
+++ b/cmd/entryd/entry.go
@@ -112,7 +112,7 @@
 		Copier:      copies,
 		Guard:       guard,
 		Observe:     func(up model.Upstream, o evidence.Observation) { e.observe(up, rollout.GenerateRoute, o) },
-		NewLine:     relay.RandomLine,
+		NewLine:     func(id model.RequestID) model.LineID { return replication.NewLine(self, id) },
 		CopyAfter:   copyAfter,
 		Retain:      retain,
 		Log:         e.log,
--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -55,9 +55,6 @@
 			i.m.armSilence(r)
 		}
 		i.m.opts.Guard.Progressed(r.Print, len(r.Tokens))
-		if r.Attempt.Attached { // a log that was taken over has no copy of its line yet
-			i.m.opts.Copier.Opened(r)
-		}
 		i.m.opts.Copier.Accepted(i.id)
 	case Stale:
 		i.cancelStale(r)
@@ -99,10 +96,7 @@
 	if len(r.Tokens) == r.Attempt.First {
 		r.Attempt.FirstWait = at.Sub(r.Attempt.Started)
 	}
-	r.Tokens = append(r.Tokens, tokens...)
-	if r.Attempt.Attached && r.Attempt.Stream == r.TakenOver {
-		r.ExtendFork()
-	}
+	r.Append(tokens)
 	r.Attempt.LastSeen = at
 	r.Failures = 0
 }
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -232,6 +232,7 @@
 	req := StreamRequest{Stream: attempt.Stream, Spec: r.Spec, Version: up.Version}
 	m.opts.Engines.Attach(up, req, len(r.Tokens), reattachTimeout, m.events(r, up))
 	m.armSilence(r)
+	m.opts.Copier.Opened(r) // a line that was taken over has no copy yet
 }
 
 func (m *Manager) openAttempt(id model.RequestID, a generation.Attempt) generation.Record {
@@ -294,8 +295,9 @@
 		if r.Shown > 0 {
 			return
 		}
-		r.Line = m.opts.NewLine()
+		r.Line = m.opts.NewLine(id)
 		r.Forks = nil
+		r.LineCopied = false
 		r.Tokens = nil
 		r.Copied = 0
 		r.Version = ""
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -18,7 +18,6 @@
 package relay
 
 import (
-	"crypto/rand"
 	"time"
 
 	"github.com/apex/log"
@@ -101,7 +100,7 @@
 	Guard       Guard
 	// Observe counts one attempt as evidence on its version.
 	Observe func(up model.Upstream, o evidence.Observation)
-	NewLine func() model.LineID
+	NewLine func(model.RequestID) model.LineID
 	// Decide chooses what follows a loss. Nil means the package's own rules; a
 	// measurement sets its baseline here.
 	Decide    func(Situation) Action
@@ -125,9 +124,6 @@
 	return &Manager{opts: opts, metrics: newMetrics()}
 }
 
-// RandomLine returns a line ID of at least 64 random bits.
-func RandomLine() model.LineID { return model.LineID(rand.Text()[:16]) }
-
 func key(id model.RequestID) worker.Key { return worker.Key(id) }
 
 // Submit takes a new generation. Its tokens and its end appear in the
@@ -137,7 +133,7 @@
 	m.opts.Generations.Insert(generation.Record{
 		Spec:      spec,
 		Print:     suspicion.Fingerprint(spec),
-		Line:      m.opts.NewLine(),
+		Line:      m.opts.NewLine(spec.Request),
 		Created:   now,
 		CopyAfter: now.Add(m.opts.CopyAfter),
 	})
--- a/internal/coordination/replication/holders.go
+++ b/internal/coordination/replication/holders.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"crypto/rand"
 	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
@@ -23,6 +25,26 @@
 	return model.InstanceID(id[:i]), true
 }
 
+// NewLine returns the ID of a new line that self owns: at least 64 random bits
+// and, unless the request ID already names self, the instance's name before
+// them. A reconnect finds the owner and its copy holders by these names.
+func NewLine(self model.InstanceID, id model.RequestID) model.LineID {
+	random := rand.Text()[:16]
+	if owner, ok := Owner(id); ok && owner == self {
+		return model.LineID(random)
+	}
+	return model.LineID(string(self) + "-" + random)
+}
+
+// lineOwner returns the instance that a line names, or else the one that its
+// request names.
+func lineOwner(id model.RequestID, line model.LineID) (model.InstanceID, bool) {
+	if i := strings.LastIndexByte(string(line), '-'); i > 0 {
+		return model.InstanceID(line[:i]), true
+	}
+	return Owner(id)
+}
+
 // Holders returns the instances that may hold copies of a request's log, best
 // first: at most six live instances by rendezvous hash of the request ID.
 // Instances of another failure domain in the owner's region come first, so
@@ -51,6 +73,28 @@
 	return holders
 }
 
+// lostLast moves the owners of the lines that a record descends from to the
+// end. They are probably lost, even if no detector has said so yet.
+func lostLast(r *generation.Record, holders []model.Instance) []model.Instance {
+	lost := func(in model.Instance) bool {
+		return slices.ContainsFunc(r.Forks, func(f generation.Fork) bool {
+			owner, _ := lineOwner(r.Spec.Request, f.Line)
+			return owner == in.ID
+		})
+	}
+	slices.SortStableFunc(holders, func(a, b model.Instance) int {
+		switch lostA, lostB := lost(a), lost(b); {
+		case lostA == lostB:
+			return 0
+		case lostA:
+			return 1
+		default:
+			return -1
+		}
+	})
+	return holders
+}
+
 // mayHold reports whether an instance can hold copies. A leaving instance
 // drops its copies soon.
 func mayHold(in model.Instance) bool {
--- a/internal/coordination/replication/locate.go
+++ b/internal/coordination/replication/locate.go
@@ -37,7 +37,7 @@
 
 // Reasons.
 const (
-	ReasonUnknownOwner Reason = "unknown_owner" // the request ID names no instance
+	ReasonUnknownOwner Reason = "unknown_owner" // the IDs name no instance
 	ReasonNoCopy       Reason = "no_copy"       // no holder has a copy
 	ReasonOtherLine    Reason = "other_line"    // only copies of other lines exist
 	ReasonUnreachable  Reason = "unreachable"   // no instance that could know answered
@@ -65,7 +65,7 @@
 	if r, ok := m.opts.Table.Get(id); ok && r.Holds(line, position) {
 		return Source{Kind: SourceLocal, Owner: m.opts.Self, Reader: m.opts.Table.Read(id, position)}, nil
 	}
-	first, ok := Owner(id)
+	first, ok := lineOwner(id, line)
 	if !ok {
 		return Source{}, &NotLocatedError{Request: id, Reason: ReasonUnknownOwner}
 	}
@@ -89,7 +89,7 @@
 	return Source{
 		Kind:        SourceCopied,
 		Owner:       c.Header.Owner,
-		Record:      takeOver(c, m.opts.NewLine(), want.Position),
+		Record:      takeOver(c, m.opts.NewLine(m.opts.Self, want.Request), want.Position),
 		NeedsStream: c.fit(want) == 1,
 	}
 }
--- a/internal/coordination/replication/manager.go
+++ b/internal/coordination/replication/manager.go
@@ -18,9 +18,9 @@
 	Table     *generation.Table // own generations
 	Instances *instance.Table
 	Peers     Peers
-	Holder    *Holder             // own copies, which Locate searches too
-	Counters  Counters            // nil counts nothing
-	NewLine   func() model.LineID // nil makes random IDs
+	Holder    *Holder                                              // own copies, which Locate searches too
+	Counters  Counters                                             // nil counts nothing
+	NewLine   func(model.InstanceID, model.RequestID) model.LineID // nil means NewLine
 }
 
 // Manager copies the logs of own generations. Opened, Accepted and Ended run
@@ -36,7 +36,7 @@
 		opts.Counters = noCounters{}
 	}
 	if opts.NewLine == nil {
-		opts.NewLine = randomLine
+		opts.NewLine = NewLine
 	}
 	return &Manager{opts: opts, progress: replica.NewProgressTable()}
 }
@@ -135,11 +135,12 @@
 // fork gives the tokens of the current attempt a line of their own. No copy
 // of another instance is taken for that line.
 func (m *Manager) fork(r *generation.Record) {
-	id, line := r.Spec.Request, m.opts.NewLine()
+	id := r.Spec.Request
+	line := m.opts.NewLine(m.opts.Self, id)
 	m.opts.Table.Update(id, func(r *generation.Record) {
 		parent := generation.Fork{Line: r.Line, Position: min(r.Attempt.First, len(r.Tokens))}
 		r.Forks = append([]generation.Fork{parent}, r.Forks...)
-		r.Line, r.HoldBack = line, false
+		r.Line, r.LineCopied, r.HoldBack = line, false, false
 	})
 	m.progress.Update(id, func(p *replica.Progress) {
 		p.Line, p.Settled, p.Abandoned = line, r.Attempt.Number, false
@@ -171,7 +172,7 @@
 	id := r.Spec.Request
 	self, _ := m.opts.Instances.Get(m.opts.Self)
 	self.ID = m.opts.Self
-	holders := Holders(id, self, m.opts.Instances.All())
+	holders := lostLast(r, Holders(id, self, m.opts.Instances.All()))
 	if len(holders) == 0 {
 		m.showAll(id)
 		m.progress.Update(id, func(p *replica.Progress) {
@@ -298,6 +299,9 @@
 		return
 	}
 	m.acknowledged(id, ack.Known, held, s)
+	if ack.Known && s.attempt >= r.Attempt.Number && held >= r.Attempt.First {
+		m.lineCopied(&r)
+	}
 	switch {
 	case ack.Known && copying(&r, time.Now()):
 		m.copied(&r, held)
@@ -333,6 +337,15 @@
 	}
 }
 
+// lineCopied lets events name the record's own line. The copy can be continued
+// by the stream of the attempt that it knows.
+func (m *Manager) lineCopied(r *generation.Record) {
+	if r.LineCopied {
+		return
+	}
+	m.opts.Table.Update(r.Spec.Request, func(r *generation.Record) { r.LineCopied = true })
+}
+
 // giveUp turns to the next holder after a message without an acknowledgement.
 func (m *Manager) giveUp(r *generation.Record) {
 	id := r.Spec.Request
--- a/internal/coordination/replication/takeover.go
+++ b/internal/coordination/replication/takeover.go
@@ -1,7 +1,6 @@
 package replication
 
 import (
-	"crypto/rand"
 	"slices"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
@@ -80,25 +79,3 @@
 	r.Line = line
 	return r
 }
-
-// ExtendFork moves the fork of a taken-over record forward to the given
-// position, at most to its last token. The relay calls it for tokens from the
-// engine stream that the lost owner had attached to: they are the parent
-// line's own tokens. It must not be called for tokens of another attempt.
-func ExtendFork(r *generation.Record, position int) {
-	if len(r.Forks) == 0 {
-		return
-	}
-	position = min(position, len(r.Tokens))
-	if position <= r.Forks[0].Position {
-		return
-	}
-	r.Forks = slices.Clone(r.Forks)
-	r.Forks[0].Position = position
-}
-
-// randomLine returns a line ID of at least 64 random bits without a dot, which
-// separates the parts of stream and event IDs.
-func randomLine() model.LineID {
-	return model.LineID(rand.Text()[:16])
-}
--- a/internal/protocol/debugapi/debugapi.go
+++ b/internal/protocol/debugapi/debugapi.go
@@ -29,6 +29,7 @@
 type Attempt struct {
 	Number   int              `json:"number"`
 	Upstream model.UpstreamID `json:"upstream"`
+	Stream   model.StreamID   `json:"stream"` // as the engine knows it
 	Started  time.Time        `json:"started"`
 	Tokens   int              `json:"tokens"`   // accepted from this attempt
 	Attached bool             `json:"attached"` // joined the stream of the attempt before
@@ -61,6 +62,7 @@
 	return Attempt{
 		Number:   a.Number,
 		Upstream: a.Upstream,
+		Stream:   a.Stream,
 		Started:  a.Started,
 		Tokens:   tokens,
 		Attached: a.Attached,
--- a/internal/protocol/eventid/eventid.go
+++ b/internal/protocol/eventid/eventid.go
@@ -12,15 +12,17 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
-// maxLength bounds an ID: 63 for the instance, 27 for the random part, 32 for
-// the line, 10 for the position, and the separators.
-const maxLength = 160
+// maxLength bounds an ID: 63 for the instance, 27 for the random part, 96 for
+// the line with an instance of its own, 10 for the position, and the
+// separators.
+const maxLength = 220
 
 var (
 	// requestPattern has 128 random bits in 26 base32 digits of one case. The
 	// instance name can hold dashes, so the last dash ends it.
 	requestPattern = regexp.MustCompile(`^([A-Za-z0-9](?:[A-Za-z0-9-]{0,61}[A-Za-z0-9])?)-([a-z2-7]{26}|[A-Z2-7]{26})$`)
-	linePattern    = regexp.MustCompile(`^[A-Za-z0-9]{1,32}$`)
+	// linePattern allows an instance name before the random part.
+	linePattern = regexp.MustCompile(`^(?:[A-Za-z0-9](?:[A-Za-z0-9-]{0,61}[A-Za-z0-9])?-)?[A-Za-z0-9]{1,32}$`)
 	// positionPattern allows one way to write each number.
 	positionPattern = regexp.MustCompile(`^(0|[1-9][0-9]{0,9})$`)
 )
@@ -51,7 +53,7 @@
 		return ID{}, err
 	}
 	if !linePattern.MatchString(parts[1]) {
-		return ID{}, trace.BadParameter("line %q of an event ID must be 1 to 32 letters or digits", parts[1])
+		return ID{}, trace.BadParameter("line %q of an event ID must be 1 to 32 letters or digits, optionally after an instance name and a dash", parts[1])
 	}
 	position, err := parsePosition(parts[2])
 	if err != nil {
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -55,19 +55,22 @@
 // Record is the state of one generation. Table hands out copies that share
 // the token slice; tokens are only appended, never changed.
 type Record struct {
-	Spec     model.GenerationSpec
-	Print    suspect.Fingerprint // of the request
-	Line     model.LineID
-	Version  string // version of the line's engines; empty until placed
-	Forks    []Fork // ancestors, nearest first
-	Tokens   []string
-	HoldBack bool // show only copied tokens
-	Copied   int  // tokens known to be held by the copy holder
-	Shown    int  // tokens handed to the caller, at most
-	Attempt  Attempt
-	History  []PastAttempt
-	Failures int // attempts in a row that brought no token
-	Resumes  int // losses that were followed by another attempt
+	Spec    model.GenerationSpec
+	Print   suspect.Fingerprint // of the request
+	Line    model.LineID
+	Version string // version of the line's engines; empty until placed
+	Forks   []Fork // ancestors, nearest first
+	// LineCopied means that a holder has had a copy of the line from which the
+	// generation can go on.
+	LineCopied bool
+	Tokens     []string
+	HoldBack   bool // show only copied tokens
+	Copied     int  // tokens known to be held by the copy holder
+	Shown      int  // tokens handed to the caller, at most
+	Attempt    Attempt
+	History    []PastAttempt
+	Failures   int // attempts in a row that brought no token
+	Resumes    int // losses that were followed by another attempt
 	// StreamOnly is the position below which tokens may come only from the
 	// stream that was taken over: a caller has seen them, no copy has them.
 	StreamOnly int
@@ -110,10 +113,21 @@
 	return false
 }
 
-// ExtendFork moves the nearest fork to the last token. It is called for tokens
-// from the engine stream of the parent line: they are that line's own tokens.
-func (r *Record) ExtendFork() {
-	if len(r.Forks) == 0 || r.Forks[0].Position >= len(r.Tokens) {
+// ShownLine returns the line that events name. While all tokens are the parent
+// line's own and no holder knows the record's line, that is the parent: another
+// takeover can then still start from the parent's copy.
+func (r *Record) ShownLine() model.LineID {
+	if !r.LineCopied && len(r.Forks) > 0 && r.Forks[0].Position >= len(r.Tokens) {
+		return r.Forks[0].Line
+	}
+	return r.Line
+}
+
+// Append adds tokens of the current attempt. Those of the stream that was taken
+// over are the parent line's own tokens, so they move the nearest fork.
+func (r *Record) Append(tokens []string) {
+	r.Tokens = append(r.Tokens, tokens...)
+	if !r.Attempt.Attached || r.Attempt.Stream != r.TakenOver || len(r.Forks) == 0 {
 		return
 	}
 	r.Forks = slices.Clone(r.Forks)
@@ -314,7 +328,7 @@
 		return Batch{Gone: true}, nil
 	}
 	r := &e.record
-	batch := Batch{Model: r.Spec.Model, Line: r.Line, First: c.position}
+	batch := Batch{Model: r.Spec.Model, Line: r.ShownLine(), First: c.position}
 	visible := r.Visible()
 	if r.End != nil {
 		visible = len(r.Tokens)
--- a/internal/transport/measure/fleet.go
+++ b/internal/transport/measure/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
@@ -83,7 +84,7 @@
 			Gates:    func(suspect.Fingerprint) []suspicion.Gate { return nil },
 		}),
 		Observe: func(model.Upstream, evidence.Observation) {},
-		NewLine: relay.RandomLine,
+		NewLine: func(id model.RequestID) model.LineID { return replication.NewLine("measure", id) },
 		Decide:  decide,
 		Retain:  time.Minute,
 		Log:     &log.Logger{Handler: discard.New(), Level: log.ErrorLevel},
