Let a thawed owner take over its own generation

Cause: an entry instance that was frozen while another one took its generation over kept its record. When the second instance was lost and the caller came back, the first one located the newer line's copy but could not insert it, since the request was in its table: 503 until the record was removed, more than the caller waits. Seen with two instances, two engines, the engine killed as the entry freezes, thaw after 6 s, loss of the other after 9 s.

Ruled out: a thaw after 3 s (the caller had not reached the other instance by then), and the same without the loss of the engine (events name the parent line, which the old record serves; this passed before).

Change: Adopt runs on the worker of the request and replaces a record that does not hold the caller's position. Records have an epoch; cursors, reader counts and timers of a replaced record no longer touch the new one. Attempt numbers go on above the old ones, so that late events are stale. The test client no longer goes back first to the address that it just lost: a frozen instance accepts the connection and costs it 1.5 s.

Conclusion: what stays open is that the old owner cancels a shared stream 30 s after its last caller left; the new owner then recomputes.

--- a/cmd/entryd/entry.go
+++ b/cmd/entryd/entry.go
@@ -141,8 +141,7 @@
 	return peerlink.Logs{
 		Holder:  holder,
 		Manager: copies,
-		Join:    func(id model.RequestID) { generations.Join(id) },
-		Leave:   func(id model.RequestID) { generations.Leave(id, relay.ReconnectGrace) },
+		Join:    generations.Join,
 		Grant:   guard.Grant,
 	}
 }
--- a/internal/coordination/frontend/frontend.go
+++ b/internal/coordination/frontend/frontend.go
@@ -151,7 +151,7 @@
 		case replication.SourceRemote:
 			return f.remote(id, line, position, source.Reader), nil
 		default:
-			if f.opts.Relay.Adopt(source.Record, position) {
+			if f.opts.Relay.Adopt(ctx, source.Record, line, position) {
 				return f.local(id, position), nil
 			}
 		}
--- a/internal/coordination/frontend/reader.go
+++ b/internal/coordination/frontend/reader.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -20,14 +19,15 @@
 	id       model.RequestID
 	source   replication.Reader
 	isLocal  bool
+	leave    func() // ends the reading of a local generation
 	line     model.LineID
 	position int
 	finished bool
 }
 
 func (f *Frontend) local(id model.RequestID, position int) *Reader {
-	f.opts.Relay.Join(id)
 	return &Reader{
+		leave:    f.opts.Relay.Join(id),
 		frontend: f,
 		id:       id,
 		source:   f.opts.Generations.Read(id, position),
@@ -64,7 +64,7 @@
 	if refusal != nil {
 		return generation.Batch{}, refusal
 	}
-	r.source, r.isLocal = next.source, next.isLocal
+	r.source, r.isLocal, r.leave = next.source, next.isLocal, next.leave
 	return r.source.Next(ctx)
 }
 
@@ -72,6 +72,6 @@
 // time, so that its caller can reconnect.
 func (r *Reader) Close() {
 	if r.isLocal && !r.finished {
-		r.frontend.opts.Relay.Leave(r.id, relay.ReconnectGrace)
+		r.leave()
 	}
 }
--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -102,9 +102,10 @@
 }
 
 // cancelStale ends the stream of an older attempt, unless the current attempt
-// runs on the same stream.
+// runs on the same stream, or is about to after a takeover.
 func (i tokensArrived) cancelStale(r generation.Record) {
-	if r.Attempt.Open && r.Attempt.Stream == i.stream {
+	attaching := r.TakenOver == i.stream && len(r.History) == 0
+	if r.Attempt.Stream == i.stream && (r.Attempt.Open || attaching) {
 		return
 	}
 	i.m.opts.Engines.Cancel(i.up, i.stream)
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -35,28 +35,21 @@
 	})
 }
 
-// adopted continues a generation whose owner was lost.
-type adopted struct {
-	m  *Manager
-	id model.RequestID
-}
-
-// Run implements worker.Item.
-func (i adopted) Run() {
-	r, ok := i.m.opts.Generations.Get(i.id)
-	if !ok {
-		return
-	}
+// goOn continues a generation whose owner was lost.
+func (m *Manager) goOn(r generation.Record) {
 	resumed := r.Spec
 	resumed.Priority = model.PriorityResume
-	i.m.opts.Admission.Enter(resumed, func(*model.Refusal) {
-		row, known := i.m.opts.Upstreams.Get(r.Attempt.Upstream)
+	m.opts.Admission.Enter(resumed, func(*model.Refusal) {
+		if !m.current(r) {
+			return
+		}
+		row, known := m.opts.Upstreams.Get(r.Attempt.Upstream)
 		if !known {
-			i.m.withoutStream(r)
+			m.withoutStream(r)
 			return
 		}
-		i.m.opts.Upstreams.Acquire(r.Attempt.Upstream)
-		i.m.attach(r, row.Upstream)
+		m.opts.Upstreams.Acquire(r.Attempt.Upstream)
+		m.attach(r, row.Upstream)
 	})
 }
 
@@ -263,7 +256,11 @@
 	if r.Shown == 0 && r.Version != "" {
 		m.restartLine(id)
 	}
-	m.opts.Pool.After(replacementInterval, key(id), worker.Func(func() { m.place(id) }))
+	m.opts.Pool.After(replacementInterval, key(id), worker.Func(func() {
+		if m.current(r) {
+			m.place(id)
+		}
+	}))
 }
 
 func pastDeadline(r generation.Record) bool {
--- a/internal/coordination/relay/readers.go
+++ b/internal/coordination/relay/readers.go
@@ -11,21 +11,27 @@
 // ReconnectGrace is how long a streamed generation runs on without a caller.
 const ReconnectGrace = 30 * time.Second
 
-// Join counts one caller connection that reads the generation.
-func (m *Manager) Join(id model.RequestID) bool {
-	return m.opts.Generations.Update(id, func(r *generation.Record) { r.Readers++ })
+// Join counts one caller connection that reads the generation. The returned
+// function ends it; without a reader the generation ends after ReconnectGrace.
+func (m *Manager) Join(id model.RequestID) (leave func()) {
+	var epoch uint64
+	m.opts.Generations.Update(id, func(r *generation.Record) {
+		r.Readers++
+		epoch = r.Epoch
+	})
+	return func() { m.leave(id, epoch) }
 }
 
-// Leave ends one caller connection. Without a reader the generation ends after
-// the grace time.
-func (m *Manager) Leave(id model.RequestID, grace time.Duration) {
+func (m *Manager) leave(id model.RequestID, epoch uint64) {
 	m.opts.Generations.Update(id, func(r *generation.Record) {
-		r.Readers--
-		r.LeftAt = time.Now()
+		if r.Epoch == epoch {
+			r.Readers--
+			r.LeftAt = time.Now()
+		}
 	})
-	m.opts.Pool.After(grace, key(id), worker.Func(func() {
+	m.opts.Pool.After(ReconnectGrace, key(id), worker.Func(func() {
 		r, ok := m.opts.Generations.Get(id)
-		if ok && r.Readers == 0 && time.Since(r.LeftAt) >= grace {
+		if ok && r.Epoch == epoch && r.Readers == 0 && time.Since(r.LeftAt) >= ReconnectGrace {
 			m.abandon(id)
 		}
 	}))
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -18,6 +18,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -141,10 +142,20 @@
 }
 
 // Adopt takes over a generation from its copied log, for a caller that has
-// seen the tokens up to position. The record has a line of its own and the
-// attempt that the lost owner had under way. Adopt reports false if this
-// instance has the generation already.
-func (m *Manager) Adopt(r generation.Record, position int) bool {
+// seen the tokens of a line up to position. The record has a line of its own
+// and the attempt that the lost owner had under way. Adopt reports false if
+// this instance runs a line by now that the caller can read. Another line,
+// which this instance ran before it was paused, is replaced.
+func (m *Manager) Adopt(ctx context.Context, r generation.Record, line model.LineID, position int) bool {
+	adopted, err := worker.Do(ctx, m.opts.Pool, key(r.Spec.Request), func() bool { return m.adopt(r, line, position) })
+	return err == nil && adopted
+}
+
+func (m *Manager) adopt(r generation.Record, line model.LineID, position int) bool {
+	old, exists := m.opts.Generations.Get(r.Spec.Request)
+	if exists && old.Holds(line, position) {
+		return false
+	}
 	r.Print = suspicion.Fingerprint(r.Spec)
 	r.Version = r.Attempt.Version
 	r.CopyAfter = time.Now()
@@ -153,17 +164,34 @@
 	r.Shown = position
 	r.StreamOnly = position
 	r.TakenOver = r.Attempt.Stream
-	if !m.opts.Generations.Insert(r) {
-		return false
+	if exists {
+		// What the old attempts still bring has lower numbers and is stale.
+		r.Attempt.Number = max(r.Attempt.Number, old.Attempt.Number)
+		m.displace(old, r.Attempt.Stream)
 	}
+	r = m.opts.Generations.Replace(r)
 	if r.End != nil {
 		m.forgetLater(r.Spec.Request)
 		return true
 	}
-	m.opts.Pool.Post(key(r.Spec.Request), adopted{m, r.Spec.Request})
+	m.goOn(r)
 	return true
 }
 
+// displace ends the work on a record that is about to be replaced. The stream
+// that the new record attaches to runs on.
+func (m *Manager) displace(old generation.Record, keep model.StreamID) {
+	if old.End != nil {
+		return
+	}
+	m.opts.Log.WithField("request_id", string(old.Spec.Request)).Info("older line is replaced")
+	if row, known := m.opts.Upstreams.Get(old.Attempt.Upstream); known && old.Attempt.Open && old.Attempt.Stream != keep {
+		m.opts.Engines.Cancel(row.Upstream, old.Attempt.Stream)
+	}
+	m.closeAttempt(old, "line replaced", 0)
+	m.opts.Admission.Leave(old.Spec.Request)
+}
+
 // Abandon ends a generation that no caller waits for.
 func (m *Manager) Abandon(id model.RequestID) {
 	m.opts.Pool.Post(key(id), worker.Func(func() { m.abandon(id) }))
@@ -203,11 +231,20 @@
 // forgetLater removes the record of an ended generation once callers have had
 // time to reconnect.
 func (m *Manager) forgetLater(id model.RequestID) {
+	ended, _ := m.opts.Generations.Get(id)
 	m.opts.Pool.After(m.opts.Retain, key(id), worker.Func(func() {
-		m.opts.Generations.Remove(id)
+		if m.current(ended) {
+			m.opts.Generations.Remove(id)
+		}
 	}))
 }
 
+// current reports whether the record was neither removed nor replaced.
+func (m *Manager) current(r generation.Record) bool {
+	now, ok := m.opts.Generations.Get(r.Spec.Request)
+	return ok && now.Epoch == r.Epoch
+}
+
 // refuse ends the generation with a refusal.
 func (m *Manager) refuse(r generation.Record, refusal *model.Refusal) {
 	m.opts.Log.WithField("request_id", string(r.Spec.Request)).
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -198,12 +199,46 @@
 		b := newBench(1, "v1")
 		defer b.close()
 		ended := generation.Record{Spec: spec("r", 1), Line: "l", Tokens: []string{"a"}, End: &generation.End{FinishReason: "stop"}}
-		assert.Assert(t, b.manager.Adopt(ended, 1))
+		assert.Assert(t, b.manager.Adopt(t.Context(), ended, "l", 1))
 		time.Sleep(2 * time.Minute)
 		assert.Equal(t, b.table.Len(), 0)
 	})
 }
 
+// Guards against an instance that cannot take over a generation, because it
+// still runs an older line of it, and against mixing the two lines.
+func TestAdoptReplacesAnOlderLine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(2, "v1")
+		defer b.close()
+		b.manager.Submit(spec("r", 50))
+		old := b.table.Read("r", 0)
+		time.Sleep(time.Second)
+		shown, err := old.Next(t.Context())
+		assert.NilError(t, err)
+		copied := generation.Record{
+			Spec:   spec("r", 50),
+			Line:   "other-l2",
+			Forks:  []generation.Fork{{Line: "other-l1", Position: 5}},
+			Tokens: slices.Clone(shown.Tokens[:5]),
+			// The stream is unknown to the engine, as after the engine's restart.
+			Attempt: generation.Attempt{Number: 1, Stream: "r.other-l1.1", Upstream: "e0", Version: "v1"},
+		}
+		assert.Assert(t, b.manager.Adopt(t.Context(), copied, "other-l1", 5))
+		assert.Assert(t, !b.manager.Adopt(t.Context(), copied, "other-l1", 5), "the line runs here by now")
+		late, err := old.Next(t.Context())
+		assert.NilError(t, err)
+		assert.Assert(t, late.Gone)
+		got, err := b.table.Await(t.Context(), "r")
+		assert.NilError(t, err)
+		transcript{tokens: got.Tokens, end: got.End}.check(t.Fatalf, "r", 50)
+		assert.Assert(t, got.End.Refusal == nil)
+		for i, token := range got.Tokens[5:] {
+			assert.Assert(t, !strings.Contains(token, string(shown.Line)), "token %d is of the older line: %s", i+5, token)
+		}
+	})
+}
+
 // Guards against a generation that is given up before its last caller has been
 // away for the grace time, because another one left earlier.
 func TestGraceCountsFromTheLastReader(t *testing.T) {
@@ -212,9 +247,9 @@
 		defer b.close()
 		b.manager.Submit(spec("r", 100_000))
 		for range 2 {
-			b.manager.Join("r")
+			leave := b.manager.Join("r")
 			time.Sleep(ReconnectGrace / 2)
-			b.manager.Leave("r", ReconnectGrace)
+			leave()
 		}
 		time.Sleep(ReconnectGrace * 3 / 4) // the first grace time has passed
 		r, _ := b.table.Get("r")
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -55,6 +56,7 @@
 // Record is the state of one generation. Table hands out copies that share
 // the token slice; tokens are only appended, never changed.
 type Record struct {
+	Epoch   uint64 // set by the table; tells a record from one that it replaced
 	Spec    model.GenerationSpec
 	Print   suspect.Fingerprint // of the request
 	Line    model.LineID
@@ -150,6 +152,7 @@
 // Table holds the generations in flight, owned or copied.
 type Table struct {
 	shards [shardCount]shard
+	epochs atomic.Uint64
 }
 
 // NewTable returns an empty table.
@@ -174,10 +177,26 @@
 	if _, ok := s.entries[r.Spec.Request]; ok {
 		return false
 	}
+	r.Epoch = t.epochs.Add(1)
 	s.entries[r.Spec.Request] = &entry{record: r, changed: make(chan struct{})}
 	return true
 }
 
+// Replace puts a record in the place of another one of its request, if there
+// is one, and returns it with its epoch. The readers of the old record find it
+// gone.
+func (t *Table) Replace(r Record) Record {
+	s := t.shard(r.Spec.Request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e, ok := s.entries[r.Spec.Request]; ok {
+		close(e.changed)
+	}
+	r.Epoch = t.epochs.Add(1)
+	s.entries[r.Spec.Request] = &entry{record: r, changed: make(chan struct{})}
+	return r
+}
+
 // Get returns a copy of the record.
 func (t *Table) Get(id model.RequestID) (Record, bool) {
 	s := t.shard(id)
@@ -280,16 +299,18 @@
 	return e.record, nil
 }
 
-// Cursor reads one generation's log from a position.
+// Cursor reads one record's log from a position.
 type Cursor struct {
 	table    *Table
 	request  model.RequestID
+	epoch    uint64
 	position int
 }
 
 // Read returns a cursor that starts after the given number of tokens.
 func (t *Table) Read(id model.RequestID, position int) *Cursor {
-	return &Cursor{table: t, request: id, position: position}
+	r, _ := t.Get(id)
+	return &Cursor{table: t, request: id, epoch: r.Epoch, position: position}
 }
 
 // Batch is what a cursor returns: tokens, or the end, or neither after the
@@ -300,7 +321,7 @@
 	First  int // position of Tokens[0]
 	Tokens []string
 	End    *End
-	Gone   bool // the record was removed
+	Gone   bool // the record was removed or replaced
 }
 
 // Next waits for tokens after the cursor's position or for the end.
@@ -324,7 +345,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e, ok := s.entries[c.request]
-	if !ok {
+	if !ok || e.record.Epoch != c.epoch {
 		return Batch{Gone: true}, nil
 	}
 	r := &e.record
--- a/internal/transport/caller/caller.go
+++ b/internal/transport/caller/caller.go
@@ -87,7 +87,8 @@
 
 // stream is the state of one streamed generation over its connections.
 type stream struct {
-	refusals   int // in a row
+	refusals   int    // in a row
+	lost       string // address of the last connection
 	client     *Client
 	body       []byte
 	started    time.Time
@@ -129,7 +130,7 @@
 
 // connect reads one connection. It reports true when the generation ended.
 func (s *stream) connect(ctx context.Context, attempt int) (bool, error) {
-	address, err := s.client.endpoint(ctx, attempt)
+	address, err := s.client.endpoint(ctx, attempt, s.lost)
 	if err != nil {
 		return false, err
 	}
@@ -137,6 +138,7 @@
 	defer cancel()
 	s.silence = time.AfterFunc(math.MaxInt64, cancel)
 	defer s.silence.Stop()
+	s.lost = address // unless the generation ends on this connection
 	s.awaitEvent()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", bytes.NewReader(s.body))
 	if err != nil {
--- a/internal/transport/caller/endpoints.go
+++ b/internal/transport/caller/endpoints.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 )
 
@@ -21,23 +22,38 @@
 }
 
 // endpoint returns the address for the given attempt. Each attempt asks again,
-// because the last one showed that the answer may be out of date.
-func (c *Client) endpoint(ctx context.Context, attempt int) (string, error) {
+// because the last one showed that the answer may be out of date. The address
+// that was lost last, if any, is asked and used only after all others: a frozen
+// instance accepts connections and says nothing.
+func (c *Client) endpoint(ctx context.Context, attempt int, lost string) (string, error) {
 	var failures []error
-	for i := range c.bootstrap {
-		address := c.bootstrap[(attempt+i)%len(c.bootstrap)]
+	for _, address := range inTurn(c.bootstrap, attempt, lost) {
 		answer, err := c.Endpoints(ctx, address)
 		if err != nil {
 			failures = append(failures, err)
 			continue
 		}
-		if n := len(answer.Endpoints); n > 0 {
-			return answer.Endpoints[attempt%n].Address, nil
+		addresses := make([]string, 0, len(answer.Endpoints))
+		for _, e := range answer.Endpoints {
+			addresses = append(addresses, e.Address)
+		}
+		if len(addresses) > 0 {
+			return inTurn(addresses, attempt, lost)[0], nil
 		}
 	}
 	return "", fmt.Errorf("no endpoint: %w", errors.Join(failures...))
 }
 
+// inTurn returns the addresses from the attempt's own on, the lost one last.
+func inTurn(addresses []string, attempt int, lost string) []string {
+	first := attempt % len(addresses)
+	turn := slices.Concat(addresses[first:], addresses[:first])
+	if i := slices.Index(turn, lost); i >= 0 {
+		turn = append(slices.Delete(turn, i, i+1), lost)
+	}
+	return turn
+}
+
 // Endpoints asks one instance which addresses to use.
 func (c *Client) Endpoints(ctx context.Context, address string) (Endpoints, error) {
 	ctx, cancel := context.WithTimeout(ctx, endpointsTimeout)
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -52,8 +52,8 @@
 	e.manager = replication.NewManager(replication.Options{
 		Self: name, Pool: e.pool, Table: e.table, Instances: instances, Peers: NewClient(client), Holder: holder,
 	})
-	ignore := func(model.RequestID) {}
-	logs := Logs{Holder: holder, Manager: e.manager, Join: ignore, Leave: ignore,
+	join := func(model.RequestID) func() { return func() {} }
+	logs := Logs{Holder: holder, Manager: e.manager, Join: join,
 		Grant: func(fp suspect.Fingerprint) bool { return fp == "f" }}
 	e.server, err = peer.NewServer(options, logs.Handlers())
 	assert.NilError(t, err)
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -17,9 +17,9 @@
 type Logs struct {
 	Holder  *replication.Holder
 	Manager *replication.Manager
-	// Join and Leave count a follower as a reader of an own generation.
-	Join  func(model.RequestID)
-	Leave func(model.RequestID)
+	// Join counts a follower as a reader of an own generation, until the
+	// returned function is called.
+	Join func(model.RequestID) (leave func())
 	Grant func(suspect.Fingerprint) bool
 }
 
@@ -87,8 +87,7 @@
 	if err != nil {
 		return err
 	}
-	l.Join(want.Request)
-	defer l.Leave(want.Request)
+	defer l.Join(want.Request)()
 	if err := write(w)(peerwire.EncodeBatch(generation.Batch{Line: want.Line, First: want.Position})); err != nil {
 		return err
 	}
--- a/tests/e2e/failures_test.go
+++ b/tests/e2e/failures_test.go
@@ -173,6 +173,16 @@
 			name: "entry frozen and thawed", noise: true, after: copiedTokens, tokens: 500,
 			act: func(s situation) { s.entry.freeze(); time.AfterFunc(4500*time.Millisecond, s.entry.thaw) },
 		},
+		{
+			name: "entry frozen and thawed, then the other killed", noise: true, after: copiedTokens, tokens: 900,
+			act: func(s situation) {
+				s.entry.freeze()
+				s.engine.kill()
+				other := s.cluster.entry[1-owner(s.t, s.request)]
+				time.AfterFunc(6*time.Second, s.entry.thaw)
+				time.AfterFunc(9*time.Second, other.kill)
+			},
+		},
 		{name: "engine killed", noise: true, after: 20, act: func(s situation) { s.engine.kill() }},
 		{name: "engine killed twice", third: true, after: 50, tokens: 300, act: func(s situation) { s.engine.kill() }, later: engineAgain},
 		{name: "engine frozen", noise: true, after: 50, act: func(s situation) { s.engine.freeze() }},
