Copy only loads for a placement

Cause: a placement copied all rows of its model (290 bytes each) three times: out of the table, into the candidates, and in the policy. Half of the time was allocation and garbage collection. Each admission copied the rows again to count the usable ones, each choice of a version again to look for the previous version, and each candidate listed the hosts of suspects.

Ruled out: sampling before looking at all rows. It would change the choice: the policy compares the longest cached prefix and the mean work in flight of all candidates. Also ruled out: reading the rows under the table's lock through a callback, because table methods do not call out.

Change: the upstream table returns loads (64 bytes) of the usable upstreams of a version, counts usable ones and looks up versions itself. Acquire returns the upstream, and a placement whose upstream left the document meanwhile now fails instead of going there uncounted. The guard returns the engines with suspects once for each placement. The tests of the policy name the new field and check the same; the tables have tests against simple oracles.

--- a/cmd/entryd/parts.go
+++ b/cmd/entryd/parts.go
@@ -92,7 +92,7 @@
 			live++
 		}
 	}
-	room := routing.Capacity(e.tables.upstreams.Serving(serves), live, time.Now())
+	room := routing.Capacity(e.tables.upstreams.Usable(serves, time.Now()), live)
 	return min(room, e.settings.Limits.MaxStreams)
 }
 
--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -248,7 +248,7 @@
 }
 
 func (openGuard) Check(suspect.Fingerprint) suspicion.Verdict              { return suspicion.Free }
-func (openGuard) Occupied(model.UpstreamID) bool                           { return false }
+func (openGuard) Occupied() map[model.UpstreamID]bool                      { return nil }
 func (openGuard) Started(suspect.Fingerprint, model.UpstreamID)            {}
 func (openGuard) Stopped(suspect.Fingerprint, model.UpstreamID)            {}
 func (openGuard) EngineDied(model.UpstreamID, uint64, []suspicion.Running) {}
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -169,8 +169,9 @@
 		placement.Avoid = func(id model.UpstreamID) bool { return id != where.Upstream }
 		return m.opts.Router.Pick(placement)
 	}
+	occupied := m.opts.Guard.Occupied()
 	placement.Avoid = func(id model.UpstreamID) bool {
-		return (r.Attempt.Number > 0 && id == r.Attempt.Upstream) || m.opts.Guard.Occupied(id)
+		return (r.Attempt.Number > 0 && id == r.Attempt.Upstream) || occupied[id]
 	}
 	up, estimate, ok := m.opts.Router.Pick(placement)
 	if ok {
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -80,8 +80,8 @@
 	// Place calls then once, as an item under the request's key.
 	Place(req suspicion.PlaceRequest, then func(suspicion.Placement, *model.Refusal))
 	Check(fp suspect.Fingerprint) suspicion.Verdict
-	// Occupied reports whether a suspect runs on the engine.
-	Occupied(up model.UpstreamID) bool
+	// Occupied returns the engines on which a suspect runs.
+	Occupied() map[model.UpstreamID]bool
 	Started(fp suspect.Fingerprint, up model.UpstreamID)
 	Stopped(fp suspect.Fingerprint, up model.UpstreamID)
 	EngineDied(up model.UpstreamID, incarnation uint64, running []suspicion.Running)
--- a/internal/coordination/routing/estimate.go
+++ b/internal/coordination/routing/estimate.go
@@ -26,7 +26,7 @@
 
 // Candidate is one upstream that may take the request.
 type Candidate struct {
-	Row         upstream.Row
+	Load        upstream.Load
 	CachedBytes int // longest prompt prefix that it has probably cached
 }
 
@@ -40,16 +40,16 @@
 // that this instance sent since the last load report are added to the report,
 // because reports lag.
 func EstimateFinish(c Candidate, w Work) Estimate {
-	running := c.Row.Report.Running + c.Row.Sent
-	step := tokenTime(c.Row, running)
-	first := queueTime(c.Row, running, step) + prefillTime(c, w)
+	running := c.Load.Running + c.Load.Sent
+	step := tokenTime(c.Load, running)
+	first := queueTime(c.Load, running, step) + prefillTime(c, w)
 	tokens := min(max(w.Tokens, 1), typicalTokens)
 	return Estimate{FirstToken: first, Finish: first + time.Duration(tokens)*step}
 }
 
 // tokenTime is the expected time between tokens with so many streams.
-func tokenTime(row upstream.Row, running int) time.Duration {
-	base := row.Report.TokenTime
+func tokenTime(load upstream.Load, running int) time.Duration {
+	base := load.TokenTime
 	if base == 0 {
 		base = defaultTokenTime
 	}
@@ -58,17 +58,17 @@
 
 // queueTime is the wait behind the requests that already wait: slots come free
 // at the rate running/(typicalTokens*step).
-func queueTime(row upstream.Row, running int, step time.Duration) time.Duration {
-	if row.Report.Waiting == 0 {
+func queueTime(load upstream.Load, running int, step time.Duration) time.Duration {
+	if load.Waiting == 0 {
 		return 0
 	}
-	waiting := row.Report.Waiting + row.Sent
+	waiting := load.Waiting + load.Sent
 	service := time.Duration(typicalTokens) * step
 	return service * time.Duration(waiting) / time.Duration(max(running, 1))
 }
 
 func prefillTime(c Candidate, w Work) time.Duration {
-	rate := c.Row.Report.PrefillRate
+	rate := c.Load.PrefillRate
 	if rate <= 0 {
 		rate = defaultPrefillRate
 	}
--- a/internal/coordination/routing/pick.go
+++ b/internal/coordination/routing/pick.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
 const (
@@ -29,15 +31,11 @@
 // until the next report.
 func EarliestFinish(candidates []Candidate, w Work, rng *rand.Rand) int {
 	limit := affinityLimit(candidates)
-	candidates = slices.Clone(candidates)
-	for i := range candidates {
-		if float64(candidates[i].Row.InFlight) > limit {
-			candidates[i].CachedBytes = 0
-		}
-	}
 	best, bestFinish := -1, time.Duration(0)
-	for _, i := range sample(candidates, rng) {
-		if finish := EstimateFinish(candidates[i], w).Finish; best < 0 || finish < bestFinish {
+	for _, i := range sample(candidates, limit, rng) {
+		c := candidates[i]
+		c.CachedBytes = c.credit(limit)
+		if finish := EstimateFinish(c, w).Finish; best < 0 || finish < bestFinish {
 			best, bestFinish = i, finish
 		}
 	}
@@ -45,15 +43,15 @@
 }
 
 // sample returns the indices of the candidates to compare.
-func sample(candidates []Candidate, rng *rand.Rand) []int {
+func sample(candidates []Candidate, limit float64, rng *rand.Rand) []int {
 	all := make([]int, len(candidates))
 	longest := 0
-	for i, c := range candidates {
+	for i := range candidates {
 		all[i] = i
-		longest = max(longest, c.CachedBytes)
+		longest = max(longest, candidates[i].credit(limit))
 	}
 	chosen := choose(all, sampledAny, rng)
-	hasLongest := func(i int) bool { return candidates[i].CachedBytes == longest }
+	hasLongest := func(i int) bool { return candidates[i].credit(limit) == longest }
 	if slices.ContainsFunc(chosen, hasLongest) {
 		return chosen
 	}
@@ -61,6 +59,15 @@
 	return append(chosen, choose(cached, sampledCached, rng)...)
 }
 
+// credit is the cached prefix that counts for the candidate, given the limit of
+// affinityLimit.
+func (c *Candidate) credit(limit float64) int {
+	if float64(c.Load.InFlight) > limit {
+		return 0
+	}
+	return c.CachedBytes
+}
+
 // choose returns n different items at random, or all if there are no more. It
 // changes the order of the items.
 func choose(items []int, n int, rng *rand.Rand) []int {
@@ -76,8 +83,8 @@
 // gets no credit for its cache.
 func affinityLimit(candidates []Candidate) float64 {
 	total := 0
-	for _, c := range candidates {
-		total += c.Row.InFlight
+	for i := range candidates {
+		total += candidates[i].Load.InFlight
 	}
 	mean := float64(total) / float64(max(len(candidates), 1))
 	return mean*affinityFactor + affinitySlack
@@ -90,12 +97,10 @@
 		return -1
 	}
 	a, b := rng.IntN(len(candidates)), rng.IntN(len(candidates))
-	if load(candidates[b]) < load(candidates[a]) {
+	if requests(candidates[b].Load) < requests(candidates[a].Load) {
 		return b
 	}
 	return a
 }
 
-func load(c Candidate) int {
-	return c.Row.Report.Running + c.Row.Report.Waiting + c.Row.Sent
-}
+func requests(l upstream.Load) int { return l.Running + l.Waiting + l.Sent }
--- a/internal/coordination/routing/pick_test.go
+++ b/internal/coordination/routing/pick_test.go
@@ -14,7 +14,7 @@
 	candidates := make([]Candidate, n)
 	for i := range candidates {
 		id := model.UpstreamID(fmt.Sprintf("e%d", i))
-		candidates[i].Row = upstream.Row{Upstream: model.Upstream{ID: id}, Report: upstream.Report{Running: 10}}
+		candidates[i].Load = upstream.Load{Upstream: id, Running: 10}
 	}
 	return candidates
 }
@@ -23,7 +23,7 @@
 // reported load until its next report.
 func TestEarliestFinishDoesNotHerd(t *testing.T) {
 	candidates := equalCandidates(20)
-	candidates[7].Row.Report.Running = 9
+	candidates[7].Load.Running = 9
 	rng := rand.New(rand.NewPCG(1, 1))
 	const instances = 1000
 	chosen := 0
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -70,20 +70,11 @@
 		Plan:            plan,
 		Share:           rollout.TargetShare(serves, plan, r.opts.Stops),
 		TargetStopped:   r.opts.Stops.Stopped(model.VersionKey{Serves: serves, Version: plan.Target}),
-		PreviousPresent: r.versionPresent(serves, plan.Previous),
+		PreviousPresent: r.opts.Upstreams.HasVersion(serves, plan.Previous),
 	}
 	return ChooseVersion(view, id)
 }
 
-func (r *Router) versionPresent(serves, version string) bool {
-	for _, row := range r.opts.Upstreams.Serving(serves) {
-		if row.Upstream.Version == version {
-			return true
-		}
-	}
-	return false
-}
-
 // Placement asks for an upstream.
 type Placement struct {
 	Serves  string
@@ -95,7 +86,9 @@
 }
 
 // Pick returns the upstream for the placement and counts the request as in
-// flight there. The caller releases it with upstream.Table.Release.
+// flight there. The caller releases it with upstream.Table.Release. It returns
+// false if there is no candidate, or if a new document removes the chosen one
+// meanwhile.
 func (r *Router) Pick(p Placement) (model.Upstream, Estimate, bool) {
 	candidates := r.candidates(p)
 	i := r.opts.Policy(candidates, p.Work, r.opts.Rand())
@@ -103,9 +96,12 @@
 		return model.Upstream{}, Estimate{}, false
 	}
 	chosen := candidates[i]
-	r.opts.Upstreams.Acquire(chosen.Row.Upstream.ID)
-	r.opts.Prefixes.Add(chosen.Row.Upstream.ID, p.Blocks)
-	return chosen.Row.Upstream, EstimateFinish(chosen, p.Work), true
+	up, ok := r.opts.Upstreams.Acquire(chosen.Load.Upstream)
+	if !ok {
+		return model.Upstream{}, Estimate{}, false
+	}
+	r.opts.Prefixes.Add(up.ID, p.Blocks)
+	return up, EstimateFinish(chosen, p.Work), true
 }
 
 // newRand returns a generator for one choice; rand.Rand is not safe for
@@ -114,35 +110,16 @@
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
 
+// candidates returns the upstreams that may take the placement, in the order
+// of their IDs, so that a choice depends only on the generator.
 func (r *Router) candidates(p Placement) []Candidate {
-	rows := r.opts.Upstreams.Serving(p.Serves)
+	loads := r.opts.Upstreams.Loads(p.Serves, p.Version, p.Now)
 	cached := r.opts.Prefixes.CachedBytes(p.Blocks)
-	candidates := make([]Candidate, 0, len(rows))
-	for _, row := range rows {
-		if !r.eligible(row, p) {
-			continue
+	candidates := make([]Candidate, 0, len(loads))
+	for _, load := range loads {
+		if p.Avoid == nil || !p.Avoid(load.Upstream) {
+			candidates = append(candidates, Candidate{Load: load, CachedBytes: cached[load.Upstream]})
 		}
-		candidates = append(candidates, Candidate{Row: row, CachedBytes: cached[row.Upstream.ID]})
 	}
 	return candidates
 }
-
-func (r *Router) eligible(row upstream.Row, p Placement) bool {
-	if p.Version != "" && row.Upstream.Version != p.Version {
-		return false
-	}
-	if p.Avoid != nil && p.Avoid(row.Upstream.ID) {
-		return false
-	}
-	return row.Usable(p.Now)
-}
-
-// HasVersion reports whether a usable upstream of the version exists.
-func (r *Router) HasVersion(serves, version string, now time.Time) bool {
-	for _, row := range r.opts.Upstreams.Serving(serves) {
-		if row.Upstream.Version == version && row.Usable(now) {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -91,9 +91,9 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 100 {
 		i := EarliestFinish(candidates, Work{PromptBytes: 100_000, Tokens: 10}, rng)
-		candidates[i].Row.InFlight++
-		candidates[i].Row.Sent++
+		candidates[i].Load.InFlight++
+		candidates[i].Load.Sent++
 	}
-	assert.Assert(t, candidates[0].Row.InFlight < 50, "%d of 100 on one upstream", candidates[0].Row.InFlight)
-	assert.Assert(t, candidates[0].Row.InFlight > 20, "the cache was not used")
+	assert.Assert(t, candidates[0].Load.InFlight < 50, "%d of 100 on one upstream", candidates[0].Load.InFlight)
+	assert.Assert(t, candidates[0].Load.InFlight > 20, "the cache was not used")
 }
--- a/internal/coordination/suspicion/sim_test.go
+++ b/internal/coordination/suspicion/sim_test.go
@@ -247,7 +247,7 @@
 	least := 1 << 20
 	for _, e := range s.engines {
 		load := len(e.running)
-		if m.Occupied(e.id) {
+		if m.Occupied()[e.id] {
 			load += 1000
 		}
 		if load < least && slices.Contains(live, e.id) {
--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -99,12 +99,14 @@
 	m.Suspects.Stopped(fp, upstream, time.Now())
 }
 
-// Occupied reports whether a suspect runs on the engine. Requests that are
-// free should go elsewhere as far as possible.
-func (m *Manager) Occupied(upstream model.UpstreamID) bool {
-	return slices.ContainsFunc(m.Suspects.Hosts(time.Now()), func(h suspect.Host) bool {
-		return h.ID.Upstream == upstream
-	})
+// Occupied returns the engines on which a suspect runs. Requests that are free
+// should go elsewhere as far as possible.
+func (m *Manager) Occupied() map[model.UpstreamID]bool {
+	occupied := map[model.UpstreamID]bool{}
+	for _, h := range m.Suspects.Hosts(time.Now()) {
+		occupied[h.ID.Upstream] = true
+	}
+	return occupied
 }
 
 // Explained reports whether a request that died there has died elsewhere too,
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -47,6 +47,19 @@
 	Version   uint64    // of the table when Report last changed
 }
 
+// Load is the part of a row by which placements compare upstreams. Each
+// placement reads the loads of all upstreams of a model; a Load has a fifth of
+// the size of a Row. The fields have the meaning of those of Row and Report.
+type Load struct {
+	Upstream    model.UpstreamID
+	Running     int
+	Waiting     int
+	TokenTime   time.Duration
+	PrefillRate float64
+	InFlight    int
+	Sent        int
+}
+
 // Table maps upstream IDs to rows. mu has lock.RankUpstream and guards rows
 // and version.
 //
@@ -172,14 +185,18 @@
 	return reports, t.version
 }
 
-// Acquire counts one request in flight.
-func (t *Table) Acquire(id model.UpstreamID) {
+// Acquire counts one request in flight. It returns false for an unknown
+// upstream.
+func (t *Table) Acquire(id model.UpstreamID) (model.Upstream, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row, ok := t.rows[id]; ok {
-		row.InFlight++
-		row.Sent++
+	row, ok := t.rows[id]
+	if !ok {
+		return model.Upstream{}, false
 	}
+	row.InFlight++
+	row.Sent++
+	return row.Upstream, true
 }
 
 // Release ends one request in flight.
@@ -235,10 +252,60 @@
 	return rows
 }
 
+// Loads returns the loads of the usable upstreams that serve the given model
+// or service in the given version, sorted by upstream ID. An empty version
+// means any.
+func (t *Table) Loads(name, version string, now time.Time) []Load {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	loads := make([]Load, 0, len(t.serving[name]))
+	for _, row := range t.serving[name] {
+		if (version == "" || row.Upstream.Version == version) && row.usable(now) {
+			loads = append(loads, row.load())
+		}
+	}
+	return loads
+}
+
+// Usable returns the number of upstreams that serve the given model or service
+// and may take new work.
+func (t *Table) Usable(name string, now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, row := range t.serving[name] {
+		if row.usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// HasVersion reports whether the document names an upstream of the version.
+func (t *Table) HasVersion(name, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.ContainsFunc(t.serving[name], func(row *Row) bool { return row.Upstream.Version == version })
+}
+
 // Usable reports whether the row's upstream may take new work.
-func (r Row) Usable(now time.Time) bool {
+func (r Row) Usable(now time.Time) bool { return r.usable(now) }
+
+func (r *Row) usable(now time.Time) bool {
 	if r.Report.Health == HealthDown || r.Report.Health == HealthLeaving {
 		return false
 	}
 	return !now.Before(r.DownUntil)
 }
+
+func (r *Row) load() Load {
+	return Load{
+		Upstream:    r.Upstream.ID,
+		Running:     r.Report.Running,
+		Waiting:     r.Report.Waiting,
+		TokenTime:   r.Report.TokenTime,
+		PrefillRate: r.Report.PrefillRate,
+		InFlight:    r.InFlight,
+		Sent:        r.Sent,
+	}
+}
--- /dev/null
+++ b/internal/state/upstream/upstream_test.go
@@ -0,0 +1,72 @@
+package upstream
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against loads, counts and versions that disagree with the rows.
+func TestLoadsMatchRows(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	ids := rapid.SampledFrom([]model.UpstreamID{"a", "b", "c", "d"})
+	versions := rapid.SampledFrom([]string{"", "1", "2"})
+	rapid.Check(t, func(rt *rapid.T) {
+		table, sequence := NewTable(), uint64(0)
+		rt.Repeat(map[string]func(*rapid.T){
+			"configure": func(rt *rapid.T) {
+				var all []model.Upstream
+				for _, id := range rapid.SliceOfDistinct(ids, rapid.ID[model.UpstreamID]).Draw(rt, "upstreams") {
+					all = append(all, model.Upstream{ID: id, Serves: "m", Version: versions.Draw(rt, "version")})
+				}
+				table.Configure(all)
+			},
+			"report": func(rt *rapid.T) {
+				sequence++
+				health := rapid.SampledFrom([]Health{HealthUnknown, HealthUp, HealthDown, HealthLeaving}).Draw(rt, "health")
+				table.Apply(Report{
+					Upstream: ids.Draw(rt, "upstream"), Incarnation: sequence / 4, Sequence: sequence, Health: health,
+					Running: int(sequence), Waiting: 1, TokenTime: time.Second, PrefillRate: 2,
+				})
+			},
+			"fail":    func(rt *rapid.T) { table.Failed(ids.Draw(rt, "upstream"), now.Add(time.Second)) },
+			"acquire": func(rt *rapid.T) { table.Acquire(ids.Draw(rt, "upstream")) },
+			"release": func(rt *rapid.T) { table.Release(ids.Draw(rt, "upstream")) },
+			"": func(rt *rapid.T) {
+				version := versions.Draw(rt, "version")
+				want, usable, present := []Load{}, 0, false
+				for _, row := range table.Serving("m") {
+					present = present || row.Upstream.Version == version
+					if !row.Usable(now) {
+						continue
+					}
+					usable++
+					if version == "" || row.Upstream.Version == version {
+						want = append(want, Load{
+							row.Upstream.ID, row.Report.Running, row.Report.Waiting,
+							row.Report.TokenTime, row.Report.PrefillRate, row.InFlight, row.Sent,
+						})
+					}
+				}
+				assert.DeepEqual(rt, table.Loads("m", version, now), want)
+				assert.Equal(rt, table.Usable("m", now), usable)
+				assert.Equal(rt, table.HasVersion("m", version), present)
+			},
+		})
+	})
+}
+
+// Guards against a request that is sent to an upstream which the document no
+// longer names, and is not counted.
+func TestAcquireOfUnknownUpstream(t *testing.T) {
+	table := NewTable()
+	_, ok := table.Acquire("a")
+	assert.Assert(t, !ok)
+	table.Configure([]model.Upstream{{ID: "a", Address: "127.0.0.1:1"}})
+	up, ok := table.Acquire("a")
+	assert.Assert(t, ok)
+	assert.Equal(t, up.Address, "127.0.0.1:1")
+}
