Test a placement whose upstream is removed meanwhile

Ruled out: another choice at once. The relay tries again after its pause.

Change: a test whose policy removes the upstream.

Conclusion: no behaviour changes.

--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -97,3 +97,18 @@
 	assert.Assert(t, candidates[0].Load.InFlight < 50, "%d of 100 on one upstream", candidates[0].Load.InFlight)
 	assert.Assert(t, candidates[0].Load.InFlight > 20, "the cache was not used")
 }
+
+// Guards against a request that goes to an upstream which a new document
+// removed while the choice was made, where it would not be counted.
+func TestPickOfRemovedUpstream(t *testing.T) {
+	r, ups := router(model.Upstream{ID: "a", Serves: "m"})
+	r.opts.Policy = func(candidates []Candidate, _ Work, _ *rand.Rand) int {
+		if len(candidates) == 0 {
+			return -1
+		}
+		ups.Configure(nil)
+		return 0
+	}
+	_, _, ok := r.Pick(Placement{Serves: "m", Now: time.Now()})
+	assert.Assert(t, !ok)
+}
