Sum evidence in its table and keep rows packed

Cause: each judge of a move copied the whole evidence table every 2 s, and every instance copied it once a minute to count its rows and once for each publication. At the target size the table holds 16,000 rows of 588 bytes; with the copy it takes 19 MB of the 32 MB budget, and the collector's limit is 20 MB. Gossip kept a second copy of each row for 3 minutes.

Ruled out: views. They are sent only on a change already.

Change: the table keeps a sum for each version, route and minute, which the judge and the planner read. Rows of single instances are needed only to merge; they are held as varints under a short key. Above 16,000 rows, minutes older than 5 keep only their sums: rows arrive for up to 4 minutes. A row that comes later is refused, so it is never counted twice. Gossip keeps for each row when it changed and takes the counts from the table. The reporter reads its own rows since the last look and drops those older than an hour. Its test used minute 1 with a clock in 2027, which is now outside the hour, so the row has the minute of the clock; what it checks is unchanged.

All 11 models in a move at once take 15 MB (derived), which docs/CAPACITY.md lists as a known limit.

--- a/internal/coordination/gossip/exchange.go
+++ b/internal/coordination/gossip/exchange.go
@@ -224,7 +224,7 @@
 		}
 		return
 	}
-	u := o.since(from, o.region != c.to)
+	u := c.store.since(o, from, o.region != c.to)
 	if u.Instance == nil && len(u.Reports) == 0 && len(u.Evidence) == 0 {
 		return
 	}
@@ -232,9 +232,10 @@
 	c.updates = append(c.updates, u)
 }
 
-// since returns the entries above a version, only the wide ones for a peer of
-// another region than the origin's.
-func (o *origin) since(from uint64, wideOnly bool) Update {
+// since returns an origin's entries above a version, only the wide ones for a
+// peer of another region than the origin's. Evidence rows have the counts of
+// the evidence table, which can be higher than those of that version.
+func (s *Store) since(o *origin, from uint64, wideOnly bool) Update {
 	u := Update{Origin: o.id, From: from, To: o.version}
 	if o.record != nil && o.recordAt > from && o.recordAt <= o.version {
 		u.Instance, u.Changed = o.record, o.recordAt
@@ -244,9 +245,12 @@
 			u.Reports = append(u.Reports, r)
 		}
 	}
-	for _, r := range o.evidence {
-		if r.Changed > from && r.Changed <= o.version {
-			u.Evidence = append(u.Evidence, r)
+	for key, m := range o.evidence {
+		if m.changed <= from || m.changed > o.version {
+			continue
+		}
+		if counts, ok := s.tables.Evidence.Get(key); ok {
+			u.Evidence = append(u.Evidence, EvidenceRow{key, counts, m.changed})
 		}
 	}
 	return u
--- a/internal/coordination/gossip/merge.go
+++ b/internal/coordination/gossip/merge.go
@@ -98,8 +98,7 @@
 		if row.Key.Instance != o.id.ID {
 			continue
 		}
-		row.Changed = min(row.Changed, u.To)
-		o.evidence[row.Key] = row
+		o.evidence[row.Key] = mark{changed: min(row.Changed, u.To)}
 		s.tables.Evidence.Merge(row.Key, row.Counts)
 	}
 }
@@ -189,7 +188,7 @@
 		s.self.reports[key] = r
 	}
 	for key, r := range s.self.evidence {
-		r.Changed = next
+		r.changed = next
 		s.self.evidence[key] = r
 	}
 	s.refute(max(s.self.id.Incarnation, s.self.record.Incarnation+1), now)
--- a/internal/coordination/gossip/store.go
+++ b/internal/coordination/gossip/store.go
@@ -59,7 +59,14 @@
 	record   *model.Instance
 	recordAt uint64
 	reports  map[reportKey]Report
-	evidence map[evidence.Key]EvidenceRow
+	evidence map[evidence.Key]mark
+}
+
+// mark says when an evidence row last changed. The counts are in the evidence
+// table.
+type mark struct {
+	changed  uint64 // version of the origin
+	requests uint64 // as published; only of own rows
 }
 
 // reportKey keeps the last wide report of an upstream apart from a later one
@@ -75,7 +82,7 @@
 		id:       id,
 		region:   region,
 		reports:  map[reportKey]Report{},
-		evidence: map[evidence.Key]EvidenceRow{},
+		evidence: map[evidence.Key]mark{},
 	}
 }
 
@@ -168,14 +175,14 @@
 		return
 	}
 	oldest := now.Add(-evidenceLife).Unix() / 60
-	for key, counts := range s.tables.Evidence.Snapshot() {
-		if key.Instance != s.self.id.ID || !moving[key.Version] || key.Minute < oldest {
+	for key, counts := range s.tables.Evidence.Of(s.self.id.ID, oldest) {
+		if !moving[key.Version] {
 			continue
 		}
-		if old, ok := s.self.evidence[key]; ok && old.Counts == counts {
+		if old, ok := s.self.evidence[key]; ok && old.requests == counts.Requests {
 			continue
 		}
-		s.self.evidence[key] = EvidenceRow{key, counts, s.self.version + 1}
+		s.self.evidence[key] = mark{s.self.version + 1, counts.Requests}
 	}
 }
 
@@ -195,7 +202,7 @@
 func (s *Store) dropStale(now time.Time) {
 	oldest := now.Add(-evidenceLife).Unix() / 60
 	for _, o := range s.origins {
-		maps.DeleteFunc(o.evidence, func(k evidence.Key, _ EvidenceRow) bool { return k.Minute < oldest })
+		maps.DeleteFunc(o.evidence, func(k evidence.Key, _ mark) bool { return k.Minute < oldest })
 	}
 	for id, leave := range s.leaves {
 		row, ok := s.tables.Upstreams.Get(id)
--- a/internal/coordination/rollout/history.go
+++ b/internal/coordination/rollout/history.go
@@ -25,14 +25,14 @@
 	target bool
 }
 
-// history turns snapshots of the evidence table into batches: what each
-// snapshot counts beyond the one before.
+// history turns readings of the pooled evidence into batches: what each
+// reading counts beyond the one before.
 type history struct {
 	serves   string
 	plan     model.VersionPlan
 	from     int64 // first minute whose target counts belong to the move
 	seen     map[cell]evidence.Counts
-	requests map[cell]uint64 // of the last snapshot, for the traffic estimate
+	requests map[cell]uint64 // of the last reading, for the traffic estimate
 }
 
 // newHistory returns a history that takes the target's counts from the given
@@ -43,20 +43,28 @@
 
 // prime makes the counts so far part of the past, for a move that begins now:
 // the target may have had traffic under an earlier move.
-func (h *history) prime(rows map[evidence.Key]evidence.Counts) {
-	for c, counts := range h.pool(rows) {
+func (h *history) prime(sums map[evidence.Cell]evidence.Counts) {
+	for c, counts := range h.cells(sums) {
 		if c.target {
 			h.seen[c] = counts
 		}
 	}
 }
 
-// next returns the batches that the snapshot adds, one for each minute.
-func (h *history) next(rows map[evidence.Key]evidence.Counts, now time.Time) []Batch {
+// versions returns the versions whose sums are read.
+func (h *history) versions() []model.VersionKey {
+	return []model.VersionKey{
+		{Serves: h.serves, Version: h.plan.Target},
+		{Serves: h.serves, Version: h.plan.Previous},
+	}
+}
+
+// next returns the batches that the reading adds, one for each minute.
+func (h *history) next(sums map[evidence.Cell]evidence.Counts, now time.Time) []Batch {
 	oldest := minuteOf(now) - horizon
 	byMinute := map[int64]map[string]RouteCounts{}
 	h.requests = map[cell]uint64{}
-	for c, counts := range h.pool(rows) {
+	for c, counts := range h.cells(sums) {
 		if c.minute < oldest || c.target && c.minute < h.from {
 			continue
 		}
@@ -73,20 +81,14 @@
 	return batches(byMinute, now)
 }
 
-// pool sums the rows of the move over all instances.
-func (h *history) pool(rows map[evidence.Key]evidence.Counts) map[cell]evidence.Counts {
-	sums := map[cell]evidence.Counts{}
-	for key, counts := range rows {
+// cells returns the sums of the move's two versions.
+func (h *history) cells(sums map[evidence.Cell]evidence.Counts) map[cell]evidence.Counts {
+	cells := make(map[cell]evidence.Counts, len(sums))
+	for key, counts := range sums {
 		target := key.Version.Version == h.plan.Target
-		if key.Version.Serves != h.serves || !target && key.Version.Version != h.plan.Previous {
-			continue
-		}
-		c := cell{minute: key.Minute, route: key.Route, target: target}
-		sum := sums[c]
-		addCounts(&sum, counts)
-		sums[c] = sum
+		cells[cell{minute: key.Minute, route: key.Route, target: target}] = counts
 	}
-	return sums
+	return cells
 }
 
 func addDelta(byMinute map[int64]map[string]RouteCounts, c cell, delta evidence.Counts) {
--- a/internal/coordination/rollout/manager.go
+++ b/internal/coordination/rollout/manager.go
@@ -22,9 +22,14 @@
 	// lease reads two tables and makes no call.
 	tickInterval  = time.Second
 	pruneInterval = time.Minute
-	// maxEvidenceRows bounds the evidence table: 16,000 rows of about 450
-	// bytes are 7 MB. Small traffic keeps the whole horizon.
+	// maxEvidenceRows bounds the rows of single instances in the evidence
+	// table, as far as openMinutes allows. Small traffic keeps the whole horizon.
 	maxEvidenceRows = 16_000
+	// openMinutes is the age up to which rows of single instances arrive: gossip
+	// passes them on for 3 minutes, publishes them up to 1 minute late, and 1 is
+	// for clocks that differ. With 640 instances and all 11 models in a move it
+	// leaves 84,480 rows.
+	openMinutes = 5
 	// GenerateRoute is the evidence route of engines.
 	GenerateRoute = "generate"
 )
@@ -83,7 +88,8 @@
 	}
 	if now.Sub(m.pruned) >= pruneInterval {
 		m.pruned = now
-		m.cfg.Evidence.DropBefore(oldestKept(m.cfg.Evidence.Snapshot(), minuteOf(now)))
+		m.cfg.Evidence.FoldBefore(firstOpen(m.cfg.Evidence.RowsByMinute(), minuteOf(now)))
+		m.cfg.Evidence.DropBefore(minuteOf(now) - horizon)
 	}
 	m.ticker = m.cfg.Pool.After(tickInterval, managerKey, worker.Func(m.tick))
 }
@@ -134,16 +140,13 @@
 	return method + " " + path
 }
 
-// oldestKept returns the first minute to keep in the evidence table.
-func oldestKept(rows map[evidence.Key]evidence.Counts, now int64) int64 {
-	perMinute := map[int64]int{}
-	for key := range rows {
-		perMinute[key.Minute]++
-	}
+// firstOpen returns the first minute whose rows of single instances stay in
+// the evidence table; of earlier ones only the sums stay.
+func firstOpen(rows map[int64]int, now int64) int64 {
 	kept := 0
 	for minute := now; minute > now-horizon; minute-- {
-		kept += perMinute[minute]
-		if kept > maxEvidenceRows {
+		kept += rows[minute]
+		if kept > maxEvidenceRows && minute < now-openMinutes {
 			return minute + 1
 		}
 	}
--- a/internal/coordination/rollout/trial.go
+++ b/internal/coordination/rollout/trial.go
@@ -1,10 +1,6 @@
 package rollout
 
-import (
-	"time"
-
-	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
-)
+import "time"
 
 // trial is the judged evidence of one move at this instance.
 type trial struct {
@@ -29,11 +25,10 @@
 	if mv.trial != nil && now.Sub(mv.trial.judgedAt) < judgeInterval {
 		return
 	}
-	rows := mv.cfg.Evidence.Snapshot()
 	if generation := share.Epoch >> epochBits; mv.trial == nil || mv.trial.generation != generation {
-		mv.newTrial(generation, rows, now)
+		mv.newTrial(generation, now)
 	}
-	mv.observe(rows, now)
+	mv.observe(now)
 	if v, bad := mv.trial.judge.Verdict(); bad {
 		mv.addStop(share.Epoch, v.String())
 	}
@@ -41,23 +36,23 @@
 
 // newTrial begins to judge. With the record of an older move at hand the
 // evidence since its start is read again; otherwise only new evidence counts.
-func (mv *mover) newTrial(generation uint64, rows map[evidence.Key]evidence.Counts, now time.Time) {
+func (mv *mover) newTrial(generation uint64, now time.Time) {
 	t := &trial{generation: generation, judge: NewJudge(mv.subject.routes)}
 	if mv.move != nil && mv.move.Generation == generation && now.Sub(mv.move.Started) > time.Minute {
 		t.history = newHistory(mv.serves, mv.subject.plan, minuteOf(mv.move.Started)+1)
 	} else {
 		t.history = newHistory(mv.serves, mv.subject.plan, minuteOf(now)-horizon)
-		t.history.prime(rows)
+		t.history.prime(mv.cfg.Evidence.Sums(t.history.versions()...))
 	}
 	mv.trial = t
 }
 
 // observe feeds the new evidence to the judge and to the record's counts.
-func (mv *mover) observe(rows map[evidence.Key]evidence.Counts, now time.Time) {
+func (mv *mover) observe(now time.Time) {
 	t := mv.trial
 	first := t.judgedAt.IsZero()
 	t.judgedAt = now
-	for _, b := range t.history.next(rows, now) {
+	for _, b := range t.history.next(mv.cfg.Evidence.Sums(t.history.versions()...), now) {
 		t.judge.Observe(b)
 		if mv.move == nil || first && minuteOf(b.At) <= mv.move.CountedTo {
 			continue
--- a/internal/coordination/rollout/world_test.go
+++ b/internal/coordination/rollout/world_test.go
@@ -158,12 +158,10 @@
 
 func (w *world) gossip() {
 	for _, from := range w.machines {
-		rows := from.evidence.Snapshot()
+		rows := from.evidence.Of(from.id, time.Now().Unix()/60-1)
 		for _, to := range w.machines {
 			for key, counts := range rows {
-				if key.Instance == from.id && key.Minute >= time.Now().Unix()/60-1 {
-					to.evidence.Merge(key, counts)
-				}
+				to.evidence.Merge(key, counts)
 			}
 			for _, s := range from.stops.Stops() {
 				to.stops.Add(s)
--- a/internal/coordination/view/view_test.go
+++ b/internal/coordination/view/view_test.go
@@ -92,7 +92,7 @@
 	r := &Reporter{
 		Self: "i", Evidence: counts, Stops: stop.NewTable(), Upstreams: upstream.NewTable(), Suspects: suspect.NewTable("i"),
 	}
-	own := evidence.Key{Instance: "i", Version: model.VersionKey{Serves: "m", Version: "2"}, Minute: 1}
+	own := evidence.Key{Instance: "i", Version: model.VersionKey{Serves: "m", Version: "2"}, Minute: now.Unix() / 60}
 	foreign := own
 	foreign.Instance = "other"
 	counts.Observe(own, evidence.Observation{})
@@ -103,3 +103,22 @@
 	counts.Observe(own, evidence.Observation{Failed: true})
 	assert.Equal(t, r.Next(now, false).Evidence[0].Counts.Failures, uint64(1))
 }
+
+// Guards against counts that a pause of the entry process keeps from the next
+// report, and against evidence that it keeps for ever.
+func TestEvidenceOfEarlierMinutes(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	counts := evidence.NewTable()
+	r := &Reporter{
+		Self: "i", Evidence: counts, Stops: stop.NewTable(), Upstreams: upstream.NewTable(), Suspects: suspect.NewTable("i"),
+	}
+	key := evidence.Key{Instance: "i", Version: model.VersionKey{Serves: "m", Version: "2"}, Minute: now.Unix() / 60}
+	r.Next(now, false)
+	counts.Observe(key, evidence.Observation{})
+	later := now.Add(10 * time.Minute)
+	assert.Equal(t, len(r.Next(later, false).Evidence), 1)
+	assert.Equal(t, len(r.Next(later, true).Evidence), 1)
+	later = now.Add(2 * time.Hour)
+	assert.Equal(t, len(r.Next(later, true).Evidence), 0)
+	assert.Equal(t, len(counts.Of("i", 0)), 0)
+}
--- a/internal/state/evidence/evidence.go
+++ b/internal/state/evidence/evidence.go
@@ -3,6 +3,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
@@ -39,6 +40,17 @@
 	Pace      [Buckets]uint64 // mean time between tokens of one stream
 }
 
+// replace takes one row's old counts out of a sum and adds the new ones. The
+// old ones are part of the sum, so nothing falls below zero.
+func (c *Counts) replace(old, now Counts) {
+	c.Requests += now.Requests - old.Requests
+	c.Failures += now.Failures - old.Failures
+	for i := range Buckets {
+		c.FirstWait[i] += now.FirstWait[i] - old.FirstWait[i]
+		c.Pace[i] += now.Pace[i] - old.Pace[i]
+	}
+}
+
 // Bucket returns the bucket for a latency.
 func Bucket(d time.Duration) int {
 	for i := range Buckets - 1 {
@@ -49,16 +61,42 @@
 	return Buckets - 1
 }
 
-// Table maps keys to counts. mu has lock.RankEvidence and guards rows.
-// Invariant: the counts of a key never fall, so merging is idempotent.
+// Cell names the sum of one minute over all instances.
+type Cell struct {
+	Version model.VersionKey
+	Route   string
+	Minute  int64
+}
+
+func (k Key) cell() Cell { return Cell{k.Version, k.Route, k.Minute} }
+
+// sum is a cell with its counts. Rows point to it, so that their keys are
+// short.
+type sum struct {
+	cell   Cell
+	counts Counts
+}
+
+// Table maps keys to counts and sums them over the instances. mu has
+// lock.RankEvidence and guards the other fields.
+//
+// Invariants: the requests of a row never fall, so merging is idempotent. A
+// sum equals the sum of its rows, those that were folded included. No row
+// merges into a minute before folded.
 type Table struct {
-	mu   lock.Mutex
-	rows map[Key]Counts
+	mu     lock.Mutex
+	rows   map[model.InstanceID]map[*sum]packed
+	sums   map[Cell]*sum
+	folded int64 // minutes before this one have sums only
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{mu: lock.New(lock.RankEvidence), rows: map[Key]Counts{}}
+	return &Table{
+		mu:   lock.New(lock.RankEvidence),
+		rows: map[model.InstanceID]map[*sum]packed{},
+		sums: map[Cell]*sum{},
+	}
 }
 
 // Observation is one finished or failed request on one version.
@@ -72,7 +110,9 @@
 func (t *Table) Observe(key Key, o Observation) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.rows[key]
+	s := t.sumOf(key)
+	old := t.rows[key.Instance][s].counts()
+	c := old
 	c.Requests++
 	if o.Failed {
 		c.Failures++
@@ -83,30 +123,124 @@
 	if o.Pace > 0 {
 		c.Pace[Bucket(o.Pace)]++
 	}
-	t.rows[key] = c
+	t.set(key.Instance, s, old, c)
 }
 
-// Merge stores another instance's counts if they are higher than the known.
+// Merge stores another instance's counts if they are higher than the known. It
+// refuses rows of folded minutes, whose earlier counts are not known.
 func (t *Table) Merge(key Key, c Counts) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if old, ok := t.rows[key]; ok && old.Requests >= c.Requests {
+	if key.Minute < t.folded || c.Requests == 0 {
 		return false
 	}
-	t.rows[key] = c
+	s := t.sumOf(key)
+	old := t.rows[key.Instance][s].counts()
+	if old.Requests >= c.Requests {
+		return false
+	}
+	t.set(key.Instance, s, old, c)
 	return true
 }
 
-// Snapshot returns a copy of all rows.
-func (t *Table) Snapshot() map[Key]Counts {
+// sumOf returns the sum that a row belongs to. The caller holds mu.
+func (t *Table) sumOf(key Key) *sum {
+	cell := key.cell()
+	s, ok := t.sums[cell]
+	if !ok {
+		s = &sum{cell: cell}
+		t.sums[cell] = s
+	}
+	return s
+}
+
+// set stores a row. The caller holds mu.
+func (t *Table) set(id model.InstanceID, s *sum, old, c Counts) {
+	s.counts.replace(old, c)
+	rows, ok := t.rows[id]
+	if !ok {
+		rows = map[*sum]packed{}
+		t.rows[id] = rows
+	}
+	rows[s] = pack(c)
+}
+
+// Get returns the counts of one row.
+func (t *Table) Get(key Key) (Counts, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return maps.Clone(t.rows)
+	s, ok := t.sums[key.cell()]
+	if !ok {
+		return Counts{}, false
+	}
+	row, ok := t.rows[key.Instance][s]
+	return row.counts(), ok
+}
+
+// Of returns the rows of one instance from the given minute on.
+func (t *Table) Of(id model.InstanceID, oldest int64) map[Key]Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rows := map[Key]Counts{}
+	for s, row := range t.rows[id] {
+		if s.cell.Minute >= oldest {
+			rows[Key{id, s.cell.Version, s.cell.Route, s.cell.Minute}] = row.counts()
+		}
+	}
+	return rows
+}
+
+// Sums returns the counts of the given versions over all instances.
+func (t *Table) Sums(versions ...model.VersionKey) map[Cell]Counts {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sums := map[Cell]Counts{}
+	for cell, s := range t.sums {
+		if slices.Contains(versions, cell.Version) {
+			sums[cell] = s.counts
+		}
+	}
+	return sums
+}
+
+// RowsByMinute returns the number of rows of each minute.
+func (t *Table) RowsByMinute() map[int64]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	minutes := map[int64]int{}
+	for _, rows := range t.rows {
+		for s := range rows {
+			minutes[s.cell.Minute]++
+		}
+	}
+	return minutes
+}
+
+// FoldBefore keeps only the sums of minutes before the given one.
+func (t *Table) FoldBefore(minute int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fold(minute)
+}
+
+// fold removes rows. The caller holds mu.
+func (t *Table) fold(minute int64) {
+	if minute <= t.folded {
+		return
+	}
+	t.folded = minute
+	for id, rows := range t.rows {
+		maps.DeleteFunc(rows, func(s *sum, _ packed) bool { return s.cell.Minute < minute })
+		if len(rows) == 0 {
+			delete(t.rows, id)
+		}
+	}
 }
 
-// DropBefore removes the rows of older minutes.
+// DropBefore removes the rows and sums of minutes before the given one.
 func (t *Table) DropBefore(minute int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.rows, func(k Key, _ Counts) bool { return k.Minute < minute })
+	t.fold(minute)
+	maps.DeleteFunc(t.sums, func(c Cell, _ *sum) bool { return c.Minute < minute })
 }
