Compress the list of machines and document sources

Ruled out: the transport's own compression. It would also apply to rows, whose plain entity tags conditional writes need.

Change: the client accepts gzip for objects and the list, and bounds the answer after it is decompressed. A platform that does not compress is read as before.

--- a/internal/protocol/platformapi/platformapi.go
+++ b/internal/protocol/platformapi/platformapi.go
@@ -4,9 +4,9 @@
 //
 //	GET, PUT, DELETE /tables/{table}/rows/{key}   ETag, If-Match, If-None-Match: *
 //	GET              /tables/{table}/rows?prefix=  RowList
-//	GET, PUT         /objects/{key}                an object never changes
+//	GET, PUT         /objects/{key}                an object never changes; gzip
 //	GET              /weights/{name}               429 with Retry-After over its rate
-//	GET              /instances                    EntryList, lags behind
+//	GET              /instances                    EntryList, lags behind; gzip
 //	PUT, DELETE      /instances/{id}               Entry
 //
 // A key is one path segment: its slashes are percent-encoded. An answer of
@@ -29,6 +29,10 @@
 	prefixQuery   = "prefix"
 )
 
+// Gzip is the content coding that GET of objects and of the list of machines
+// offers to requests that accept it.
+const Gzip = "gzip"
+
 // Codes of error answers.
 const (
 	CodeNotApplied  = "not_applied"  // 503: the request had no effect
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -9,6 +9,7 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -24,6 +25,8 @@
 	"go.opentelemetry.io/otel/codes"
 	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
 )
 
 const (
@@ -103,6 +106,9 @@
 	query  string
 	header http.Header
 	body   []byte
+	// compressed asks for a compressed answer, which saves traffic where answers
+	// are large. Answers to conditional requests need the plain entity tag.
+	compressed bool
 }
 
 func (c call) write() bool {
@@ -144,7 +150,7 @@
 		return answer{}, &Error{Op: request.op, Kind: kindOfLoss(request.write(), tracker.anySent()), Cause: err}
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := readAnswer(response.Body)
+	body, err := readAnswer(response)
 	if kind := kindOfStatus(request.write(), response.StatusCode, problemCode(body)); kind != nil {
 		return answer{}, &Error{
 			Op:         request.op,
@@ -182,12 +188,24 @@
 	for name, values := range request.header {
 		httpRequest.Header[name] = values
 	}
+	if request.compressed {
+		httpRequest.Header.Set("Accept-Encoding", platformapi.Gzip)
+	}
 	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(httpRequest.Header))
 	return httpRequest, nil
 }
 
-// readAnswer reads a body of at most maxAnswerBytes.
-func readAnswer(body io.Reader) ([]byte, error) {
+// readAnswer reads a body of at most maxAnswerBytes, which counts after it was
+// decompressed.
+func readAnswer(response *http.Response) ([]byte, error) {
+	body := io.Reader(response.Body)
+	if strings.EqualFold(response.Header.Get("Content-Encoding"), platformapi.Gzip) {
+		decompressed, err := gzip.NewReader(body)
+		if err != nil {
+			return nil, err
+		}
+		body = decompressed
+	}
 	read, err := io.ReadAll(io.LimitReader(body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, err
--- a/internal/transport/platform/directory.go
+++ b/internal/transport/platform/directory.go
@@ -35,7 +35,12 @@
 
 // List reads the list. Entries of unknown kinds are left out.
 func (d *Directory) List(ctx context.Context) (Machines, error) {
-	got, err := d.client.do(ctx, call{op: "GET instances", method: http.MethodGet, path: platformapi.InstancesPath})
+	got, err := d.client.do(ctx, call{
+		op:         "GET instances",
+		method:     http.MethodGet,
+		path:       platformapi.InstancesPath,
+		compressed: true,
+	})
 	if err != nil {
 		return Machines{}, err
 	}
--- a/internal/transport/platform/objects.go
+++ b/internal/transport/platform/objects.go
@@ -25,7 +25,12 @@
 	if !platformapi.ValidKey(key) {
 		return nil, badKey(key)
 	}
-	got, err := o.client.do(ctx, call{op: "GET object", method: http.MethodGet, path: platformapi.ObjectPath(key)})
+	got, err := o.client.do(ctx, call{
+		op:         "GET object",
+		method:     http.MethodGet,
+		path:       platformapi.ObjectPath(key),
+		compressed: true,
+	})
 	return got.body, err
 }
 
--- a/internal/transport/standin/platform/handlers.go
+++ b/internal/transport/standin/platform/handlers.go
@@ -66,7 +66,7 @@
 	}
 	w.Header().Set("ETag", objectTag(body))
 	w.Header().Set("Content-Type", "application/octet-stream")
-	_, _ = w.Write(body) // the caller sees a short answer
+	writeCompressed(w, r, body)
 }
 
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
@@ -91,9 +91,15 @@
 	_, _ = w.Write(make([]byte, p.weightBytes)) // the caller sees a short answer
 }
 
-func (p *Platform) listInstances(w http.ResponseWriter, _ *http.Request) {
+func (p *Platform) listInstances(w http.ResponseWriter, r *http.Request) {
 	at := time.Now().Add(-p.faults.Get().listLag())
-	standin.WriteJSON(w, http.StatusOK, platformapi.EntryList{Entries: p.directory.asOf(at)})
+	body, err := json.Marshal(platformapi.EntryList{Entries: p.directory.asOf(at)})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	writeCompressed(w, r, body)
 }
 
 func (p *Platform) putInstance(w http.ResponseWriter, r *http.Request) {
