--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -91,9 +91,24 @@
 	rng := rand.New(rand.NewPCG(1, 1))
 	for range 100 {
 		i := EarliestFinish(candidates, Work{PromptBytes: 100_000, Tokens: 10}, rng)
-		candidates[i].Row.InFlight++
-		candidates[i].Row.Sent++
+		candidates[i].Load.InFlight++
+		candidates[i].Load.Sent++
 	}
-	assert.Assert(t, candidates[0].Row.InFlight < 50, "%d of 100 on one upstream", candidates[0].Row.InFlight)
-	assert.Assert(t, candidates[0].Row.InFlight > 20, "the cache was not used")
+	assert.Assert(t, candidates[0].Load.InFlight < 50, "%d of 100 on one upstream", candidates[0].Load.InFlight)
+	assert.Assert(t, candidates[0].Load.InFlight > 20, "the cache was not used")
+}
+
+// Guards against a request that goes to an upstream which a new document
+// removed while the choice was made, where it would not be counted.
+func TestPickOfRemovedUpstream(t *testing.T) {
+	r, ups := router(model.Upstream{ID: "a", Serves: "m"})
+	r.opts.Policy = func(candidates []Candidate, _ Work, _ *rand.Rand) int {
+		if len(candidates) == 0 {
+			return -1
+		}
+		ups.Configure(nil)
+		return 0
+	}
+	_, _, ok := r.Pick(Placement{Serves: "m", Now: time.Now()})
+	assert.Assert(t, !ok)
 }
