Serve the debug API with credentials, and HTTP with TLS and read limits

Cause: operators could ask a daemon only about one request, and any caller's credential let them. Callers reached the entry process over plain HTTP only. A caller that sent its body slowly, or one of a refused request, held its connection without a limit. Where document.require_credential was false nothing told an operator's request from a caller's.

Ruled out: http.Server.ReadTimeout, since it stays on the connection and its end is taken for a caller that left, which would cut long answers. Operators' credentials in the environment document: they would be needed while no document is in force. HTTP/2 for callers: the limits hold for one connection.

Change: - coordination/access decides who is admitted, callers and operators. - transport/debugserver serves requests, instances and upstreams as a process sees them, each with the age of what is known: the time since the heartbeat rose in a control process, the time since the control process was in touch in an entry process, and the time of the report for an upstream. - The debug address is metrics_listen, of both daemons; an entry process without one serves the API on the callers' address. A debug address that cannot be listened on now ends the start, where it was logged before. - Settings: listen_tls, debug.tls, debug.credential_sha256, limits.body_time. - transport/tlsfiles reads files again when they change; the peers use it too. - A body arrives within limits.body_time or is refused with body_too_slow, not_run; the limit is lifted before the answer. Headers have at most 64 KiB. - A refusal for lack of a credential has WWW-Authenticate.

Conclusion: neither callers nor operators are served without a credential where one is asked for, and slow callers are cut off.

--- a/cmd/controld/control.go
+++ b/cmd/controld/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -11,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/access"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
@@ -19,6 +19,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/watch"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/settings"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
@@ -29,6 +30,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/controllink"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/debugserver"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/engine"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peerlink"
@@ -74,7 +76,7 @@
 	watch    *watch.Manager
 	moves    *rollout.Manager
 	orders   *order.Manager
-	metrics  *http.Server
+	debug    *debugserver.Server // nil without a debug address
 
 	followers atomic.Int32 // entry processes that follow the views
 	entryLeft atomic.Bool  // the entry process said that it drains
@@ -84,7 +86,7 @@
 }
 
 // newControl wires the parts. Nothing but the peer listener is started.
-func newControl(s *settings.Controld, logger log.Interface) (*control, error) {
+func newControl(s *settings.Controld, metrics http.Handler, logger log.Interface) (*control, error) {
 	c := &control{
 		settings: s,
 		log:      logger.WithField("part", "control"),
@@ -117,7 +119,29 @@
 	if c.server, err = peer.NewServer(files, c.handlers()); err != nil {
 		return nil, fmt.Errorf("peer listener: %w", err)
 	}
-	return c, nil
+	return c, c.listen(metrics)
+}
+
+// listen serves the debug address, if there is one.
+func (c *control) listen(metrics http.Handler) error {
+	if c.settings.MetricsListen == "" {
+		return nil
+	}
+	operators := access.Operators{Documents: c.tables.documents, CredentialSHA256: c.settings.Debug.CredentialSHA256}
+	handler := debugserver.NewHandler(debugserver.Options{
+		Instance:    c.settings.Instance,
+		Process:     debugapi.ProcessControl,
+		Environment: c.settings.Environment,
+		Documents:   c.tables.documents,
+		Instances:   c.tables.instances,
+		Upstreams:   c.tables.upstreams,
+		Admit:       operators.Admit,
+		Ages:        c.gossip.Ages,
+		Log:         c.log,
+	})
+	var err error
+	c.debug, err = debugserver.FromSettings(c.settings.Common, handler, metrics, c.log)
+	return err
 }
 
 func newTables(self model.InstanceID) tables {
@@ -162,25 +186,12 @@
 }
 
 // start begins the duties of the process.
-func (c *control) start(metrics http.Handler) {
+func (c *control) start() {
 	c.watcher.Start()
 	c.gossip.Start()
 	c.watch.Start()
 	c.moves.Start()
 	c.orders.Start()
-	c.serveMetrics(metrics)
-}
-
-func (c *control) serveMetrics(handler http.Handler) {
-	if c.settings.MetricsListen == "" {
-		return
-	}
-	c.metrics = &http.Server{Addr: c.settings.MetricsListen, Handler: handler, ReadHeaderTimeout: time.Second}
-	c.running.Go(func() {
-		if err := c.metrics.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			c.log.WithError(err).Error("metrics are not served")
-		}
-	})
 }
 
 // leave announces the stop and waits for the entry process, which drains.
@@ -195,8 +206,10 @@
 
 // stop ends the parts in the reverse order of their start.
 func (c *control) stop() {
-	if c.metrics != nil {
-		_ = c.metrics.Close() // scrapes can be repeated elsewhere
+	if c.debug != nil {
+		if err := c.debug.Close(); err != nil {
+			c.log.WithError(err).Warn("debug address did not close")
+		}
 	}
 	c.cancel()
 	c.running.Wait()
--- a/cmd/controld/main.go
+++ b/cmd/controld/main.go
@@ -55,11 +55,11 @@
 	debug.SetMemoryLimit(memoryLimit)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	c, err := newControl(s, log.Log)
+	c, err := newControl(s, tel.Handler(), log.Log)
 	if err != nil {
 		return err
 	}
-	c.start(tel.Handler())
+	c.start()
 	<-ctx.Done()
 	c.leave()
 	c.stop()
--- a/cmd/entryd/entry.go
+++ b/cmd/entryd/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/apex/log"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/access"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/frontend"
@@ -21,16 +22,19 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/settings"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/callers"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/controllink"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/debugserver"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/engine"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peerlink"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/platform"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/service"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tlsfiles"
 )
 
 const (
@@ -51,6 +55,7 @@
 	peers     *peer.Client
 	server    *peer.Server
 	callers   *callers.Server
+	debug     *debugserver.Server // nil without a debug address
 	admission *admission.Manager
 	detector  *rollout.Detector
 
@@ -78,17 +83,19 @@
 	if e.peers, err = peer.NewClient(files); err != nil {
 		return nil, err
 	}
-	logs := e.wire(metrics)
+	logs, err := e.wire(metrics)
+	if err != nil {
+		return nil, err
+	}
 	files.Address = s.PeerListen
 	if e.server, err = peer.NewServer(files, logs.Handlers()); err != nil {
 		return nil, fmt.Errorf("peer listener: %w", err)
 	}
-	e.link = &controllink.Link{Client: e.peers, Control: s.Control, Log: logger.WithField("part", "control link")}
 	return e, nil
 }
 
 // wire connects the decisions with each other and with the transport.
-func (e *entry) wire(metrics http.Handler) peerlink.Logs {
+func (e *entry) wire(metrics http.Handler) (peerlink.Logs, error) {
 	t, self := e.tables, e.settings.Instance
 	logClient := peerlink.NewClient(e.peers)
 	holder := replication.NewHolder(replication.HolderOptions{Pool: e.pool})
@@ -129,22 +136,63 @@
 	front := frontend.New(frontend.Options{
 		Instance: self, Documents: t.documents, Generations: t.generations, Relay: generations, Replication: copies, Calls: calls,
 	})
-	e.callers = callers.New(callers.Options{
-		Address:    e.settings.Listen,
-		Frontend:   front,
-		Endpoints:  endpoints{t.directory, self, &e.draining},
-		Metrics:    metrics,
-		BodyBytes:  e.settings.Limits.BodyBytes,
-		HeaderTime: e.settings.Limits.HeaderTime,
-		Log:        e.log,
-	})
+	e.link = &controllink.Link{Client: e.peers, Control: e.settings.Control, Log: e.log.WithField("part", "control link")}
+	if err := e.listen(front, metrics); err != nil {
+		return peerlink.Logs{}, err
+	}
 	return peerlink.Logs{
 		Holder:  holder,
 		Manager: copies,
 		Join:    func(id model.RequestID) { generations.Join(id) },
 		Leave:   func(id model.RequestID) { generations.Leave(id, relay.ReconnectGrace) },
 		Grant:   guard.Grant,
+	}, nil
+}
+
+// listen makes the callers' server and, if it has an address of its own, the
+// debug server.
+func (e *entry) listen(front *frontend.Frontend, metrics http.Handler) error {
+	s := e.settings
+	config, err := tlsfiles.Server(s.ListenTLS.Cert, s.ListenTLS.Key)
+	if err != nil {
+		return fmt.Errorf("listen_tls: %w", err)
+	}
+	options := callers.Options{
+		Address:    s.Listen,
+		Frontend:   front,
+		Endpoints:  endpoints{e.tables.directory, s.Instance, &e.draining},
+		Metrics:    metrics,
+		Debug:      e.debugHandler(front),
+		TLS:        config,
+		BodyBytes:  s.Limits.BodyBytes,
+		HeaderTime: s.Limits.HeaderTime,
+		BodyTime:   s.Limits.BodyTime,
+		Log:        e.log,
+	}
+	if s.MetricsListen != "" {
+		if e.debug, err = debugserver.FromSettings(s.Common, options.Debug, metrics, e.log); err != nil {
+			return err
+		}
+		options.Debug, options.Metrics = nil, nil
 	}
+	e.callers = callers.New(options)
+	return nil
+}
+
+func (e *entry) debugHandler(front *frontend.Frontend) http.Handler {
+	operators := access.Operators{Documents: e.tables.documents, CredentialSHA256: e.settings.Debug.CredentialSHA256}
+	return debugserver.NewHandler(debugserver.Options{
+		Instance:    e.settings.Instance,
+		Process:     debugapi.ProcessEntry,
+		Environment: e.settings.Environment,
+		Documents:   e.tables.documents,
+		Instances:   e.tables.instances,
+		Upstreams:   e.tables.upstreams,
+		Admit:       operators.Admit,
+		Explain:     front.Explain,
+		ViewAge:     e.link.Age,
+		Log:         e.log,
+	})
 }
 
 // start follows the control process.
@@ -193,6 +241,11 @@
 	e.cancel()
 	e.running.Wait()
 	e.pool.Close()
+	if e.debug != nil {
+		if err := e.debug.Close(); err != nil {
+			e.log.WithError(err).Warn("debug address did not close")
+		}
+	}
 	if err := e.server.Close(); err != nil {
 		e.log.WithError(err).Warn("peer listener did not close")
 	}
--- a/internal/coordination/frontend/frontend.go
+++ b/internal/coordination/frontend/frontend.go
@@ -6,14 +6,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"errors"
 	"fmt"
-	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/access"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
@@ -48,7 +44,7 @@
 
 // NewRequestID returns an ID that names this instance as the owner.
 func (f *Frontend) NewRequestID() model.RequestID {
-	return model.RequestID(string(f.opts.Instance) + "-" + rand.Text())
+	return model.NewRequestID(f.opts.Instance)
 }
 
 // Ready returns a refusal while no document is in force.
@@ -56,12 +52,7 @@
 	if f.opts.Documents.Current() != nil {
 		return nil
 	}
-	return &model.Refusal{
-		Code:       "not_ready",
-		Message:    "This instance has no environment document yet.",
-		Outcome:    model.OutcomeNotRun,
-		RetryAfter: time.Second,
-	}
+	return access.NotReady()
 }
 
 // Identify returns the organisation of a caller from its bearer credential, or
@@ -71,19 +62,14 @@
 	if d == nil {
 		return "", f.Ready()
 	}
-	sum := sha256.Sum256([]byte(credential))
-	digest := hex.EncodeToString(sum[:])
+	given := access.NewCredential(credential)
 	for _, o := range d.Organisations {
-		if credential != "" && subtle.ConstantTimeCompare([]byte(digest), []byte(o.CredentialSHA256)) == 1 {
+		if given.Is(o.CredentialSHA256) {
 			return o.ID, nil
 		}
 	}
 	if d.RequireCredential {
-		return "", &model.Refusal{
-			Code:    "credential_required",
-			Message: "A valid organisation credential is required in the Authorization header.",
-			Outcome: model.OutcomeNotRun,
-		}
+		return "", access.Required("organisation")
 	}
 	for _, o := range d.Organisations {
 		if string(o.ID) == claimed {
--- a/internal/coordination/gossip/manager.go
+++ b/internal/coordination/gossip/manager.go
@@ -106,6 +106,12 @@
 	})
 }
 
+// Ages returns for each other instance the time since it was last heard of. It
+// is called by network goroutines.
+func (m *Manager) Ages(ctx context.Context, now time.Time) (map[model.InstanceID]time.Duration, error) {
+	return worker.Do(ctx, m.opts.Pool, Key, func() map[model.InstanceID]time.Duration { return m.store.Ages(now) })
+}
+
 // Announce spreads stops, shares, leaving upstreams, deaths and clears that
 // this instance found out. It merges them into the tables too.
 func (m *Manager) Announce(d Delta) {
--- a/internal/coordination/gossip/store.go
+++ b/internal/coordination/gossip/store.go
@@ -253,6 +253,9 @@
 	}
 }
 
+// Ages returns for each other instance the time since it was last heard of.
+func (s *Store) Ages(now time.Time) map[model.InstanceID]time.Duration { return s.tracker.Ages(now) }
+
 // SilentRegions returns the regions to leave out of endpoint answers.
 func (s *Store) SilentRegions(now time.Time) []string { return s.tracker.SilentRegions(now) }
 
--- a/internal/coordination/membership/tracker.go
+++ b/internal/coordination/membership/tracker.go
@@ -74,6 +74,16 @@
 	return true
 }
 
+// Ages returns for each instance the time since its heartbeat counter last
+// rose.
+func (t *Tracker) Ages(now time.Time) map[model.InstanceID]time.Duration {
+	ages := make(map[model.InstanceID]time.Duration, len(t.heard))
+	for id, b := range t.heard {
+		ages[id] = now.Sub(b.at)
+	}
+	return ages
+}
+
 // Contact notes that a peer sent a message or answered one.
 func (t *Tracker) Contact(now time.Time) { t.contact = now }
 
--- a/internal/protocol/problem/codes.go
+++ b/internal/protocol/problem/codes.go
@@ -17,6 +17,7 @@
 	CodeMethodNotAllowed        = "method_not_allowed"
 	CodeDuplicateRequest        = "duplicate_request"
 	CodeResultNotKept           = "result_not_kept"
+	CodeBodyTooSlow             = "body_too_slow"
 	CodeBodyTooLarge            = "body_too_large"
 	CodeIdempotencyKeyReused    = "idempotency_key_reused"
 	CodeRequestKillsEngines     = "request_kills_engines"
@@ -53,6 +54,7 @@
 	CodeMethodNotAllowed:        http.StatusMethodNotAllowed,
 	CodeDuplicateRequest:        http.StatusConflict,
 	CodeResultNotKept:           http.StatusGone,
+	CodeBodyTooSlow:             http.StatusRequestTimeout,
 	CodeBodyTooLarge:            http.StatusRequestEntityTooLarge,
 	CodeIdempotencyKeyReused:    http.StatusUnprocessableEntity,
 	CodeRequestKillsEngines:     http.StatusUnprocessableEntity,
--- a/internal/protocol/problem/problem.go
+++ b/internal/protocol/problem/problem.go
@@ -60,6 +60,9 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Cache-Control", "no-store")
 	header.Set(HeaderRequestID, string(id))
+	if Status(r.Code) == http.StatusUnauthorized {
+		header.Set("WWW-Authenticate", "Bearer")
+	}
 	if r.RetryAfter > 0 {
 		header.Set(HeaderRetryAfter, retryAfter(r.RetryAfter))
 	}
--- a/internal/protocol/settings/defaults.go
+++ b/internal/protocol/settings/defaults.go
@@ -9,6 +9,8 @@
 		Limits: Limits{
 			BodyBytes:  4 << 20,
 			HeaderTime: 5 * time.Second,
+			// A body of 4 MiB arrives in 30 s at 1.1 Mbit/s.
+			BodyTime: 30 * time.Second,
 			// At the target scale an instance starts 35 requests/s, of which 5%
 			// run for minutes: about 500 streams at once, and several times that
 			// when other instances fail.
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -26,12 +26,14 @@
 	// PeerAdvertised is the UDP address that other processes use. Empty means
 	// PeerListen, which then must name a host.
 	PeerAdvertised string `yaml:"peer_advertised" validate:"omitempty,ipport"`
-	// MetricsListen is the TCP address of /metrics. Empty means that the
-	// process serves none of its own.
+	// MetricsListen is the TCP address of /metrics and of the debug API, the
+	// debug address. Empty means that the process has none of its own; an entry
+	// process then serves both on the address for callers.
 	MetricsListen string `yaml:"metrics_listen" validate:"omitempty,listen"`
 	// Peers are UDP addresses of control processes to start gossip with.
 	Peers    []string `yaml:"peers" validate:"dive,ipport"`
 	Platform string   `yaml:"platform" validate:"required,http_url"`
+	Debug    Debug    `yaml:"debug"`
 	TLS      TLS      `yaml:"tls"`
 	Log      Log      `yaml:"log"`
 	Trace    Trace    `yaml:"trace"`
@@ -39,6 +41,26 @@
 	Workers int `yaml:"workers" validate:"min=0,max=4096"`
 }
 
+// Debug guards the debug address.
+type Debug struct {
+	// CredentialSHA256 is the hex SHA-256 of the operators' bearer credential.
+	// Empty means that there is none: then the debug API is open, unless the
+	// environment document asks for credentials.
+	CredentialSHA256 string `yaml:"credential_sha256" validate:"omitempty,sha256"`
+	// TLS is for MetricsListen.
+	TLS ServerTLS `yaml:"tls"`
+}
+
+// ServerTLS names the files of an address that serves HTTP. Both are set, or
+// neither, which means plain HTTP.
+type ServerTLS struct {
+	Cert string `yaml:"cert" validate:"required_with=Key"`
+	Key  string `yaml:"key" validate:"required_with=Cert"`
+}
+
+// Enabled reports whether the address serves HTTPS.
+func (t ServerTLS) Enabled() bool { return t.Cert != "" }
+
 // TLS names the files for mutual TLS between processes.
 type TLS struct {
 	Cert string `yaml:"cert" validate:"required"`
@@ -62,6 +84,9 @@
 type Limits struct {
 	BodyBytes  int64         `yaml:"body_bytes" validate:"min=1024,max=67108864"`
 	HeaderTime time.Duration `yaml:"header_time" validate:"min=100ms,max=1m"`
+	// BodyTime bounds the arrival of a request body after its header. It does
+	// not bound the answer.
+	BodyTime   time.Duration `yaml:"body_time" validate:"min=100ms,max=10m"`
 	MaxStreams int           `yaml:"max_streams" validate:"min=1,max=1000000"`
 }
 
@@ -81,8 +106,10 @@
 	Advertised string `yaml:"advertised" validate:"omitempty,ipport"`
 	// Control is the UDP address of the instance's control process.
 	Control string `yaml:"control" validate:"required,ipport"`
-	Limits  Limits `yaml:"limits"`
-	Drain   Drain  `yaml:"drain"`
+	// ListenTLS is for Listen.
+	ListenTLS ServerTLS `yaml:"listen_tls"`
+	Limits    Limits    `yaml:"limits"`
+	Drain     Drain     `yaml:"drain"`
 }
 
 // Polls holds the intervals of the control process's periodic duties.
--- a/internal/protocol/strictyaml/validate.go
+++ b/internal/protocol/strictyaml/validate.go
@@ -97,8 +97,11 @@
 
 // message says what is allowed and what the file has instead.
 func message(fault validator.FieldError) string {
-	if fault.Tag() == "required" {
+	switch fault.Tag() {
+	case "required":
 		return "is required"
+	case "required_with":
+		return fmt.Sprintf("is required because %s is set", strings.ToLower(fault.Param()))
 	}
 	allowed := allowedBy(fault)
 	if fault.Kind() == reflect.Slice {
--- a/internal/state/model/model.go
+++ b/internal/state/model/model.go
@@ -2,7 +2,10 @@
 // no encoding tags: the protocol layer encodes them.
 package model
 
-import "time"
+import (
+	"crypto/rand"
+	"time"
+)
 
 // Identifiers of the parts of a deployment.
 type (
@@ -23,6 +26,11 @@
 	StreamID string
 )
 
+// NewRequestID returns an ID that names the instance as the owner.
+func NewRequestID(owner InstanceID) RequestID {
+	return RequestID(string(owner) + "-" + rand.Text())
+}
+
 // Document is the environment document in force.
 type Document struct {
 	Environment   string
--- a/internal/transport/callers/generate.go
+++ b/internal/transport/callers/generate.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -18,14 +19,6 @@
 // generation that has not started by then is refused, and a call is not sent.
 const headerTimeout = "X-Request-Timeout-Ms"
 
-func credential(r *http.Request) string {
-	token, found := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-	if !found {
-		return ""
-	}
-	return token
-}
-
 func invalid(message string) *model.Refusal {
 	return &model.Refusal{Code: problem.CodeInvalidRequest, Message: message, Outcome: model.OutcomeNotRun}
 }
@@ -73,21 +66,47 @@
 	s.whole(x, format)
 }
 
-// body reads the request body within the limit.
+// limitBody bounds the arrival of the request body. The bound holds for a body
+// that is not read too, which the server drains after the answer.
+func (s *Server) limitBody(x *exchange) {
+	if x.r.Body == http.NoBody {
+		return
+	}
+	s.setReadDeadline(x, time.Now().Add(s.opts.BodyTime))
+}
+
+// bodyArrived lifts the bound: the server goes on reading the connection to
+// notice that the caller leaves, and a timeout there would end the answer.
+func (s *Server) bodyArrived(x *exchange) { s.setReadDeadline(x, time.Time{}) }
+
+func (s *Server) setReadDeadline(x *exchange, at time.Time) {
+	if err := http.NewResponseController(x.w).SetReadDeadline(at); err != nil {
+		s.opts.Log.WithField("request_id", string(x.id)).WithError(err).Warn("read limit could not be set")
+	}
+}
+
+// body reads the request body within the limits.
 func (s *Server) body(x *exchange) ([]byte, *model.Refusal) {
 	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.opts.BodyBytes))
 	var tooLarge *http.MaxBytesError
 	switch {
+	case err == nil:
+		s.bodyArrived(x)
+		return body, nil
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, &model.Refusal{
+			Code:    problem.CodeBodyTooSlow,
+			Message: "The request body did not arrive within " + s.opts.BodyTime.String() + ".",
+			Outcome: model.OutcomeNotRun,
+		}
 	case errors.As(err, &tooLarge):
 		return nil, &model.Refusal{
 			Code:    problem.CodeBodyTooLarge,
 			Message: "The request body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes.",
 			Outcome: model.OutcomeNotRun,
 		}
-	case err != nil:
-		return nil, invalid("The request body could not be read.")
 	}
-	return body, nil
+	return nil, invalid("The request body could not be read.")
 }
 
 func deadline(r *http.Request) (time.Time, *model.Refusal) {
@@ -130,6 +149,11 @@
 		s.refuse(x, invalid("Last-Event-ID: "+err.Error()))
 		return
 	}
+	// A caller may repeat its request; only the event ID counts.
+	if _, refusal := s.body(x); refusal != nil {
+		s.refuse(x, refusal)
+		return
+	}
 	x.id = id.Request
 	x.w.Header().Set(problem.HeaderRequestID, string(x.id))
 	reader, refusal := s.opts.Frontend.Resume(x.r.Context(), id.Request, id.Line, id.Position)
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"net/http"
 	"slices"
@@ -18,6 +19,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/bearer"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
@@ -33,9 +35,12 @@
 	Address    string // TCP IP:port
 	Frontend   *frontend.Frontend
 	Endpoints  Endpoints
-	Metrics    http.Handler
+	Metrics    http.Handler // nil where another address serves the metrics
+	Debug      http.Handler // nil where another address serves the debug API
+	TLS        *tls.Config  // nil means plain HTTP
 	BodyBytes  int64
-	HeaderTime time.Duration
+	HeaderTime time.Duration // longest arrival of a header
+	BodyTime   time.Duration // longest arrival of a body after its header
 	Log        log.Interface
 }
 
@@ -54,19 +59,44 @@
 	s.http = kratos.NewServer(
 		kratos.Address(opts.Address),
 		kratos.Timeout(0), // streams run for minutes
+		kratos.TLSConfig(opts.TLS),
 	)
-	s.http.ReadHeaderTimeout = opts.HeaderTime
+	s.bound()
 	s.http.HandleFunc("/v1/chat/completions", s.wrap("chat.completions", s.completion(true)))
 	s.http.HandleFunc("/v1/completions", s.wrap("completions", s.completion(false)))
 	s.http.HandleFunc("/v1/endpoints", s.wrap("endpoints", s.endpoints))
 	s.http.HandleFunc("/healthz", s.numbered(s.health))
 	s.http.HandleFunc("/readyz", s.numbered(s.ready))
-	s.http.HandlePrefix(debugapi.RequestPath, s.wrap("explain", s.explain))
-	s.http.HandleFunc("/metrics", s.numbered(func(x *exchange) { opts.Metrics.ServeHTTP(x.w, x.r) }))
+	if opts.Debug != nil {
+		s.http.HandlePrefix(debugapi.Prefix, s.numbered(func(x *exchange) { opts.Debug.ServeHTTP(x.w, x.r) }))
+	}
+	if opts.Metrics != nil {
+		s.http.HandleFunc("/metrics", s.numbered(func(x *exchange) { opts.Metrics.ServeHTTP(x.w, x.r) }))
+	}
 	s.http.HandlePrefix("/", s.wrap("call", s.call))
 	return s
 }
 
+const (
+	// idleTime ends a connection on which a caller sends no further request.
+	idleTime = 2 * time.Minute
+	// maxHeaderBytes bounds a request header. The largest that callers need is
+	// a credential and a trace context, less than 4 KiB.
+	maxHeaderBytes = 64 << 10
+)
+
+// bound limits what a slow or hostile caller can hold. The time to write is
+// not limited: answers run for minutes.
+func (s *Server) bound() {
+	s.http.ReadHeaderTimeout = s.opts.HeaderTime
+	s.http.IdleTimeout = idleTime
+	s.http.MaxHeaderBytes = maxHeaderBytes
+	// Over HTTP/2 many requests share a connection, and the limits above are
+	// for one connection.
+	s.http.Protocols = new(http.Protocols)
+	s.http.Protocols.SetHTTP1(true)
+}
+
 // Start implements the kratos transport.Server interface.
 func (s *Server) Start(ctx context.Context) error {
 	err := s.http.Start(ctx)
@@ -119,6 +149,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{w: w, r: r, id: s.opts.Frontend.NewRequestID()}
 		w.Header().Set(problem.HeaderRequestID, string(x.id))
+		s.limitBody(x)
 		handle(x)
 	}
 }
@@ -130,7 +161,7 @@
 		ctx, span := s.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
 		defer span.End()
 		x.r = x.r.WithContext(ctx)
-		organisation, refusal := s.opts.Frontend.Identify(credential(x.r), x.r.Header.Get("X-Organisation"))
+		organisation, refusal := s.opts.Frontend.Identify(bearer.Credential(x.r), x.r.Header.Get("X-Organisation"))
 		if refusal != nil {
 			s.refuse(x, refusal)
 			return
--- a/internal/transport/callers/status.go
+++ b/internal/transport/callers/status.go
@@ -3,10 +3,8 @@
 import (
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
-	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -55,24 +53,6 @@
 	s.writeJSON(x.w, map[string]string{"status": "ready"})
 }
 
-// explain tells where a request went, while it is remembered.
-func (s *Server) explain(x *exchange) {
-	if !s.allows(x, http.MethodGet, http.MethodHead) {
-		return
-	}
-	id := model.RequestID(strings.TrimPrefix(x.r.URL.Path, debugapi.RequestPath))
-	record, ok := s.opts.Frontend.Explain(id)
-	if !ok {
-		s.refuse(x, &model.Refusal{
-			Code:    problem.CodeUnknownRequest,
-			Message: "This instance does not remember the request.",
-			Outcome: model.OutcomeNotRun,
-		})
-		return
-	}
-	s.writeJSON(x.w, debugapi.FromRecord(record))
-}
-
 func (s *Server) writeJSON(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(value); err != nil {
--- a/internal/transport/controllink/controllink.go
+++ b/internal/transport/controllink/controllink.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -80,6 +81,28 @@
 	Client  *peer.Client
 	Control string // UDP address of the control process
 	Log     log.Interface
+
+	following atomic.Bool
+	contact   atomic.Int64 // Unix nanoseconds of the end of the last contact; 0 for none
+}
+
+// Age returns the time since the process was in touch with its control
+// process, and false if it never was. A control process that no longer answers
+// is noticed by the probes of the connection, within 2 s.
+func (l *Link) Age(now time.Time) (time.Duration, bool) {
+	if l.following.Load() {
+		return 0, true
+	}
+	contact := l.contact.Load()
+	return max(0, now.Sub(time.Unix(0, contact))), contact != 0
+}
+
+// lost notes the end of a contact.
+func (l *Link) lost() {
+	if l.following.Load() {
+		l.contact.Store(time.Now().UnixNano())
+		l.following.Store(false)
+	}
 }
 
 // Follow hands each view over until ctx ends.
@@ -104,6 +127,7 @@
 		return err
 	}
 	defer stream.Close()
+	defer l.lost()
 	for {
 		m, err := stream.Next(ctx)
 		if err != nil {
@@ -113,6 +137,7 @@
 		if err != nil {
 			return err
 		}
+		l.following.Store(true)
 		take(v)
 	}
 }
--- a/internal/transport/controllink/controllink_test.go
+++ b/internal/transport/controllink/controllink_test.go
@@ -59,6 +59,35 @@
 	assert.DeepEqual(t, (<-reports).Stops, stops.Stops())
 }
 
+// Guards against an entry process that shows a lost view as a current one.
+func TestAgeGrowsAfterTheControlProcessIsLost(t *testing.T) {
+	ended := make(chan struct{})
+	link := start(t, peer.Mux{peerwire.KindView: peer.HandlerFunc(
+		func(_ context.Context, _ peer.Peer, _ peerwire.Message, w peer.MessageWriter) error {
+			m, err := peerwire.EncodeView(view.View{Document: &model.Document{Generation: 1}})
+			if err != nil {
+				return err
+			}
+			if err := w.Write(m); err != nil {
+				return err
+			}
+			<-ended
+			return nil
+		})})
+	_, known := link.Age(time.Now())
+	assert.Assert(t, !known)
+	views := make(chan view.View, 1)
+	lost := make(chan error, 1)
+	go func() { lost <- link.followOnce(t.Context(), func(v view.View) { views <- v }) }()
+	<-views
+	age, known := link.Age(time.Now().Add(time.Hour))
+	assert.Assert(t, known && age == 0, "age %v while in touch", age)
+	close(ended)
+	assert.Assert(t, <-lost != nil)
+	age, known = link.Age(time.Now().Add(time.Hour))
+	assert.Assert(t, known && age >= time.Hour, "age %v after the loss", age)
+}
+
 // start serves the handlers and returns a link to them.
 func start(t *testing.T, handlers peer.Mux) *Link {
 	t.Helper()
--- /dev/null
+++ b/internal/transport/debugserver/server.go
@@ -0,0 +1,88 @@
+package debugserver
+
+import (
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/gravitational/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/settings"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tlsfiles"
+)
+
+// Limits of one request. The largest answer, 3,500 upstreams, has 1 MiB.
+const (
+	headerTime     = time.Second
+	readTime       = 5 * time.Second
+	writeTime      = time.Minute
+	idleTime       = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+// Server serves the debug API and the metrics on an address of their own.
+type Server struct {
+	http     *http.Server
+	listener net.Listener
+	running  sync.WaitGroup
+}
+
+// FromSettings listens on the debug address of a daemon.
+func FromSettings(s settings.Common, debug, metrics http.Handler, logger log.Interface) (*Server, error) {
+	config, err := tlsfiles.Server(s.Debug.TLS.Cert, s.Debug.TLS.Key)
+	if err != nil {
+		return nil, trace.Wrap(err, "debug.tls")
+	}
+	return Listen(s.MetricsListen, config, debug, metrics, logger)
+}
+
+// Listen serves until Close. config is nil for plain HTTP. Metrics need no
+// credential, as scrapers have none.
+func Listen(address string, config *tls.Config, debug, metrics http.Handler, logger log.Interface) (*Server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, trace.ConnectionProblem(err, "listen on debug address %s: %v", address, err)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metrics)
+	mux.Handle(debugapi.Prefix, debug)
+	s := &Server{
+		listener: listener,
+		http: &http.Server{
+			Handler:           mux,
+			TLSConfig:         config,
+			ReadHeaderTimeout: headerTime,
+			ReadTimeout:       readTime,
+			WriteTimeout:      writeTime,
+			IdleTimeout:       idleTime,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+	}
+	s.running.Go(func() { s.serve(logger) })
+	return s, nil
+}
+
+func (s *Server) serve(logger log.Interface) {
+	serve := s.http.Serve
+	if s.http.TLSConfig != nil {
+		serve = func(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
+	}
+	if err := serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		logger.WithField("part", "debug").WithError(err).Error("debug address is not served")
+	}
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Close ends the server and its connections: all requests can be repeated.
+func (s *Server) Close() error {
+	err := s.http.Close()
+	s.running.Wait()
+	return trace.Wrap(err)
+}
--- a/internal/transport/peer/connections.go
+++ b/internal/transport/peer/connections.go
@@ -15,7 +15,7 @@
 // mu guards peers and closed; it is not held during a handshake.
 type connections struct {
 	options   Options
-	creds     *credentials
+	creds     credentials
 	meter     *meter
 	transport *quic.Transport
 	socket    net.PacketConn
@@ -37,7 +37,7 @@
 	used        time.Time
 }
 
-func newConnections(o Options, creds *credentials, m *meter) (*connections, error) {
+func newConnections(o Options, creds credentials, m *meter) (*connections, error) {
 	socket, err := net.ListenUDP("udp", nil)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "open UDP socket: %v", err)
--- a/internal/transport/peer/devcert/devcert.go
+++ b/internal/transport/peer/devcert/devcert.go
@@ -10,6 +10,7 @@
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
+	"net"
 	"os"
 	"path/filepath"
 	"time"
@@ -67,7 +68,8 @@
 
 func (a *Authority) caFile() string { return filepath.Join(a.dir, "ca.pem") }
 
-// Issue makes a certificate for an instance and writes <name>.pem and
+// Issue makes a certificate for an instance, which is valid for the loopback
+// addresses too, and writes <name>.pem and
 // <name>.key to the directory.
 func (a *Authority) Issue(name string) (Files, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -78,6 +80,7 @@
 		SerialNumber: serial(),
 		Subject:      pkix.Name{CommonName: name},
 		DNSNames:     []string{name},
+		IPAddresses:  []net.IP{net.IPv4(127, 0, 0, 1), net.IPv6loopback},
 		NotBefore:    time.Now().Add(-clockSkew),
 		NotAfter:     time.Now().Add(instanceLife),
 		KeyUsage:     x509.KeyUsageDigitalSignature,
