Let svctl ask daemons, and say what is allowed and what was changed

Cause: `instances` and `upstreams` showed the platform's list and the document only, with neither health nor age. Some errors of the command line named neither the value nor what is allowed ("unexpected argument bogus"), and a failed promotion did not say that it had no effect.

Ruled out: reading the daemons' addresses from the platform's list. It lags and names no debug address.

Errors of kong are completed; a failed promote says that nothing was changed, unless that is unknown or the promotion was accepted and only printing failed.

--- a/internal/transport/operator/cli.go
+++ b/internal/transport/operator/cli.go
@@ -23,6 +23,8 @@
   svctl diff trial examples/archive-workshop.yaml
   svctl promote --file examples/archive-workshop.yaml --to trial --seen 4
   svctl promote --from trial --to production --seen 11
+  svctl moves production
+  svctl upstreams production --daemon http://10.1.0.1:9090
 
 ` + exitHelp
 
@@ -39,15 +41,16 @@
 	Platform string        `help:"URL of the platform." env:"SVCTL_PLATFORM" placeholder:"URL"`
 	Output   string        `help:"Output format: table or json." enum:"table,json" default:"table"`
 	Timeout  time.Duration `help:"Time after which a command gives up." default:"30s"`
+	daemonFlags
 
 	Check     checkCommand     `cmd:"" help:"Check a document file. Needs no platform."`
 	Show      showCommand      `cmd:"" help:"Show the document in force."`
 	Diff      diffCommand      `cmd:"" help:"Show what a document file would change."`
 	Promote   promoteCommand   `cmd:"" help:"Put a document in force."`
 	Moves     movesCommand     `cmd:"" help:"List the version moves of an environment."`
-	Instances instancesCommand `cmd:"" help:"List the instances that the platform knows."`
-	Upstreams upstreamsCommand `cmd:"" help:"List the upstreams of the document in force."`
-	Explain   explainCommand   `cmd:"" help:"Show which engines served a request."`
+	Instances instancesCommand `cmd:"" help:"List the instances that the platform or a daemon knows."`
+	Upstreams upstreamsCommand `cmd:"" help:"List the upstreams of the document in force, or as a daemon sees them."`
+	Explain   explainCommand   `cmd:"" help:"Show which engines served a request, and why."`
 }
 
 // Validate implements kong's check of flags.
@@ -84,7 +87,7 @@
 	}
 	command, err := parser.Parse(args)
 	if err != nil {
-		return report(config, err, ExitUsage)
+		return report(config, usageError(err), ExitUsage)
 	}
 	ctx, cancel := context.WithTimeout(ctx, flags.Timeout)
 	defer cancel()
--- a/internal/transport/operator/exit.go
+++ b/internal/transport/operator/exit.go
@@ -21,7 +21,8 @@
 )
 
 const exitHelp = `Exit codes: 0 done; 1 failed; 2 usage or invalid input; 3 conflict, another document is in force than the one seen;
-4 platform unavailable, or it is unknown whether a change took effect.`
+4 platform unavailable, or it is unknown whether a change took effect. Only promote changes anything; a command that
+ends with 1, 2 or 3 has changed nothing, unless its message says that the promotion is accepted.`
 
 // exitCode returns the exit code of a command that ended with err.
 func exitCode(err error) int {
--- a/internal/transport/operator/lists.go
+++ b/internal/transport/operator/lists.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
@@ -80,11 +81,29 @@
 	return r.out.print(list, t)
 }
 
-type instancesCommand struct{}
+type instancesCommand struct {
+	Daemon string `help:"Debug URL of an entry or control process, which then tells what it knows; the platform is not asked." placeholder:"URL"`
+}
 
 // Help implements kong's detailed help.
 func (instancesCommand) Help() string {
-	return "The platform's list lags behind.\n\nExample: svctl instances --output json"
+	return `The platform's list lags behind. A daemon tells the state of each instance as it sees it, and the time since it
+last heard of the instance.
+
+Examples:
+  svctl instances --output json
+  svctl instances --daemon http://10.1.0.1:9090`
+}
+
+// Validate implements kong's check of flags.
+func (c *instancesCommand) Validate() error { return checkDaemon(c.Daemon) }
+
+// checkDaemon checks the flag --daemon, which may be left out.
+func checkDaemon(text string) error {
+	if text == "" {
+		return nil
+	}
+	return checkURL("--daemon", text)
 }
 
 // listedInstance is the JSON form of an instance.
@@ -100,6 +119,9 @@
 
 // Run implements the command.
 func (c *instancesCommand) Run(r *run) error {
+	if c.Daemon != "" {
+		return c.askDaemon(r)
+	}
 	p, err := r.platform()
 	if err != nil {
 		return err
@@ -120,15 +142,50 @@
 	return r.out.print(list, t)
 }
 
+// askDaemon prints the instances as a daemon sees them.
+func (c *instancesCommand) askDaemon(r *run) error {
+	var found debugapi.Instances
+	if err := r.ask(daemon{"--daemon", c.Daemon}, debugapi.InstancesPath, &found); err != nil {
+		return err
+	}
+	t := table{
+		header: []any{"ID", "STATE", "REGION", "FAILURE DOMAIN", "CALLERS", "ENTRY", "CONTROL", "HEARD OF"},
+		note:   seenBy(found.Viewer),
+	}
+	for _, i := range found.Instances {
+		t.rows = append(t.rows, []any{
+			i.ID, i.State, i.Region, i.FailureDomain, dash(i.CallerAddress), dash(i.EntryAddress), dash(i.ControlAddress), agoText(i.Age),
+		})
+	}
+	return r.out.print(found, t)
+}
+
+// agoText prints the age of what is known.
+func agoText(seconds *float64) string {
+	if seconds == nil {
+		return "never"
+	}
+	return ageText(seconds) + " ago"
+}
+
 type upstreamsCommand struct {
 	Environment string `arg:"" optional:"" enum:"trial,production" default:"production" help:"trial or production (default)."`
+	Daemon      string `help:"Debug URL of an entry or control process, which then tells what it knows; the platform is not asked." placeholder:"URL"`
 }
 
 // Help implements kong's detailed help.
 func (upstreamsCommand) Help() string {
-	return "Example: svctl upstreams trial"
+	return `Without --daemon, the document in force is shown. A daemon tells the health and load of each upstream as it
+sees them, and the age of the last report.
+
+Examples:
+  svctl upstreams trial
+  svctl upstreams production --daemon http://10.1.0.1:9090`
 }
 
+// Validate implements kong's check of flags.
+func (c *upstreamsCommand) Validate() error { return checkDaemon(c.Daemon) }
+
 // listedUpstream is the JSON form of an upstream.
 type listedUpstream struct {
 	ID            model.UpstreamID    `json:"id"`
@@ -143,6 +200,9 @@
 
 // Run implements the command.
 func (c *upstreamsCommand) Run(r *run) error {
+	if c.Daemon != "" {
+		return c.askDaemon(r)
+	}
 	p, err := r.platform()
 	if err != nil {
 		return err
@@ -159,3 +219,31 @@
 	}
 	return r.out.print(list, t)
 }
+
+// askDaemon prints the upstreams as a daemon sees them.
+func (c *upstreamsCommand) askDaemon(r *run) error {
+	var found debugapi.Upstreams
+	if err := r.ask(daemon{"--daemon", c.Daemon}, debugapi.UpstreamsPath, &found); err != nil {
+		return err
+	}
+	if environment := found.Viewer.Environment; environment != c.Environment {
+		return trace.BadParameter("<environment> must be %s, that of --daemon %s, not %q", environment, c.Daemon, c.Environment)
+	}
+	t := table{
+		header: []any{"ID", "KIND", "SERVES", "VERSION", "ADDRESS", "HEALTH", "NEW WORK", "RUNNING", "WAITING", "IN FLIGHT", "REPORTED"},
+		note:   seenBy(found.Viewer),
+	}
+	for _, u := range found.Upstreams {
+		t.rows = append(t.rows, []any{
+			u.ID, u.Kind, u.Serves, u.Version, u.Address, u.Health, yesText(u.Usable), u.Running, u.Waiting, u.InFlight, agoText(u.Age),
+		})
+	}
+	return r.out.print(found, t)
+}
+
+func yesText(yes bool) string {
+	if yes {
+		return "yes"
+	}
+	return "no"
+}
--- a/internal/transport/operator/operator_test.go
+++ b/internal/transport/operator/operator_test.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
+	state "github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
@@ -172,6 +173,11 @@
 		"promote --to trial --seen 1", "promote --to trial --seen 1 --from trial --file x",
 		"promote --to trial --seen 1 --from production", "promote --to trial --seen 1 --from trial",
 		"promote --to production --seen 1 --file x", "promote --to staging --seen 1 --file x",
+		"show trial production", "diff trial", "check", "explain --entry http://127.0.0.1:1", "--timeout soon instances",
+		"instances --daemon 10.0.0.1:9090", "upstreams staging --daemon http://10.0.0.1:9090", "upstreams --daemon ftp://10.0.0.1",
+		"--ca no-such-file instances --daemon http://127.0.0.1:1",
+		"--credential-file no-such-file instances --daemon http://127.0.0.1:1",
+		"promote --to trial --file x --seen", "promote --to trial --file no-such-file --seen 0",
 		"promote --to trial --file x", "promote --to trial --seen -1 --file x", "promote --to trial --seen one --file x",
 		"--platform 10.0.0.1 instances", "explain x --entry http://127.0.0.1:1", "explain " + request + " --entry x",
 	} {
@@ -195,9 +201,18 @@
 			return
 		}
 		started := time.Date(2026, 10, 1, 12, 0, 0, 0, time.UTC)
-		_ = json.NewEncoder(w).Encode(debugapi.Request{Request: request, Model: "bake-log", Version: "2.0", Attempts: []debugapi.Attempt{
-			{Upstream: "bake-a1", Started: started, Tokens: 40, Loss: "reset"}, {Upstream: "bake-b1", Started: started.Add(time.Second), Tokens: 2},
-		}})
+		_ = json.NewEncoder(w).Encode(debugapi.Request{
+			Request: request, Model: "bake-log", Version: "2.0", Tokens: 42, State: "running", Attempts: []debugapi.Attempt{
+				{
+					Number: 1, Upstream: "bake-a1", Version: "2.0", Started: started, Tokens: 40, Loss: "reset",
+					Why: debugapi.Why{Version: state.VersionPrevious, Share: 0.25, Upstream: state.UpstreamEarliest, Expected: 0.21},
+				},
+				{
+					Number: 2, Upstream: "bake-b1", Version: "2.0", Started: started.Add(time.Second), Tokens: 2,
+					Why: debugapi.Why{Version: state.VersionOfLine, Upstream: state.UpstreamNoOther, Expected: 1.5},
+				},
+			},
+		})
 	}))
 	defer entry.Close()
 	golden.Assert(t, b.run(ExitOK, "explain "+request+" --entry "+entry.URL), "explain.golden")
--- a/internal/transport/operator/output.go
+++ b/internal/transport/operator/output.go
@@ -20,6 +20,7 @@
 type table struct {
 	header []any
 	rows   [][]any
+	note   string // line below the rows
 }
 
 // print writes value as JSON, or else the table.
@@ -37,7 +38,11 @@
 	for _, cells := range append([][]any{t.header}, t.rows...) {
 		writeRow(w, cells)
 	}
-	return trace.ConvertSystemError(w.Flush())
+	if err := w.Flush(); err != nil || t.note == "" {
+		return trace.ConvertSystemError(err)
+	}
+	_, err := fmt.Fprintln(p.out, t.note)
+	return trace.ConvertSystemError(err)
 }
 
 // writeRow leaves errors to the flush of the writer.
--- a/internal/transport/operator/promote.go
+++ b/internal/transport/operator/promote.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"errors"
 	"fmt"
+	"strings"
 
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
@@ -17,12 +19,12 @@
 )
 
 type promoteCommand struct {
-	From     string `help:"Environment whose document is taken: trial." placeholder:"trial"`
-	File     string `help:"File that is taken; to trial only." placeholder:"FILE"`
-	To       string `help:"Environment that gets the document: trial or production." enum:"trial,production" required:""`
-	Seen     uint64 `help:"Generation of --to that you saw with svctl show; 0 for none." required:""`
-	By       string `help:"Who promotes." env:"USER" default:"unknown"`
-	ChangeID string `help:"ID of the change. Give the same ID to repeat a promotion whose outcome is unknown." placeholder:"ID"`
+	From     string     `help:"Environment whose document is taken: trial." placeholder:"trial"`
+	File     string     `help:"File that is taken; to trial only." placeholder:"FILE"`
+	To       string     `help:"Environment that gets the document: trial or production." enum:"trial,production" required:""`
+	Seen     generation `help:"Generation of --to that you saw with svctl show; 0 for none." required:"" placeholder:"GENERATION"`
+	By       string     `help:"Who promotes." env:"USER" default:"unknown"`
+	ChangeID string     `help:"ID of the change. Give the same ID to repeat a promotion whose outcome is unknown." placeholder:"ID"`
 }
 
 // Help implements kong's detailed help.
@@ -65,31 +67,51 @@
 	InForce     uint64 `json:"in_force"` // higher when another promotion followed
 }
 
-// Run implements the command.
+// Run implements the command. All that is written before the head row is the
+// body under its hash, which has no effect on its own.
 func (c *promoteCommand) Run(r *run) error {
-	source, err := c.file()
+	head, err := c.promote(r)
 	if err != nil {
+		return unchanged(err)
+	}
+	if err := c.print(r, head); err != nil {
+		return trace.Errorf("generation %d of environment %s is accepted, but the result could not be printed: %v", head.Generation, c.To, err)
+	}
+	return nil
+}
+
+// unchanged says that a failed promotion had no effect, unless that is
+// unknown.
+func unchanged(err error) error {
+	var unknown *environment.UnknownError
+	if errors.As(err, &unknown) || strings.Contains(err.Error(), nothingChanged) {
 		return err
 	}
+	return fmt.Errorf("%w; %s", err, nothingChanged)
+}
+
+const nothingChanged = "nothing was changed"
+
+func (c *promoteCommand) promote(r *run) (environment.Head, error) {
+	source, err := c.file()
+	if err != nil {
+		return environment.Head{}, err
+	}
 	p, err := r.platform()
 	if err != nil {
-		return err
+		return environment.Head{}, err
 	}
 	if source == nil {
 		found, err := r.requireInForce(p, c.From)
 		if err != nil {
-			return err
+			return environment.Head{}, err
 		}
 		source = found.source
 	}
 	if _, faults := envdoc.ParseForPromotion(source, r.config.Now()); len(faults) > 0 {
-		return faults
-	}
-	head, err := environment.Promote(r.ctx, p.Heads, p.Objects, c.promotion(r, source))
-	if err != nil {
-		return err
+		return environment.Head{}, faults
 	}
-	return c.print(r, head)
+	return environment.Promote(r.ctx, p.Heads, p.Objects, c.promotion(r, source))
 }
 
 // file reads --file, or returns nil when --from is given.
@@ -109,7 +131,7 @@
 		Environment: c.To,
 		Source:      source,
 		Hash:        envdoc.Hash(source),
-		Seen:        c.Seen,
+		Seen:        uint64(c.Seen),
 		ChangeID:    id,
 		PromotedBy:  c.By,
 		At:          r.config.Now().UTC(),
--- a/internal/transport/operator/show.go
+++ b/internal/transport/operator/show.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/envdoc"
@@ -167,5 +168,9 @@
 	if len(t.rows) == 0 {
 		t.rows = [][]any{{"no difference"}}
 	}
+	t.note = fmt.Sprintf("compared with generation %d of environment %s", result.Generation, c.Environment)
+	if found.doc == nil {
+		t.note = fmt.Sprintf("environment %s has no document yet; it counts as generation 0", c.Environment)
+	}
 	return r.out.print(result, t)
 }
