Refuse hostile input, and fuzz the decoders that were not

Cause: tests of hostile documents found that `weight: 1.5` was accepted as 1, that `-.inf` became the least whole number, and that a value of 1 MiB came back in an error message of 1 MiB. An upstream's health report was taken as it was: a negative number of running generations draws all work to it, and a load time in the future looks fresh.

Ruled out: clamping the figures in the estimates, which would leave gossip and the operators' list with the wrong ones.

Change: - Whole numbers in YAML files have neither fraction nor exponent; a message names at most 1000 bytes. - The probe bounds what an upstream reports of itself. - Retry-After takes at most 31 bits, from the platform and from engines. - Peer messages of another version, without one, of an unknown kind or that are not CBOR are tested over QUIC; they were refused before. - Fuzz targets with seeds for settings, error bodies, message frames, table rows, Retry-After, engine streams, health reports and the answers that svctl prints; the peers' target decodes the remaining bodies too. - A process test of the guarded debug addresses with svctl.

Conclusion: documents in force with a fraction where a whole number belongs are no longer read; none of the examples has one.

--- a/internal/protocol/debugapi/known.go
+++ b/internal/protocol/debugapi/known.go
@@ -72,8 +72,8 @@
 	Waiting       int                 `json:"waiting"` // as last reported
 	InFlight      int                 `json:"in_flight"`
 	Failures      int                 `json:"failures"` // connection failures in a row, seen by this instance
-	// Age is the time since the last report was true, by the clocks of its
-	// watcher and of the viewer. Null means that there is no report.
+	// Age is the time since the figures of the last report were true, by the
+	// clocks of the upstream and of the viewer. Null means that there is none.
 	Age *float64 `json:"age_seconds"`
 }
 
--- a/internal/protocol/peerwire/peerwire_test.go
+++ b/internal/protocol/peerwire/peerwire_test.go
@@ -140,6 +140,32 @@
 	})
 }
 
+// FuzzReadMessage guards against a frame that panics, that reads beyond its
+// length, or that allocates on the word of a peer.
+func FuzzReadMessage(f *testing.F) {
+	for _, m := range seeds(f) {
+		var frame bytes.Buffer
+		_, err := WriteMessage(&frame, m)
+		assert.NilError(f, err)
+		f.Add(frame.Bytes())
+		f.Add(frame.Bytes()[:frame.Len()-1])
+	}
+	f.Add([]byte{0, 0, 0, 0})
+	f.Add([]byte{0, 0x7f, 0xff, 0xff, 0xa1})
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0, 0, 0, 4, 0xa1, 0x61, 'v', 0x02})
+	f.Fuzz(func(t *testing.T, frame []byte) {
+		r := bytes.NewReader(frame)
+		m, n, err := ReadMessage(r)
+		assert.Assert(t, n <= len(frame))
+		if err != nil {
+			return
+		}
+		assert.Equal(t, n, len(frame)-r.Len())
+		assert.Assert(t, m.Kind != "")
+	})
+}
+
 func decodeAll(m Message) {
 	_, _ = DecodeOpen(m)
 	_, _ = DecodeAppends(m)
@@ -150,6 +176,9 @@
 	_, _ = DecodeView(m)
 	_, _ = DecodeReport(m)
 	_, _ = DecodePermit(m)
+	_, _ = DecodePermitReply(m)
+	_, _ = DecodeAck(m.Kind, m)
+	_, _ = DecodeFetch(m.Kind, m)
 	_ = AsError(m)
 }
 
--- a/internal/protocol/strictyaml/decode.go
+++ b/internal/protocol/strictyaml/decode.go
@@ -92,11 +92,21 @@
 }
 
 func (f *File) scalar(node *yaml.Node, v reflect.Value, path string) {
-	if node.Kind != yaml.ScalarNode || node.Decode(v.Addr().Interface()) != nil {
+	if node.Kind != yaml.ScalarNode || isFraction(node, v.Type()) || node.Decode(v.Addr().Interface()) != nil {
 		f.add(path, node.Line, "must be %s, not %s", kindName(v.Type()), describe(node))
 	}
 }
 
+// isFraction reports whether a number with a fraction, an exponent or an
+// infinite one stands where a whole number is expected. The library would cut
+// the fraction off, and make the least whole number of -.inf.
+func isFraction(node *yaml.Node, t reflect.Type) bool {
+	if t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	return t.Kind() >= reflect.Int && t.Kind() <= reflect.Uint64 && node.ShortTag() == "!!float"
+}
+
 // kindName names a type in words that the author of a file understands.
 func kindName(t reflect.Type) string {
 	if t.Kind() == reflect.Pointer {
--- a/internal/protocol/strictyaml/file.go
+++ b/internal/protocol/strictyaml/file.go
@@ -16,6 +16,9 @@
 	maxEntries = 256 << 10
 	// maxFaults bounds the faults that are kept of one file.
 	maxFaults = 1000
+	// maxMessage bounds one message in bytes. The longest list of allowed keys
+	// has 230.
+	maxMessage = 1000
 )
 
 // File is a decoded file: where each path stands, and what is wrong.
@@ -96,7 +99,15 @@
 	if len(f.faults) == maxFaults {
 		return
 	}
-	f.faults = append(f.faults, Fault{Path: path, Line: line, Message: fmt.Sprintf(format, args...)})
+	f.faults = append(f.faults, Fault{Path: path, Line: line, Message: shorten(fmt.Sprintf(format, args...))})
+}
+
+// shorten keeps the start of a message that names a long value.
+func shorten(message string) string {
+	if len(message) <= maxMessage {
+		return message
+	}
+	return strings.ToValidUTF8(message[:maxMessage], "") + "…"
 }
 
 // Line returns the line of the path, or of the closest enclosing path that
--- a/internal/transport/engine/orders.go
+++ b/internal/transport/engine/orders.go
@@ -97,8 +97,8 @@
 }
 
 func retryAfter(header string) time.Duration {
-	seconds, err := strconv.Atoi(header)
-	if err != nil || seconds < 0 {
+	seconds, err := strconv.ParseUint(header, 10, 31) // more would overflow a Duration
+	if err != nil {
 		return defaultRetryAfter
 	}
 	return time.Duration(seconds) * time.Second
--- a/internal/transport/operator/daemon.go
+++ b/internal/transport/operator/daemon.go
@@ -25,6 +25,8 @@
 	maxAnswer = 16 << 20
 	// maxCredential bounds the file with the operators' credential.
 	maxCredential = 4 << 10
+	// longestAge keeps the conversion of an age from overflowing.
+	longestAge = 1e9 // seconds
 )
 
 // daemonFlags say how to reach the debug address of a daemon.
@@ -158,7 +160,7 @@
 	if seconds == nil {
 		return "-"
 	}
-	age := time.Duration(*seconds * float64(time.Second))
+	age := time.Duration(min(max(*seconds, 0), longestAge) * float64(time.Second))
 	if age < time.Second {
 		return age.Round(time.Millisecond).String()
 	}
--- a/internal/transport/operator/daemon_test.go
+++ b/internal/transport/operator/daemon_test.go
@@ -138,3 +138,31 @@
 	assert.Assert(t, strings.Contains(b.run(ExitFailed, "--ca "+files.CA+" --credential-file "+secret+
 		" explain "+request+" --entry https://"+server.Address()), "unknown_route: The control process serves no such path"))
 }
+
+// Guards against an answer that crashes the client or prints an age that
+// overflowed.
+func FuzzAnswers(f *testing.F) {
+	f.Add([]byte(`{"viewer":{"process":"entry","view_age_seconds":1e308},"instances":[{"id":"a","age_seconds":-1}],"upstreams":[{"age_seconds":null}]}`))
+	f.Add([]byte(`{"request":"a-1","attempts":[{"number":-1,"why":{"share":1e308,"expected_seconds":-1e308}}]}`))
+	f.Add([]byte(`{"instances":null,"upstreams":[null],"attempts":[[[[`))
+	f.Add([]byte(`"text"`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var out strings.Builder
+		p := printer{out: &out}
+		var instances debugapi.Instances
+		if json.Unmarshal(body, &instances) == nil {
+			assert.NilError(t, p.table(knownInstances(instances)))
+			for _, i := range instances.Instances {
+				assert.Assert(t, !strings.HasPrefix(agoText(i.Age), "-"))
+			}
+		}
+		var upstreams debugapi.Upstreams
+		if json.Unmarshal(body, &upstreams) == nil {
+			assert.NilError(t, p.table(knownUpstreams(upstreams)))
+		}
+		var request debugapi.Request
+		if json.Unmarshal(body, &request) == nil {
+			assert.NilError(t, p.table(attempts(request)))
+		}
+	})
+}
--- a/internal/transport/operator/explain.go
+++ b/internal/transport/operator/explain.go
@@ -34,6 +34,10 @@
 	if err := r.ask(daemon{"--entry", c.Entry}, debugapi.RequestPath+c.RequestID, &found); err != nil {
 		return err
 	}
+	return r.out.print(found, attempts(found))
+}
+
+func attempts(found debugapi.Request) table {
 	t := table{
 		header: []any{"ATTEMPT", "VERSION", "VERSION CHOSEN BY", "UPSTREAM", "UPSTREAM CHOSEN BY", "STARTED", "TOKENS", "LOSS"},
 		note:   fmt.Sprintf("request %s of model %s: %s, %d tokens", found.Request, found.Model, found.State, found.Tokens),
@@ -43,7 +47,7 @@
 			a.Number, dash(a.Version), versionText(a.Why), a.Upstream, upstreamText(a.Why), timeText(a.Started), a.Tokens, dash(a.Loss),
 		})
 	}
-	return r.out.print(found, t)
+	return t
 }
 
 // versionText prints the rule for the version, with the share in a move.
--- a/internal/transport/operator/lists.go
+++ b/internal/transport/operator/lists.go
@@ -148,6 +148,10 @@
 	if err := r.ask(daemon{"--daemon", c.Daemon}, debugapi.InstancesPath, &found); err != nil {
 		return err
 	}
+	return r.out.print(found, knownInstances(found))
+}
+
+func knownInstances(found debugapi.Instances) table {
 	t := table{
 		header: []any{"ID", "STATE", "REGION", "FAILURE DOMAIN", "CALLERS", "ENTRY", "CONTROL", "HEARD OF"},
 		note:   seenBy(found.Viewer),
@@ -157,7 +161,7 @@
 			i.ID, i.State, i.Region, i.FailureDomain, dash(i.CallerAddress), dash(i.EntryAddress), dash(i.ControlAddress), agoText(i.Age),
 		})
 	}
-	return r.out.print(found, t)
+	return t
 }
 
 // agoText prints the age of what is known.
@@ -229,6 +233,10 @@
 	if environment := found.Viewer.Environment; environment != c.Environment {
 		return trace.BadParameter("<environment> must be %s, that of --daemon %s, not %q", environment, c.Daemon, c.Environment)
 	}
+	return r.out.print(found, knownUpstreams(found))
+}
+
+func knownUpstreams(found debugapi.Upstreams) table {
 	t := table{
 		header: []any{"ID", "KIND", "SERVES", "VERSION", "ADDRESS", "HEALTH", "NEW WORK", "RUNNING", "WAITING", "IN FLIGHT", "REPORTED"},
 		note:   seenBy(found.Viewer),
@@ -238,7 +246,7 @@
 			u.ID, u.Kind, u.Serves, u.Version, u.Address, u.Health, yesText(u.Usable), u.Running, u.Waiting, u.InFlight, agoText(u.Age),
 		})
 	}
-	return r.out.print(found, t)
+	return t
 }
 
 func yesText(yes bool) string {
--- a/internal/transport/peer/peer_test.go
+++ b/internal/transport/peer/peer_test.go
@@ -230,3 +230,51 @@
 	t.Logf("%d first datagrams of handshakes in 1 s", g.first.Load())
 	assert.Assert(t, g.first.Load() >= 1 && g.first.Load() < 30)
 }
+
+// Guards against a message of another version, of an unknown kind or of no
+// format at all that reaches a handler or that is not refused with its reason.
+func TestForeignMessagesAreRefused(t *testing.T) {
+	ca, err := devcert.New(t.TempDir())
+	assert.NilError(t, err)
+	s := startServer(t, issueFrom(t, ca, "entry-1"), Mux{peerwire.KindView: HandlerFunc(
+		func(context.Context, Peer, peerwire.Message, MessageWriter) error {
+			t.Error("the handler was called")
+			return nil
+		})})
+	c := startClient(t, issueFrom(t, ca, "entry-2"))
+	// {"v": 2, "kind": "view", "body": {}} and the same without a version.
+	version2 := "\xa3\x61v\x02\x64kind\x64view\x64body\xa0"
+	unversioned := "\xa2\x64kind\x64view\x64body\xa0"
+	for _, test := range []struct {
+		name, message string
+		want          string
+	}{
+		{"version 2", version2, "message has version 2, this process speaks version 1"},
+		{"no version", unversioned, "message has no version"},
+		{"not CBOR", "GET / HTTP/1.1", "decode message"},
+		{"empty", "", "decode message"},
+	} {
+		reply, err := sendRaw(t, c, s.Address(), []byte(test.message))
+		assert.NilError(t, err, test.name)
+		assert.ErrorContains(t, peerwire.AsError(reply), test.want, test.name)
+		assert.Equal(t, peerwire.IsVersionError(peerwire.AsError(reply)), test.name == "version 2", test.name)
+	}
+	assert.ErrorContains(t, request(t, c, s.Address(), "absent"), `does not serve messages of kind "absent"`)
+}
+
+// sendRaw sends the bytes behind their length and reads the reply.
+func sendRaw(t *testing.T, c *Client, address string, message []byte) (peerwire.Message, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	conn, err := c.conns.get(ctx, address)
+	assert.NilError(t, err)
+	stream, err := conn.OpenStreamSync(ctx)
+	assert.NilError(t, err)
+	assert.NilError(t, stream.SetDeadline(time.Now().Add(3*time.Second)))
+	_, err = stream.Write(append([]byte{0, 0, 0, byte(len(message))}, message...))
+	assert.NilError(t, err)
+	assert.NilError(t, stream.Close())
+	reply, _, err := peerwire.ReadMessage(stream)
+	return reply, err
+}
--- a/internal/transport/platform/errors.go
+++ b/internal/transport/platform/errors.go
@@ -86,8 +86,8 @@
 // retryAfter parses the header Retry-After in seconds. A date is ignored: the
 // platform sends seconds.
 func retryAfter(header http.Header) time.Duration {
-	seconds, err := strconv.Atoi(header.Get("Retry-After"))
-	if err != nil || seconds < 0 {
+	seconds, err := strconv.ParseUint(header.Get("Retry-After"), 10, 31) // more would overflow a Duration
+	if err != nil {
 		return 0
 	}
 	return time.Duration(seconds) * time.Second
--- a/internal/transport/probe/probe.go
+++ b/internal/transport/probe/probe.go
@@ -45,20 +45,32 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&health); err != nil {
 		return upstream.Report{}, fmt.Errorf("probe %s: %w", up.ID, err)
 	}
-	return report(up, health), nil
+	return report(up, health, time.Now()), nil
 }
 
-func report(up model.Upstream, h engineapi.Health) upstream.Report {
+// Bounds of what an upstream reports of itself. A negative figure would draw
+// all work to it, and a very large one overflows the estimates.
+const (
+	maxGenerations = 1 << 20
+	maxTokenTimeMS = 60_000.0
+	maxPrefillRate = 1e12 // bytes/s
+)
+
+// report makes a report of what an upstream says of itself, within bounds.
+func report(up model.Upstream, h engineapi.Health, now time.Time) upstream.Report {
 	r := upstream.Report{
 		Upstream:    up.ID,
 		Incarnation: h.Incarnation,
 		Health:      upstream.HealthUp,
-		Running:     h.Running,
-		Waiting:     h.Waiting,
-		TokenTime:   time.Duration(h.TokenTimeMS * float64(time.Millisecond)),
-		PrefillRate: h.PrefillBytesSec,
+		Running:     min(max(h.Running, 0), maxGenerations),
+		Waiting:     min(max(h.Waiting, 0), maxGenerations),
+		TokenTime:   time.Duration(min(max(h.TokenTimeMS, 0), maxTokenTimeMS) * float64(time.Millisecond)),
+		PrefillRate: min(max(h.PrefillBytesSec, 0), maxPrefillRate),
 		At:          h.LoadAt,
 	}
+	if r.At.After(now) {
+		r.At = now
+	}
 	if h.Status == engineapi.StatusLeaving {
 		r.Health = upstream.HealthLeaving
 	}
--- a/tests/e2e/cluster_test.go
+++ b/tests/e2e/cluster_test.go
@@ -39,6 +39,8 @@
 	services    int
 	engineFlags []string
 	bodyBytes   int // limit of the callers' server; zero means the default
+	// guarded gives each process a debug address with TLS and a credential.
+	guarded bool
 }
 
 // cluster is a local deployment.
@@ -53,6 +55,7 @@
 	engines  []string // addresses
 	services []string
 	callers  []string // addresses of the entry processes
+	debug    []string // debug addresses of the entry processes, then of the control processes
 }
 
 // startCluster starts a cluster and stops it at the end of the test.
@@ -149,7 +152,16 @@
 		if c.bodyBytes > 0 {
 			entry += fmt.Sprintf("limits: {body_bytes: %d}\n", c.bodyBytes)
 		}
-		control := common + fmt.Sprintf("peer_listen: %s\nentry: %s\nentry_advertised: %s\n"+
+		guard := func() string {
+			if !c.guarded {
+				return ""
+			}
+			c.debug = append(c.debug, address())
+			return fmt.Sprintf("metrics_listen: %s\ndebug: {credential_sha256: %s, tls: {cert: \"%[3]s/%[4]s.pem\", key: \"%[3]s/%[4]s.key\"}}\n",
+				c.debug[len(c.debug)-1], operatorDigest, c.dir, name)
+		}
+		entry += guard()
+		control := common + guard() + fmt.Sprintf("peer_listen: %s\nentry: %s\nentry_advertised: %s\n"+
 			"polls: {document: 200ms, instances: 500ms, upstreams: 200ms}\n", controls[i], peer, c.callers[i])
 		for kind, text := range map[string]string{"entryd": entry, "controld": control} {
 			if err := os.WriteFile(filepath.Join(c.dir, kind+name+".yaml"), []byte(text), 0o600); err != nil {
