--- a/tests/e2e/operators_test.go
+++ b/tests/e2e/operators_test.go
@@ -1,6 +1,7 @@
 package e2e
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net/http"
 	"os"
@@ -8,10 +9,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tlsfiles"
 )
 
 const (
@@ -50,7 +53,43 @@
 	out, err := svctl("--credential-file", secret, "explain", request, "--entry", "https://"+c.debug[0])
 	assert.NilError(t, err, out)
 	assert.Assert(t, strings.Contains(out, "earliest finish") && strings.Contains(out, "finished, 5 tokens"), out)
+	testCallersOverTLS(t, c)
 	// With a debug address of its own, the callers' address serves neither.
 	assert.Equal(t, c.request(t, 0, http.MethodGet, debugapi.InstancesPath, "", nil).status, http.StatusNotFound)
 	assert.Equal(t, c.request(t, 0, http.MethodGet, "/metrics", "", nil).status, http.StatusNotFound)
 }
+
+// testCallersOverTLS starts a second entry process of the instance, whose
+// address for callers has TLS.
+func testCallersOverTLS(t *testing.T, c *cluster) {
+	t.Helper()
+	source, err := os.ReadFile(filepath.Join(c.dir, "entrydi0.yaml"))
+	assert.NilError(t, err)
+	address := func() string { return fmt.Sprintf("127.0.0.1:%d", freePort(t)) }
+	text := strings.Replace(string(source), "listen: "+c.callers[0], "listen: "+address(), 1)
+	for _, key := range []string{"\npeer_listen: ", "\nmetrics_listen: "} {
+		before, after, found := strings.Cut(text, key)
+		assert.Assert(t, found, key)
+		_, rest, _ := strings.Cut(after, "\n")
+		text = before + key + address() + "\n" + rest
+	}
+	text += fmt.Sprintf("listen_tls: {cert: \"%[1]s/i0.pem\", key: \"%[1]s/i0.key\"}\n", c.dir)
+	file := filepath.Join(c.dir, "tls.yaml")
+	assert.NilError(t, os.WriteFile(file, []byte(text), 0o600))
+	_, listen, _ := strings.Cut(text, "\nlisten: ")
+	listen, _, _ = strings.Cut(listen, "\n")
+	c.entry = append(c.entry, newProcess(c.dir, "entrytls", "entryd", file))
+	assert.NilError(t, c.entry[1].start())
+	roots, err := tlsfiles.Roots(filepath.Join(c.dir, "ca.pem"))
+	assert.NilError(t, err)
+	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots}}}
+	assert.NilError(t, c.await(func() bool {
+		response, err := client.Get("https://" + listen + "/readyz")
+		if err != nil {
+			return false
+		}
+		defer response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	}))
+	assert.Equal(t, status("http://"+listen+"/readyz"), http.StatusBadRequest)
+}
