Count own work that is newer than a load report

Cause: upstream.Table.Apply set the count of own work since the last report to zero, although a report is 0.7 to 1 s old (up to 14 s at the target size) when it arrives. Work sent in between is in no report, so the estimate forgot it. A report of a failed probe carried the old load under the present time, and an engine's clock that is ahead would have hidden work in the same way.

Ruled out: counting by the time at which a report arrives, which is what was wrong; ordering whole reports by the time of their load, because a clock that was once ahead would then keep the health of an upstream.

Change: the table keeps the times of the last 256 own sends of each upstream and counts those later than Report.At. Health follows the sequence number; a load that was taken earlier does not replace a later one, unless it is 10 s older or more (a clock was set back). Watchers cap the time at their own clock, take the start of the probe where the upstream reports none, and leave it as it was in a report of a failed probe. Acquire takes the time of sending.

--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -121,7 +121,7 @@
 	id := r.Spec.Request
 	row, known := m.opts.Upstreams.Get(r.Attempt.Upstream)
 	if action == Reattach && known {
-		m.opts.Upstreams.Acquire(r.Attempt.Upstream)
+		m.opts.Upstreams.Acquire(r.Attempt.Upstream, time.Now())
 		m.attach(r, row.Upstream)
 		return
 	}
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -55,7 +55,7 @@
 			i.m.withoutStream(r)
 			return
 		}
-		i.m.opts.Upstreams.Acquire(r.Attempt.Upstream)
+		i.m.opts.Upstreams.Acquire(r.Attempt.Upstream, time.Now())
 		i.m.attach(r, row.Upstream)
 	})
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -103,7 +103,7 @@
 		return model.Upstream{}, Estimate{}, false
 	}
 	chosen := candidates[i]
-	r.opts.Upstreams.Acquire(chosen.Row.Upstream.ID)
+	r.opts.Upstreams.Acquire(chosen.Row.Upstream.ID, p.Now)
 	r.opts.Prefixes.Add(chosen.Row.Upstream.ID, p.Blocks)
 	return chosen.Row.Upstream, EstimateFinish(chosen, p.Work), true
 }
--- a/internal/coordination/watch/manager.go
+++ b/internal/coordination/watch/manager.go
@@ -19,7 +19,7 @@
 
 // Prober asks an upstream for its health and load. It blocks on the network.
 // The report needs Incarnation, Health and the load figures; a zero At means
-// now.
+// when the probe began.
 type Prober interface {
 	Probe(ctx context.Context, u model.Upstream) (upstream.Report, error)
 }
@@ -125,11 +125,15 @@
 		return
 	}
 	t.busy = true
+	began := time.Now()
 	worker.Call(m.opts.Pool, Key, probeTimeout, func(ctx context.Context) (upstream.Report, error) {
 		return m.opts.Prober.Probe(ctx, u)
 	}, func(r upstream.Report, err error) {
 		t.busy = false
 		if m.targets[u.ID] == t {
+			if r.At.IsZero() {
+				r.At = began
+			}
 			m.probed(u, t, r, err)
 		}
 	})
@@ -150,8 +154,8 @@
 		return
 	}
 	if t.failed(known) {
-		down := known
-		down.Health, down.At = upstream.HealthDown, now
+		down := known // At stays: the load is the known one
+		down.Health = upstream.HealthDown
 		m.report(u, t, known, down, now)
 	}
 }
@@ -169,8 +173,8 @@
 	if r.Incarnation == old.Incarnation {
 		r.Sequence = nextSequence(old.Sequence, t.rank, now)
 	}
-	if r.At.IsZero() {
-		r.At = now
+	if r.At.After(now) {
+		r.At = now // an engine's clock may be ahead
 	}
 	if !m.opts.Upstreams.Apply(r) || !publish {
 		return
--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -54,7 +54,8 @@
 
 // fakes answer probes and collect what is published.
 type fakes struct {
-	health    atomic.Value // upstream.Health; empty means no answer
+	health    atomic.Value  // upstream.Health; empty means no answer
+	ahead     time.Duration // of the engine's clock; zero means that it reports no time
 	published []upstream.Report
 	wide      []bool
 }
@@ -65,7 +66,11 @@
 		<-ctx.Done()
 		return upstream.Report{}, errors.New("no answer")
 	}
-	return upstream.Report{Incarnation: 1, Health: health, Running: 1}, nil
+	r := upstream.Report{Incarnation: 1, Health: health, Running: 1}
+	if f.ahead != 0 {
+		r.At = time.Now().Add(f.ahead)
+	}
+	return r, nil
 }
 
 func (f *fakes) PublishReport(r upstream.Report, wide bool) {
@@ -122,3 +127,36 @@
 	assert.Assert(t, second > first && second&1 == 1)
 	assert.Assert(t, nextSequence(second, 0, now) > second)
 }
+
+// Guards against a report that claims a later time than its load has: work that
+// was sent in between would be forgotten.
+func TestReportsAreNotNewerThanTheirLoad(t *testing.T) {
+	for _, ahead := range []time.Duration{0, time.Hour, -400 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakes{ahead: ahead}
+			f.health.Store(upstream.HealthUp)
+			documents, instances, upstreams := document.NewTable(), instance.NewTable(), upstream.NewTable()
+			u := model.Upstream{ID: "u", Region: "r"}
+			documents.Apply(&model.Document{Generation: 1, Upstreams: []model.Upstream{u}})
+			upstreams.Configure([]model.Upstream{u})
+			instances.Merge(model.Instance{ID: "i", Region: "r", State: model.InstanceLive})
+			pool := worker.NewPool(worker.Options{Workers: 2})
+			defer pool.Close()
+			NewManager(Options{Self: "i", Pool: pool, Documents: documents, Instances: instances, Upstreams: upstreams, Prober: f, Publisher: f}).Start()
+			known := func() upstream.Report { row, _ := upstreams.Get("u"); return row.Report }
+
+			time.Sleep(settleTime + 5*time.Second)
+			synctest.Wait()
+			up := known()
+			assert.Equal(t, up.Health, upstream.HealthUp)
+			assert.Assert(t, !up.At.After(time.Now().Add(min(ahead, 0))))
+			assert.Assert(t, time.Since(up.At) < 2*time.Second)
+			f.health.Store(upstream.Health(""))
+			time.Sleep(4 * time.Second)
+			synctest.Wait()
+			down := known()
+			assert.Equal(t, down.Health, upstream.HealthDown)
+			assert.Assert(t, time.Since(down.At) > 2*time.Second, "the load of a failed probe is the last known one")
+		})
+	}
+}
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -22,6 +22,11 @@
 	HealthLeaving Health = "leaving" // final for one incarnation
 )
 
+// maxReorder is the most by which a report with a higher sequence number can
+// hold an older load: the probes of two watchers overlap, and engines report
+// with a lag. A larger difference means that a clock was set back.
+const maxReorder = 10 * time.Second
+
 // Report is a watcher's or an upstream's own account. Reports with a lower
 // (Incarnation, Sequence) than the stored one are ignored.
 type Report struct {
@@ -41,27 +46,29 @@
 	Upstream  model.Upstream
 	Report    Report
 	InFlight  int       // this instance's requests
-	Sent      int       // this instance's requests since Report
+	Sent      int       // this instance's requests sent after Report.At, at most maxSends
 	DownUntil time.Time // a local connection failure keeps new work away until then
 	Failures  int       // consecutive local connection failures
 	Version   uint64    // of the table when Report last changed
 }
 
-// Table maps upstream IDs to rows. mu has lock.RankUpstream and guards rows
-// and version.
+// Table maps upstream IDs to rows. mu has lock.RankUpstream and guards all
+// fields.
 //
 // Invariants: an upstream that left stays out until a higher incarnation is
-// reported; InFlight equals the number of Acquire calls less Release calls.
+// reported; InFlight equals the number of Acquire calls less Release calls;
+// Sent equals the number of the row's sends, all later than Report.At.
 type Table struct {
 	mu      lock.Mutex
 	rows    map[model.UpstreamID]*Row
+	sends   map[model.UpstreamID]sends
 	serving map[string][]*Row // the same rows by what they serve, sorted by ID
 	version uint64            // rises with each change of a report
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{mu: lock.New(lock.RankUpstream), rows: map[model.UpstreamID]*Row{}}
+	return &Table{mu: lock.New(lock.RankUpstream), rows: map[model.UpstreamID]*Row{}, sends: map[model.UpstreamID]sends{}}
 }
 
 // Configure makes the rows match the document's upstreams. State of kept
@@ -85,6 +92,7 @@
 		}
 		if row.InFlight == 0 {
 			delete(t.rows, id)
+			delete(t.sends, id)
 			continue
 		}
 		row.Report.Health = HealthLeaving
@@ -110,7 +118,9 @@
 }
 
 // Apply stores a report unless a newer one is known, and reports a change of
-// health or load.
+// health or load. A load that was taken before the stored one does not replace
+// it, even where its report has the higher sequence number, unless it is older
+// by maxReorder or more.
 func (t *Table) Apply(r Report) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -125,8 +135,11 @@
 	if r.Incarnation == old.Incarnation && old.Health == HealthLeaving {
 		r.Health = HealthLeaving
 	}
+	if r.Incarnation == old.Incarnation && r.At.Before(old.At) && old.At.Sub(r.At) < maxReorder {
+		r = r.withLoad(old)
+	}
 	t.setReport(row, r)
-	row.Sent = 0
+	t.setSends(row, t.sends[r.Upstream].after(r.At))
 	if r.Health == HealthUp && r.Incarnation > old.Incarnation {
 		row.DownUntil = time.Time{}
 		row.Failures = 0
@@ -155,6 +168,21 @@
 	row.Version = t.version
 }
 
+// setSends stores the sends that are newer than the row's report. The caller
+// holds mu.
+func (t *Table) setSends(row *Row, newer sends) {
+	t.sends[row.Upstream.ID] = newer
+	row.Sent = len(newer)
+}
+
+// withLoad returns the report with the load figures of another one.
+func (r Report) withLoad(of Report) Report {
+	r.Running, r.Waiting = of.Running, of.Waiting
+	r.TokenTime, r.PrefillRate = of.TokenTime, of.PrefillRate
+	r.At = of.At
+	return r
+}
+
 // ReportsSince returns the reports that changed after the given version, and
 // the version up to which they are complete.
 func (t *Table) ReportsSince(version uint64) ([]Report, uint64) {
@@ -172,13 +200,13 @@
 	return reports, t.version
 }
 
-// Acquire counts one request in flight.
-func (t *Table) Acquire(id model.UpstreamID) {
+// Acquire counts one request in flight, sent at the given time.
+func (t *Table) Acquire(id model.UpstreamID, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if row, ok := t.rows[id]; ok {
 		row.InFlight++
-		row.Sent++
+		t.setSends(row, t.sends[id].add(now))
 	}
 }
 
