Measure what cache events of engines would bring to routing

Cause: engines publish stored and evicted blocks, and nothing reads them. An instance remembers prefixes of its own requests only and keeps them after the engine has evicted them.

Change: the simulated engines of the routing bench publish cache events, and feeds bring them to the instances: evictions to the watchers, to all, stored and evicted blocks to all, and with 1% lost. A reader follows sequence numbers and forgets at a gap of n events the n blocks that were stored first. Measure runs without a feed and its figures are unchanged.

Ruled out: evictions that correct the watcher's own memory, which bring nothing where an instance watches 3 of 20 engines, so no reader was added to the product. Sharing with all: at the target size reading alone takes 58 kB/s for each instance and 1.3 kB/s are left.

--- a/internal/coordination/routing/bench/bench.go
+++ b/internal/coordination/routing/bench/bench.go
@@ -32,6 +32,7 @@
 	FinishMean, FinishP95 time.Duration
 	Cached                float64 // part of the prompt bytes found cached
 	WorstLoad             float64 // mean requests on the most loaded engine over the mean of all
+	Events                int     // cache events that were read
 }
 
 // Run draws the traces of all shapes and runs them under both policies.
@@ -48,13 +49,19 @@
 
 // Measure runs one trace under one policy.
 func Measure(trace Trace, policy Policy, seed uint64) Row {
-	s := newSimulation(trace, policy.Choose, seed)
+	return MeasureFeed(trace, policy, Feeds[0], seed)
+}
+
+// MeasureFeed runs one trace under one policy with a feed of cache events.
+func MeasureFeed(trace Trace, policy Policy, feed Feed, seed uint64) Row {
+	s := newSimulation(trace, policy.Choose, feed, seed)
 	s.run()
 	row := Row{Trace: trace.Name, Policy: policy.Name, Requests: len(s.done)}
 	row.FirstMean, row.FirstP95 = spread(s.done, func(j *job) time.Duration { return j.first - j.request.At })
 	row.FinishMean, row.FinishP95 = spread(s.done, func(j *job) time.Duration { return j.finish - j.request.At })
 	row.Cached = cachedPart(s.done)
 	row.WorstLoad = worstLoad(s.engines)
+	row.Events = s.events
 	return row
 }
 
--- a/internal/coordination/routing/bench/bench_test.go
+++ b/internal/coordination/routing/bench/bench_test.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"fmt"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/state/prefix"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 )
@@ -66,3 +68,35 @@
 	assert.DeepEqual(t, read, drawn)
 	assert.DeepEqual(t, readRecorded(t).Requests, drawn)
 }
+
+// Guards against a reader that trusts blocks which missing events may have
+// evicted, and against one that forgets more than they can have evicted.
+func TestEventReaderForgetsWhatIsInDoubt(t *testing.T) {
+	r := newEventReader(8)
+	stored := func(sequence uint64) cacheEvent { return cacheEvent{sequence: sequence, block: prefix.Block(sequence)} }
+	evicted := func(block prefix.Block) cacheEvent { return cacheEvent{block: block, evicted: true} }
+	r.read([]cacheEvent{stored(1), stored(2), stored(3), stored(4)})
+	got := r.read([]cacheEvent{stored(7), stored(8)})
+	want := []cacheEvent{evicted(1), evicted(2), stored(7), stored(8)}
+	assert.Assert(t, slices.Equal(got, want), "%v", got)
+	assert.DeepEqual(t, r.held.Keys(), []prefix.Block{3, 4, 7, 8})
+}
+
+// Guards against feeds that do not reach the instances they name, and against
+// gaps that cost what the events bring. The trace is short because the check of
+// the lock order makes each lock slow.
+func TestFeeds(t *testing.T) {
+	trace := Draw(Shape{Name: "small caches", Instances: 12, Engines: 10, Load: 0.6, Groups: 200, Duration: 20 * time.Second}, 1)
+	cached := func(feed Feed) float64 {
+		row := MeasureFeed(trace, Policies[0], feed, 1)
+		assert.Equal(t, row.Requests, len(trace.Requests))
+		assert.Assert(t, row.Events > 0)
+		return row.Cached
+	}
+	all := Feed{Evicted: true, Stored: true, Everyone: true}
+	lossy := all
+	lossy.Loss = 0.01
+	none := cached(Feed{})
+	assert.Assert(t, cached(all) > 1.2*none)
+	assert.Assert(t, cached(lossy) > 1.2*none)
+}
--- a/internal/coordination/routing/bench/engine.go
+++ b/internal/coordination/routing/bench/engine.go
@@ -42,6 +42,8 @@
 	prefilling []*job // the first one is being computed
 	running    runningJobs
 	cache      *simplelru.LRU[prefix.Block, struct{}]
+	events     []cacheEvent  // that nobody took yet
+	sequence   uint64        // of the last event
 	clock      float64       // tokens that a stream would have got since the start
 	clockAt    time.Duration // when clock was brought up to date
 	epoch      int           // rises when the next end changes
@@ -49,11 +51,26 @@
 }
 
 func newEngine(spec EngineSpec) *engine {
-	cache, err := simplelru.NewLRU[prefix.Block, struct{}](spec.CacheBlocks, nil)
+	e := &engine{spec: spec}
+	cache, err := simplelru.NewLRU(spec.CacheBlocks, func(b prefix.Block, _ struct{}) { e.publish(b, true) })
 	if err != nil {
 		panic(err) // only for a capacity below 1
 	}
-	return &engine{spec: spec, cache: cache}
+	e.cache = cache
+	return e
+}
+
+// publish adds an event for the next reader.
+func (e *engine) publish(block prefix.Block, evicted bool) {
+	e.sequence++
+	e.events = append(e.events, cacheEvent{sequence: e.sequence, block: block, evicted: evicted})
+}
+
+// takeEvents returns the events since the last call.
+func (e *engine) takeEvents() []cacheEvent {
+	events := e.events
+	e.events = nil
+	return events
 }
 
 // step is the time between two tokens now.
@@ -89,6 +106,9 @@
 	j.cached = cached * prefix.BlockBytes
 	// The end of a prompt is added first and so dropped first.
 	for i := len(j.blocks) - 1; i >= 0; i-- {
+		if !e.cache.Contains(j.blocks[i]) {
+			e.publish(j.blocks[i], false)
+		}
 		e.cache.Add(j.blocks[i], struct{}{})
 	}
 	return time.Duration(float64(j.request.PromptBytes-j.cached) / e.spec.PrefillRate * float64(time.Second))
--- a/internal/coordination/routing/bench/sim.go
+++ b/internal/coordination/routing/bench/sim.go
@@ -31,16 +31,17 @@
 // instance is one instance with a view of its own.
 type instance struct {
 	upstreams *upstream.Table
+	prefixes  *prefix.Table
 	router    *routing.Router
 }
 
 func newInstance(doc *model.Document, policy routing.Policy, rng *rand.Rand) *instance {
-	in := &instance{upstreams: upstream.NewTable()}
+	in := &instance{upstreams: upstream.NewTable(), prefixes: prefix.NewTable()}
 	docs := document.NewTable()
 	docs.Apply(doc)
 	in.upstreams.Configure(doc.Upstreams)
 	in.router = routing.New(routing.Options{
-		Documents: docs, Upstreams: in.upstreams, Stops: stop.NewTable(), Prefixes: prefix.NewTable(),
+		Documents: docs, Upstreams: in.upstreams, Stops: stop.NewTable(), Prefixes: in.prefixes,
 		Policy: policy, Rand: func() *rand.Rand { return rng },
 	})
 	return in
@@ -83,6 +84,9 @@
 	queue     events
 	seq       int
 	engines   []*engine
+	feed      Feed
+	readers   []*eventReader // of the engines' cache events
+	events    int            // that the feed delivered, counted once for all instances
 	instances []*instance
 	rng       *rand.Rand
 	left      int // requests that have not finished
@@ -90,11 +94,12 @@
 	done      []*job
 }
 
-func newSimulation(t Trace, policy routing.Policy, seed uint64) *simulation {
-	s := &simulation{rng: rand.New(rand.NewPCG(seed, 2)), left: len(t.Requests), toCome: len(t.Requests)}
+func newSimulation(t Trace, policy routing.Policy, feed Feed, seed uint64) *simulation {
+	s := &simulation{feed: feed, rng: rand.New(rand.NewPCG(seed, 2)), left: len(t.Requests), toCome: len(t.Requests)}
 	doc := &model.Document{Generation: 1, Models: []model.Model{{Name: modelName}}}
 	for i, spec := range t.Engines {
 		s.engines = append(s.engines, newEngine(spec))
+		s.readers = append(s.readers, newEventReader(spec.CacheBlocks))
 		doc.Upstreams = append(doc.Upstreams, model.Upstream{
 			ID: engineID(i), Kind: model.KindEngine, Serves: modelName, Version: version,
 		})
@@ -148,9 +153,21 @@
 		delay := reportLag + time.Duration(s.rng.Int64N(int64(reportJitter)))
 		s.at(s.now+delay, func() { in.upstreams.Apply(r) })
 	}
+	s.readEvents(i)
 	s.at(s.now+reportInterval, func() { s.report(i, sequence+1) })
 }
 
+// readEvents delivers the cache events of an engine as late as its reports.
+func (s *simulation) readEvents(i int) {
+	events := s.readers[i].read(s.feed.lose(s.engines[i].takeEvents(), s.rng))
+	s.events += len(events)
+	for k, in := range s.instances {
+		if s.feed.delivers(k, i, len(s.instances)) {
+			s.at(s.now+reportLag, func() { s.feed.apply(in.prefixes, engineID(i), events) })
+		}
+	}
+}
+
 // arrive places a request as its instance sees the engines.
 func (s *simulation) arrive(j *job) {
 	s.toCome--
