Test that a burst with one hot prefix spreads

Cause: the bound on affinity was tested on the policy alone, with counts that the test raised itself, and only for one instance.

Change: two tests place bursts through the router and its tables. One instance must spread 200 requests over 10 engines without a report in between: no engine gets more than twice the mean. Twenty instances that all remember the same engine must turn to the others once a report shows its load.

Ruled out: a change of the policy.

Conclusion: no piling up once the estimate says so. Before the first report the twenty instances all send their first request to the engine that they remember, because none sees the others' work.

--- a/internal/coordination/routing/routing_test.go
+++ b/internal/coordination/routing/routing_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -97,3 +98,106 @@
 	assert.Assert(t, candidates[0].Row.InFlight < 50, "%d of 100 on one upstream", candidates[0].Row.InFlight)
 	assert.Assert(t, candidates[0].Row.InFlight > 20, "the cache was not used")
 }
+
+// burst is a fleet of instances that see the same engines, each through tables
+// of its own, and send prompts with one hot prefix.
+type burst struct {
+	routers []*Router
+	tables  []*upstream.Table
+	blocks  []prefix.Block
+	work    Work
+	now     time.Time
+	running map[model.UpstreamID]int // on the engines, from all instances
+}
+
+// newBurst returns a fleet in which all instances remember the prefix on
+// engine e0 alone.
+func newBurst(instances, engines int, work Work) *burst {
+	b := &burst{
+		work: work, blocks: prefix.Blocks(strings.Repeat("8 bytes ", work.PromptBytes/8)),
+		now: time.Unix(1_700_000_000, 0), running: map[model.UpstreamID]int{},
+	}
+	var upstreams []model.Upstream
+	for i := range engines {
+		upstreams = append(upstreams, model.Upstream{ID: model.UpstreamID(fmt.Sprintf("e%d", i)), Serves: "m"})
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range instances {
+		r, table := router(upstreams...)
+		r.opts.Rand = func() *rand.Rand { return rng }
+		r.opts.Prefixes.Add("e0", b.blocks)
+		b.routers, b.tables = append(b.routers, r), append(b.tables, table)
+	}
+	return b
+}
+
+// send lets each instance place n requests and returns how many of them went
+// to each engine.
+func (b *burst) send(t *testing.T, n int) map[model.UpstreamID]int {
+	t.Helper()
+	placed := map[model.UpstreamID]int{}
+	for range n {
+		for _, r := range b.routers {
+			b.now = b.now.Add(time.Millisecond)
+			up, _, ok := r.Pick(Placement{Serves: "m", Work: b.work, Blocks: b.blocks, Now: b.now})
+			assert.Assert(t, ok)
+			placed[up.ID]++
+			b.running[up.ID]++
+		}
+	}
+	return placed
+}
+
+// report brings all instances the load as it is now.
+func (b *burst) report(sequence uint64) {
+	for _, table := range b.tables {
+		for _, row := range table.Serving("m") {
+			table.Apply(upstream.Report{
+				Upstream: row.Upstream.ID, Incarnation: 1, Sequence: sequence, Health: upstream.HealthUp,
+				Running: b.running[row.Upstream.ID], TokenTime: 20 * time.Millisecond, PrefillRate: 100_000, At: b.now,
+			})
+		}
+	}
+}
+
+// Guards against a hot prefix that piles a burst on the engine that holds it:
+// an instance alone must spread its burst without any report in between, by
+// the estimate where outputs are long and by the bound on affinity where they
+// are so short that the estimate hardly depends on the load.
+func TestHotPrefixBurstSpreads(t *testing.T) {
+	const engines, requests = 10, 200
+	cases := []struct {
+		work Work
+		used int // engines that get work at least
+	}{
+		{Work{PromptBytes: 8 << 10, Tokens: 280}, engines},
+		{Work{PromptBytes: 32 << 10, Tokens: 1}, engines / 2}, // the others would need to compute the prompt
+	}
+	for _, c := range cases {
+		b := newBurst(1, engines, c.work)
+		b.report(1)
+		assert.DeepEqual(t, b.send(t, 1), map[model.UpstreamID]int{"e0": 1}) // idle, so the cache counts
+		b.send(t, requests-1)
+		for id, n := range b.running {
+			assert.Assert(t, n <= 2*requests/engines, "%v: %s got %d of %d", c.work, id, n, requests)
+		}
+		assert.Assert(t, len(b.running) >= c.used, "%v: %v", c.work, b.running)
+	}
+}
+
+// Guards against instances that go on sending to the engine that holds a hot
+// prefix after a report shows that it would finish later than the others.
+func TestHotPrefixBurstOfManyInstancesSpreads(t *testing.T) {
+	const instances, engines, each = 20, 10, 5
+	b := newBurst(instances, engines, Work{PromptBytes: 8 << 10, Tokens: 280})
+	b.report(1)
+	first := b.send(t, 1)
+	assert.Equal(t, first["e0"], instances, "nobody sees the others' work before the first report")
+	b.report(2)
+	later := b.send(t, each)
+	mean := instances * each / engines
+	assert.Assert(t, later["e0"] < mean, "%v", later)
+	for id, n := range later {
+		assert.Assert(t, n <= 2*mean, "%s got %d: %v", id, n, later)
+	}
+}
