--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -48,7 +48,7 @@
 			m.withoutStream(r)
 			return
 		}
-		m.opts.Upstreams.Acquire(r.Attempt.Upstream)
+		m.opts.Upstreams.Acquire(r.Attempt.Upstream, time.Now())
 		m.attach(r, row.Upstream)
 	})
 }
--- a/internal/coordination/routing/routing.go
+++ b/internal/coordination/routing/routing.go
@@ -101,7 +101,7 @@
 		return model.Upstream{}, Estimate{}, false
 	}
 	chosen := candidates[i]
-	up, ok := r.opts.Upstreams.Acquire(chosen.Load.Upstream)
+	up, ok := r.opts.Upstreams.Acquire(chosen.Load.Upstream, p.Now)
 	if !ok {
 		return model.Upstream{}, Estimate{}, false
 	}
--- a/internal/state/upstream/upstream_test.go
+++ b/internal/state/upstream/upstream_test.go
@@ -33,7 +33,7 @@
 				})
 			},
 			"fail":    func(rt *rapid.T) { table.Failed(ids.Draw(rt, "upstream"), now.Add(time.Second)) },
-			"acquire": func(rt *rapid.T) { table.Acquire(ids.Draw(rt, "upstream")) },
+			"acquire": func(rt *rapid.T) { table.Acquire(ids.Draw(rt, "upstream"), now) },
 			"release": func(rt *rapid.T) { table.Release(ids.Draw(rt, "upstream")) },
 			"": func(rt *rapid.T) {
 				version := versions.Draw(rt, "version")
@@ -63,10 +63,10 @@
 // longer names, and is not counted.
 func TestAcquireOfUnknownUpstream(t *testing.T) {
 	table := NewTable()
-	_, ok := table.Acquire("a")
+	_, ok := table.Acquire("a", time.Now())
 	assert.Assert(t, !ok)
 	table.Configure([]model.Upstream{{ID: "a", Address: "127.0.0.1:1"}})
-	up, ok := table.Acquire("a")
+	up, ok := table.Acquire("a", time.Now())
 	assert.Assert(t, ok)
 	assert.Equal(t, up.Address, "127.0.0.1:1")
 }
