Give the last run of a fingerprint a holder

Cause: a gate recorded that it had granted a permit, but not to whom. If its answer was lost, if the caller's deadline ended the wait, if the request ended meanwhile or if routing rejected the chosen engine, the permit was spent and nobody ran under it. An innocent request with two deaths then waited for a run that never came and was refused at its deadline.

Ruled out: a permit that lapses unless it is confirmed in time. A process that is paused between the check and the start of its run would run beside the next holder. Also ruled out: a release message to the gate, since it can be lost like the answer. Also ruled out: giving a permit back after a run that ended without a known death, since the death may not be reported yet.

Change: a permit names the asking instance and a nonce. The same holder gets it again, another one gets none. A holder that starts no attempt writes a release into the rows that spread by gossip and asks again under a new nonce, so an old ask that arrives late gets nothing. Of two permits of gates that had not heard of each other the earlier one counts; a holder checks this after the wait for its claim, and checks again that no third death came in and that the fingerprint runs on no other engine. A claim can be joined only once an attempt was started under it. The relay reports placements that it does not use, including those of requests that ended while they waited, whose mark used to block the engine for a minute.

Conclusion: an unused permit is free again after the spread of a notice.

--- a/cmd/entryd/parts.go
+++ b/cmd/entryd/parts.go
@@ -109,7 +109,7 @@
 			if in.ID == e.settings.Instance {
 				return suspicion.LocalGate{Manager: own}
 			}
-			return client.Gate(e.settings.Instance, in)
+			return client.Gate(in)
 		})
 	}
 }
--- a/internal/coordination/gossip/sets.go
+++ b/internal/coordination/gossip/sets.go
@@ -69,7 +69,7 @@
 		sum += hashOf("clear", c.Fingerprint, c.At.UnixNano())
 	}
 	for _, p := range rows.Permits {
-		sum += hashOf("permit", p.Fingerprint, p.At.UnixNano())
+		sum += hashOf("permit", p.Fingerprint, p.Holder, p.At.UnixNano(), p.Released)
 	}
 	for _, h := range rows.Hosts {
 		sum += hashOf("host", h.ID, h.Revision)
--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -251,6 +251,7 @@
 func (openGuard) Occupied(model.UpstreamID) bool                           { return false }
 func (openGuard) Started(suspect.Fingerprint, model.UpstreamID)            {}
 func (openGuard) Stopped(suspect.Fingerprint, model.UpstreamID)            {}
+func (openGuard) Unused(suspect.Fingerprint, suspicion.Placement)          {}
 func (openGuard) EngineDied(model.UpstreamID, uint64, []suspicion.Running) {}
 func (openGuard) Progressed(suspect.Fingerprint, int)                      {}
 func (openGuard) Finished(suspect.Fingerprint)                             {}
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -84,7 +84,7 @@
 		Ran:         r.Attempt.Number > 0,
 	}
 	m.opts.Guard.Place(request, func(where suspicion.Placement, refusal *model.Refusal) {
-		m.placed(id, where, refusal)
+		m.placed(request, where, refusal)
 	})
 }
 
@@ -111,9 +111,10 @@
 }
 
 // placed starts the attempt where the guard allows it.
-func (m *Manager) placed(id model.RequestID, where suspicion.Placement, refusal *model.Refusal) {
-	r, ok := m.unplaced(id)
+func (m *Manager) placed(request suspicion.PlaceRequest, where suspicion.Placement, refusal *model.Refusal) {
+	r, ok := m.unplaced(request.ID)
 	if !ok {
+		m.opts.Guard.Unused(request.Fingerprint, where) // ended while it waited
 		return
 	}
 	if refusal != nil {
@@ -122,7 +123,7 @@
 	}
 	up, estimate, ok := m.pick(r, where)
 	if !ok {
-		m.release(r, where)
+		m.opts.Guard.Unused(r.Print, where)
 		m.waitForEngine(r)
 		return
 	}
@@ -130,15 +131,6 @@
 	m.start(r, up, estimate)
 }
 
-// release gives back an engine that the guard had set aside.
-func (m *Manager) release(r generation.Record, where suspicion.Placement) {
-	if where.Upstream == "" {
-		return
-	}
-	m.opts.Guard.Started(r.Print, where.Upstream)
-	m.opts.Guard.Stopped(r.Print, where.Upstream)
-}
-
 // outcomeOf is not_run until the first attempt was handed to an engine.
 func outcomeOf(r generation.Record) model.Outcome {
 	if r.Attempt.Number == 0 {
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -84,6 +84,8 @@
 	Occupied(up model.UpstreamID) bool
 	Started(fp suspect.Fingerprint, up model.UpstreamID)
 	Stopped(fp suspect.Fingerprint, up model.UpstreamID)
+	// Unused takes a placement back for which no attempt was started.
+	Unused(fp suspect.Fingerprint, where suspicion.Placement)
 	EngineDied(up model.UpstreamID, incarnation uint64, running []suspicion.Running)
 	Progressed(fp suspect.Fingerprint, position int)
 	Finished(fp suspect.Fingerprint)
--- a/internal/coordination/suspicion/decide.go
+++ b/internal/coordination/suspicion/decide.go
@@ -85,8 +85,9 @@
 	return "", false
 }
 
-// holds reports whether an exclusive claim won: no other suspect runs on the
-// engine, and no exclusive claim of another one is earlier.
+// holds reports whether an exclusive claim won: the fingerprint runs on no
+// other engine, where it could take down one more, no other suspect runs on
+// this engine, and no exclusive claim of another one is earlier.
 func holds(id suspect.HostID, hosts []suspect.Host) bool {
 	at := slices.IndexFunc(hosts, func(h suspect.Host) bool { return h.ID == id })
 	if at < 0 {
@@ -94,10 +95,11 @@
 	}
 	own := hosts[at]
 	return !slices.ContainsFunc(hosts, func(h suspect.Host) bool {
-		if h.ID.Upstream != id.Upstream || h.ID.Fingerprint == id.Fingerprint {
+		sameEngine, sameWork := h.ID.Upstream == id.Upstream, h.ID.Fingerprint == id.Fingerprint
+		if sameEngine == sameWork {
 			return false
 		}
-		return !h.Exclusive || before(h, own)
+		return sameWork || !h.Exclusive || before(h, own)
 	})
 }
 
--- a/internal/coordination/suspicion/gates.go
+++ b/internal/coordination/suspicion/gates.go
@@ -33,6 +33,6 @@
 }
 
 // Permit implements Gate.
-func (g LocalGate) Permit(_ context.Context, fp suspect.Fingerprint) (bool, error) {
-	return g.Manager.Grant(fp), nil
+func (g LocalGate) Permit(_ context.Context, fp suspect.Fingerprint, holder suspect.Holder) (bool, error) {
+	return g.Manager.Grant(fp, holder), nil
 }
--- a/internal/coordination/suspicion/place.go
+++ b/internal/coordination/suspicion/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -37,6 +38,7 @@
 type Placement struct {
 	Upstream  model.UpstreamID // empty: any engine, see Manager.Occupied
 	Exclusive bool             // nothing else should be sent to it meanwhile
+	permit    suspect.Holder   // zero without a permit of its own
 }
 
 // placing is one request that waits for its engine. Items under the request's
@@ -45,15 +47,18 @@
 	m       *Manager
 	req     PlaceRequest
 	started time.Time
-	permit  bool
+	holder  suspect.Holder // under which permits are asked for
+	permit  bool           // a gate granted the holder the permit
+	lost    bool           // a gate did not answer and may have granted it
 	then    func(Placement, *model.Refusal)
 }
 
 // Place finds an engine for a request before each attempt. then is called
-// once, on a worker under the request's key. Unless refused, then calls
-// Started at once, and Stopped follows when the attempt ends or is not made.
+// once, on a worker under the request's key. Unless refused, then calls at
+// once either Started, and Stopped follows when the attempt ends, or Unused.
 func (m *Manager) Place(req PlaceRequest, then func(Placement, *model.Refusal)) {
 	p := &placing{m: m, req: req, started: time.Now(), then: then}
+	p.newHolder()
 	if req.Deadline.IsZero() {
 		p.req.Deadline = p.started.Add(placeLimit)
 	}
@@ -63,11 +68,16 @@
 // step acts on the current verdict, which may change while a request waits.
 func (p *placing) step() {
 	v := p.m.Check(p.req.Fingerprint)
+	if v != NeedsPermit {
+		p.release()
+	}
 	if v == Refused || time.Now().After(p.req.Deadline) {
+		p.release()
 		p.refuse()
 		return
 	}
 	if upstream, ok := p.together(); ok {
+		p.release()
 		p.then(Placement{Upstream: upstream}, nil)
 		return
 	}
@@ -111,26 +121,55 @@
 }
 
 // ask asks the gates in order. A gate's answer is final for now; the next one
-// is asked only if a gate does not answer.
+// is asked only if a gate does not answer. If none answers, the next round
+// asks under the same holder and gets the permit that a lost answer granted.
 func (p *placing) ask(gates []Gate) {
 	if len(gates) == 0 {
 		p.later(retryEvery, p.step)
 		return
 	}
-	permit := func(ctx context.Context) (bool, error) { return gates[0].Permit(ctx, p.req.Fingerprint) }
+	permit := func(ctx context.Context) (bool, error) { return gates[0].Permit(ctx, p.req.Fingerprint, p.holder) }
 	worker.Call(p.m.Pool, worker.Key(p.req.ID), permitTimeout, permit, func(granted bool, err error) {
 		switch {
 		case err != nil:
+			p.lost = true
 			p.ask(gates[1:])
 		case granted:
-			p.permit = true
-			p.step()
+			p.granted()
 		default:
+			p.release()
 			p.join()
 		}
 	})
 }
 
+// granted records the permit here too, which makes this instance know it
+// before the gate's notice arrives.
+func (p *placing) granted() {
+	now := time.Now()
+	p.permit = true
+	p.m.Suspects.Merge(suspect.Rows{
+		Permits: []suspect.Permit{{Fingerprint: p.req.Fingerprint, Holder: p.holder, At: now}},
+	}, now)
+	p.step()
+}
+
+// release gives back the permit that the request has or, after a lost answer,
+// may have. It runs before any attempt is started, so that the fingerprint has
+// not run under the permit. The notice spreads like all rows and is not lost.
+func (p *placing) release() {
+	if !p.permit && !p.lost {
+		return
+	}
+	p.m.Suspects.Release(p.req.Fingerprint, p.holder, time.Now())
+	p.permit, p.lost = false, false
+	p.newHolder()
+}
+
+func (p *placing) newHolder() {
+	p.holder = suspect.Holder{Instance: p.m.Suspects.Self(), Nonce: rand.Uint64()}
+}
+
 // join runs the request on the engine on which another instance uses the
 // permit: if that engine dies, it is the same death. Until there is one, the
 // request waits: the permitted run clears or condemns it.
@@ -160,16 +199,20 @@
 	p.later(settleTime, func() { p.settled(upstream) })
 }
 
-// settled runs the request if its claim won, and else tries again.
+// settled runs the request if its claim won, and else tries again. The wait
+// may have brought another death, or an earlier permit of another gate.
 func (p *placing) settled(upstream model.UpstreamID) {
-	fp := p.req.Fingerprint
+	fp, now := p.req.Fingerprint, time.Now()
 	own := suspect.HostID{Upstream: upstream, Fingerprint: fp, By: p.m.Suspects.Self()}
-	if holds(own, p.m.Suspects.Hosts(time.Now())) {
-		p.m.Suspects.Confirm(fp, upstream, time.Now())
-		p.then(Placement{Upstream: upstream, Exclusive: true}, nil)
+	permitted := p.m.Suspects.Permitted(fp, p.holder, now)
+	if permitted && p.m.Check(fp) == NeedsPermit && holds(own, p.m.Suspects.Hosts(now)) {
+		p.then(Placement{Upstream: upstream, Exclusive: true, permit: p.holder}, nil)
 		return
 	}
-	p.m.Suspects.Unclaim(fp, upstream, time.Now())
+	p.m.Suspects.Unclaim(fp, upstream, now)
+	if !permitted {
+		p.release()
+	}
 	p.step()
 }
 
--- a/internal/coordination/suspicion/sim_test.go
+++ b/internal/coordination/suspicion/sim_test.go
@@ -25,6 +25,7 @@
 	simPrefill = 3                      // ticks before the first token
 	simRestart = 3 * time.Second
 	simSpread  = 1200 * time.Millisecond // a repeat comes at least this long after a death
+	simBrief   = 1500 * time.Millisecond // less than a permitted run's wait for its claim
 	killer     = suspect.Fingerprint("killer")
 )
 
@@ -34,22 +35,41 @@
 	Engines int
 	KillAt  int
 	MuteOne bool // the first gate does not answer
-	Submits []submit
+	Answers []answer
+	// MissEach is the number of placements of which one is not used; 0: all are.
+	MissEach int
+	Blamed   int // the first so many innocents have been on two engines that died
+	Submits  []submit
 }
 
+// answer says what becomes of one ask for a permit. Asks beyond the plan's list
+// are answered, since without any answer no request gets a permit.
+type answer int
+
+const (
+	arrives answer = iota
+	answerLost
+	askLate // the gate acts on the ask after the caller has stopped waiting
+	answers // number of kinds
+)
+
 type submit struct {
 	Instance int
 	Request  int // 0 is the killer, others are innocent; a repeated number is a repeat
 	Length   int
 	Wait     time.Duration
+	Brief    bool // the caller's deadline may end the wait for a permit
 }
 
 func genPlan(t *rapid.T) plan {
 	p := plan{
-		Delays:  rapid.SliceOfN(rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, 800 * time.Millisecond}), 2, 4).Draw(t, "delays"),
-		Engines: rapid.IntRange(2, 6).Draw(t, "engines"),
-		KillAt:  rapid.IntRange(0, 15).Draw(t, "killAt"),
-		MuteOne: rapid.Bool().Draw(t, "mute"),
+		Delays:   rapid.SliceOfN(rapid.SampledFrom([]time.Duration{0, 200 * time.Millisecond, 800 * time.Millisecond}), 2, 4).Draw(t, "delays"),
+		Engines:  rapid.IntRange(2, 6).Draw(t, "engines"),
+		KillAt:   rapid.IntRange(0, 15).Draw(t, "killAt"),
+		MuteOne:  rapid.Bool().Draw(t, "mute"),
+		Answers:  rapid.SliceOfN(rapid.Map(rapid.IntRange(0, int(answers)-1), func(n int) answer { return answer(n) }), 0, 12).Draw(t, "answers"),
+		MissEach: rapid.SampledFrom([]int{0, 2, 5}).Draw(t, "missEach"),
+		Blamed:   rapid.IntRange(0, 3).Draw(t, "blamed"),
 	}
 	for range rapid.IntRange(2, 16).Draw(t, "submits") {
 		p.Submits = append(p.Submits, submit{
@@ -57,6 +77,7 @@
 			Request:  rapid.SampledFrom([]int{0, 0, 1, 2, 3, 4, 5, 6}).Draw(t, "request"),
 			Length:   rapid.IntRange(5, 100).Draw(t, "length"),
 			Wait:     rapid.SampledFrom([]time.Duration{0, simTick, time.Second, 4 * time.Second}).Draw(t, "wait"),
+			Brief:    rapid.IntRange(0, 3).Draw(t, "brief") == 3,
 		})
 	}
 	return p
@@ -71,6 +92,7 @@
 	position int
 	prefill  int
 	ran      bool
+	deadline time.Time
 	end      string // "finished" or "refused"
 }
 
@@ -92,21 +114,44 @@
 	killed    int
 	lastDeath time.Time
 	late      sync.WaitGroup
+	asks      int
+	starts    int
 }
 
 // gate is an instance's gate as others reach it.
 type gate struct {
+	s    *sim
 	m    *Manager
 	mute bool
 }
 
-func (g gate) Permit(ctx context.Context, fp suspect.Fingerprint) (bool, error) {
-	if g.mute {
-		<-ctx.Done()
-		return false, errors.New("no answer")
+func (g gate) Permit(ctx context.Context, fp suspect.Fingerprint, holder suspect.Holder) (bool, error) {
+	if !g.mute {
+		switch g.s.fate() {
+		case arrives:
+			time.Sleep(20 * time.Millisecond)
+			return g.m.Grant(fp, holder), nil
+		case askLate:
+			g.s.late.Go(func() {
+				time.Sleep(permitTimeout + 200*time.Millisecond)
+				g.m.Grant(fp, holder)
+			})
+		default:
+			g.m.Grant(fp, holder)
+		}
+	}
+	<-ctx.Done()
+	return false, errors.New("no answer")
+}
+
+func (s *sim) fate() answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asks++
+	if s.asks > len(s.plan.Answers) {
+		return arrives
 	}
-	time.Sleep(20 * time.Millisecond)
-	return g.m.Grant(fp), nil
+	return s.plan.Answers[s.asks-1]
 }
 
 func newSim(p plan) *sim {
@@ -121,12 +166,25 @@
 			Suspects: suspect.NewTable(model.InstanceID(fmt.Sprint("i", i))),
 			Gates:    func(suspect.Fingerprint) []Gate { return gates },
 		})
+		m.Suspects.Merge(blame(p.Blamed), time.Now())
 		s.managers = append(s.managers, m)
-		gates = append(gates, gate{m: m, mute: i == 0 && p.MuteOne})
+		gates = append(gates, gate{s: s, m: m, mute: i == 0 && p.MuteOne})
 	}
 	return s
 }
 
+func blame(requests int) suspect.Rows {
+	var rows suspect.Rows
+	for n := range 2 * requests {
+		rows.Deaths = append(rows.Deaths, suspect.Death{
+			ID:          suspect.DeathID{Upstream: "gone", Incarnation: uint64(n)},
+			Fingerprint: suspect.Fingerprint(fmt.Sprint("innocent", 1+n/2)),
+			At:          time.Now(),
+		})
+	}
+	return rows
+}
+
 // run plays the plan and returns what went wrong.
 func (s *sim) run() []string {
 	for n, sub := range s.plan.Submits {
@@ -169,6 +227,9 @@
 	if sub.Request == 0 {
 		r.fp = killer
 	}
+	if sub.Brief {
+		r.deadline = time.Now().Add(simBrief)
+	}
 	s.runners = append(s.runners, r)
 	s.place(r)
 }
@@ -211,7 +272,7 @@
 
 func (s *sim) place(r *runner) {
 	m := s.managers[r.instance]
-	req := PlaceRequest{ID: r.id, Fingerprint: r.fp, Engines: s.live, Ran: r.ran}
+	req := PlaceRequest{ID: r.id, Fingerprint: r.fp, Engines: s.live, Ran: r.ran, Deadline: r.deadline}
 	m.Place(req, func(p Placement, refusal *model.Refusal) {
 		if refusal != nil {
 			s.mu.Lock()
@@ -219,24 +280,31 @@
 			r.end = "refused"
 			return
 		}
-		s.start(r, p.Upstream)
+		s.start(r, p)
 	})
 }
 
 // start runs the request, or places it again when there is no live engine.
-func (s *sim) start(r *runner, upstream model.UpstreamID) {
-	m := s.managers[r.instance]
+func (s *sim) start(r *runner, where Placement) {
+	m, upstream := s.managers[r.instance], where.Upstream
 	if upstream == "" {
 		upstream = s.free(m)
 	}
-	m.Started(r.fp, upstream)
-	if s.join(r, upstream) {
+	if !s.missed() && s.join(r, upstream) {
 		return
 	}
-	m.Stopped(r.fp, upstream)
+	m.Unused(r.fp, where)
 	m.Pool.After(simTick, worker.Key(r.id), worker.Func(func() { s.place(r) }))
 }
 
+// missed reports whether no attempt is made although the request has a place.
+func (s *sim) missed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts++
+	return s.plan.MissEach > 0 && s.starts%s.plan.MissEach == 0
+}
+
 // free returns the live engine with the least work, without a suspect if
 // there is one.
 func (s *sim) free(m *Manager) model.UpstreamID {
@@ -264,6 +332,7 @@
 		if e.id == id && !time.Now().Before(e.upAt) {
 			r.prefill, r.ran = simPrefill, true
 			e.running = append(e.running, r)
+			s.managers[r.instance].Started(r.fp, id)
 			return true
 		}
 	}
@@ -346,7 +415,7 @@
 		if r.fp == killer {
 			want = "refused"
 		}
-		if r.end != want {
+		if r.end != want && r.deadline.IsZero() {
 			bad = append(bad, fmt.Sprintf("%s (%s) ended as %q", r.id, r.fp, r.end))
 		}
 	}
--- a/internal/coordination/suspicion/suspicion.go
+++ b/internal/coordination/suspicion/suspicion.go
@@ -16,9 +16,10 @@
 // engines, or waited in vain for its last run.
 const CodeKillsEngines = "request_kills_engines"
 
-// Gate asks an instance for a fingerprint's last run.
+// Gate asks an instance for a fingerprint's last run. After an error the
+// permit may have been granted; the same holder may ask again.
 type Gate interface {
-	Permit(ctx context.Context, fp suspect.Fingerprint) (bool, error)
+	Permit(ctx context.Context, fp suspect.Fingerprint, holder suspect.Holder) (bool, error)
 }
 
 // Options configure a Manager. All fields are required except Planned.
@@ -91,7 +92,15 @@
 // Started counts an attempt, of a suspect or not. Until Stopped, repeats of
 // the fingerprint on this instance go to the same engine.
 func (m *Manager) Started(fp suspect.Fingerprint, upstream model.UpstreamID) {
-	m.Suspects.Started(fp, upstream)
+	m.Suspects.Started(fp, upstream, time.Now())
+}
+
+// Unused takes a placement back for which no attempt was started. A permit
+// that it holds becomes free.
+func (m *Manager) Unused(fp suspect.Fingerprint, where Placement) {
+	if where.Upstream != "" {
+		m.Suspects.Unused(fp, where.Upstream, where.permit, time.Now())
+	}
 }
 
 // Stopped ends an attempt, however it ended.
@@ -114,11 +123,11 @@
 	return slices.ContainsFunc(list, func(fp suspect.Fingerprint) bool { return m.Check(fp) >= NeedsPermit })
 }
 
-// Grant is the gate's side: it gives one permit for a fingerprint and no
-// second one.
-func (m *Manager) Grant(fp suspect.Fingerprint) bool {
+// Grant is the gate's side: it gives a fingerprint's permit to one holder, as
+// often as that one asks, and to no second one until it is given back.
+func (m *Manager) Grant(fp suspect.Fingerprint, holder suspect.Holder) bool {
 	if m.Check(fp) == Refused {
 		return false
 	}
-	return m.Suspects.Grant(fp, time.Now())
+	return m.Suspects.Grant(fp, holder, time.Now())
 }
--- a/internal/coordination/suspicion/suspicion_test.go
+++ b/internal/coordination/suspicion/suspicion_test.go
@@ -27,7 +27,7 @@
 	assert.Assert(t, m.Explained("e", 1))
 	m.EngineDied("e", 3, fp)
 	assert.Equal(t, m.Check("f"), Refused)
-	assert.Assert(t, !m.Grant("f"))
+	assert.Assert(t, !m.Grant("f", suspect.Holder{Nonce: 1}))
 	m.Finished("f")
 	assert.Equal(t, m.Check("f"), Free)
 }
--- a/internal/protocol/peerwire/bodies.go
+++ b/internal/protocol/peerwire/bodies.go
@@ -12,6 +12,7 @@
 type Permit struct {
 	Fingerprint suspect.Fingerprint
 	From        model.InstanceID
+	Nonce       uint64 // names the ask of that instance, see suspect.Holder
 }
 
 // PermitReply answers a Permit.
--- a/internal/state/suspect/host.go
+++ b/internal/state/suspect/host.go
@@ -9,10 +9,13 @@
 // renewEvery keeps a running suspect's mark well inside hostExpiry.
 const renewEvery = 10 * time.Second
 
-// Started counts one attempt of any fingerprint on this instance.
-func (t *Table) Started(fp Fingerprint, upstream model.UpstreamID) {
+// Started counts one attempt of any fingerprint on this instance, and marks
+// the instance's exclusive claim of the engine, if any, as in use. Others join
+// only a claim in use, so that nobody runs under a permit that is given back.
+func (t *Table) Started(fp Fingerprint, upstream model.UpstreamID, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.confirm(fp, upstream, now)
 	l := t.running[fp]
 	if l.attempts == 0 {
 		l.upstream = upstream
@@ -35,6 +38,19 @@
 	t.endHosts(fp, upstream, now)
 }
 
+// Unused takes back a claim under which no attempt was started, with its
+// permit if it has one. Marks of other attempts of this instance stay.
+func (t *Table) Unused(fp Fingerprint, upstream model.UpstreamID, permit Holder, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.running[fp].attempts == 0 {
+		t.endHosts(fp, upstream, now)
+	}
+	if permit != (Holder{}) {
+		t.release(fp, permit, now)
+	}
+}
+
 // Running returns the engine on which this instance runs the fingerprint.
 func (t *Table) Running(fp Fingerprint) (model.UpstreamID, bool) {
 	t.mu.Lock()
@@ -72,19 +88,18 @@
 		return "", false
 	}
 	id := HostID{Upstream: upstream, Fingerprint: fp, By: t.self}
+	old := t.hosts[id]
 	t.merge(Rows{Hosts: []Host{{
 		ID: id, Revision: t.revision(id, now), Exclusive: exclusive, Claimed: now, Renewed: now,
+		Confirmed: old.Confirmed && !old.Ended,
 	}}}, now)
 	return upstream, true
 }
 
-// Confirm marks the instance's exclusive claim of an engine as won.
-func (t *Table) Confirm(fp Fingerprint, upstream model.UpstreamID, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
+func (t *Table) confirm(fp Fingerprint, upstream model.UpstreamID, now time.Time) {
 	id := HostID{Upstream: upstream, Fingerprint: fp, By: t.self}
 	h, ok := t.hosts[id]
-	if !ok || h.Ended {
+	if !ok || h.Ended || !h.Exclusive || h.Confirmed {
 		return
 	}
 	h.Revision, h.Confirmed, h.Renewed = t.revision(id, now), true, now
--- a/internal/state/suspect/merge.go
+++ b/internal/state/suspect/merge.go
@@ -16,11 +16,7 @@
 		}
 	}
 	for _, p := range in.Permits {
-		old, ok := t.permits[p.Fingerprint]
-		if fresh(p.At, now, expiry) && (!ok || p.At.After(old.At)) {
-			t.permits[p.Fingerprint] = p
-			changed = true
-		}
+		changed = t.addPermit(p, now) || changed
 	}
 	for _, h := range in.Hosts {
 		old, ok := t.hosts[h.ID]
--- a/internal/state/suspect/suspect.go
+++ b/internal/state/suspect/suspect.go
@@ -45,11 +45,20 @@
 	At          time.Time
 }
 
-// Permit says that a gate granted the fingerprint's last run. A later clear
-// mark ends it.
+// Holder names who asks for a permit. A holder that gave its permit back asks
+// under a new nonce, so that an old ask which arrives late gets nothing.
+type Holder struct {
+	Instance model.InstanceID
+	Nonce    uint64
+}
+
+// Permit says that a gate granted the fingerprint's last run to the holder. A
+// later clear mark ends it.
 type Permit struct {
 	Fingerprint Fingerprint
+	Holder      Holder
 	At          time.Time
+	Released    bool // the holder made no run with it and makes none
 }
 
 // HostID names one run of a suspect on an engine.
@@ -64,7 +73,7 @@
 	ID        HostID
 	Revision  uint64 // rises with each change by the instance
 	Exclusive bool   // no other suspect may run there
-	Confirmed bool   // an exclusive claim that won: the permitted run started
+	Confirmed bool   // an exclusive claim under which an attempt started
 	Claimed   time.Time
 	Renewed   time.Time
 	Ended     bool
@@ -83,6 +92,11 @@
 	id          DeathID
 }
 
+type permitKey struct {
+	fingerprint Fingerprint
+	holder      Holder
+}
+
 // local counts this instance's attempts of one fingerprint.
 type local struct {
 	upstream model.UpstreamID // engine of the first of them
@@ -100,7 +114,7 @@
 	deaths  map[deathKey]Death
 	ids     map[Fingerprint][]DeathID // index of deaths, rebuilt with each change
 	clears  map[Fingerprint]Clear
-	permits map[Fingerprint]Permit
+	permits map[permitKey]Permit
 	hosts   map[HostID]Host
 	running map[Fingerprint]local
 	changed chan struct{}
@@ -114,7 +128,7 @@
 		self:    self,
 		deaths:  map[deathKey]Death{},
 		clears:  map[Fingerprint]Clear{},
-		permits: map[Fingerprint]Permit{},
+		permits: map[permitKey]Permit{},
 		hosts:   map[HostID]Host{},
 		running: map[Fingerprint]local{},
 		changed: make(chan struct{}),
@@ -229,17 +243,6 @@
 	return now
 }
 
-// Grant records a permit unless one is in force, and reports whether it did.
-func (t *Table) Grant(fp Fingerprint, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	p, ok := t.permits[fp]
-	if ok && now.Sub(p.At) < expiry && p.At.After(t.clears[fp].At) {
-		return false
-	}
-	return t.merge(Rows{Permits: []Permit{{Fingerprint: fp, At: now}}}, now)
-}
-
 // Empty reports whether the set has no rows.
 func (r Rows) Empty() bool {
 	return len(r.Deaths) == 0 && len(r.Clears) == 0 && len(r.Permits) == 0 && len(r.Hosts) == 0
--- a/internal/state/suspect/suspect_test.go
+++ b/internal/state/suspect/suspect_test.go
@@ -52,6 +52,7 @@
 // ever, and against a second permit.
 func TestDeathsClearsAndPermits(t *testing.T) {
 	table := NewTable("a")
+	a, b := Holder{Instance: "a", Nonce: 1}, Holder{Instance: "a", Nonce: 2}
 	count := func(now time.Time) int {
 		n, _ := table.Count("f", now)
 		return n
@@ -59,15 +60,16 @@
 	table.Merge(death(1, 3, start), start)
 	table.Merge(death(1, 7, start.Add(time.Second)), start.Add(time.Second))
 	assert.Equal(t, count(start), 1)
-	assert.Assert(t, table.Grant("f", start))
-	assert.Assert(t, !table.Grant("f", start.Add(time.Second)), "one permit")
+	assert.Assert(t, table.Grant("f", a, start))
+	assert.Assert(t, !table.Grant("f", b, start.Add(time.Second)), "one permit")
+	assert.Assert(t, table.Grant("f", a, start.Add(time.Second)), "the same permit again")
 	table.Progress("f", 7, false, start.Add(2*time.Second))
 	assert.Equal(t, count(start), 1, "position 7 was reached before")
 	table.Progress("f", 8, false, start.Add(2*time.Second))
 	assert.Equal(t, count(start), 0)
 	table.Merge(death(2, 0, start.Add(time.Second)), start.Add(3*time.Second))
 	assert.Equal(t, count(start), 0, "a clear mark wins over an older death")
-	assert.Assert(t, table.Grant("f", start.Add(3*time.Second)), "the clear mark ended the permit")
+	assert.Assert(t, table.Grant("f", b, start.Add(3*time.Second)), "the clear mark ended the permit")
 	table.Merge(death(3, 0, start.Add(4*time.Second)), start.Add(4*time.Second))
 	assert.Equal(t, count(start.Add(5*time.Second)), 1)
 	assert.Equal(t, count(start.Add(4*time.Second+expiry)), 0, "expired")
@@ -75,6 +77,28 @@
 	assert.Equal(t, count(start.Add(5*time.Second)), 1, "a clock that is far ahead is ignored")
 }
 
+// Guards against a permit that stays spent after its release, and one that an
+// old ask takes again after it, in whichever order the notices arrive.
+func TestReleasedPermitIsFree(t *testing.T) {
+	a, b, c := Holder{Instance: "a", Nonce: 1}, Holder{Instance: "b", Nonce: 1}, Holder{Instance: "c", Nonce: 1}
+	gate, other := NewTable("g"), NewTable("a")
+	assert.Assert(t, gate.Grant("f", a, start))
+	other.Release("f", a, start.Add(time.Second)) // its answer was lost
+	assert.Assert(t, gate.Merge(other.Snapshot(start), start))
+	assert.Assert(t, !gate.Merge(other.Snapshot(start), start), "nothing is new")
+	assert.Assert(t, !gate.Grant("f", a, start), "an old ask")
+	assert.Assert(t, gate.Grant("f", b, start.Add(time.Second)))
+	assert.Assert(t, !gate.Grant("f", a, start.Add(time.Second)))
+
+	assert.Assert(t, other.Grant("f", c, start.Add(2*time.Second)), "a gate that does not know of b")
+	gate.Merge(other.Snapshot(start), start)
+	other.Merge(gate.Snapshot(start), start)
+	for _, table := range []*Table{gate, other} {
+		now := start.Add(3 * time.Second)
+		assert.Assert(t, table.Permitted("f", b, now) && !table.Permitted("f", c, now), "the earlier one counts")
+	}
+}
+
 // Guards against unbounded growth under many distinct prompts.
 func TestRowsAreBounded(t *testing.T) {
 	table := NewTable("a")
--- a/internal/transport/peerlink/client.go
+++ b/internal/transport/peerlink/client.go
@@ -135,20 +135,19 @@
 // Gate asks one instance for permits. It implements suspicion.Gate.
 type Gate struct {
 	client *Client
-	self   model.InstanceID
 	to     model.Instance
 }
 
 var _ suspicion.Gate = Gate{}
 
 // Gate returns the gate of another instance.
-func (c *Client) Gate(self model.InstanceID, to model.Instance) Gate {
-	return Gate{client: c, self: self, to: to}
+func (c *Client) Gate(to model.Instance) Gate {
+	return Gate{client: c, to: to}
 }
 
 // Permit implements suspicion.Gate.
-func (g Gate) Permit(ctx context.Context, fp suspect.Fingerprint) (bool, error) {
-	request, err := peerwire.EncodePermit(peerwire.Permit{Fingerprint: fp, From: g.self})
+func (g Gate) Permit(ctx context.Context, fp suspect.Fingerprint, holder suspect.Holder) (bool, error) {
+	request, err := peerwire.EncodePermit(peerwire.Permit{Fingerprint: fp, From: holder.Instance, Nonce: holder.Nonce})
 	if err != nil {
 		return false, err
 	}
--- a/internal/transport/peerlink/peerlink_test.go
+++ b/internal/transport/peerlink/peerlink_test.go
@@ -54,7 +54,9 @@
 	})
 	ignore := func(model.RequestID) {}
 	logs := Logs{Holder: holder, Manager: e.manager, Join: ignore, Leave: ignore,
-		Grant: func(fp suspect.Fingerprint) bool { return fp == "f" }}
+		Grant: func(fp suspect.Fingerprint, holder suspect.Holder) bool {
+			return fp == "f" && holder == suspect.Holder{Instance: "a", Nonce: 7}
+		}}
 	e.server, err = peer.NewServer(options, logs.Handlers())
 	assert.NilError(t, err)
 	e.in = model.Instance{
@@ -119,11 +121,12 @@
 func TestPermitOverQUIC(t *testing.T) {
 	entries := startEntries(t, "a", "b")
 	client := NewClient(entries[0].client)
-	gate := client.Gate("a", entries[1].in)
-	granted, err := gate.Permit(t.Context(), "f")
+	gate := client.Gate(entries[1].in)
+	holder := suspect.Holder{Instance: "a", Nonce: 7}
+	granted, err := gate.Permit(t.Context(), "f", holder)
 	assert.NilError(t, err)
 	assert.Assert(t, granted)
-	granted, err = gate.Permit(t.Context(), "other")
+	granted, err = gate.Permit(t.Context(), "other", holder)
 	assert.NilError(t, err)
 	assert.Assert(t, !granted)
 }
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -20,7 +20,7 @@
 	// Join and Leave count a follower as a reader of an own generation.
 	Join  func(model.RequestID)
 	Leave func(model.RequestID)
-	Grant func(suspect.Fingerprint) bool
+	Grant func(suspect.Fingerprint, suspect.Holder) bool
 }
 
 // Handlers returns the handlers of an entry process's peer messages.
@@ -115,6 +115,7 @@
 	if err != nil {
 		return err
 	}
-	reply := peerwire.PermitReply{Granted: l.Grant(request.Fingerprint)}
+	holder := suspect.Holder{Instance: request.From, Nonce: request.Nonce}
+	reply := peerwire.PermitReply{Granted: l.Grant(request.Fingerprint, holder)}
 	return write(w)(peerwire.EncodePermitReply(reply))
 }
