Test that the relay gives back the place of a request that ended

Cause: a request that ended while it waited for its place kept its permit and its reserved engine; the change that gives them back had no test in the relay.

Ruled out: the simulation of the suspicion package, whose relay has no callers that leave.

Change: a test with a guard that holds placements.

Conclusion: the path is guarded; behaviour does not change.

--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -9,8 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 )
@@ -297,3 +300,31 @@
 	callers.Wait()
 	return failures
 }
+
+// heldGuard keeps placements until they are let go.
+type heldGuard struct {
+	openGuard
+	placed chan func()
+	unused chan suspicion.Placement
+}
+
+func (g heldGuard) Place(req suspicion.PlaceRequest, then func(suspicion.Placement, *model.Refusal)) {
+	where := suspicion.Placement{Upstream: "e0", Exclusive: true}
+	g.placed <- func() { g.pool.Post(key(req.ID), worker.Func(func() { then(where, nil) })) }
+}
+
+func (g heldGuard) Unused(_ suspect.Fingerprint, where suspicion.Placement) { g.unused <- where }
+
+// Guards against a permit that is spent, and an engine that stays reserved,
+// because the request ended while it waited for its place.
+func TestPlacementOfEndedRequestIsGivenBack(t *testing.T) {
+	b := newBench(1, "v1")
+	defer b.close()
+	g := heldGuard{openGuard{b.pool}, make(chan func(), 1), make(chan suspicion.Placement, 1)}
+	b.manager.opts.Guard = g
+	b.manager.Submit(spec("r", 3))
+	release := <-g.placed
+	b.manager.Abandon("r")
+	release()
+	assert.Equal(t, (<-g.unused).Upstream, model.UpstreamID("e0"))
+}
