Refuse a request only after clear marks must have arrived

Cause: the simulation refused an innocent request whose third death came while the clear mark of a copy on another instance was 0.8 s under way. The refusal of a request is final, while its verdict was not.

Ruled out: the wait only after a recent death, since the table does not report the time of deaths and a refusal is not urgent.

Change: a request whose verdict is Refused waits for 1 s, the time in which a notice spreads, or until its deadline, and is then judged again.

A unit test with a clear mark after 0.8 s covers the rule.

Conclusion: a refusal comes up to 1 s later and no longer on stale marks. The process tests were not run.

--- a/internal/coordination/suspicion/place.go
+++ b/internal/coordination/suspicion/place.go
@@ -20,6 +20,9 @@
 	// quarantineWait bounds the wait for an engine without a suspect. Others
 	// clear within a prefill and one token, and output must go on within 5 s.
 	quarantineWait = time.Second
+	// refusalWait is the time in which a notice spreads: the fingerprint may have
+	// been cleared on another instance.
+	refusalWait = time.Second
 	// lastChanceWait bounds the wait for an engine that no suspect with two
 	// deaths uses. With a prefill after it, output still goes on within 5 s.
 	lastChanceWait = 4 * time.Second
@@ -53,6 +56,7 @@
 	holder  suspect.Holder // under which permits are asked for
 	permit  bool           // a gate granted the holder the permit
 	lost    bool           // a gate did not answer and may have granted it
+	refused time.Time      // when the verdict became Refused; zero if it is not
 	then    func(Placement, *model.Refusal)
 }
 
@@ -74,11 +78,16 @@
 	if v != NeedsPermit {
 		p.release()
 	}
-	if v == Refused || v != Free && time.Now().After(p.req.Deadline) {
+	if v != Free && time.Now().After(p.req.Deadline) {
 		p.release()
 		p.refuse()
 		return
 	}
+	if v == Refused {
+		p.confirm()
+		return
+	}
+	p.refused = time.Time{}
 	if upstream, ok := p.together(); ok {
 		p.release()
 		p.then(Placement{Upstream: upstream}, nil)
@@ -96,6 +105,19 @@
 	}
 }
 
+// confirm refuses the request once a clear mark must have arrived.
+func (p *placing) confirm() {
+	now := time.Now()
+	if p.refused.IsZero() {
+		p.refused = now
+	}
+	if left := refusalWait - now.Sub(p.refused); left > 0 {
+		p.later(min(left, retryEvery), p.step)
+		return
+	}
+	p.refuse()
+}
+
 // together returns the engine on which this instance runs the fingerprint, so
 // that copies take down one engine and not several.
 func (p *placing) together() (model.UpstreamID, bool) {
--- a/internal/coordination/suspicion/suspicion_test.go
+++ b/internal/coordination/suspicion/suspicion_test.go
@@ -121,3 +121,25 @@
 		assert.Assert(t, table.Permitted("f", early, time.Now()))
 	})
 }
+
+// Guards against the refusal of a request that another instance has cleared
+// while the notice is under way.
+func TestRefusalAwaitsClearMarks(t *testing.T) {
+	for _, cleared := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			table, pool := suspect.NewTable("a"), worker.NewPool(worker.Options{Workers: 1})
+			defer pool.Close()
+			m := New(Options{Pool: pool, Suspects: table})
+			for n := range uint64(3) {
+				m.EngineDied("gone", n, []Running{{Fingerprint: "f"}})
+			}
+			answer := make(chan bool, 1)
+			m.Place(PlaceRequest{ID: "r", Fingerprint: "f"}, func(_ Placement, refusal *model.Refusal) { answer <- refusal != nil })
+			time.Sleep(800 * time.Millisecond)
+			if cleared {
+				m.Finished("f")
+			}
+			assert.Equal(t, <-answer, !cleared)
+		})
+	}
+}
