--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -73,11 +73,13 @@
 		ID:          id,
 		Fingerprint: r.Print,
 		Engines:     func() []model.UpstreamID { return m.candidates(id) },
-		Deadline:    r.Spec.Deadline,
 		Ran:         r.Attempt.Number > 0,
 	}
+	if r.Shown == 0 {
+		request.Deadline = r.Spec.Deadline // an answer that has begun goes on after it
+	}
 	m.opts.Guard.Place(request, func(where suspicion.Placement, refusal *model.Refusal) {
-		m.placed(id, where, refusal)
+		m.placed(request, where, refusal)
 	})
 }
 
@@ -104,9 +106,10 @@
 }
 
 // placed starts the attempt where the guard allows it.
-func (m *Manager) placed(id model.RequestID, where suspicion.Placement, refusal *model.Refusal) {
-	r, ok := m.unplaced(id)
+func (m *Manager) placed(request suspicion.PlaceRequest, where suspicion.Placement, refusal *model.Refusal) {
+	r, ok := m.unplaced(request.ID)
 	if !ok {
+		m.opts.Guard.Unused(request.Fingerprint, where) // ended while it waited
 		return
 	}
 	if refusal != nil {
@@ -115,7 +118,7 @@
 	}
 	engine, ok := m.pick(r, where)
 	if !ok {
-		m.release(r, where)
+		m.opts.Guard.Unused(r.Print, where)
 		m.waitForEngine(r)
 		return
 	}
@@ -123,15 +126,6 @@
 	m.start(r, engine)
 }
 
-// release gives back an engine that the guard had set aside.
-func (m *Manager) release(r generation.Record, where suspicion.Placement) {
-	if where.Upstream == "" {
-		return
-	}
-	m.opts.Guard.Started(r.Print, where.Upstream)
-	m.opts.Guard.Stopped(r.Print, where.Upstream)
-}
-
 // outcomeOf is not_run until the first attempt was handed to an engine.
 func outcomeOf(r generation.Record) model.Outcome {
 	if r.Attempt.Number == 0 {
--- a/internal/coordination/suspicion/decide.go
+++ b/internal/coordination/suspicion/decide.go
@@ -60,12 +60,14 @@
 }
 
 // chooseShared returns the engine with the fewest suspects among those that
-// no suspect has to itself.
-func chooseShared(engines []model.UpstreamID, fp suspect.Fingerprint, hosts []suspect.Host) (model.UpstreamID, bool) {
+// no suspect has to itself. last are the fingerprints that one more death
+// refuses: no other suspect joins them, as an innocent one would be refused
+// for the death that another suspect causes.
+func chooseShared(engines []model.UpstreamID, fp suspect.Fingerprint, hosts []suspect.Host, last map[suspect.Fingerprint]bool) (model.UpstreamID, bool) {
 	load, exclusive := map[model.UpstreamID]int{}, map[model.UpstreamID]bool{}
 	for _, h := range hosts {
 		load[h.ID.Upstream]++
-		exclusive[h.ID.Upstream] = exclusive[h.ID.Upstream] || h.Exclusive
+		exclusive[h.ID.Upstream] = exclusive[h.ID.Upstream] || h.Exclusive || last[h.ID.Fingerprint]
 	}
 	ranked := slices.DeleteFunc(rank(engines, fp), func(id model.UpstreamID) bool { return exclusive[id] })
 	if len(ranked) == 0 {
@@ -85,8 +87,9 @@
 	return "", false
 }
 
-// holds reports whether an exclusive claim won: no other suspect runs on the
-// engine, and no exclusive claim of another one is earlier.
+// holds reports whether an exclusive claim won: the fingerprint runs on no
+// other engine, where it could take down one more, no other suspect runs on
+// this engine, and no exclusive claim of another one is earlier.
 func holds(id suspect.HostID, hosts []suspect.Host) bool {
 	at := slices.IndexFunc(hosts, func(h suspect.Host) bool { return h.ID == id })
 	if at < 0 {
@@ -94,10 +97,11 @@
 	}
 	own := hosts[at]
 	return !slices.ContainsFunc(hosts, func(h suspect.Host) bool {
-		if h.ID.Upstream != id.Upstream || h.ID.Fingerprint == id.Fingerprint {
+		sameEngine, sameWork := h.ID.Upstream == id.Upstream, h.ID.Fingerprint == id.Fingerprint
+		if sameEngine == sameWork {
 			return false
 		}
-		return !h.Exclusive || before(h, own)
+		return sameWork || !h.Exclusive || before(h, own)
 	})
 }
 
--- a/internal/coordination/suspicion/place.go
+++ b/internal/coordination/suspicion/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,6 +20,12 @@
 	// quarantineWait bounds the wait for an engine without a suspect. Others
 	// clear within a prefill and one token, and output must go on within 5 s.
 	quarantineWait = time.Second
+	// refusalWait is the time in which a notice spreads: the fingerprint may have
+	// been cleared on another instance.
+	refusalWait = time.Second
+	// lastChanceWait bounds the wait for an engine that no suspect with two
+	// deaths uses. With a prefill after it, output still goes on within 5 s.
+	lastChanceWait = 4 * time.Second
 	placeLimit     = 30 * time.Second // for a request without a deadline
 )
 
@@ -37,6 +44,7 @@
 type Placement struct {
 	Upstream  model.UpstreamID // empty: any engine, see Manager.Occupied
 	Exclusive bool             // nothing else should be sent to it meanwhile
+	permit    suspect.Holder   // zero without a permit of its own
 }
 
 // placing is one request that waits for its engine. Items under the request's
@@ -45,15 +53,19 @@
 	m       *Manager
 	req     PlaceRequest
 	started time.Time
-	permit  bool
+	holder  suspect.Holder // under which permits are asked for
+	permit  bool           // a gate granted the holder the permit
+	lost    bool           // a gate did not answer and may have granted it
+	refused time.Time      // when the verdict became Refused; zero if it is not
 	then    func(Placement, *model.Refusal)
 }
 
 // Place finds an engine for a request before each attempt. then is called
-// once, on a worker under the request's key. Unless refused, then calls
-// Started at once, and Stopped follows when the attempt ends or is not made.
+// once, on a worker under the request's key. Unless refused, then calls at
+// once either Started, and Stopped follows when the attempt ends, or Unused.
 func (m *Manager) Place(req PlaceRequest, then func(Placement, *model.Refusal)) {
 	p := &placing{m: m, req: req, started: time.Now(), then: then}
+	p.newHolder()
 	if req.Deadline.IsZero() {
 		p.req.Deadline = p.started.Add(placeLimit)
 	}
@@ -63,11 +75,21 @@
 // step acts on the current verdict, which may change while a request waits.
 func (p *placing) step() {
 	v := p.m.Check(p.req.Fingerprint)
-	if v == Refused || time.Now().After(p.req.Deadline) {
+	if v != NeedsPermit {
+		p.release()
+	}
+	if v != Free && time.Now().After(p.req.Deadline) {
+		p.release()
 		p.refuse()
 		return
 	}
+	if v == Refused {
+		p.confirm()
+		return
+	}
+	p.refused = time.Time{}
 	if upstream, ok := p.together(); ok {
+		p.release()
 		p.then(Placement{Upstream: upstream}, nil)
 		return
 	}
@@ -83,6 +105,19 @@
 	}
 }
 
+// confirm refuses the request once a clear mark must have arrived.
+func (p *placing) confirm() {
+	now := time.Now()
+	if p.refused.IsZero() {
+		p.refused = now
+	}
+	if left := refusalWait - now.Sub(p.refused); left > 0 {
+		p.later(min(left, retryEvery), p.step)
+		return
+	}
+	p.refuse()
+}
+
 // together returns the engine on which this instance runs the fingerprint, so
 // that copies take down one engine and not several.
 func (p *placing) together() (model.UpstreamID, bool) {
@@ -91,17 +126,21 @@
 }
 
 // quarantine takes an engine without a suspect, or after quarantineWait
-// shares one.
+// shares one, at first not with a suspect that one more death refuses.
 func (p *placing) quarantine() {
-	engines := p.req.Engines()
+	engines, waited := p.req.Engines(), time.Since(p.started)
+	var last map[suspect.Fingerprint]bool
+	if waited < lastChanceWait {
+		last = p.m.lastChances()
+	}
 	upstream, ok := p.m.Suspects.Claim(p.req.Fingerprint, false, time.Now(), func(hosts []suspect.Host) (model.UpstreamID, bool) {
 		if id, ok := chooseAlone(engines, p.req.Fingerprint, hosts); ok {
 			return id, true
 		}
-		if time.Since(p.started) < quarantineWait {
+		if waited < quarantineWait {
 			return "", false
 		}
-		return chooseShared(engines, p.req.Fingerprint, hosts)
+		return chooseShared(engines, p.req.Fingerprint, hosts, last)
 	})
 	if !ok {
 		p.later(retryEvery, p.step)
@@ -111,26 +150,55 @@
 }
 
 // ask asks the gates in order. A gate's answer is final for now; the next one
-// is asked only if a gate does not answer.
+// is asked only if a gate does not answer. If none answers, the next round
+// asks under the same holder and gets the permit that a lost answer granted.
 func (p *placing) ask(gates []Gate) {
 	if len(gates) == 0 {
 		p.later(retryEvery, p.step)
 		return
 	}
-	permit := func(ctx context.Context) (bool, error) { return gates[0].Permit(ctx, p.req.Fingerprint) }
+	permit := func(ctx context.Context) (bool, error) { return gates[0].Permit(ctx, p.req.Fingerprint, p.holder) }
 	worker.Call(p.m.Pool, worker.Key(p.req.ID), permitTimeout, permit, func(granted bool, err error) {
 		switch {
 		case err != nil:
+			p.lost = true
 			p.ask(gates[1:])
 		case granted:
-			p.permit = true
-			p.step()
+			p.granted()
 		default:
+			p.release()
 			p.join()
 		}
 	})
 }
 
+// granted records the permit here too, which makes this instance know it
+// before the gate's notice arrives.
+func (p *placing) granted() {
+	now := time.Now()
+	p.permit = true
+	p.m.Suspects.Merge(suspect.Rows{
+		Permits: []suspect.Permit{{Fingerprint: p.req.Fingerprint, Holder: p.holder, At: now}},
+	}, now)
+	p.step()
+}
+
+// release gives back the permit that the request has or, after a lost answer,
+// may have. It runs before any attempt is started, so that the fingerprint has
+// not run under the permit. The notice spreads like all rows and is not lost.
+func (p *placing) release() {
+	if !p.permit && !p.lost {
+		return
+	}
+	p.m.Suspects.Release(p.req.Fingerprint, p.holder, time.Now())
+	p.permit, p.lost = false, false
+	p.newHolder()
+}
+
+func (p *placing) newHolder() {
+	p.holder = suspect.Holder{Instance: p.m.Suspects.Self(), Nonce: rand.Uint64()}
+}
+
 // join runs the request on the engine on which another instance uses the
 // permit: if that engine dies, it is the same death. Until there is one, the
 // request waits: the permitted run clears or condemns it.
@@ -160,16 +228,20 @@
 	p.later(settleTime, func() { p.settled(upstream) })
 }
 
-// settled runs the request if its claim won, and else tries again.
+// settled runs the request if its claim won, and else tries again. The wait
+// may have brought another death, or an earlier permit of another gate.
 func (p *placing) settled(upstream model.UpstreamID) {
-	fp := p.req.Fingerprint
+	fp, now := p.req.Fingerprint, time.Now()
 	own := suspect.HostID{Upstream: upstream, Fingerprint: fp, By: p.m.Suspects.Self()}
-	if holds(own, p.m.Suspects.Hosts(time.Now())) {
-		p.m.Suspects.Confirm(fp, upstream, time.Now())
-		p.then(Placement{Upstream: upstream, Exclusive: true}, nil)
+	permitted := p.m.Suspects.Permitted(fp, p.holder, now)
+	if permitted && p.m.Check(fp) == NeedsPermit && holds(own, p.m.Suspects.Hosts(now)) {
+		p.then(Placement{Upstream: upstream, Exclusive: true, permit: p.holder}, nil)
 		return
 	}
-	p.m.Suspects.Unclaim(fp, upstream, time.Now())
+	p.m.Suspects.Unclaim(fp, upstream, now)
+	if !permitted {
+		p.release()
+	}
 	p.step()
 }
 
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -20,7 +20,7 @@
 	// Join counts a follower as a reader of an own generation, until the
 	// returned function is called.
 	Join  func(model.RequestID) (leave func())
-	Grant func(suspect.Fingerprint) bool
+	Grant func(suspect.Fingerprint, suspect.Holder) bool
 }
 
 // Handlers returns the handlers of an entry process's peer messages.
@@ -114,6 +114,7 @@
 	if err != nil {
 		return err
 	}
-	reply := peerwire.PermitReply{Granted: l.Grant(request.Fingerprint)}
+	holder := suspect.Holder{Instance: request.From, Nonce: request.Nonce}
+	reply := peerwire.PermitReply{Granted: l.Grant(request.Fingerprint, holder)}
 	return write(w)(peerwire.EncodePermitReply(reply))
 }
