Export the metrics of calls, admission, gossip, copies, moves, leases and platform

Cause: only the relay and the peer transport had metrics. Operators could not see calls to plain services, queues, copies, shares, leases, or how old the document and the platform's last answer are. The Counters interface of replication was not wired. The operators' page left out the peer metrics.

Change: a metrics.go beside what it counts in call, admission, gossip, replication, environment, rollout, lease and the platform client; entryd and controld wire them. Counters.Unprotected now receives tokens, and counts those that follow while no holder is left as well as those that were held back. Message kinds that this build does not know share one label, because a peer can send any. Label values come from the code or the document.

Ruled out: one gauge for the sum of leases, since a term ends without an event; each keeper reports its lease while it is a candidate. An "unprotected" count at each token: the first second of each generation has no copy by design and would hide the failures.

--- a/cmd/controld/duties.go
+++ b/cmd/controld/duties.go
@@ -79,6 +79,8 @@
 		LoadsPerSecond: s.Weights.LoadsPerSecond,
 		LoadBurst:      s.Weights.Burst,
 	})
+	environment.ObserveDocument(t.documents)
+	rollout.ObserveShares(t.documents, t.stops)
 	c.running.Go(c.configureUpstreams)
 }
 
--- a/cmd/entryd/entry.go
+++ b/cmd/entryd/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/frontend"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
@@ -94,12 +95,15 @@
 	holder := replication.NewHolder(replication.HolderOptions{Pool: e.pool})
 	copies := replication.NewManager(replication.Options{
 		Self: self, Pool: e.pool, Table: t.generations, Instances: t.instances, Peers: logClient, Holder: holder,
+		Counters: replication.NewMetrics(holder),
 	})
 	guard := suspicion.New(suspicion.Options{Pool: e.pool, Suspects: t.suspects, Planned: e.planned})
 	guard.Gates = e.gates(logClient, guard)
 	router := routing.New(routing.Options{
 		Documents: t.documents, Upstreams: t.upstreams, Stops: t.stops, Prefixes: t.prefixes,
 	})
+	environment.ObserveDocument(t.documents)
+	rollout.ObserveShares(t.documents, t.stops)
 	e.detector = rollout.NewDetector(self, e.pool, t.stops, e.stopped)
 	e.admission = admission.New(admission.Options{Pool: e.pool, Organisations: t.organisations, Capacity: e.capacity})
 	generations := relay.New(relay.Options{
--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -32,17 +32,19 @@
 // Manager admits requests.
 type Manager struct {
 	Options
+	metrics *metrics
 }
 
 // New returns a Manager.
 func New(opts Options) *Manager {
-	return &Manager{Options: opts}
+	return &Manager{Options: opts, metrics: newMetrics(opts.Organisations)}
 }
 
 // Enter asks for a slot. admitted is called exactly once, on a worker under
 // the request's key: with nil when the request may run, else with the refusal.
 // A resumed generation is admitted at once, even beyond the capacity.
 func (m *Manager) Enter(req Request, admitted func(*model.Refusal)) {
+	admitted = m.metrics.counted(req, admitted)
 	capacity := m.Capacity(req.Serves)
 	var answers []answer
 	m.Organisations.Update(func(s *organisation.State) {
--- /dev/null
+++ b/internal/coordination/admission/metrics.go
@@ -0,0 +1,88 @@
+package admission
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
+)
+
+// metrics are the instruments of admission. Models are named by the
+// environment document, which bounds the label sets.
+type metrics struct {
+	wait    metric.Float64Histogram
+	refused metric.Int64Counter
+}
+
+func newMetrics(organisations *organisation.Table) *metrics {
+	meter := otel.Meter("sequoiavalve/admission")
+	m := &metrics{}
+	// The API returns a working no-op instrument beside an error, and errors
+	// arise only from invalid names.
+	m.wait, _ = meter.Float64Histogram("admission_wait_time", metric.WithUnit("s"),
+		metric.WithDescription("Time from the request for admission to the admission."))
+	m.refused, _ = meter.Int64Counter("admission_refused",
+		metric.WithDescription("Generations that were not admitted, by the code of the refusal."))
+	for _, code := range []string{CodeOverloaded, CodeDeadlineUnmet, CodeCancelled, CodeDuplicate} {
+		m.refused.Add(context.Background(), 0, codeLabel(code)) // shows 0 before the first refusal
+	}
+	_, _ = meter.Int64ObservableGauge("admission_queue_length",
+		metric.WithDescription("Generations that wait for admission."),
+		metric.WithInt64Callback(observeQueues(organisations, func(q *organisation.Queue) int { return q.Len() })))
+	_, _ = meter.Int64ObservableGauge("admission_in_flight",
+		metric.WithDescription("Generations that were admitted and have not ended."),
+		metric.WithInt64Callback(observeQueues(organisations, func(q *organisation.Queue) int { return q.InFlight })))
+	return m
+}
+
+// observeQueues returns a callback that reports one figure of each model's
+// queue. The figures are copied out before they are reported, because nothing
+// is called under the table's lock.
+func observeQueues(organisations *organisation.Table, figure func(*organisation.Queue) int) metric.Int64Callback {
+	return func(_ context.Context, observer metric.Int64Observer) error {
+		figures := map[string]int{}
+		organisations.Update(func(s *organisation.State) {
+			for serves, q := range s.Queues {
+				figures[serves] = figure(q)
+			}
+		})
+		for serves, n := range figures {
+			observer.Observe(int64(n), metric.WithAttributes(attribute.String("model", serves)))
+		}
+		return nil
+	}
+}
+
+// counted returns admitted with the count of its outcome.
+func (m *metrics) counted(req Request, admitted func(*model.Refusal)) func(*model.Refusal) {
+	entered := time.Now()
+	return func(refusal *model.Refusal) {
+		if refusal != nil {
+			m.refused.Add(context.Background(), 1, codeLabel(refusal.Code))
+		} else {
+			m.wait.Record(context.Background(), time.Since(entered).Seconds(),
+				metric.WithAttributes(attribute.String("priority", priorityName(req.Priority))))
+		}
+		admitted(refusal)
+	}
+}
+
+func codeLabel(code string) metric.MeasurementOption {
+	return metric.WithAttributes(attribute.String("code", code))
+}
+
+func priorityName(p model.Priority) string {
+	switch p {
+	case model.PriorityResume:
+		return "resume"
+	case model.PriorityInteractive:
+		return "interactive"
+	default:
+		return "batch"
+	}
+}
--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -113,6 +113,7 @@
 	Options
 	budget    *call.Budget
 	latencies *call.Latencies
+	metrics   *metrics
 }
 
 // New returns a Manager.
@@ -120,13 +121,18 @@
 	if opts.Observe == nil {
 		opts.Observe = func(model.Upstream, string, evidence.Observation) {}
 	}
-	return &Manager{Options: opts, budget: call.NewBudget(), latencies: call.NewLatencies()}
+	return &Manager{Options: opts, budget: call.NewBudget(), latencies: call.NewLatencies(), metrics: newMetrics()}
 }
 
 // Submit runs the call. done is called exactly once, on a worker under the
 // request's key, unless the pool closes first.
 func (m *Manager) Submit(req Request, done func(Response, *model.Refusal)) {
-	m.Pool.Post(worker.Key(req.ID), worker.Func(func() { m.start(req, done) }))
+	started := time.Now()
+	counted := func(resp Response, refusal *model.Refusal) {
+		m.metrics.countEnd(req, resp, refusal, time.Since(started))
+		done(resp, refusal)
+	}
+	m.Pool.Post(worker.Key(req.ID), worker.Func(func() { m.start(req, counted) }))
 }
 
 func (m *Manager) start(req Request, done func(Response, *model.Refusal)) {
--- a/internal/coordination/call/idempotent.go
+++ b/internal/coordination/call/idempotent.go
@@ -74,6 +74,7 @@
 		return r.m.Sender.Send(ctx, upstream, req)
 	}
 	worker.Call(r.m.Pool, worker.Key(req.ID), time.Until(req.Deadline), send, func(resp Response, err error) {
+		r.m.metrics.countAttempt(req, resp, err, r.finished)
 		r.observe(upstream, resp, err, time.Since(started))
 		r.after(resp, err)
 	})
--- a/internal/coordination/call/once.go
+++ b/internal/coordination/call/once.go
@@ -175,6 +175,7 @@
 		return c.m.Sender.Send(ctx, upstream, c.req)
 	}
 	worker.Call(c.m.Pool, worker.Key(c.req.ID), time.Until(c.req.Deadline), attempt, func(resp Response, err error) {
+		c.m.metrics.countAttempt(c.req, resp, err, false)
 		c.m.observe(upstream, c.req, resp, err, time.Since(started))
 		c.sent(resp, err)
 	})
--- a/internal/coordination/gossip/manager.go
+++ b/internal/coordination/gossip/manager.go
@@ -59,6 +59,7 @@
 	near     []model.InstanceID // peers of this round that are left
 	round    int
 	waiting  atomic.Int32 // exchanges that wait for the worker
+	metrics  *metrics
 }
 
 // NewManager returns a manager that knows only its own instance.
@@ -72,6 +73,7 @@
 		seeds:    membership.NewSeeds(opts.Seeds),
 		partners: partners{rnd: opts.Random, region: opts.Self.Region},
 		busy:     map[string]bool{},
+		metrics:  newMetrics(),
 	}
 }
 
@@ -140,6 +142,7 @@
 	m.opts.Pool.After(RoundInterval, Key, worker.Func(m.run))
 	now := time.Now()
 	m.store.Tick(now)
+	m.metrics.observe(m.store, now)
 	if m.opts.Directory != nil {
 		m.opts.Directory.SetSilentRegions(m.store.SilentRegions(now))
 	}
--- a/internal/coordination/lease/keeper.go
+++ b/internal/coordination/lease/keeper.go
@@ -54,6 +54,7 @@
 	seenAt     time.Time // when row.Revision was first seen; zero means never
 	nonce      string    // nonce of the last own write that took effect
 	unresolved []write
+	observed   observation
 }
 
 // NewKeeper returns a Keeper that does nothing until Start.
@@ -106,6 +107,7 @@
 		return
 	}
 	k.wanted = true
+	k.observed.begin(k)
 	k.schedule(firstWait(k.cfg.Term, k.updateRank(), k.rng))
 }
 
@@ -114,6 +116,7 @@
 		return
 	}
 	k.wanted = false
+	k.observed.end()
 	k.timer.Stop()
 	k.held.Store(nil)
 	if !k.busy && k.ownsRow() {
--- a/internal/coordination/membership/tracker.go
+++ b/internal/coordination/membership/tracker.go
@@ -139,6 +139,20 @@
 	return silent
 }
 
+// OldestNews returns the longest silence of an instance of the own region that
+// is not given up, and of another region.
+func (t *Tracker) OldestNews(now time.Time) (instance, region time.Duration) {
+	for _, b := range t.heard {
+		if silence := now.Sub(b.at); b.region == t.region && silence < DeadAfter {
+			instance = max(instance, silence)
+		}
+	}
+	for _, at := range t.regions {
+		region = max(region, now.Sub(at))
+	}
+	return instance, region
+}
+
 // RegionSilence returns the time since a heartbeat of another region rose.
 func (t *Tracker) RegionSilence(region string, now time.Time) time.Duration {
 	at, ok := t.regions[region]
--- a/internal/coordination/replication/manager.go
+++ b/internal/coordination/replication/manager.go
@@ -61,9 +61,25 @@
 // the holder then learns the stream to attach to before tokens of that stream
 // are shown.
 func (m *Manager) Accepted(id model.RequestID) {
+	m.countUnprotected(id)
 	m.advance(id)
 }
 
+// countUnprotected counts the new tokens of a log whose holder was given up.
+// They are shown at once until another holder acknowledges the log.
+func (m *Manager) countUnprotected(id model.RequestID) {
+	p, ok := m.progress.Get(id)
+	if !ok || p.Failures == 0 {
+		return
+	}
+	r, ok := m.opts.Table.Get(id)
+	if !ok || r.HoldBack || !copying(&r, time.Now()) {
+		return
+	}
+	m.opts.Counters.Unprotected(max(0, len(r.Tokens)-p.Unprotected))
+	m.progress.Update(id, func(p *replica.Progress) { p.Unprotected = len(r.Tokens) })
+}
+
 // Ended sends the rest and the end of a log. The record stays in the table
 // until the holder has the end; after Remove the copy expires by itself.
 func (m *Manager) Ended(id model.RequestID) {
@@ -337,10 +353,11 @@
 func (m *Manager) giveUp(r *generation.Record) {
 	id := r.Spec.Request
 	if r.HoldBack {
-		m.opts.Counters.Unprotected()
+		m.opts.Counters.Unprotected(len(r.Tokens) - r.Copied)
 	}
 	m.showAll(id)
 	m.progress.Update(id, func(p *replica.Progress) {
+		p.Unprotected = len(r.Tokens)
 		p.Sending, p.Opened, p.Acked, p.Attempt = false, false, 0, 0
 		p.Holder, p.Abandoned = "", true
 		p.Choice++
@@ -363,6 +380,6 @@
 
 type noCounters struct{}
 
-func (noCounters) Unprotected() {}
-func (noCounters) Copied(int)   {}
-func (noCounters) TakenOver()   {}
+func (noCounters) Unprotected(int) {}
+func (noCounters) Copied(int)      {}
+func (noCounters) TakenOver()      {}
--- a/internal/coordination/replication/replication.go
+++ b/internal/coordination/replication/replication.go
@@ -100,8 +100,9 @@
 
 // Counters receives events worth counting. Implementations must not block.
 type Counters interface {
-	// Unprotected counts a holder that was given up while tokens were held back.
-	Unprotected()
+	// Unprotected counts tokens that are shown without a copy because no holder
+	// acknowledged them in time.
+	Unprotected(tokens int)
 	// Copied counts tokens that a holder acknowledged.
 	Copied(tokens int)
 	// TakenOver counts a log that was taken over from a copy.
--- a/internal/coordination/rollout/detector.go
+++ b/internal/coordination/rollout/detector.go
@@ -24,6 +24,7 @@
 	stops  *stop.Table
 	onStop func(model.Stop)
 	moves  map[string]*localMove
+	added  stopCounter
 }
 
 // localMove holds the results of one move at this instance.
@@ -37,7 +38,11 @@
 // NewDetector returns a detector that adds its stops to the table and passes
 // them to onStop, which may be nil.
 func NewDetector(self model.InstanceID, pool *worker.Pool, stops *stop.Table, onStop func(model.Stop)) *Detector {
-	return &Detector{self: self, pool: pool, stops: stops, onStop: onStop, moves: map[string]*localMove{}}
+	return &Detector{
+		self: self, pool: pool, stops: stops, onStop: onStop,
+		moves: map[string]*localMove{},
+		added: newStopCounter(evidenceOwn),
+	}
 }
 
 // Observe takes the result of one request into account. Callers leave out
@@ -99,7 +104,11 @@
 		Reason: fmt.Sprintf("hard evidence on route %q", route),
 		By:     d.self,
 	}
-	if d.stops.Add(s) && d.onStop != nil {
+	if !d.stops.Add(s) {
+		return
+	}
+	d.added.count(evidenceOwn)
+	if d.onStop != nil {
 		d.onStop(s)
 	}
 }
--- a/internal/coordination/rollout/manager.go
+++ b/internal/coordination/rollout/manager.go
@@ -157,6 +157,7 @@
 		key:    worker.Key("rollout/" + serves),
 		log:    log.WithField("part", "rollout").WithField("serves", serves),
 		rng:    rand.New(rand.NewPCG(xxhash.Sum64String(string(cfg.Self)), xxhash.Sum64String(serves))),
+		added:  newStopCounter(evidencePooled),
 	}
 	mv.keeper = lease.NewKeeper(lease.Config{
 		Name:       LeaseName(serves),
--- a/internal/coordination/rollout/mover.go
+++ b/internal/coordination/rollout/mover.go
@@ -49,6 +49,7 @@
 	written   time.Time
 	stoppedAt time.Time // when a stop of the move's epoch was first seen
 	trial     *trial
+	added     stopCounter
 }
 
 func (mv *mover) post(f func()) {
@@ -167,12 +168,15 @@
 
 // addStop bars the target. It needs neither the lease nor the table service.
 func (mv *mover) addStop(epoch uint64, reason string) {
-	mv.cfg.Stops.Add(model.Stop{
+	added := mv.cfg.Stops.Add(model.Stop{
 		Key:    model.VersionKey{Serves: mv.serves, Version: mv.subject.plan.Target},
 		Epoch:  epoch,
 		Reason: reason,
 		By:     mv.cfg.Self,
 	})
+	if added {
+		mv.added.count(evidencePooled)
+	}
 }
 
 // stopOf returns the stop that bars the move's target.
--- a/internal/protocol/peerwire/peerwire.go
+++ b/internal/protocol/peerwire/peerwire.go
@@ -47,6 +47,17 @@
 	KindError         Kind = "error"
 )
 
+// Label returns the kind for use in metrics and spans. Kinds that this build
+// does not know, which a peer can send at will, share one label.
+func (k Kind) Label() string {
+	switch k {
+	case KindView, KindReport, KindGossip, KindLogOpen, KindLogAppend, KindLogClose, KindLogFetch, KindLogFollow,
+		KindSuspectPermit, KindError:
+		return string(k)
+	}
+	return "other"
+}
+
 // Message is one message whose body is still encoded.
 type Message struct {
 	Kind        Kind
--- a/internal/state/document/document.go
+++ b/internal/state/document/document.go
@@ -2,15 +2,18 @@
 package document
 
 import (
+	"time"
+
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
-// Table holds one document. mu has lock.RankDocument and guards current and
-// changed. Invariant: the generation never falls.
+// Table holds one document. mu has lock.RankDocument and guards the
+// other fields. Invariant: the generation never falls.
 type Table struct {
 	mu      lock.Mutex
 	current *model.Document
+	since   time.Time // when current came into force here
 	changed chan struct{}
 }
 
@@ -27,7 +30,7 @@
 	if t.current != nil && d.Generation <= t.current.Generation {
 		return false
 	}
-	t.current = d
+	t.current, t.since = d, time.Now()
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return true
@@ -40,6 +43,14 @@
 	return t.current
 }
 
+// InForceSince returns the time at which the current document was applied here.
+// It reports false without a document.
+func (t *Table) InForceSince() (time.Time, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.since, t.current != nil
+}
+
 // Changed returns a channel that is closed at the next change.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
--- a/internal/state/replica/progress.go
+++ b/internal/state/replica/progress.go
@@ -22,9 +22,12 @@
 	Sending   bool             // a message is in flight
 	Sent      uint64           // number of the last message; results of others are ignored
 	Failures  int              // holders given up since the last acknowledgement
-	RetryAt   time.Time        // no message before this time
-	Waiting   bool             // a timer will look at this log again
-	Ended     bool             // the generation ended
+	// Unprotected is the number of tokens up to which those shown without a copy
+	// were counted.
+	Unprotected int
+	RetryAt     time.Time // no message before this time
+	Waiting     bool      // a timer will look at this log again
+	Ended       bool      // the generation ended
 }
 
 // ProgressTable maps requests to progress. mu has lock.RankGeneration and
--- a/internal/transport/peer/meter.go
+++ b/internal/transport/peer/meter.go
@@ -75,7 +75,7 @@
 		m.total.BytesReceived += uint64(n)
 	}
 	m.mu.Unlock()
-	attributes := metric.WithAttributes(attribute.String("kind", string(kind)), attribute.String("direction", d))
+	attributes := metric.WithAttributes(attribute.String("kind", kind.Label()), attribute.String("direction", d))
 	m.bytes.Add(ctx, int64(n), attributes)
 	m.messages.Add(ctx, 1, attributes)
 }
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -157,7 +157,7 @@
 func (s *Server) serve(ctx context.Context, from Peer, m peerwire.Message, w *writer) error {
 	carrier := propagation.MapCarrier{"traceparent": m.TraceParent}
 	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
-	ctx, span := s.tracer.Start(ctx, "peer.serve "+string(m.Kind), oteltrace.WithSpanKind(oteltrace.SpanKindServer))
+	ctx, span := s.tracer.Start(ctx, "peer.serve "+m.Kind.Label(), oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
 	err := s.handler.ServePeer(ctx, from, m, w)
 	if err != nil && !errors.Is(err, context.Canceled) {
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -48,6 +48,7 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	last    *lastAnswer
 }
 
 // New returns a client. It opens no connection yet.
@@ -67,6 +68,7 @@
 		base:    strings.TrimSuffix(opts.BaseURL, "/"),
 		timeout: timeout,
 		http:    newHTTPClient(opts.TLS),
+		last:    newLastAnswer(),
 	}, nil
 }
 
@@ -143,6 +145,7 @@
 	if err != nil {
 		return answer{}, &Error{Op: request.op, Kind: kindOfLoss(request.write(), tracker.anySent()), Cause: err}
 	}
+	c.last.note()
 	defer func() { _ = response.Body.Close() }()
 	body, err := readAnswer(response.Body)
 	if kind := kindOfStatus(request.write(), response.StatusCode, problemCode(body)); kind != nil {
--- /dev/null
+++ b/internal/transport/platform/metrics.go
@@ -0,0 +1,36 @@
+package platform
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/metric"
+)
+
+// lastAnswer is the time of the platform's last answer of any status, or of
+// the client's start before the first one.
+type lastAnswer struct {
+	at atomic.Pointer[time.Time]
+}
+
+// newLastAnswer exports the age of the last answer.
+func newLastAnswer() *lastAnswer {
+	l := &lastAnswer{}
+	l.note()
+	// The API returns a working no-op instrument beside an error, and errors
+	// arise only from invalid names.
+	_, _ = otel.Meter("sequoiavalve/platform").Float64ObservableGauge("platform_answer_age", metric.WithUnit("s"),
+		metric.WithDescription("Time since the platform last answered this process."),
+		metric.WithFloat64Callback(func(_ context.Context, observer metric.Float64Observer) error {
+			observer.Observe(time.Since(*l.at.Load()).Seconds())
+			return nil
+		}))
+	return l
+}
+
+func (l *lastAnswer) note() {
+	now := time.Now()
+	l.at.Store(&now)
+}
--- a/tests/e2e/cluster_test.go
+++ b/tests/e2e/cluster_test.go
@@ -53,6 +53,7 @@
 	engines  []string // addresses
 	services []string
 	callers  []string // addresses of the entry processes
+	metrics  []string // addresses of the control processes' metrics
 }
 
 // startCluster starts a cluster and stops it at the end of the test.
@@ -136,6 +137,7 @@
 	for range c.instances {
 		c.callers = append(c.callers, address())
 		controls = append(controls, address())
+		c.metrics = append(c.metrics, address())
 	}
 	for i := range c.instances {
 		name, peer := fmt.Sprintf("i%d", i), address()
@@ -150,7 +152,7 @@
 			entry += fmt.Sprintf("limits: {body_bytes: %d}\n", c.bodyBytes)
 		}
 		control := common + fmt.Sprintf("peer_listen: %s\nentry: %s\nentry_advertised: %s\n"+
-			"polls: {document: 200ms, instances: 500ms, upstreams: 200ms}\n", controls[i], peer, c.callers[i])
+			"metrics_listen: %s\npolls: {document: 200ms, instances: 500ms, upstreams: 200ms}\n", controls[i], peer, c.callers[i], c.metrics[i])
 		for kind, text := range map[string]string{"entryd": entry, "controld": control} {
 			if err := os.WriteFile(filepath.Join(c.dir, kind+name+".yaml"), []byte(text), 0o600); err != nil {
 				return err
