Link the spans of attempts over a resume and a takeover

Cause: each attempt on an engine had a span, but nothing led from one attempt to the next, and after a takeover the new attempts were children of a span that had ended with its instance. Claims in the platform's table and messages to copy holders had traces of their own.

Change: Engines.Start and Attach return the trace context of the attempt's span. The attempt keeps it, so that it travels with the log's copy, and the next attempt links to it. Attempts after a takeover are children of the reconnect that caused it. The context of a request reaches the platform and peer clients through model.WithTraceParent, opaque to coordination. Package tracecontext replaces five ways of converting contexts. Only recorded spans are passed on in messages and copies. Callers' baggage is no longer sent to the platform.

Ruled out: a link from each log.append batch to its requests. It carries tokens of up to 256 of them, and spans take 128 links.

--- a/internal/coordination/call/once.go
+++ b/internal/coordination/call/once.go
@@ -88,7 +88,7 @@
 func (c *once) write() {
 	c.steps++
 	put := func(ctx context.Context) (store.Revision, error) {
-		return c.m.Claims.Put(ctx, rowKey(c.key), c.claim, c.expected)
+		return c.m.Claims.Put(model.WithTraceParent(ctx, c.req.TraceParent), rowKey(c.key), c.claim, c.expected)
 	}
 	worker.Call(c.m.Pool, worker.Key(c.req.ID), claimTimeout, put, func(revision store.Revision, err error) {
 		d, uncertain := afterWrite(revision, err)
@@ -100,7 +100,7 @@
 func (c *once) read() {
 	c.steps++
 	get := func(ctx context.Context) (store.Keyed[Claim], error) {
-		return c.m.Claims.Get(ctx, rowKey(c.key))
+		return c.m.Claims.Get(model.WithTraceParent(ctx, c.req.TraceParent), rowKey(c.key))
 	}
 	worker.Call(c.m.Pool, worker.Key(c.req.ID), claimTimeout, get, func(row store.Keyed[Claim], err error) {
 		d := afterRead(row, err, c.claim.Nonce, c.claim.BodyHash)
--- a/internal/coordination/call/settle.go
+++ b/internal/coordination/call/settle.go
@@ -8,6 +8,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/store"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
 const (
@@ -46,7 +47,7 @@
 func (s *settling) write() {
 	m := s.call.m
 	put := func(ctx context.Context) (store.Revision, error) {
-		return m.Claims.Put(ctx, rowKey(s.call.key), s.target, s.expected)
+		return m.Claims.Put(model.WithTraceParent(ctx, s.call.req.TraceParent), rowKey(s.call.key), s.target, s.expected)
 	}
 	worker.Call(m.Pool, worker.Key(s.call.req.ID), claimTimeout, put, func(_ store.Revision, err error) {
 		if err == nil {
@@ -60,7 +61,7 @@
 func (s *settling) read() {
 	m := s.call.m
 	get := func(ctx context.Context) (store.Keyed[Claim], error) {
-		return m.Claims.Get(ctx, rowKey(s.call.key))
+		return m.Claims.Get(model.WithTraceParent(ctx, s.call.req.TraceParent), rowKey(s.call.key))
 	}
 	worker.Call(m.Pool, worker.Key(s.call.req.ID), claimTimeout, get, s.afterRead)
 }
--- a/internal/coordination/frontend/frontend.go
+++ b/internal/coordination/frontend/frontend.go
@@ -135,7 +135,9 @@
 	return r, err
 }
 
-// Resume finds the generation that a caller reconnects to.
+// Resume finds the generation that a caller reconnects to. The attempts of one
+// that is taken over continue the trace of the reconnect, because the span of
+// the first request ended with its instance.
 func (f *Frontend) Resume(ctx context.Context, id model.RequestID, line model.LineID, position int) (*Reader, *model.Refusal) {
 	// Two callers can take over one generation at the same time; the second
 	// one finds the first one's record on its next try.
@@ -151,6 +153,9 @@
 		case replication.SourceRemote:
 			return f.remote(id, line, position, source.Reader), nil
 		default:
+			if parent := model.TraceParent(ctx); parent != "" {
+				source.Record.Spec.TraceParent = parent
+			}
 			if f.opts.Relay.Adopt(source.Record, position) {
 				return f.local(id, position), nil
 			}
--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -62,7 +62,12 @@
 }
 
 // Start implements Engines.
-func (f *fakeEngines) Start(up model.Upstream, req StreamRequest, events Events) {
+func (f *fakeEngines) Start(up model.Upstream, req StreamRequest, events Events) string {
+	f.start(up, req, events)
+	return ""
+}
+
+func (f *fakeEngines) start(up model.Upstream, req StreamRequest, events Events) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engine(up.ID)
@@ -143,7 +148,12 @@
 }
 
 // Attach implements Engines.
-func (f *fakeEngines) Attach(up model.Upstream, req StreamRequest, after int, _ time.Duration, events Events) {
+func (f *fakeEngines) Attach(up model.Upstream, req StreamRequest, after int, _ time.Duration, events Events) string {
+	f.attach(up, req, after, events)
+	return ""
+}
+
+func (f *fakeEngines) attach(up model.Upstream, req StreamRequest, after int, events Events) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engine(up.ID)
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -206,12 +206,13 @@
 		Expected:    estimate.FirstToken,
 		Open:        true,
 	}
+	earlier := r.Attempt.TraceParent
 	r = m.openAttempt(r.Spec.Request, attempt)
-	req := StreamRequest{Stream: stream, Spec: r.Spec, Version: up.Version, Continue: r.Tokens}
+	req := StreamRequest{Stream: stream, Spec: r.Spec, Version: up.Version, Continue: r.Tokens, Earlier: earlier}
 	if len(r.Tokens) > 0 || number > 1 {
 		req.Spec.Priority = model.PriorityResume
 	}
-	m.opts.Engines.Start(up, req, m.events(r, up))
+	r = m.traced(r, m.opts.Engines.Start(up, req, m.events(r, up)))
 	m.armSilence(r)
 	m.opts.Copier.Opened(r)
 	m.opts.Copier.Accepted(r.Spec.Request)
@@ -227,10 +228,12 @@
 	attempt.First = len(r.Tokens)
 	attempt.Attached = true
 	attempt.Open = true
+	attempt.TraceParent = ""
 	m.opts.Guard.Started(r.Print, up.ID)
+	earlier := r.Attempt.TraceParent
 	r = m.openAttempt(r.Spec.Request, attempt)
-	req := StreamRequest{Stream: attempt.Stream, Spec: r.Spec, Version: up.Version}
-	m.opts.Engines.Attach(up, req, len(r.Tokens), reattachTimeout, m.events(r, up))
+	req := StreamRequest{Stream: attempt.Stream, Spec: r.Spec, Version: up.Version, Earlier: earlier}
+	r = m.traced(r, m.opts.Engines.Attach(up, req, len(r.Tokens), reattachTimeout, m.events(r, up)))
 	m.armSilence(r)
 }
 
@@ -244,6 +247,19 @@
 	return opened
 }
 
+// traced keeps the trace context of the current attempt, to which the next one
+// links its span, here or on an instance that takes over.
+func (m *Manager) traced(r generation.Record, traceParent string) generation.Record {
+	if traceParent == "" {
+		return r
+	}
+	m.opts.Generations.Update(r.Spec.Request, func(now *generation.Record) {
+		now.Attempt.TraceParent = traceParent
+		r = *now
+	})
+	return r
+}
+
 // waitForEngine tries again after a pause, or gives up.
 func (m *Manager) waitForEngine(r generation.Record) {
 	waiting := r.LostAt
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -38,14 +38,16 @@
 	Spec     model.GenerationSpec
 	Version  string
 	Continue []string // accepted tokens
+	Earlier  string   // trace context of the attempt before; empty for the first one
 }
 
 // Engines starts and ends streams. Its methods return at once; what an engine
-// sends arrives at the Events.
+// sends arrives at the Events. Start and Attach return the trace context of the
+// attempt's span, or "" if it is not recorded.
 type Engines interface {
-	Start(up model.Upstream, req StreamRequest, events Events)
+	Start(up model.Upstream, req StreamRequest, events Events) (traceParent string)
 	// Attach joins a running stream after the given number of tokens.
-	Attach(up model.Upstream, req StreamRequest, after int, timeout time.Duration, events Events)
+	Attach(up model.Upstream, req StreamRequest, after int, timeout time.Duration, events Events) (traceParent string)
 	// Cancel ends a stream on its engine.
 	Cancel(up model.Upstream, stream model.StreamID)
 }
--- a/internal/coordination/replication/manager.go
+++ b/internal/coordination/replication/manager.go
@@ -273,13 +273,15 @@
 ) {
 	id := r.Spec.Request
 	to, _ := m.opts.Instances.Get(p.Holder)
-	number := p.Sent + 1
+	number, traceParent := p.Sent+1, r.Spec.TraceParent
 	sent := sent{attempt: r.Attempt.Number, opening: !p.Opened, closing: p.Ended && p.Opened}
 	m.progress.Update(id, func(p *replica.Progress) {
 		p.Sending, p.Sent = true, number
 	})
 	worker.Call(m.opts.Pool, worker.Key(id), timeout,
-		func(ctx context.Context) (Ack, error) { return call(ctx, to) },
+		func(ctx context.Context) (Ack, error) {
+			return call(model.WithTraceParent(ctx, traceParent), to)
+		},
 		func(ack Ack, err error) {
 			if p, ok := m.progress.Get(id); !ok || p.Sent != number {
 				return
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -36,6 +36,7 @@
 	Expected    time.Duration // estimated time to the first token
 	Attached    bool          // joined a running stream, nothing is recomputed
 	Open        bool          // the engine still works on it
+	TraceParent string        // W3C trace context of its span; empty unless the span is recorded
 }
 
 // PastAttempt is what is remembered of an ended attempt.
--- a/internal/transport/callers/call.go
+++ b/internal/transport/callers/call.go
@@ -7,6 +7,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
 // headerIdempotencyKey names a call, so that a repeat does not run it again.
@@ -45,7 +46,7 @@
 		Body:           body,
 		IdempotencyKey: x.r.Header.Get(headerIdempotencyKey),
 		Deadline:       deadline,
-		TraceParent:    traceParent(x.r.Context()),
+		TraceParent:    tracecontext.Parent(x.r.Context()),
 	})
 	if refusal != nil {
 		s.refuse(x, refusal)
--- a/internal/transport/callers/generate.go
+++ b/internal/transport/callers/generate.go
@@ -12,6 +12,8 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/openai"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
+	"go.opentelemetry.io/otel/trace"
 )
 
 // headerTimeout lets a caller bound the wait for a place, in milliseconds: a
@@ -56,7 +58,7 @@
 	}
 	spec.Request = x.id
 	spec.Organisation = x.organisation
-	spec.TraceParent = traceParent(x.r.Context())
+	spec.TraceParent = tracecontext.Parent(x.r.Context())
 	spec.Deadline, refusal = deadline(x.r)
 	if refusal == nil {
 		refusal = s.opts.Frontend.Generate(spec)
@@ -131,8 +133,10 @@
 		return
 	}
 	x.id = id.Request
+	trace.SpanFromContext(x.r.Context()).SetAttributes(requestAttribute(x.id))
 	x.w.Header().Set(problem.HeaderRequestID, string(x.id))
-	reader, refusal := s.opts.Frontend.Resume(x.r.Context(), id.Request, id.Line, id.Position)
+	ctx := model.WithTraceParent(x.r.Context(), tracecontext.Parent(x.r.Context()))
+	reader, refusal := s.opts.Frontend.Resume(ctx, id.Request, id.Line, id.Position)
 	if refusal != nil {
 		s.refuse(x, refusal)
 		return
--- a/internal/transport/callers/server.go
+++ b/internal/transport/callers/server.go
@@ -18,8 +18,9 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -126,8 +127,9 @@
 // wrap gives a request its ID, its span and its organisation.
 func (s *Server) wrap(name string, handle func(*exchange)) http.HandlerFunc {
 	return s.numbered(func(x *exchange) {
-		ctx := otel.GetTextMapPropagator().Extract(x.r.Context(), propagation.HeaderCarrier(x.r.Header))
-		ctx, span := s.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer))
+		ctx := tracecontext.FromHeader(x.r.Context(), x.r.Header)
+		ctx, span := s.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindServer),
+			trace.WithAttributes(requestAttribute(x.id)))
 		defer span.End()
 		x.r = x.r.WithContext(ctx)
 		organisation, refusal := s.opts.Frontend.Identify(credential(x.r), x.r.Header.Get("X-Organisation"))
@@ -140,9 +142,6 @@
 	})
 }
 
-// traceParent returns the W3C trace context of the request's span.
-func traceParent(ctx context.Context) string {
-	carrier := propagation.MapCarrier{}
-	otel.GetTextMapPropagator().Inject(ctx, carrier)
-	return carrier["traceparent"]
+func requestAttribute(id model.RequestID) attribute.KeyValue {
+	return attribute.String("request_id", string(id))
 }
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -21,10 +21,10 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -72,22 +72,22 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Start implements relay.Engines.
-func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) {
+func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) string {
 	body, err := json.Marshal(completionRequest(req))
 	if err != nil {
 		events.Lost(relay.LossRejected, err.Error())
-		return
+		return ""
 	}
 	target := "http://" + up.Address + engineapi.CompletionsPath
-	c.run(up, req, "engine.start", events, func(ctx context.Context) (*http.Request, error) {
+	return c.run(up, req, "engine.start", events, func(ctx context.Context) (*http.Request, error) {
 		return http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	}, 0)
 }
 
 // Attach implements relay.Engines.
-func (c *Client) Attach(up model.Upstream, req relay.StreamRequest, after int, timeout time.Duration, events relay.Events) {
+func (c *Client) Attach(up model.Upstream, req relay.StreamRequest, after int, timeout time.Duration, events relay.Events) string {
 	target := streamURL(up, req.Stream) + "?after=" + strconv.Itoa(after)
-	c.run(up, req, "engine.attach", events, func(ctx context.Context) (*http.Request, error) {
+	return c.run(up, req, "engine.attach", events, func(ctx context.Context) (*http.Request, error) {
 		return http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	}, timeout)
 }
@@ -140,16 +140,16 @@
 }
 
 // run starts the goroutine of one connection. A positive timeout bounds the
-// wait for the response header.
-func (c *Client) run(up model.Upstream, req relay.StreamRequest, span string, events relay.Events,
-	build func(context.Context) (*http.Request, error), timeout time.Duration) {
+// wait for the response header. It returns the trace context of the span.
+func (c *Client) run(up model.Upstream, req relay.StreamRequest, name string, events relay.Events,
+	build func(context.Context) (*http.Request, error), timeout time.Duration) string {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	conn := &connection{cancel: cancel}
 	c.add(req.Stream, conn)
+	ctx, span := c.startSpan(ctx, name, up, req)
 	go func() {
 		defer c.remove(req.Stream, conn)
 		defer cancel(nil)
-		ctx, span := c.startSpan(ctx, span, up, req)
 		defer span.End()
 		kind, detail := c.exchange(ctx, cancel, build, timeout, events)
 		if kind == "" {
@@ -160,12 +160,16 @@
 			events.Lost(kind, detail)
 		}
 	}()
+	return tracecontext.SampledParent(ctx)
 }
 
+// startSpan starts the span of one attempt, with a link to the attempt before
+// it. An attempt that follows a takeover belongs to another trace than the one
+// that it continues, so the link is what connects them.
 func (c *Client) startSpan(ctx context.Context, name string, up model.Upstream, req relay.StreamRequest) (context.Context, trace.Span) {
-	carrier := propagation.MapCarrier{"traceparent": req.Spec.TraceParent}
-	ctx = otel.GetTextMapPropagator().Extract(ctx, carrier)
-	return c.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+	ctx = tracecontext.Extract(ctx, req.Spec.TraceParent)
+	return c.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), tracecontext.Link(req.Earlier), trace.WithAttributes(
+		attribute.String("request_id", string(req.Spec.Request)),
 		attribute.String("upstream", string(up.ID)),
 		attribute.String("stream", string(req.Stream)),
 	))
@@ -204,7 +208,7 @@
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	tracecontext.ToHeader(ctx, req.Header)
 	stop := headerTimer(timeout, cancel)
 	resp, err := c.http.Do(req)
 	stop()
--- a/internal/transport/engine/orders.go
+++ b/internal/transport/engine/orders.go
@@ -14,8 +14,8 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/order"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -71,7 +71,7 @@
 	if err != nil {
 		return engineapi.StateReply{}, fmt.Errorf("build request: %w", err)
 	}
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	tracecontext.ToHeader(ctx, req.Header)
 	resp, err := o.http.Do(req)
 	if err != nil {
 		return engineapi.StateReply{}, fmt.Errorf("%s %s of %s: %w", method, path, u.ID, err)
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -8,10 +8,10 @@
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
 // Client sends requests to peers and reuses its connections.
@@ -136,12 +136,9 @@
 // startSpan starts the request's span and puts its context into the message,
 // unless it is not sampled.
 func (c *Client) startSpan(ctx context.Context, m *peerwire.Message) (context.Context, oteltrace.Span) {
-	ctx, span := c.tracer.Start(ctx, "peer.request "+string(m.Kind), oteltrace.WithSpanKind(oteltrace.SpanKindClient))
-	if span.SpanContext().IsSampled() {
-		carrier := propagation.MapCarrier{}
-		propagation.TraceContext{}.Inject(ctx, carrier)
-		m.TraceParent = carrier["traceparent"]
-	}
+	ctx, span := c.tracer.Start(tracecontext.Continue(ctx), "peer.request "+string(m.Kind),
+		oteltrace.WithSpanKind(oteltrace.SpanKindClient))
+	m.TraceParent = tracecontext.SampledParent(ctx)
 	return ctx, span
 }
 
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -11,10 +11,10 @@
 	"github.com/gravitational/trace"
 	"github.com/quic-go/quic-go"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
 // Peer is the other end of a connection.
@@ -155,8 +155,7 @@
 
 // serve runs the handler in a span that continues the sender's trace.
 func (s *Server) serve(ctx context.Context, from Peer, m peerwire.Message, w *writer) error {
-	carrier := propagation.MapCarrier{"traceparent": m.TraceParent}
-	ctx = propagation.TraceContext{}.Extract(ctx, carrier)
+	ctx = tracecontext.Extract(ctx, m.TraceParent)
 	ctx, span := s.tracer.Start(ctx, "peer.serve "+m.Kind.Label(), oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
 	err := s.handler.ServePeer(ctx, from, m, w)
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -22,8 +22,9 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
 const (
@@ -121,7 +122,7 @@
 func (c *Client) do(ctx context.Context, request call) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	ctx, span := otel.Tracer(tracerName).Start(ctx, "platform "+request.op,
+	ctx, span := otel.Tracer(tracerName).Start(tracecontext.Continue(ctx), "platform "+request.op,
 		oteltrace.WithSpanKind(oteltrace.SpanKindClient),
 		oteltrace.WithAttributes(attribute.String("http.request.method", request.method)))
 	defer span.End()
@@ -185,7 +186,7 @@
 	for name, values := range request.header {
 		httpRequest.Header[name] = values
 	}
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(httpRequest.Header))
+	tracecontext.ToHeader(ctx, httpRequest.Header)
 	return httpRequest, nil
 }
 
--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -17,10 +17,10 @@
 	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
 )
 
@@ -89,8 +89,7 @@
 }
 
 func startSpan(ctx context.Context, upstream model.Upstream, req call.Request) (context.Context, oteltrace.Span) {
-	parent := propagation.MapCarrier{"traceparent": req.TraceParent}
-	ctx = propagation.TraceContext{}.Extract(ctx, parent)
+	ctx = tracecontext.Extract(ctx, req.TraceParent)
 	return otel.Tracer(tracerName).Start(ctx, "service call",
 		oteltrace.WithSpanKind(oteltrace.SpanKindClient),
 		oteltrace.WithAttributes(
@@ -150,8 +149,7 @@
 		out.Header.Set("Idempotency-Key", req.IdempotencyKey)
 	}
 	out.Header.Set("X-Request-ID", string(req.ID))
-	out.Header.Del("traceparent")
-	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(out.Header))
+	tracecontext.ToHeader(ctx, out.Header)
 	return out, nil
 }
 
