Keep engines' words out of the log and name the request in each of its lines

Cause: the line on a lost stream printed the message of the engine's error answer, the data of its leaving notice, and the ID that came with tokens of another stream. Each can quote the prompt or the answer. Lines on undelivered status answers and on failed messages of other instances did not name the request.

Change: a loss has a Detail with a cause in this system's words, which is logged, and what the engine said, which goes to the request's own caller only. A chunk that is not valid JSON is reported without the decoder's error, which quotes what it read. The handlers of log messages name the request of an error.

Ruled out: a filter for known texts in the log handler, which would have to know each prompt and answer; and dropping the detail, which tells a refused connection from a cut one.

--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -33,7 +33,7 @@
 }
 
 // Lost implements Events.
-func (e *connEvents) Lost(kind Loss, detail string) {
+func (e *connEvents) Lost(kind Loss, detail Detail) {
 	e.m.opts.Pool.Post(key(e.id), connectionLost{e, kind, detail})
 }
 
@@ -62,9 +62,9 @@
 	case Stale:
 		i.cancelStale(r)
 	case Gap:
-		i.m.lose(i.id, i.number, LossGap, "")
+		i.m.lose(i.id, i.number, LossGap, Detail{})
 	case Crossed:
-		i.m.lose(i.id, i.number, LossCrossed, i.from.stream)
+		i.m.lose(i.id, i.number, LossCrossed, Detail{})
 	}
 }
 
@@ -134,9 +134,9 @@
 	case Duplicate:
 		i.m.complete(r, i.reason)
 	case Gap:
-		i.m.lose(i.id, i.number, LossGap, "wrong token count at the end")
+		i.m.lose(i.id, i.number, LossGap, Detail{Cause: "wrong token count at the end"})
 	case Crossed:
-		i.m.lose(i.id, i.number, LossCrossed, i.from.stream)
+		i.m.lose(i.id, i.number, LossCrossed, Detail{})
 	}
 }
 
@@ -180,7 +180,7 @@
 type connectionLost struct {
 	*connEvents
 	kind   Loss
-	detail string
+	detail Detail
 }
 
 // Run implements worker.Item.
@@ -208,7 +208,7 @@
 		i.m.opts.Pool.After(left, key(i.id), i)
 		return
 	}
-	i.m.lose(i.id, i.number, LossSilence, "")
+	i.m.lose(i.id, i.number, LossSilence, Detail{})
 }
 
 func (m *Manager) armSilence(r generation.Record) {
--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -72,11 +72,11 @@
 	defer f.mu.Unlock()
 	e := f.engine(up.ID)
 	if e.dead {
-		f.later(func() { events.Lost(LossDial, "") })
+		f.later(func() { events.Lost(LossDial, Detail{}) })
 		return
 	}
 	if e.failStatus {
-		f.later(func() { events.Lost(LossStatus, "500") })
+		f.later(func() { events.Lost(LossStatus, Detail{Cause: "500"}) })
 		return
 	}
 	n := len(req.Continue)
@@ -138,7 +138,7 @@
 	case "short":
 		s.events.Ended(sent, position-1, "stop")
 	case "truncate":
-		s.events.Lost(LossTruncated, "")
+		s.events.Lost(LossTruncated, Detail{})
 		s.events = nil
 	}
 	s.misbehave = ""
@@ -160,9 +160,9 @@
 	s, ok := e.streams[req.Stream]
 	switch {
 	case e.dead:
-		f.later(func() { events.Lost(LossDial, "") })
+		f.later(func() { events.Lost(LossDial, Detail{}) })
 	case !ok || s.cancelled:
-		f.later(func() { events.Lost(LossNoStream, "") })
+		f.later(func() { events.Lost(LossNoStream, Detail{}) })
 	default:
 		s.events = events
 		s.replay(up, req.Stream, max(after-1, s.first))
@@ -230,7 +230,7 @@
 func (f *fakeEngines) notify(e *fakeEngine, kind Loss) {
 	for _, s := range e.streams {
 		if s.events != nil {
-			s.events.Lost(kind, "")
+			s.events.Lost(kind, Detail{})
 		}
 	}
 }
--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // lose ends the attempt of the given number, if it is still the current one,
 // and does what next decides.
-func (m *Manager) lose(id model.RequestID, number int, kind Loss, detail string) {
+func (m *Manager) lose(id model.RequestID, number int, kind Loss, detail Detail) {
 	r, ok := m.opts.Generations.Get(id)
 	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != number {
 		return
@@ -62,12 +63,12 @@
 	return r.Attempt.Attached && len(r.Tokens) == r.Attempt.First
 }
 
-func (m *Manager) logLoss(r generation.Record, kind Loss, detail string, action Action) {
+func (m *Manager) logLoss(r generation.Record, kind Loss, detail Detail, action Action) {
 	m.opts.Log.WithField("request_id", string(r.Spec.Request)).
 		WithField("upstream", string(r.Attempt.Upstream)).
 		WithField("attempt", r.Attempt.Number).
 		WithField("tokens", len(r.Tokens)).
-		WithField("detail", detail).
+		WithField("detail", detail.Cause).
 		WithField("next", string(action)).
 		Warn("stream lost: " + string(kind))
 }
@@ -117,7 +118,7 @@
 }
 
 // follow carries out the action after a loss.
-func (m *Manager) follow(r generation.Record, kind Loss, detail string, action Action) {
+func (m *Manager) follow(r generation.Record, kind Loss, detail Detail, action Action) {
 	id := r.Spec.Request
 	row, known := m.opts.Upstreams.Get(r.Attempt.Upstream)
 	if action == Reattach && known {
@@ -141,11 +142,11 @@
 	}
 }
 
-func gaveUp(r generation.Record, kind Loss, detail string) *model.Refusal {
+func gaveUp(r generation.Record, kind Loss, detail Detail) *model.Refusal {
 	if kind == LossRejected {
 		return &model.Refusal{
 			Code:    "rejected_by_engine",
-			Message: fmt.Sprintf("The engine rejected the request: %s.", detail),
+			Message: fmt.Sprintf("The engine rejected the request: %s.", cmp.Or(detail.Said, detail.Cause)),
 			Outcome: model.OutcomeUnknown,
 		}
 	}
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -57,7 +57,15 @@
 type Events interface {
 	Tokens(stream string, position int, tokens []string)
 	Ended(stream string, total int, reason string)
-	Lost(kind Loss, detail string)
+	Lost(kind Loss, detail Detail)
+}
+
+// Detail says more about a loss.
+type Detail struct {
+	Cause string // in this system's words; logged
+	// Said is what the engine answered. It may quote the prompt, so it goes to
+	// the request's own caller only and is never logged.
+	Said string
 }
 
 // Admission bounds the generations in flight.
--- a/internal/transport/callers/status.go
+++ b/internal/transport/callers/status.go
@@ -34,12 +34,12 @@
 	for _, in := range instances {
 		reply.Endpoints = append(reply.Endpoints, endpoint{in.CallerAddress, string(in.FailureDomain)})
 	}
-	s.writeJSON(x.w, reply)
+	s.writeJSON(x, reply)
 }
 
 // health answers that the process runs.
 func (s *Server) health(x *exchange) {
-	s.writeJSON(x.w, map[string]string{"status": "ok"})
+	s.writeJSON(x, map[string]string{"status": "ok"})
 }
 
 // ready answers whether new callers should come here.
@@ -52,7 +52,7 @@
 		_ = problem.Write(x.w, x.id, refusal) // the prober asks again
 		return
 	}
-	s.writeJSON(x.w, map[string]string{"status": "ready"})
+	s.writeJSON(x, map[string]string{"status": "ready"})
 }
 
 // explain tells where a request went, while it is remembered.
@@ -70,12 +70,12 @@
 		})
 		return
 	}
-	s.writeJSON(x.w, debugapi.FromRecord(record))
+	s.writeJSON(x, debugapi.FromRecord(record))
 }
 
-func (s *Server) writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(value); err != nil {
-		s.opts.Log.Debug("response not delivered")
+func (s *Server) writeJSON(x *exchange, value any) {
+	x.w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(x.w).Encode(value); err != nil {
+		s.opts.Log.WithField("request_id", string(x.id)).Debug("response not delivered")
 	}
 }
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -75,7 +75,7 @@
 func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) string {
 	body, err := json.Marshal(completionRequest(req))
 	if err != nil {
-		events.Lost(relay.LossRejected, err.Error())
+		events.Lost(relay.LossRejected, relay.Detail{Cause: err.Error()})
 		return ""
 	}
 	target := "http://" + up.Address + engineapi.CompletionsPath
@@ -201,10 +201,10 @@
 // exchange sends the request and reads the stream. It returns the kind of loss
 // or "" after a whole stream.
 func (c *Client) exchange(ctx context.Context, cancel context.CancelCauseFunc,
-	build func(context.Context) (*http.Request, error), timeout time.Duration, events relay.Events) (relay.Loss, string) {
+	build func(context.Context) (*http.Request, error), timeout time.Duration, events relay.Events) (relay.Loss, relay.Detail) {
 	req, err := build(ctx)
 	if err != nil {
-		return relay.LossRejected, err.Error()
+		return relay.LossRejected, relay.Detail{Cause: err.Error()}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
@@ -213,14 +213,14 @@
 	resp, err := c.http.Do(req)
 	stop()
 	if err != nil {
-		return lossOf(err), err.Error()
+		return lossOf(err), relay.Detail{Cause: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return lossOfStatus(resp)
 	}
 	if resp.Header.Get(engineapi.HeaderLeaving) == "true" {
-		events.Lost(relay.LossLeaving, "response header")
+		events.Lost(relay.LossLeaving, relay.Detail{Cause: "response header"})
 	}
 	return readStream(resp.Body, events)
 }
@@ -247,12 +247,12 @@
 	return relay.LossReset
 }
 
-func lossOfStatus(resp *http.Response) (relay.Loss, string) {
+func lossOfStatus(resp *http.Response) (relay.Loss, relay.Detail) {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	detail := fmt.Sprintf("status %d", resp.StatusCode)
+	detail := relay.Detail{Cause: fmt.Sprintf("status %d", resp.StatusCode)}
 	var reply engineapi.ErrorReply
-	if json.Unmarshal(body, &reply) == nil && reply.Error.Message != "" {
-		detail = reply.Error.Message
+	if json.Unmarshal(body, &reply) == nil {
+		detail.Said = reply.Error.Message
 	}
 	switch resp.StatusCode {
 	case http.StatusNotFound, http.StatusGone:
@@ -269,39 +269,43 @@
 }
 
 // readStream hands the events of a stream over until its end.
-func readStream(body io.Reader, events relay.Events) (relay.Loss, string) {
+func readStream(body io.Reader, events relay.Events) (relay.Loss, relay.Detail) {
 	ended := false
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			if ended {
-				return "", ""
+				return "", relay.Detail{}
 			}
-			return relay.LossReset, err.Error()
+			return relay.LossReset, relay.Detail{Cause: err.Error()}
 		}
 		if event.Type == engineapi.EventLeaving {
-			events.Lost(relay.LossLeaving, event.Data)
+			events.Lost(relay.LossLeaving, relay.Detail{Cause: "notice in the stream"})
 			continue
 		}
 		if strings.TrimSpace(event.Data) == engineapi.EndOfStream {
-			return "", ""
+			return "", relay.Detail{}
 		}
 		done, err := handChunk(event.Data, events)
 		if err != nil {
-			return relay.LossCrossed, err.Error()
+			return relay.LossCrossed, relay.Detail{Cause: err.Error()}
 		}
 		ended = ended || done
 	}
 	if ended {
-		return "", ""
+		return "", relay.Detail{}
 	}
-	return relay.LossTruncated, "stream ended without a finish reason"
+	return relay.LossTruncated, relay.Detail{Cause: "stream ended without a finish reason"}
 }
 
+// errChunkInvalid names no cause: the error of a decoder quotes what it read,
+// which is a part of the answer.
+var errChunkInvalid = errors.New("chunk is not valid JSON")
+
 // handChunk hands one chunk over and reports whether it was the last one.
 func handChunk(data string, events relay.Events) (bool, error) {
 	var chunk engineapi.Chunk
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return false, fmt.Errorf("decode chunk: %w", err)
+		return false, errChunkInvalid
 	}
 	if len(chunk.Choices) != 1 {
 		return false, fmt.Errorf("chunk has %d choices, want 1", len(chunk.Choices))
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -14,6 +14,7 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
@@ -159,13 +160,50 @@
 	ctx, span := s.tracer.Start(ctx, "peer.serve "+m.Kind.Label(), oteltrace.WithSpanKind(oteltrace.SpanKindServer))
 	defer span.End()
 	err := s.handler.ServePeer(ctx, from, m, w)
+	id, err := splitRequest(err)
 	if err != nil && !errors.Is(err, context.Canceled) {
 		span.SetStatus(codes.Error, err.Error())
-		log.WithField("part", "peer").WithField("peer", from.Name).WithError(err).Debugf("%s request failed", m.Kind)
+		logFailure(from, m.Kind, id, err)
 	}
 	return err
 }
 
+func logFailure(from Peer, kind peerwire.Kind, id model.RequestID, err error) {
+	entry := log.WithField("part", "peer").WithField("peer", from.Name)
+	if id != "" {
+		entry = entry.WithField("request_id", string(id))
+	}
+	entry.WithError(err).Debugf("%s message failed", kind.Label())
+}
+
+// requestError is a handler's error with the caller's request that the message
+// belongs to.
+type requestError struct {
+	id  model.RequestID
+	err error
+}
+
+// Error implements error.
+func (e *requestError) Error() string { return e.err.Error() }
+
+// ForRequest names the caller's request in the log line of a handler's error.
+// It returns nil for a nil error.
+func ForRequest(id model.RequestID, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &requestError{id, err}
+}
+
+// splitRequest undoes ForRequest.
+func splitRequest(err error) (model.RequestID, error) {
+	var of *requestError
+	if errors.As(err, &of) {
+		return of.id, of.err
+	}
+	return "", err
+}
+
 type writer struct {
 	stream *quic.Stream
 	meter  *meter
--- a/internal/transport/peerlink/server.go
+++ b/internal/transport/peerlink/server.go
@@ -26,9 +26,9 @@
 // Handlers returns the handlers of an entry process's peer messages.
 func (l Logs) Handlers() peer.Mux {
 	return peer.Mux{
-		peerwire.KindLogOpen:       acknowledge(peerwire.KindLogOpen, peerwire.DecodeOpen, l.Holder.HandleOpen),
+		peerwire.KindLogOpen:       acknowledge(peerwire.KindLogOpen, peerwire.DecodeOpen, l.Holder.HandleOpen, requestOfOpen),
 		peerwire.KindLogAppend:     peer.HandlerFunc(l.appends),
-		peerwire.KindLogClose:      acknowledge(peerwire.KindLogClose, peerwire.DecodeClose, l.Holder.HandleClose),
+		peerwire.KindLogClose:      acknowledge(peerwire.KindLogClose, peerwire.DecodeClose, l.Holder.HandleClose, requestOfClose),
 		peerwire.KindLogFetch:      peer.HandlerFunc(l.fetch),
 		peerwire.KindLogFollow:     peer.HandlerFunc(l.follow),
 		peerwire.KindSuspectPermit: peer.HandlerFunc(l.permit),
@@ -37,20 +37,23 @@
 
 // acknowledge makes the handler of a message that is answered with an Ack.
 func acknowledge[T any](kind peerwire.Kind, decode func(peerwire.Message) (T, error),
-	handle func(context.Context, T) (replication.Ack, error)) peer.Handler {
+	handle func(context.Context, T) (replication.Ack, error), request func(T) model.RequestID) peer.Handler {
 	return peer.HandlerFunc(func(ctx context.Context, _ peer.Peer, m peerwire.Message, w peer.MessageWriter) error {
-		request, err := decode(m)
+		received, err := decode(m)
 		if err != nil {
 			return err
 		}
-		ack, err := handle(ctx, request)
-		if err != nil {
-			return err
+		ack, err := handle(ctx, received)
+		if err == nil {
+			err = write(w)(peerwire.EncodeAck(kind, ack))
 		}
-		return write(w)(peerwire.EncodeAck(kind, ack))
+		return peer.ForRequest(request(received), err)
 	})
 }
 
+func requestOfOpen(m replication.Open) model.RequestID   { return m.Header.Spec.Request }
+func requestOfClose(m replication.Close) model.RequestID { return m.Request }
+
 // write returns a function that sends an encoded message, or returns the error
 // of its encoding.
 func write(w peer.MessageWriter) func(peerwire.Message, error) error {
@@ -68,10 +71,10 @@
 		return err
 	}
 	found, err := l.Manager.HandleFetch(ctx, want)
-	if err != nil {
-		return err
+	if err == nil {
+		err = write(w)(peerwire.EncodeCopy(found))
 	}
-	return write(w)(peerwire.EncodeCopy(found))
+	return peer.ForRequest(want.Request, err)
 }
 
 // follow sends an empty batch to accept, and then the log from the position.
@@ -80,6 +83,10 @@
 	if err != nil {
 		return err
 	}
+	return peer.ForRequest(want.Request, l.followLog(ctx, want, w))
+}
+
+func (l Logs) followLog(ctx context.Context, want replication.Fetch, w peer.MessageWriter) error {
 	reader, err := l.Manager.HandleFollow(want)
 	if errors.Is(err, replication.ErrNotHeld) {
 		return trace.NotFound("no log of request %s holds position %d", want.Request, want.Position)
