Send the lines of libraries through the log handler

Cause: kratos and net/http wrote to standard error on their own, in another format and without the limit on a flood.

Change: Setup installs a kratos logger and redirects the standard logger; both write with the part "library".

Ruled out: a logger option for each server, which would miss net/http's own lines on failed connections.

--- a/internal/transport/telemetry/setup.go
+++ b/internal/transport/telemetry/setup.go
@@ -37,8 +37,8 @@
 	flood    *FloodControl
 }
 
-// Setup configures the process: the global apex logger, the global
-// OpenTelemetry providers and the W3C propagator. It starts no listener.
+// Setup configures the process: the global apex logger, into which libraries'
+// lines go too, the global OpenTelemetry providers and the W3C propagator. It starts no listener.
 func Setup(opts Options) (*Telemetry, error) {
 	flood, err := setupLog(opts)
 	if err != nil {
@@ -74,6 +74,7 @@
 	otel.SetTextMapPropagator(propagation.NewCompositeTextMapPropagator(
 		propagation.TraceContext{}, propagation.Baggage{}))
 	otel.SetErrorHandler(otel.ErrorHandlerFunc(logFault))
+	redirectLibraries()
 }
 
 // logFault reports faults of the exporters, such as an unreachable collector.
--- a/internal/transport/telemetry/telemetry_test.go
+++ b/internal/transport/telemetry/telemetry_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	stdlog "log"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/apex/log"
+	kratos "github.com/go-kratos/kratos/v2/log"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/propagation"
@@ -129,6 +131,30 @@
 	assert.DeepEqual(t, paths, []string{"/v1/traces"})
 }
 
+// Guards against lines of libraries that bypass the handler and with it the
+// format and the limit of a flood.
+func TestLibrariesLogThroughTheHandler(t *testing.T) {
+	before, writer, flags := log.Log, stdlog.Writer(), stdlog.Flags()
+	defer func() {
+		log.Log = before
+		stdlog.SetOutput(writer)
+		stdlog.SetFlags(flags)
+		kratos.SetLogger(kratos.DefaultLogger)
+	}()
+	var out bytes.Buffer
+	handler, err := NewHandler(&out, FormatText)
+	assert.NilError(t, err)
+	log.Log = &log.Logger{Handler: handler, Level: log.InfoLevel}
+	redirectLibraries()
+	stdlog.Print("http: accept failed\nsecond line")
+	kratos.Infow("msg", "server stopping", "address", "a")
+	kratos.Debugf("not at this level")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(lines), 2, out.String())
+	assert.Assert(t, strings.HasSuffix(lines[0], `warn  "library: http: accept failed\nsecond line"`), lines[0])
+	assert.Assert(t, strings.HasSuffix(lines[1], "info  library: server stopping address=a"), lines[1])
+}
+
 // Guards against a process that starts with settings it does not understand.
 func TestSetupRefusesUnknownValues(t *testing.T) {
 	_, err := Setup(Options{LogFormat: "xml"})
