Serve entryd's metrics on metrics_listen too

Cause: entryd accepted the setting and ignored it.

Change: telemetry.ServeMetrics, taken out of controld, is used by both. The caller address keeps /metrics.

Ruled out: refusing the setting in entryd, since operators may not want scrapes on the callers' address.

Tests: TestServeMetrics is new; race and lockcheck for telemetry, settings and cmd/entryd pass.

--- a/cmd/controld/control.go
+++ b/cmd/controld/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"sync"
@@ -34,6 +33,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peerlink"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/platform"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/probe"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/telemetry"
 )
 
 const (
@@ -74,7 +74,7 @@
 	watch    *watch.Manager
 	moves    *rollout.Manager
 	orders   *order.Manager
-	metrics  *http.Server
+	metrics  func() // stops the metrics server
 
 	followers atomic.Int32 // entry processes that follow the views
 	entryLeft atomic.Bool  // the entry process said that it drains
@@ -168,19 +168,7 @@
 	c.watch.Start()
 	c.moves.Start()
 	c.orders.Start()
-	c.serveMetrics(metrics)
-}
-
-func (c *control) serveMetrics(handler http.Handler) {
-	if c.settings.MetricsListen == "" {
-		return
-	}
-	c.metrics = &http.Server{Addr: c.settings.MetricsListen, Handler: handler, ReadHeaderTimeout: time.Second}
-	c.running.Go(func() {
-		if err := c.metrics.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
-			c.log.WithError(err).Error("metrics are not served")
-		}
-	})
+	c.metrics = telemetry.ServeMetrics(c.settings.MetricsListen, metrics)
 }
 
 // leave announces the stop and waits for the entry process, which drains.
@@ -195,9 +183,7 @@
 
 // stop ends the parts in the reverse order of their start.
 func (c *control) stop() {
-	if c.metrics != nil {
-		_ = c.metrics.Close() // scrapes can be repeated elsewhere
-	}
+	c.metrics()
 	c.cancel()
 	c.running.Wait()
 	c.moves.Stop()
--- a/cmd/entryd/main.go
+++ b/cmd/entryd/main.go
@@ -40,6 +40,8 @@
 	}
 	defer func() { _ = tel.Shutdown(context.Background()) }()
 
+	defer telemetry.ServeMetrics(s.MetricsListen, tel.Handler())()
+
 	e, err := newEntry(s, tel.Handler(), log.Log)
 	if err != nil {
 		return err
--- a/internal/protocol/settings/settings.go
+++ b/internal/protocol/settings/settings.go
@@ -26,8 +26,8 @@
 	// PeerAdvertised is the UDP address that other processes use. Empty means
 	// PeerListen, which then must name a host.
 	PeerAdvertised string `yaml:"peer_advertised" validate:"omitempty,ipport"`
-	// MetricsListen is the TCP address of /metrics. Empty means that the
-	// process serves none of its own.
+	// MetricsListen is a TCP address for /metrics alone. Empty means none; the
+	// entry process serves /metrics on its caller address as well.
 	MetricsListen string `yaml:"metrics_listen" validate:"omitempty,listen"`
 	// Peers are UDP addresses of control processes to start gossip with.
 	Peers    []string `yaml:"peers" validate:"dive,ipport"`
--- a/internal/transport/telemetry/telemetry_test.go
+++ b/internal/transport/telemetry/telemetry_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	stdlog "log"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -131,6 +132,30 @@
 	assert.DeepEqual(t, paths, []string{"/v1/traces"})
 }
 
+// Guards against metrics that are not served on an address of their own, and
+// against a stop that leaves the address taken.
+func TestServeMetrics(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	stop := ServeMetrics(address, http.NotFoundHandler())
+	served := false
+	for range 100 {
+		if resp, err := http.Get("http://" + address + "/metrics"); err == nil {
+			served = resp.Body.Close() == nil
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	assert.Assert(t, served)
+	stop()
+	listener, err = net.Listen("tcp", address)
+	assert.NilError(t, err)
+	assert.NilError(t, listener.Close())
+	ServeMetrics("", nil)()
+}
+
 // Guards against lines of libraries that bypass the handler and with it the
 // format and the limit of a flood.
 func TestLibrariesLogThroughTheHandler(t *testing.T) {
