--- a/internal/coordination/replication/manager.go
+++ b/internal/coordination/replication/manager.go
@@ -61,9 +61,25 @@
 // the holder then learns the stream to attach to before tokens of that stream
 // are shown.
 func (m *Manager) Accepted(id model.RequestID) {
+	m.countUnprotected(id)
 	m.advance(id)
 }
 
+// countUnprotected counts the new tokens of a log whose holder was given up.
+// They are shown at once until another holder acknowledges the log.
+func (m *Manager) countUnprotected(id model.RequestID) {
+	p, ok := m.progress.Get(id)
+	if !ok || p.Failures == 0 {
+		return
+	}
+	r, ok := m.opts.Table.Get(id)
+	if !ok || r.HoldBack || !copying(&r, time.Now()) {
+		return
+	}
+	m.opts.Counters.Unprotected(max(0, len(r.Tokens)-p.Unprotected))
+	m.progress.Update(id, func(p *replica.Progress) { p.Unprotected = len(r.Tokens) })
+}
+
 // Ended sends the rest and the end of a log. The record stays in the table
 // until the holder has the end; after Remove the copy expires by itself.
 func (m *Manager) Ended(id model.RequestID) {
@@ -258,13 +274,15 @@
 ) {
 	id := r.Spec.Request
 	to, _ := m.opts.Instances.Get(p.Holder)
-	number := p.Sent + 1
+	number, traceParent := p.Sent+1, r.Spec.TraceParent
 	sent := sent{attempt: r.Attempt.Number, opening: !p.Opened, closing: p.Ended && p.Opened}
 	m.progress.Update(id, func(p *replica.Progress) {
 		p.Sending, p.Sent = true, number
 	})
 	worker.Call(m.opts.Pool, worker.Key(id), timeout,
-		func(ctx context.Context) (Ack, error) { return call(ctx, to) },
+		func(ctx context.Context) (Ack, error) {
+			return call(model.WithTraceParent(ctx, traceParent), to)
+		},
 		func(ack Ack, err error) {
 			if p, ok := m.progress.Get(id); !ok || p.Sent != number {
 				return
@@ -350,10 +368,11 @@
 func (m *Manager) giveUp(r *generation.Record) {
 	id := r.Spec.Request
 	if r.HoldBack {
-		m.opts.Counters.Unprotected()
+		m.opts.Counters.Unprotected(len(r.Tokens) - r.Copied)
 	}
 	m.showAll(id)
 	m.progress.Update(id, func(p *replica.Progress) {
+		p.Unprotected = len(r.Tokens)
 		p.Sending, p.Opened, p.Acked, p.Attempt = false, false, 0, 0
 		p.Holder, p.Abandoned = "", true
 		p.Choice++
@@ -376,6 +395,6 @@
 
 type noCounters struct{}
 
-func (noCounters) Unprotected() {}
-func (noCounters) Copied(int)   {}
-func (noCounters) TakenOver()   {}
+func (noCounters) Unprotected(int) {}
+func (noCounters) Copied(int)      {}
+func (noCounters) TakenOver()      {}
--- a/internal/state/generation/generation.go
+++ b/internal/state/generation/generation.go
@@ -67,8 +67,9 @@
 	FirstWait   time.Duration // from Started to the first token; zero before it
 	Expected    time.Duration // estimated time to the first token
 	Choice      Choice
-	Attached    bool // joined a running stream, nothing is recomputed
-	Open        bool // the engine still works on it
+	Attached    bool   // joined a running stream, nothing is recomputed
+	Open        bool   // the engine still works on it
+	TraceParent string // W3C trace context of its span; empty unless the span is recorded
 }
 
 // PastAttempt is what is remembered of an ended attempt.
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -21,10 +21,10 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
-	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -72,22 +72,22 @@
 func (c *Client) Close() { c.http.CloseIdleConnections() }
 
 // Start implements relay.Engines.
-func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) {
+func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) string {
 	body, err := json.Marshal(completionRequest(req))
 	if err != nil {
-		events.Lost(relay.LossRejected, err.Error())
-		return
+		events.Lost(relay.LossRejected, relay.Detail{Cause: err.Error()})
+		return ""
 	}
 	target := "http://" + up.Address + engineapi.CompletionsPath
-	c.run(up, req, "engine.start", events, func(ctx context.Context) (*http.Request, error) {
+	return c.run(up, req, "engine.start", events, func(ctx context.Context) (*http.Request, error) {
 		return http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(body))
 	}, 0)
 }
 
 // Attach implements relay.Engines.
-func (c *Client) Attach(up model.Upstream, req relay.StreamRequest, after int, timeout time.Duration, events relay.Events) {
+func (c *Client) Attach(up model.Upstream, req relay.StreamRequest, after int, timeout time.Duration, events relay.Events) string {
 	target := streamURL(up, req.Stream) + "?after=" + strconv.Itoa(after)
-	c.run(up, req, "engine.attach", events, func(ctx context.Context) (*http.Request, error) {
+	return c.run(up, req, "engine.attach", events, func(ctx context.Context) (*http.Request, error) {
 		return http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
 	}, timeout)
 }
@@ -140,16 +140,16 @@
 }
 
 // run starts the goroutine of one connection. A positive timeout bounds the
-// wait for the response header.
-func (c *Client) run(up model.Upstream, req relay.StreamRequest, span string, events relay.Events,
-	build func(context.Context) (*http.Request, error), timeout time.Duration) {
+// wait for the response header. It returns the trace context of the span.
+func (c *Client) run(up model.Upstream, req relay.StreamRequest, name string, events relay.Events,
+	build func(context.Context) (*http.Request, error), timeout time.Duration) string {
 	ctx, cancel := context.WithCancelCause(context.Background())
 	conn := &connection{cancel: cancel}
 	c.add(req.Stream, conn)
+	ctx, span := c.startSpan(ctx, name, up, req)
 	go func() {
 		defer c.remove(req.Stream, conn)
 		defer cancel(nil)
-		ctx, span := c.startSpan(ctx, span, up, req)
 		defer span.End()
 		kind, detail := c.exchange(ctx, cancel, build, timeout, events)
 		if kind == "" {
@@ -160,12 +160,16 @@
 			events.Lost(kind, detail)
 		}
 	}()
+	return tracecontext.SampledParent(ctx)
 }
 
+// startSpan starts the span of one attempt, with a link to the attempt before
+// it. An attempt that follows a takeover belongs to another trace than the one
+// that it continues, so the link is what connects them.
 func (c *Client) startSpan(ctx context.Context, name string, up model.Upstream, req relay.StreamRequest) (context.Context, trace.Span) {
-	carrier := propagation.MapCarrier{"traceparent": req.Spec.TraceParent}
-	ctx = otel.GetTextMapPropagator().Extract(ctx, carrier)
-	return c.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(
+	ctx = tracecontext.Extract(ctx, req.Spec.TraceParent)
+	return c.tracer.Start(ctx, name, trace.WithSpanKind(trace.SpanKindClient), tracecontext.Link(req.Earlier), trace.WithAttributes(
+		attribute.String("request_id", string(req.Spec.Request)),
 		attribute.String("upstream", string(up.ID)),
 		attribute.String("stream", string(req.Stream)),
 	))
@@ -197,26 +201,26 @@
 // exchange sends the request and reads the stream. It returns the kind of loss
 // or "" after a whole stream.
 func (c *Client) exchange(ctx context.Context, cancel context.CancelCauseFunc,
-	build func(context.Context) (*http.Request, error), timeout time.Duration, events relay.Events) (relay.Loss, string) {
+	build func(context.Context) (*http.Request, error), timeout time.Duration, events relay.Events) (relay.Loss, relay.Detail) {
 	req, err := build(ctx)
 	if err != nil {
-		return relay.LossRejected, err.Error()
+		return relay.LossRejected, relay.Detail{Cause: err.Error()}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
+	tracecontext.ToHeader(ctx, req.Header)
 	stop := headerTimer(timeout, cancel)
 	resp, err := c.http.Do(req)
 	stop()
 	if err != nil {
-		return lossOf(err), err.Error()
+		return lossOf(err), relay.Detail{Cause: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return lossOfStatus(resp)
 	}
 	if resp.Header.Get(engineapi.HeaderLeaving) == "true" {
-		events.Lost(relay.LossLeaving, "response header")
+		events.Lost(relay.LossLeaving, relay.Detail{Cause: "response header"})
 	}
 	return readStream(resp.Body, events)
 }
@@ -243,12 +247,12 @@
 	return relay.LossReset
 }
 
-func lossOfStatus(resp *http.Response) (relay.Loss, string) {
+func lossOfStatus(resp *http.Response) (relay.Loss, relay.Detail) {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	detail := fmt.Sprintf("status %d", resp.StatusCode)
+	detail := relay.Detail{Cause: fmt.Sprintf("status %d", resp.StatusCode)}
 	var reply engineapi.ErrorReply
-	if json.Unmarshal(body, &reply) == nil && reply.Error.Message != "" {
-		detail = reply.Error.Message
+	if json.Unmarshal(body, &reply) == nil {
+		detail.Said = reply.Error.Message
 	}
 	switch resp.StatusCode {
 	case http.StatusNotFound, http.StatusGone:
@@ -265,39 +269,43 @@
 }
 
 // readStream hands the events of a stream over until its end.
-func readStream(body io.Reader, events relay.Events) (relay.Loss, string) {
+func readStream(body io.Reader, events relay.Events) (relay.Loss, relay.Detail) {
 	ended := false
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			if ended {
-				return "", ""
+				return "", relay.Detail{}
 			}
-			return relay.LossReset, err.Error()
+			return relay.LossReset, relay.Detail{Cause: err.Error()}
 		}
 		if event.Type == engineapi.EventLeaving {
-			events.Lost(relay.LossLeaving, event.Data)
+			events.Lost(relay.LossLeaving, relay.Detail{Cause: "notice in the stream"})
 			continue
 		}
 		if strings.TrimSpace(event.Data) == engineapi.EndOfStream {
-			return "", ""
+			return "", relay.Detail{}
 		}
 		done, err := handChunk(event.Data, events)
 		if err != nil {
-			return relay.LossCrossed, err.Error()
+			return relay.LossCrossed, relay.Detail{Cause: err.Error()}
 		}
 		ended = ended || done
 	}
 	if ended {
-		return "", ""
+		return "", relay.Detail{}
 	}
-	return relay.LossTruncated, "stream ended without a finish reason"
+	return relay.LossTruncated, relay.Detail{Cause: "stream ended without a finish reason"}
 }
 
+// errChunkInvalid names no cause: the error of a decoder quotes what it read,
+// which is a part of the answer.
+var errChunkInvalid = errors.New("chunk is not valid JSON")
+
 // handChunk hands one chunk over and reports whether it was the last one.
 func handChunk(data string, events relay.Events) (bool, error) {
 	var chunk engineapi.Chunk
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil {
-		return false, fmt.Errorf("decode chunk: %w", err)
+		return false, errChunkInvalid
 	}
 	if len(chunk.Choices) != 1 {
 		return false, fmt.Errorf("chunk has %d choices, want 1", len(chunk.Choices))
--- a/internal/transport/engine/fuzz_test.go
+++ b/internal/transport/engine/fuzz_test.go
@@ -18,7 +18,7 @@
 
 func (r *recorder) Tokens(_ string, _ int, tokens []string) { r.tokens += len(tokens) }
 func (r *recorder) Ended(string, int, string)               { r.ended++ }
-func (r *recorder) Lost(relay.Loss, string)                 {}
+func (r *recorder) Lost(relay.Loss, relay.Detail)           {}
 
 // Guards against an engine's stream that crashes its reader, or that counts as
 // whole without an end.
@@ -36,7 +36,7 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		var got recorder
 		loss, detail := readStream(bytes.NewReader(body), &got)
-		assert.Assert(t, loss == "" || detail != "", loss)
+		assert.Assert(t, loss == "" || detail != (relay.Detail{}), loss)
 		if loss == "" && !bytes.Contains(body, []byte("[DONE]")) {
 			assert.Assert(t, got.ended > 0)
 		}
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -23,10 +23,10 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/codes"
-	"go.opentelemetry.io/otel/propagation"
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
 const (
@@ -51,6 +51,7 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+	last    *lastAnswer
 }
 
 // New returns a client. It opens no connection yet.
@@ -70,6 +71,7 @@
 		base:    strings.TrimSuffix(opts.BaseURL, "/"),
 		timeout: timeout,
 		http:    newHTTPClient(opts.TLS),
+		last:    newLastAnswer(),
 	}, nil
 }
 
@@ -125,7 +127,7 @@
 func (c *Client) do(ctx context.Context, request call) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	ctx, span := otel.Tracer(tracerName).Start(ctx, "platform "+request.op,
+	ctx, span := otel.Tracer(tracerName).Start(tracecontext.Continue(ctx), "platform "+request.op,
 		oteltrace.WithSpanKind(oteltrace.SpanKindClient),
 		oteltrace.WithAttributes(attribute.String("http.request.method", request.method)))
 	defer span.End()
@@ -149,6 +151,7 @@
 	if err != nil {
 		return answer{}, &Error{Op: request.op, Kind: kindOfLoss(request.write(), tracker.anySent()), Cause: err}
 	}
+	c.last.note()
 	defer func() { _ = response.Body.Close() }()
 	body, err := readAnswer(response)
 	if kind := kindOfStatus(request.write(), response.StatusCode, problemCode(body)); kind != nil {
@@ -191,7 +194,7 @@
 	if request.compressed {
 		httpRequest.Header.Set("Accept-Encoding", platformapi.Gzip)
 	}
-	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(httpRequest.Header))
+	tracecontext.ToHeader(ctx, httpRequest.Header)
 	return httpRequest, nil
 }
 
--- a/tests/e2e/cluster_test.go
+++ b/tests/e2e/cluster_test.go
@@ -59,6 +59,7 @@
 	services []string
 	callers  []string // addresses of the entry processes
 	debug    []string // debug addresses of the entry processes, then of the control processes
+	metrics  []string // addresses of the control processes' metrics
 }
 
 // startCluster starts a cluster and stops it at the end of the test.
@@ -145,6 +146,7 @@
 	for range c.instances {
 		c.callers = append(c.callers, address())
 		controls = append(controls, address())
+		c.metrics = append(c.metrics, address())
 	}
 	for i := range c.instances {
 		name, peer := fmt.Sprintf("i%d", i), address()
@@ -168,6 +170,9 @@
 		}
 		entry += guard()
 		control := common + guard() + fmt.Sprintf("peer_listen: %s\nentry: %s\nentry_advertised: %s\n", controls[i], peer, c.callers[i])
+		if !c.guarded {
+			control += fmt.Sprintf("metrics_listen: %s\n", c.metrics[i])
+		}
 		if !c.slowPolls {
 			control += "polls: {document: 200ms, instances: 500ms, upstreams: 200ms}\n"
 		}
