--- a/cmd/controld/duties.go
+++ b/cmd/controld/duties.go
@@ -1,13 +1,9 @@
 package main
 
 import (
-	"context"
-	"time"
-
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/environment"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/gossip"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/lease"
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/order"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/rollout"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/view"
@@ -132,85 +128,3 @@
 		}
 	}))
 }
-
-// lister reads the platform's list of machines. It implements
-// membership.Lister.
-type lister struct {
-	directory *platform.Directory
-	control   *control
-	// working holds the incarnation of each upstream when the list last showed
-	// it as working.
-	working map[model.UpstreamID]uint64
-	// registered is when this instance was last registered.
-	registered time.Time
-	// read is when the list was last read, listed what it held, and bytes its
-	// size.
-	read   time.Time
-	listed []membership.Listed
-	bytes  int
-}
-
-// registerInterval bounds the time for which a platform that lost the entry
-// does not list this instance. 640 instances make 11 writes/s.
-const registerInterval = time.Minute
-
-func newLister(c *control) *lister {
-	return &lister{directory: platform.NewDirectory(c.platform), control: c, working: map[model.UpstreamID]uint64{}}
-}
-
-// ListInstances implements membership.Lister. It registers this instance, and
-// marks the upstreams that the platform lists as leaving. Until the list is due
-// to be read again it returns the last one.
-func (l *lister) ListInstances(ctx context.Context) ([]membership.Listed, error) {
-	if time.Since(l.registered) >= registerInterval {
-		if err := l.directory.RegisterInstance(ctx, l.control.self); err != nil {
-			return nil, err
-		}
-		l.registered = time.Now()
-	}
-	if time.Since(l.read) < membership.ReadInterval(l.bytes) {
-		return l.listed, nil
-	}
-	machines, err := l.directory.List(ctx)
-	if err != nil {
-		return nil, err
-	}
-	l.takeUpstreams(machines.Upstreams)
-	listed := make([]membership.Listed, 0, len(machines.Instances))
-	for _, in := range machines.Instances {
-		listed = append(listed, membership.Listed{
-			ID:             in.ID,
-			Incarnation:    in.Incarnation,
-			ControlAddress: in.ControlAddress,
-			Leaving:        in.State == model.InstanceLeaving,
-		})
-	}
-	l.read, l.listed, l.bytes = time.Now(), listed, machines.Bytes
-	return listed, nil
-}
-
-// takeUpstreams announces the upstreams that the list shows as leaving. The
-// list lags and names no incarnation, so the mark is for the incarnation that
-// was known when the list still showed the upstream as working; an upstream
-// that has restarted meanwhile is not marked.
-func (l *lister) takeUpstreams(list []platform.ListedUpstream) {
-	var leaves []gossip.Leave
-	for _, u := range list {
-		id := u.Upstream.ID
-		row, ok := l.control.tables.upstreams.Get(id)
-		if !ok || row.Report.Incarnation == 0 {
-			continue
-		}
-		incarnation, known := l.working[id]
-		switch {
-		case !u.Leaving:
-			l.working[id] = row.Report.Incarnation
-		case known:
-			leaves = append(leaves, gossip.Leave{Upstream: id, Incarnation: incarnation, At: time.Now()})
-			delete(l.working, id)
-		}
-	}
-	if len(leaves) > 0 {
-		l.control.gossip.Announce(gossip.Delta{Leaves: leaves})
-	}
-}
