Detach from the stream of a caller that did not come back

Cause: an instance that was paused, and whose generation another one had taken over, gave the generation up 30 s after its caller had left and cancelled the engine stream, which the new owner was reading. The new owner then computed the rest again on another engine.

Ruled out: telling the old owner of the takeover; a message to a paused process can come after its timer.

Change: the instance closes its own connection. A generation that was not streamed cannot be taken over and is still cancelled.

Before: the test's stream was cancelled. After: it runs on, and this instance reads it no longer.

--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -193,6 +193,17 @@
 	}
 }
 
+// Detach implements Engines. The fake's streams have no grace time.
+func (f *fakeEngines) Detach(stream model.StreamID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, e := range f.engines {
+		if s, ok := e.streams[stream]; ok {
+			s.events = nil
+		}
+	}
+}
+
 // fault applies a fault to one engine.
 func (f *fakeEngines) fault(id model.UpstreamID, kind string) {
 	f.mu.Lock()
--- a/internal/coordination/relay/readers.go
+++ b/internal/coordination/relay/readers.go
@@ -31,8 +31,8 @@
 	})
 	m.opts.Pool.After(ReconnectGrace, key(id), worker.Func(func() {
 		r, ok := m.opts.Generations.Get(id)
-		if ok && r.Epoch == epoch && r.Readers == 0 && time.Since(r.LeftAt) >= ReconnectGrace {
-			m.abandon(id)
+		if ok && r.Epoch == epoch && r.End == nil && r.Readers == 0 && time.Since(r.LeftAt) >= ReconnectGrace {
+			m.abandon(r)
 		}
 	}))
 }
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -50,6 +50,9 @@
 	Attach(up model.Upstream, req StreamRequest, after int, timeout time.Duration, events Events) (traceParent string)
 	// Cancel ends a stream on its engine.
 	Cancel(up model.Upstream, stream model.StreamID)
+	// Detach closes this instance's connections to a stream. The engine ends the
+	// stream after its own grace time unless another instance reads it.
+	Detach(stream model.StreamID)
 }
 
 // Events receives what one connection to an engine delivers, in order. The
@@ -204,21 +207,33 @@
 	m.opts.Admission.Leave(old.Spec.Request)
 }
 
-// Abandon ends a generation that no caller waits for.
+// Abandon ends a generation whose caller left and cannot come back.
 func (m *Manager) Abandon(id model.RequestID) {
-	m.opts.Pool.Post(key(id), worker.Func(func() { m.abandon(id) }))
+	m.opts.Pool.Post(key(id), worker.Func(func() {
+		r, ok := m.opts.Generations.Get(id)
+		if !ok || r.End != nil {
+			return
+		}
+		if row, known := m.opts.Upstreams.Get(r.Attempt.Upstream); known && r.Attempt.Open {
+			m.opts.Engines.Cancel(row.Upstream, r.Attempt.Stream)
+		}
+		m.callerLeft(r)
+	}))
 }
 
-func (m *Manager) abandon(id model.RequestID) {
-	r, ok := m.opts.Generations.Get(id)
-	if !ok || r.End != nil {
-		return
-	}
-	if row, known := m.opts.Upstreams.Get(r.Attempt.Upstream); known && r.Attempt.Open {
-		m.opts.Engines.Cancel(row.Upstream, r.Attempt.Stream)
+// abandon ends a generation whose caller did not come back to this instance.
+// Another instance may have taken it over while this one was paused, and read
+// the same engine stream, so the stream is not cancelled.
+func (m *Manager) abandon(r generation.Record) {
+	if r.Attempt.Open {
+		m.opts.Engines.Detach(r.Attempt.Stream)
 	}
+	m.callerLeft(r)
+}
+
+func (m *Manager) callerLeft(r generation.Record) {
 	m.closeAttempt(r, "caller left", 0)
-	m.finish(id, generation.End{Refusal: &model.Refusal{
+	m.finish(r.Spec.Request, generation.End{Refusal: &model.Refusal{
 		Code:    "caller_left",
 		Message: "The caller closed the connection and did not come back.",
 		Outcome: model.OutcomeUnknown,
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -289,6 +289,38 @@
 	})
 }
 
+// Guards against an instance that cancels a stream which another instance, that
+// took the generation over meanwhile, still reads; and against a stream that
+// runs on although its caller cannot come back.
+func TestAbandonedStreamIsCancelledOnlyForGood(t *testing.T) {
+	for name, test := range map[string]struct {
+		leave     func(*bench)
+		cancelled bool
+	}{
+		"streamed":     {func(b *bench) { b.manager.Join("r")() }, false},
+		"not streamed": {func(b *bench) { b.manager.Abandon("r") }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(1, "v1")
+				defer b.close()
+				b.manager.Submit(spec("r", 100_000))
+				time.Sleep(time.Second)
+				test.leave(b)
+				time.Sleep(ReconnectGrace + time.Second)
+				r, _ := b.table.Get("r")
+				assert.Equal(t, r.End.Refusal.Code, "caller_left")
+				b.fake.mu.Lock()
+				defer b.fake.mu.Unlock()
+				stream := b.fake.engines["e0"].streams[r.Attempt.Stream]
+				assert.Equal(t, stream.cancelled, test.cancelled)
+				assert.Assert(t, test.cancelled || stream.events == nil, "this instance still reads the stream")
+				stream.cancelled = true // so that the fake ends
+			})
+		})
+	}
+}
+
 // Guards against a restart that drops tokens which a caller has seen, when
 // they are shown between the decision and the restart.
 func TestRestartRefusesOnceShown(t *testing.T) {
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -98,12 +98,17 @@
 
 // Cancel implements relay.Engines.
 func (c *Client) Cancel(up model.Upstream, stream model.StreamID) {
+	c.Detach(stream)
+	go c.sendCancel(up, stream)
+}
+
+// Detach implements relay.Engines.
+func (c *Client) Detach(stream model.StreamID) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	for _, conn := range c.open[stream] {
 		conn.cancel(errSuperseded)
 	}
-	c.mu.Unlock()
-	go c.sendCancel(up, stream)
 }
 
 func (c *Client) sendCancel(up model.Upstream, stream model.StreamID) {
