Split the files of generations, takeovers and copies

Change: records, table and cursor have a file each; so have the messages to a copy holder, and what an instance does when it takes a generation over. Only moved, nothing else changed.

The tests of the three packages pass.

--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -35,33 +35,6 @@
 	})
 }
 
-// goOn continues a generation whose owner was lost.
-func (m *Manager) goOn(r generation.Record) {
-	resumed := r.Spec
-	resumed.Priority = model.PriorityResume
-	m.opts.Admission.Enter(resumed, func(*model.Refusal) {
-		if !m.current(r) {
-			return
-		}
-		row, known := m.opts.Upstreams.Get(r.Attempt.Upstream)
-		if !known {
-			m.withoutStream(r)
-			return
-		}
-		m.opts.Upstreams.Acquire(r.Attempt.Upstream, time.Now())
-		m.attach(r, row.Upstream)
-	})
-}
-
-// withoutStream continues a generation whose engine stream is out of reach.
-func (m *Manager) withoutStream(r generation.Record) {
-	if len(r.Tokens) < r.StreamOnly {
-		m.refuse(r, noEngine(r))
-		return
-	}
-	m.place(r.Spec.Request)
-}
-
 // place finds an engine for the generation and starts a stream there. The
 // version of a line never changes.
 func (m *Manager) place(id model.RequestID) {
--- a/internal/coordination/relay/readers.go
+++ b/internal/coordination/relay/readers.go
@@ -36,3 +36,36 @@
 		}
 	}))
 }
+
+// Abandon ends a generation whose caller left and cannot come back.
+func (m *Manager) Abandon(id model.RequestID) {
+	m.opts.Pool.Post(key(id), worker.Func(func() {
+		r, ok := m.opts.Generations.Get(id)
+		if !ok || r.End != nil {
+			return
+		}
+		if row, known := m.opts.Upstreams.Get(r.Attempt.Upstream); known && r.Attempt.Open {
+			m.opts.Engines.Cancel(row.Upstream, r.Attempt.Stream)
+		}
+		m.callerLeft(r)
+	}))
+}
+
+// abandon ends a generation whose caller did not come back to this instance.
+// Another instance may have taken it over while this one was paused, and read
+// the same engine stream, so the stream is not cancelled.
+func (m *Manager) abandon(r generation.Record) {
+	if r.Attempt.Open {
+		m.opts.Engines.Detach(r.Attempt.Stream)
+	}
+	m.callerLeft(r)
+}
+
+func (m *Manager) callerLeft(r generation.Record) {
+	m.closeAttempt(r, "caller left", 0)
+	m.finish(r.Spec.Request, generation.End{Refusal: &model.Refusal{
+		Code:    "caller_left",
+		Message: "The caller closed the connection and did not come back.",
+		Outcome: model.OutcomeUnknown,
+	}})
+}
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -18,7 +18,6 @@
 package relay
 
 import (
-	"context"
 	"time"
 
 	"github.com/apex/log"
@@ -156,90 +155,6 @@
 	m.opts.Pool.Post(key(spec.Request), requestArrived{m, spec})
 }
 
-// Adopt takes over a generation from its copied log, for a caller that has
-// seen the tokens of a line up to position. The record has a line of its own
-// and the attempt that the lost owner had under way. Adopt reports false if
-// this instance runs a line by now that the caller can read. Another line,
-// which this instance ran before it was paused, is replaced.
-func (m *Manager) Adopt(ctx context.Context, r generation.Record, line model.LineID, position int) bool {
-	adopted, err := worker.Do(ctx, m.opts.Pool, key(r.Spec.Request), func() bool { return m.adopt(r, line, position) })
-	return err == nil && adopted
-}
-
-func (m *Manager) adopt(r generation.Record, line model.LineID, position int) bool {
-	old, exists := m.opts.Generations.Get(r.Spec.Request)
-	if exists && old.Holds(line, position) {
-		return false
-	}
-	r.Print = suspicion.Fingerprint(r.Spec)
-	r.Version = r.Attempt.Version
-	r.CopyAfter = time.Now()
-	r.LostAt = r.Attempt.LastSeen
-	r.Attempt.Open = false
-	r.Shown = position
-	r.StreamOnly = position
-	r.TakenOver = r.Attempt.Stream
-	if exists {
-		// What the old attempts still bring has lower numbers and is stale.
-		r.Attempt.Number = max(r.Attempt.Number, old.Attempt.Number)
-		m.displace(old, r.Attempt.Stream)
-	}
-	r = m.opts.Generations.Replace(r)
-	if r.End != nil {
-		m.forgetLater(r.Spec.Request)
-		return true
-	}
-	m.goOn(r)
-	return true
-}
-
-// displace ends the work on a record that is about to be replaced. The stream
-// that the new record attaches to runs on.
-func (m *Manager) displace(old generation.Record, keep model.StreamID) {
-	if old.End != nil {
-		return
-	}
-	m.opts.Log.WithField("request_id", string(old.Spec.Request)).Info("older line is replaced")
-	if row, known := m.opts.Upstreams.Get(old.Attempt.Upstream); known && old.Attempt.Open && old.Attempt.Stream != keep {
-		m.opts.Engines.Cancel(row.Upstream, old.Attempt.Stream)
-	}
-	m.closeAttempt(old, "line replaced", 0)
-	m.opts.Admission.Leave(old.Spec.Request)
-}
-
-// Abandon ends a generation whose caller left and cannot come back.
-func (m *Manager) Abandon(id model.RequestID) {
-	m.opts.Pool.Post(key(id), worker.Func(func() {
-		r, ok := m.opts.Generations.Get(id)
-		if !ok || r.End != nil {
-			return
-		}
-		if row, known := m.opts.Upstreams.Get(r.Attempt.Upstream); known && r.Attempt.Open {
-			m.opts.Engines.Cancel(row.Upstream, r.Attempt.Stream)
-		}
-		m.callerLeft(r)
-	}))
-}
-
-// abandon ends a generation whose caller did not come back to this instance.
-// Another instance may have taken it over while this one was paused, and read
-// the same engine stream, so the stream is not cancelled.
-func (m *Manager) abandon(r generation.Record) {
-	if r.Attempt.Open {
-		m.opts.Engines.Detach(r.Attempt.Stream)
-	}
-	m.callerLeft(r)
-}
-
-func (m *Manager) callerLeft(r generation.Record) {
-	m.closeAttempt(r, "caller left", 0)
-	m.finish(r.Spec.Request, generation.End{Refusal: &model.Refusal{
-		Code:    "caller_left",
-		Message: "The caller closed the connection and did not come back.",
-		Outcome: model.OutcomeUnknown,
-	}})
-}
-
 // finish ends the generation and schedules the removal of its record.
 func (m *Manager) finish(id model.RequestID, end generation.End) {
 	m.opts.Generations.Update(id, func(r *generation.Record) {
--- /dev/null
+++ b/internal/state/generation/cursor.go
@@ -0,0 +1,78 @@
+package generation
+
+import (
+	"context"
+	"slices"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// Cursor reads one record's log from a position.
+type Cursor struct {
+	table    *Table
+	request  model.RequestID
+	epoch    uint64
+	position int
+}
+
+// Read returns a cursor that starts after the given number of tokens.
+func (t *Table) Read(id model.RequestID, position int) *Cursor {
+	r, _ := t.Get(id)
+	return &Cursor{table: t, request: id, epoch: r.Epoch, position: position}
+}
+
+// Batch is what a cursor returns: tokens, or the end, or neither after the
+// record was removed.
+type Batch struct {
+	Model  string // that the caller asked for
+	Line   model.LineID
+	First  int // position of Tokens[0]
+	Tokens []string
+	End    *End
+	Gone   bool // the record was removed or replaced
+}
+
+// Next waits for tokens after the cursor's position or for the end.
+func (c *Cursor) Next(ctx context.Context) (Batch, error) {
+	for {
+		batch, changed := c.poll()
+		if changed == nil {
+			return batch, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return Batch{}, ctx.Err()
+		}
+	}
+}
+
+// poll returns a batch, or the channel to wait on when there is none yet.
+func (c *Cursor) poll() (Batch, <-chan struct{}) {
+	s := c.table.shard(c.request)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[c.request]
+	if !ok || e.record.Epoch != c.epoch {
+		return Batch{Gone: true}, nil
+	}
+	r := &e.record
+	batch := Batch{Model: r.Spec.Model, Line: r.ShownLine(), First: c.position}
+	visible := r.Visible()
+	if r.End != nil {
+		visible = len(r.Tokens)
+	}
+	if c.position < visible {
+		batch.Tokens = slices.Clip(r.Tokens[c.position:visible])
+		c.position = visible
+		r.Shown = max(r.Shown, visible)
+	}
+	if r.End != nil && c.position >= len(r.Tokens) {
+		batch.End = r.End
+		return batch, nil
+	}
+	if len(batch.Tokens) == 0 {
+		return batch, e.changed
+	}
+	return batch, nil
+}
