Remember where calls to plain services went

Cause: svctl explain knew generations only. An operator who asks why a booking got no answer found nothing.

Before: 404 unknown_request. After: the attempts; tests of the manager, the debug address and the client's table pass.

--- a/cmd/entryd/entry.go
+++ b/cmd/entryd/entry.go
@@ -197,6 +197,7 @@
 		Upstreams:   e.tables.upstreams,
 		Admit:       operators.Admit,
 		Explain:     front.Explain,
+		ExplainCall: front.ExplainCall,
 		ViewAge:     e.link.Age,
 		Log:         e.log,
 	})
--- a/internal/coordination/call/call.go
+++ b/internal/coordination/call/call.go
@@ -114,6 +114,7 @@
 	budget    *call.Budget
 	latencies *call.Latencies
 	metrics   *metrics
+	history   *call.History
 }
 
 // New returns a Manager.
@@ -121,15 +122,18 @@
 	if opts.Observe == nil {
 		opts.Observe = func(model.Upstream, string, evidence.Observation) {}
 	}
-	return &Manager{Options: opts, budget: call.NewBudget(), latencies: call.NewLatencies(), metrics: newMetrics()}
+	return &Manager{Options: opts, budget: call.NewBudget(), latencies: call.NewLatencies(), metrics: newMetrics(), history: call.NewHistory()}
 }
 
 // Submit runs the call. done is called exactly once, on a worker under the
 // request's key, unless the pool closes first.
 func (m *Manager) Submit(req Request, done func(Response, *model.Refusal)) {
 	started := time.Now()
+	m.history.Begin(call.Past{Request: req.ID, Service: req.Service, Route: req.RouteName(), Started: started})
 	counted := func(resp Response, refusal *model.Refusal) {
-		m.metrics.countEnd(req, resp, refusal, time.Since(started))
+		outcome := outcomeLabel(resp, refusal)
+		m.metrics.countEnd(req, outcome, time.Since(started))
+		m.history.End(req.ID, outcome, time.Now())
 		done(resp, refusal)
 	}
 	m.Pool.Post(worker.Key(req.ID), worker.Func(func() { m.start(req, counted) }))
@@ -177,6 +181,22 @@
 	}
 }
 
+// Explain returns what is remembered of a call.
+func (m *Manager) Explain(id model.RequestID) (call.Past, bool) { return m.history.Get(id) }
+
+// begin remembers an attempt that is about to be sent.
+func (m *Manager) begin(req Request, upstream model.Upstream, now time.Time) {
+	m.history.Attempt(req.ID, call.PastAttempt{Upstream: upstream.ID, Version: upstream.Version, Started: now})
+}
+
+// end counts and remembers the result of an attempt. superseded means that
+// another attempt of the call was faster.
+func (m *Manager) end(req Request, upstream model.Upstream, resp Response, err error, superseded bool) {
+	result := resultOf(resp, err, superseded)
+	m.metrics.countAttempt(req, result)
+	m.history.Result(req.ID, upstream.ID, result)
+}
+
 // observe reports one attempt as evidence for its version.
 func (m *Manager) observe(upstream model.Upstream, req Request, resp Response, err error, took time.Duration) {
 	m.Observe(upstream, req.RouteName(), evidence.Observation{
--- a/internal/coordination/call/idempotent.go
+++ b/internal/coordination/call/idempotent.go
@@ -66,6 +66,7 @@
 	r.req.Tried = append(slices.Clone(r.req.Tried), upstream.ID)
 	r.open++
 	started := time.Now()
+	r.m.begin(req, upstream, started)
 	send := func(ctx context.Context) (Response, error) {
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
@@ -74,7 +75,7 @@
 		return r.m.Sender.Send(ctx, upstream, req)
 	}
 	worker.Call(r.m.Pool, worker.Key(req.ID), time.Until(req.Deadline), send, func(resp Response, err error) {
-		r.m.metrics.countAttempt(req, resp, err, r.finished)
+		r.m.end(req, upstream, resp, err, r.finished)
 		r.observe(upstream, resp, err, time.Since(started))
 		r.after(resp, err)
 	})
--- a/internal/coordination/call/idempotent_test.go
+++ b/internal/coordination/call/idempotent_test.go
@@ -91,6 +91,35 @@
 	}
 }
 
+// Guards against a call of which operators cannot learn where it went, or learn
+// results of other attempts.
+func TestCallIsRemembered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newScripted()
+		s.answer["a"], s.answer["b"] = failing(true), status(200, time.Second)
+		m := newInstance("i0", nil, s, "a", "b")
+		defer m.Pool.Close()
+		started := time.Now()
+		m.Submit(read(0), func(Response, *model.Refusal) {})
+		synctest.Wait()
+		running, ok := m.Explain("r0")
+		assert.Assert(t, ok)
+		settle(time.Minute)
+		ended, _ := m.Explain("r0")
+		assert.Equal(t, running.Outcome+running.Attempts[1].Result, "", "what was returned does not change")
+		assert.DeepEqual(t, ended, call.Past{
+			Request: "r0", Service: read(0).Service, Route: "GET /record", Started: started, Ended: started.Add(time.Second),
+			Outcome: "answered",
+			Attempts: []call.PastAttempt{
+				{Upstream: "a", Version: running.Attempts[0].Version, Started: started, Result: "lost"},
+				{Upstream: "b", Version: running.Attempts[1].Version, Started: started, Result: "2xx"},
+			},
+		})
+		_, ok = m.Explain("r1")
+		assert.Assert(t, !ok)
+	})
+}
+
 // Guards against retries that multiply the load of a failing service: beyond
 // the burst they stay at a tenth of the calls.
 func TestRetriesStayWithinTheBudget(t *testing.T) {
--- a/internal/coordination/call/metrics.go
+++ b/internal/coordination/call/metrics.go
@@ -49,24 +49,28 @@
 	return m
 }
 
-func (m *metrics) countEnd(req Request, resp Response, refusal *model.Refusal, took time.Duration) {
-	outcome := outcomeAnswered
+func outcomeLabel(resp Response, refusal *model.Refusal) string {
 	switch {
 	case refusal != nil:
-		outcome = refusal.Code
+		return refusal.Code
 	case resp.Replayed:
-		outcome = outcomeReplayed
+		return outcomeReplayed
+	default:
+		return outcomeAnswered
 	}
+}
+
+func (m *metrics) countEnd(req Request, outcome string, took time.Duration) {
 	service := attribute.String("service", req.Service)
 	m.calls.Add(context.Background(), 1, metric.WithAttributes(service, attribute.String("outcome", outcome)))
 	m.time.Record(context.Background(), took.Seconds(),
 		metric.WithAttributes(service, attribute.Bool("idempotent", req.Route.Idempotent)))
 }
 
-func (m *metrics) countAttempt(req Request, resp Response, err error, superseded bool) {
+func (m *metrics) countAttempt(req Request, result string) {
 	m.attempts.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("service", req.Service),
-		attribute.String("result", resultOf(resp, err, superseded)),
+		attribute.String("result", result),
 	))
 }
 
--- a/internal/coordination/call/once.go
+++ b/internal/coordination/call/once.go
@@ -171,11 +171,12 @@
 	}
 	c.expiry.Stop()
 	started := time.Now()
+	c.m.begin(c.req, upstream, started)
 	attempt := func(ctx context.Context) (Response, error) {
 		return c.m.Sender.Send(ctx, upstream, c.req)
 	}
 	worker.Call(c.m.Pool, worker.Key(c.req.ID), time.Until(c.req.Deadline), attempt, func(resp Response, err error) {
-		c.m.metrics.countAttempt(c.req, resp, err, false)
+		c.m.end(c.req, upstream, resp, err, false)
 		c.m.observe(upstream, c.req, resp, err, time.Since(started))
 		c.sent(resp, err)
 	})
--- a/internal/coordination/frontend/frontend.go
+++ b/internal/coordination/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/replication"
+	callstate "github.com/sequoiavalve/sequoiavalve/internal/state/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -209,7 +210,12 @@
 	}
 }
 
-// Explain returns what is remembered of a request.
+// ExplainCall returns what is remembered of a call to a plain service.
+func (f *Frontend) ExplainCall(id model.RequestID) (callstate.Past, bool) {
+	return f.opts.Calls.Explain(id)
+}
+
+// Explain returns what is remembered of a generation.
 func (f *Frontend) Explain(id model.RequestID) (generation.Record, bool) {
 	return f.opts.Generations.Get(id)
 }
--- a/internal/protocol/debugapi/debugapi.go
+++ b/internal/protocol/debugapi/debugapi.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/state/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -25,7 +26,9 @@
 // Request is the body of GET RequestPath. It holds no prompt and no tokens.
 type Request struct {
 	Request  model.RequestID `json:"request"`
-	Model    string          `json:"model"`
+	Model    string          `json:"model,omitempty"`
+	Service  string          `json:"service,omitempty"` // of a call to a plain service
+	Route    string          `json:"route,omitempty"`   // of the service
 	Version  string          `json:"version"`
 	Line     model.LineID    `json:"line"`
 	Tokens   int             `json:"tokens"` // accepted
@@ -45,6 +48,9 @@
 	Attached bool             `json:"attached"` // joined the stream of the attempt before
 	Why      Why              `json:"why"`
 	Loss     string           `json:"loss"` // reason; empty while it runs and after its end
+	// Result is how an attempt of a call ended: the class of the status, or
+	// not_sent, lost or superseded by a faster one; empty while it runs.
+	Result string `json:"result,omitempty"`
 }
 
 // Why says why an attempt ran where it did.
@@ -56,6 +62,20 @@
 	Expected float64 `json:"expected_seconds"`
 }
 
+// FromCall describes a call to a plain service. Its attempts have no tokens.
+func FromCall(p call.Past) Request {
+	reply := Request{Request: p.Request, Service: p.Service, Route: p.Route, State: p.Outcome}
+	if p.Outcome == "" {
+		reply.State = "running"
+	}
+	for i, a := range p.Attempts {
+		reply.Attempts = append(reply.Attempts, Attempt{
+			Number: i + 1, Upstream: a.Upstream, Version: a.Version, Started: a.Started, Result: a.Result,
+		})
+	}
+	return reply
+}
+
 // FromRecord describes a generation.
 func FromRecord(r generation.Record) Request {
 	reply := Request{
--- a/internal/transport/debugserver/handler.go
+++ b/internal/transport/debugserver/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
@@ -34,9 +35,10 @@
 	Upstreams   *upstream.Table
 	// Admit returns a refusal unless the bearer credential is an operator's.
 	Admit func(credential string) *model.Refusal
-	// Explain returns what is remembered of a request. Nil in a process that
-	// serves no requests.
-	Explain func(model.RequestID) (generation.Record, bool)
+	// Explain and ExplainCall return what is remembered of a generation and of a
+	// call to a plain service. Nil in a process that serves no requests.
+	Explain     func(model.RequestID) (generation.Record, bool)
+	ExplainCall func(model.RequestID) (call.Past, bool)
 	// Ages returns the time since each instance was last heard of. Nil in an
 	// entry process, which has its knowledge from the control process.
 	Ages func(ctx context.Context, now time.Time) (map[model.InstanceID]time.Duration, error)
@@ -100,16 +102,20 @@
 		h.absent(w, r)
 		return
 	}
-	record, ok := h.opts.Explain(model.RequestID(strings.TrimPrefix(r.URL.Path, debugapi.RequestPath)))
-	if !ok {
-		h.refuse(w, &model.Refusal{
-			Code:    problem.CodeUnknownRequest,
-			Message: "This instance does not remember the request.",
-			Outcome: model.OutcomeNotRun,
-		})
+	id := model.RequestID(strings.TrimPrefix(r.URL.Path, debugapi.RequestPath))
+	if record, ok := h.opts.Explain(id); ok {
+		h.writeJSON(w, debugapi.FromRecord(record))
+		return
+	}
+	if past, ok := h.opts.ExplainCall(id); ok {
+		h.writeJSON(w, debugapi.FromCall(past))
 		return
 	}
-	h.writeJSON(w, debugapi.FromRecord(record))
+	h.refuse(w, &model.Refusal{
+		Code:    problem.CodeUnknownRequest,
+		Message: "This instance does not remember the request.",
+		Outcome: model.OutcomeNotRun,
+	})
 }
 
 func (h *handler) instances(w http.ResponseWriter, r *http.Request) {
--- a/internal/transport/debugserver/handler_test.go
+++ b/internal/transport/debugserver/handler_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/document"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
@@ -125,9 +126,16 @@
 	o.Explain = func(id model.RequestID) (generation.Record, bool) {
 		return generation.Record{Spec: model.GenerationSpec{Request: id}}, id == "a-x"
 	}
+	o.ExplainCall = func(id model.RequestID) (call.Past, bool) {
+		return call.Past{Request: id, Service: "desk", Attempts: []call.PastAttempt{{Upstream: "u", Result: "2xx"}}}, id == "a-z"
+	}
 	assert.Equal(t, code(debugapi.RequestPath+"a-y"), problem.CodeUnknownRequest)
 	assert.Equal(t, code(debugapi.Prefix+"absent"), problem.CodeUnknownRoute)
 	var reply debugapi.Request
 	get(t, o, debugapi.RequestPath+"a-x", http.StatusOK, &reply)
 	assert.Equal(t, reply.Request, model.RequestID("a-x"))
+	get(t, o, debugapi.RequestPath+"a-z", http.StatusOK, &reply)
+	assert.Equal(t, reply.Service, "desk")
+	assert.Equal(t, reply.State, "running")
+	assert.Equal(t, reply.Attempts[0].Result, "2xx")
 }
--- a/internal/transport/operator/explain.go
+++ b/internal/transport/operator/explain.go
@@ -15,7 +15,8 @@
 
 // Help implements kong's detailed help.
 func (explainCommand) Help() string {
-	return `Shows each attempt with the rules that chose its version and its upstream, and the reason of its loss.
+	return `Shows each attempt with the rules that chose its version and its upstream, and the reason of its loss; of a call
+to a plain service, its attempts and their results.
 
 Example: svctl explain north-a-1-abcdefghijklmnopqrstuvwx23 --entry http://10.1.0.1:8080`
 }
@@ -34,9 +35,23 @@
 	if err := r.ask(daemon{"--entry", c.Entry}, debugapi.RequestPath+c.RequestID, &found); err != nil {
 		return err
 	}
+	if found.Service != "" {
+		return r.out.print(found, callAttempts(found))
+	}
 	return r.out.print(found, attempts(found))
 }
 
+func callAttempts(found debugapi.Request) table {
+	t := table{
+		header: []any{"ATTEMPT", "VERSION", "UPSTREAM", "STARTED", "RESULT"},
+		note:   fmt.Sprintf("request %s, %s of service %s: %s", found.Request, found.Route, found.Service, found.State),
+	}
+	for _, a := range found.Attempts {
+		t.rows = append(t.rows, []any{a.Number, dash(a.Version), a.Upstream, timeText(a.Started), dash(a.Result)})
+	}
+	return t
+}
+
 func attempts(found debugapi.Request) table {
 	t := table{
 		header: []any{"ATTEMPT", "VERSION", "VERSION CHOSEN BY", "UPSTREAM", "UPSTREAM CHOSEN BY", "STARTED", "TOKENS", "LOSS"},
--- a/internal/transport/operator/operator_test.go
+++ b/internal/transport/operator/operator_test.go
@@ -195,7 +195,16 @@
 // Guards against an explanation that hides why a request is not found.
 func TestExplain(t *testing.T) {
 	b := newBench(t)
+	called := strings.Replace(request, "23", "25", 1)
 	entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == debugapi.RequestPath+called {
+			_ = json.NewEncoder(w).Encode(debugapi.Request{
+				Request: model.RequestID(called), Service: "workshop", Route: "POST /bookings", State: "outcome_unknown", Attempts: []debugapi.Attempt{
+					{Number: 1, Upstream: "desk-a", Version: "7", Started: time.Date(2026, 10, 1, 12, 0, 0, 0, time.UTC), Result: "lost"},
+				},
+			})
+			return
+		}
 		if r.URL.Path != debugapi.RequestPath+request {
 			_ = problem.Write(w, "", &model.Refusal{Code: problem.CodeUnknownRequest, Message: "no record", Outcome: model.OutcomeUnknown})
 			return
@@ -216,6 +225,7 @@
 	}))
 	defer entry.Close()
 	golden.Assert(t, b.run(ExitOK, "explain "+request+" --entry "+entry.URL), "explain.golden")
+	golden.Assert(t, b.run(ExitOK, "explain "+called+" --entry "+entry.URL), "explain-call.golden")
 	other := strings.Replace(request, "23", "24", 1)
 	assert.Assert(t, strings.Contains(b.run(ExitFailed, "explain "+other+" --entry "+entry.URL), "unknown_request: no record"))
 	entry.Close()
