--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 RAPID_PACKAGES = $(shell grep -rl --include='*_test.go' pgregory.net/rapid internal | xargs -n1 dirname | sort -u | sed 's|^|./|')
 SIZE ?= 0.3
 
-.PHONY: build test check fmt demo demo-move soak measure
+.PHONY: build test check fmt demo up demo-move soak measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,6 +32,10 @@
 demo: build
 	scripts/demo.sh
 
+# Starts a local deployment and keeps it until it is interrupted.
+up: build
+	scripts/up.sh
+
 # Moves a model to a good and to a bad version under load.
 demo-move: build
 	scripts/move.sh
