Share the setup of the watch tests

Cause: two tests of one instance and one upstream built the same tables and manager, nine lines each.

Change: fakes.watch builds them.

--- a/internal/coordination/watch/watch_test.go
+++ b/internal/coordination/watch/watch_test.go
@@ -79,21 +79,32 @@
 
 func (f *fakes) WithdrawReport(model.UpstreamID) {}
 
+// watch starts the only instance of a region, which watches the only upstream.
+// known returns the last report on it.
+func (f *fakes) watch() (known func() upstream.Report, stop func()) {
+	documents, instances, upstreams := document.NewTable(), instance.NewTable(), upstream.NewTable()
+	u := model.Upstream{ID: "u", Region: "r"}
+	documents.Apply(&model.Document{Generation: 1, Upstreams: []model.Upstream{u}})
+	upstreams.Configure([]model.Upstream{u})
+	instances.Merge(model.Instance{ID: "i", Region: "r", State: model.InstanceLive})
+	pool := worker.NewPool(worker.Options{Workers: 2})
+	NewManager(Options{Self: "i", Pool: pool, Documents: documents, Instances: instances, Upstreams: upstreams, Prober: f, Publisher: f}).Start()
+	known = func() upstream.Report {
+		row, _ := upstreams.Get("u")
+		return row.Report
+	}
+	return known, pool.Close
+}
+
 // Guards against a late or false mark of a failed upstream, and a leaving one
 // that is not published at once or returns.
 func TestHealthChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &fakes{}
 		f.health.Store(upstream.HealthUp)
-		documents, instances, upstreams := document.NewTable(), instance.NewTable(), upstream.NewTable()
-		u := model.Upstream{ID: "u", Region: "r"}
-		documents.Apply(&model.Document{Generation: 1, Upstreams: []model.Upstream{u}})
-		upstreams.Configure([]model.Upstream{u})
-		instances.Merge(model.Instance{ID: "i", Region: "r", State: model.InstanceLive})
-		pool := worker.NewPool(worker.Options{Workers: 2})
-		defer pool.Close()
-		NewManager(Options{Self: "i", Pool: pool, Documents: documents, Instances: instances, Upstreams: upstreams, Prober: f, Publisher: f}).Start()
-		health := func() upstream.Health { row, _ := upstreams.Get("u"); return row.Report.Health }
+		known, stop := f.watch()
+		defer stop()
+		health := func() upstream.Health { return known().Health }
 		wait := func(d time.Duration) { time.Sleep(d); synctest.Wait() }
 
 		wait(settleTime + 3*time.Second)
@@ -135,15 +146,8 @@
 		synctest.Test(t, func(t *testing.T) {
 			f := &fakes{ahead: ahead}
 			f.health.Store(upstream.HealthUp)
-			documents, instances, upstreams := document.NewTable(), instance.NewTable(), upstream.NewTable()
-			u := model.Upstream{ID: "u", Region: "r"}
-			documents.Apply(&model.Document{Generation: 1, Upstreams: []model.Upstream{u}})
-			upstreams.Configure([]model.Upstream{u})
-			instances.Merge(model.Instance{ID: "i", Region: "r", State: model.InstanceLive})
-			pool := worker.NewPool(worker.Options{Workers: 2})
-			defer pool.Close()
-			NewManager(Options{Self: "i", Pool: pool, Documents: documents, Instances: instances, Upstreams: upstreams, Prober: f, Publisher: f}).Start()
-			known := func() upstream.Report { row, _ := upstreams.Get("u"); return row.Report }
+			known, stop := f.watch()
+			defer stop()
 
 			time.Sleep(settleTime + 5*time.Second)
 			synctest.Wait()
