Move the decisions after a loss into package continuation

A second copy of them would drift. Ruled out: a second relay with rules of its own; importing relay, which brings the generation table along. Change: package continuation holds Accept, Next, the kinds of loss and Limits; the relay uses it. The limits of token streams stay in the relay, with the same figures. No behaviour changes.

--- a/internal/coordination/relay/accept.go
+++ b/internal/coordination/continuation/accept.go
@@ -1,6 +1,4 @@
-package relay
-
-import "github.com/sequoiavalve/sequoiavalve/internal/state/generation"
+package continuation
 
 // Verdict says what to do with tokens that arrived.
 type Verdict int
@@ -14,19 +12,25 @@
 	Gap                      // tokens are missing: fail the attempt
 )
 
-// connection identifies where tokens came from.
-type connection struct {
-	number int    // attempt number of the connection
-	stream string // stream ID that the engine wrote on the tokens
+// Connection identifies where output came from.
+type Connection struct {
+	Number int    // attempt number of the connection
+	Stream string // stream ID that the engine wrote on the output
+}
+
+// Current is the attempt whose output counts.
+type Current struct {
+	Connection
+	Open bool // the engine still works on it
 }
 
-// accept judges tokens against the record. have is the number of tokens
+// Accept judges tokens against the record. have is the number of tokens
 // accepted so far; skip is how many of the arrived tokens are already known.
-func accept(a generation.Attempt, have int, from connection, position, count int) (verdict Verdict, skip int) {
+func Accept(c Current, have int, from Connection, position, count int) (verdict Verdict, skip int) {
 	switch {
-	case !a.Open || from.number != a.Number:
+	case !c.Open || from.Number != c.Number:
 		return Stale, 0
-	case from.stream != string(a.Stream):
+	case from.Stream != c.Stream:
 		return Crossed, 0
 	case position > have:
 		return Gap, 0
@@ -37,10 +41,10 @@
 	}
 }
 
-// acceptEnd reports whether the end of a stream is the end of the answer: it
+// AcceptEnd reports whether the end of a stream is the end of the answer: it
 // comes from the current attempt and counts exactly the accepted tokens.
-func acceptEnd(a generation.Attempt, have int, from connection, total int) Verdict {
-	verdict, _ := accept(a, have, from, total, 0)
+func AcceptEnd(c Current, have int, from Connection, total int) Verdict {
+	verdict, _ := Accept(c, have, from, total, 0)
 	if verdict == Duplicate && total < have {
 		return Gap
 	}
--- a/internal/coordination/relay/resume.go
+++ b/internal/coordination/continuation/decide.go
@@ -1,4 +1,10 @@
-package relay
+// Package continuation decides what follows when the engine of an answer is
+// lost: which arrived output counts, how long an engine may be silent, and
+// whether the answer goes on, restarts or ends.
+//
+// All functions are pure. Positions count tokens in the relay and events in
+// package forward; the rules are the same for both.
+package continuation
 
 import "time"
 
@@ -21,14 +27,22 @@
 	LossRejected  Loss = "engine rejected the request"
 )
 
+// Detail says more about a loss.
+type Detail struct {
+	Cause string // in this system's words; logged
+	// Said is what the engine answered. It may quote the prompt, so it goes to
+	// the request's own caller only and is never logged.
+	Said string
+}
+
 const (
-	// maxFailures bounds the attempts in a row that bring no token.
-	maxFailures = 8
-	// maxUnplacedWait bounds the wait for an engine while nothing is shown.
-	maxUnplacedWait = 10 * time.Second
-	// maxContinuationWait bounds the wait for an engine of the version of a
+	// MaxFailures bounds the attempts in a row that bring no token.
+	MaxFailures = 8
+	// MaxUnplacedWait bounds the wait for an engine while nothing is shown.
+	MaxUnplacedWait = 10 * time.Second
+	// MaxContinuationWait bounds the wait for an engine of the version of a
 	// generation that the caller has seen a part of.
-	maxContinuationWait = 30 * time.Second
+	MaxContinuationWait = 30 * time.Second
 )
 
 // Action is what follows a loss.
@@ -56,11 +70,11 @@
 	Waited     time.Duration
 }
 
-// next decides what follows a loss. Its main rule: once a token is shown, only
+// Next decides what follows a loss. Its main rule: once a token is shown, only
 // the same version may go on, from exactly the accepted tokens.
-func next(s Situation) Action {
+func Next(s Situation) Action {
 	switch {
-	case s.Loss == LossRejected, s.Failures >= maxFailures:
+	case s.Loss == LossRejected, s.Failures >= MaxFailures:
 		return GiveUp
 	case s.Loss == LossLeaving && !s.OtherReady:
 		return Stay
@@ -70,30 +84,30 @@
 		return GiveUp
 	case s.OtherReady && s.Tokens > 0:
 		return Continue
-	case s.Shown == 0 && s.Waited < maxUnplacedWait:
+	case s.Shown == 0 && s.Waited < MaxUnplacedWait:
 		return Restart
-	case s.Shown > 0 && s.Waited < maxContinuationWait:
+	case s.Shown > 0 && s.Waited < MaxContinuationWait:
 		return Wait
 	default:
 		return GiveUp
 	}
 }
 
-// diedUnder reports whether the loss shows that the engine process died: its
+// DiedUnder reports whether the loss shows that the engine process died: its
 // connection broke and a reattachment was refused.
-func diedUnder(l Loss, attached bool) bool {
+func DiedUnder(l Loss, attached bool) bool {
 	return attached && (l == LossDial || l == LossNoStream || l == LossReset)
 }
 
-// concernsEngine reports whether the loss is one of the whole engine, so that
+// ConcernsEngine reports whether the loss is one of the whole engine, so that
 // all its streams are lost at once.
-func concernsEngine(l Loss) bool {
+func ConcernsEngine(l Loss) bool {
 	return l == LossDial || l == LossReset || l == LossSilence
 }
 
-// countsAgainstVersion reports whether the loss is evidence against the
+// CountsAgainstVersion reports whether the loss is evidence against the
 // version. Load, leaving and requests that no engine accepts are not.
-func countsAgainstVersion(l Loss) bool {
+func CountsAgainstVersion(l Loss) bool {
 	switch l {
 	case LossBusy, LossLeaving, LossRejected, LossVersion, LossNoStream:
 		return false
--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/evidence"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
@@ -24,23 +26,23 @@
 
 // Tokens implements Events.
 func (e *connEvents) Tokens(stream string, position int, tokens []string) {
-	e.m.opts.Pool.Post(key(e.id), tokensArrived{e, connection{e.number, stream}, position, tokens, time.Now()})
+	e.m.opts.Pool.Post(key(e.id), tokensArrived{e, continuation.Connection{Number: e.number, Stream: stream}, position, tokens, time.Now()})
 }
 
 // Ended implements Events.
 func (e *connEvents) Ended(stream string, total int, reason string) {
-	e.m.opts.Pool.Post(key(e.id), streamEnded{e, connection{e.number, stream}, total, reason})
+	e.m.opts.Pool.Post(key(e.id), streamEnded{e, continuation.Connection{Number: e.number, Stream: stream}, total, reason})
 }
 
 // Lost implements Events.
-func (e *connEvents) Lost(kind Loss, detail Detail) {
+func (e *connEvents) Lost(kind continuation.Loss, detail continuation.Detail) {
 	e.m.opts.Pool.Post(key(e.id), connectionLost{e, kind, detail})
 }
 
 // tokensArrived brings tokens of one connection.
 type tokensArrived struct {
 	*connEvents
-	from     connection
+	from     continuation.Connection
 	position int
 	tokens   []string
 	at       time.Time
@@ -50,29 +52,29 @@
 func (i tokensArrived) Run() {
 	verdict, first, r := i.apply()
 	switch verdict {
-	case Accepted:
+	case continuation.Accepted:
 		if first {
 			i.m.armSilence(r)
 		}
 		i.m.opts.Guard.Progressed(r.Print, len(r.Tokens))
 		i.m.opts.Copier.Accepted(i.id)
-	case Stale:
+	case continuation.Stale:
 		i.cancelStale(r)
-	case Gap:
-		i.m.lose(i.id, i.number, LossGap, Detail{})
-	case Crossed:
-		i.m.lose(i.id, i.number, LossCrossed, Detail{})
+	case continuation.Gap:
+		i.m.lose(i.id, i.number, continuation.LossGap, continuation.Detail{})
+	case continuation.Crossed:
+		i.m.lose(i.id, i.number, continuation.LossCrossed, continuation.Detail{})
 	}
 }
 
 // apply appends the tokens that are new and returns the record as it is after.
 // first reports whether they are the first ones of the attempt.
-func (i tokensArrived) apply() (verdict Verdict, first bool, after generation.Record) {
-	verdict = Stale
+func (i tokensArrived) apply() (verdict continuation.Verdict, first bool, after generation.Record) {
+	verdict = continuation.Stale
 	i.m.opts.Generations.Update(i.id, func(r *generation.Record) {
 		var skip int
-		verdict, skip = accept(r.Attempt, len(r.Tokens), i.from, i.position, len(i.tokens))
-		if verdict == Accepted {
+		verdict, skip = continuation.Accept(currentOf(r.Attempt), len(r.Tokens), i.from, i.position, len(i.tokens))
+		if verdict == continuation.Accepted {
 			first = len(r.Tokens) == r.Attempt.First
 			appendTokens(r, i.tokens[skip:], i.at)
 		}
@@ -84,7 +86,7 @@
 func appendTokens(r *generation.Record, tokens []string, at time.Time) {
 	if len(r.Tokens) > r.Attempt.First {
 		interval := at.Sub(r.Attempt.LastSeen) / time.Duration(len(tokens))
-		r.Attempt.Interval = smooth(r.Attempt.Interval, interval)
+		r.Attempt.Interval = continuation.Smooth(r.Attempt.Interval, interval)
 	}
 	if r.FirstAt.IsZero() {
 		r.FirstAt = at
@@ -114,7 +116,7 @@
 // streamEnded brings the end of one connection's stream.
 type streamEnded struct {
 	*connEvents
-	from   connection
+	from   continuation.Connection
 	total  int
 	reason string
 }
@@ -125,13 +127,13 @@
 	if !ok || r.End != nil {
 		return
 	}
-	switch acceptEnd(r.Attempt, len(r.Tokens), i.from, i.total) {
-	case Duplicate:
+	switch continuation.AcceptEnd(currentOf(r.Attempt), len(r.Tokens), i.from, i.total) {
+	case continuation.Duplicate:
 		i.m.complete(r, i.reason)
-	case Gap:
-		i.m.lose(i.id, i.number, LossGap, Detail{Cause: "wrong token count at the end"})
-	case Crossed:
-		i.m.lose(i.id, i.number, LossCrossed, Detail{})
+	case continuation.Gap:
+		i.m.lose(i.id, i.number, continuation.LossGap, continuation.Detail{Cause: "wrong token count at the end"})
+	case continuation.Crossed:
+		i.m.lose(i.id, i.number, continuation.LossCrossed, continuation.Detail{})
 	}
 }
 
@@ -174,8 +176,8 @@
 // connectionLost brings the failure of one connection.
 type connectionLost struct {
 	*connEvents
-	kind   Loss
-	detail Detail
+	kind   continuation.Loss
+	detail continuation.Detail
 }
 
 // Run implements worker.Item.
@@ -203,7 +205,7 @@
 		i.m.opts.Pool.After(left, key(i.id), i)
 		return
 	}
-	i.m.lose(i.id, i.number, LossSilence, Detail{})
+	i.m.lose(i.id, i.number, continuation.LossSilence, continuation.Detail{})
 }
 
 func (m *Manager) armSilence(r generation.Record) {
@@ -214,7 +216,7 @@
 // silentUntil is the time until which the attempt may stay silent.
 func silentUntil(r generation.Record) time.Time {
 	resumed := r.Attempt.Number > 1 && r.Shown > 0
-	return r.Attempt.LastSeen.Add(silenceLimit(r.Attempt, gotToken(r), resumed))
+	return r.Attempt.LastSeen.Add(tokenSilence.Silence(paceOf(r.Attempt), gotToken(r), resumed))
 }
 
 // gotToken reports whether the attempt has brought a token.
--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
@@ -72,11 +74,11 @@
 	defer f.mu.Unlock()
 	e := f.engine(up.ID)
 	if e.dead {
-		f.later(func() { events.Lost(LossDial, Detail{}) })
+		f.later(func() { events.Lost(continuation.LossDial, continuation.Detail{}) })
 		return
 	}
 	if e.failStatus {
-		f.later(func() { events.Lost(LossStatus, Detail{Cause: "500"}) })
+		f.later(func() { events.Lost(continuation.LossStatus, continuation.Detail{Cause: "500"}) })
 		return
 	}
 	n := len(req.Continue)
@@ -138,7 +140,7 @@
 	case "short":
 		s.events.Ended(sent, position-1, "stop")
 	case "truncate":
-		s.events.Lost(LossTruncated, Detail{})
+		s.events.Lost(continuation.LossTruncated, continuation.Detail{})
 		s.events = nil
 	}
 	s.misbehave = ""
@@ -160,9 +162,9 @@
 	s, ok := e.streams[req.Stream]
 	switch {
 	case e.dead:
-		f.later(func() { events.Lost(LossDial, Detail{}) })
+		f.later(func() { events.Lost(continuation.LossDial, continuation.Detail{}) })
 	case !ok || s.cancelled:
-		f.later(func() { events.Lost(LossNoStream, Detail{}) })
+		f.later(func() { events.Lost(continuation.LossNoStream, continuation.Detail{}) })
 	default:
 		s.events = events
 		s.replay(up, req.Stream, max(after-1, s.first))
@@ -212,16 +214,16 @@
 	switch kind {
 	case "kill":
 		e.dead = true
-		f.cut(e, LossReset)
+		f.cut(e, continuation.LossReset)
 		e.streams = map[model.StreamID]*fakeStream{}
 	case "revive":
 		e.dead, e.frozen, e.failStatus = false, false, false
 	case "freeze":
 		e.frozen = true
 	case "cut":
-		f.cut(e, LossReset)
+		f.cut(e, continuation.LossReset)
 	case "leave":
-		f.notify(e, LossLeaving)
+		f.notify(e, continuation.LossLeaving)
 	case "fail":
 		e.failStatus = true
 	default:
@@ -231,17 +233,17 @@
 	}
 }
 
-func (f *fakeEngines) cut(e *fakeEngine, kind Loss) {
+func (f *fakeEngines) cut(e *fakeEngine, kind continuation.Loss) {
 	f.notify(e, kind)
 	for _, s := range e.streams {
 		s.events = nil
 	}
 }
 
-func (f *fakeEngines) notify(e *fakeEngine, kind Loss) {
+func (f *fakeEngines) notify(e *fakeEngine, kind continuation.Loss) {
 	for _, s := range e.streams {
 		if s.events != nil {
-			s.events.Lost(kind, Detail{})
+			s.events.Lost(kind, continuation.Detail{})
 		}
 	}
 }
--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -16,29 +18,29 @@
 
 // lose ends the attempt of the given number, if it is still the current one,
 // and does what next decides.
-func (m *Manager) lose(id model.RequestID, number int, kind Loss, detail Detail) {
+func (m *Manager) lose(id model.RequestID, number int, kind continuation.Loss, detail continuation.Detail) {
 	r, ok := m.opts.Generations.Get(id)
 	if !ok || r.End != nil || !r.Attempt.Open || r.Attempt.Number != number {
 		return
 	}
-	if kind == LossLeaving {
+	if kind == continuation.LossLeaving {
 		m.opts.Upstreams.Leave(r.Attempt.Upstream)
 	}
 	action := m.opts.Decide(m.situation(r, kind))
-	if action == Stay {
+	if action == continuation.Stay {
 		return
 	}
 	m.logLoss(r, kind, detail, action)
 	m.metrics.countLoss(kind, action)
 	r = m.closeAttempt(r, string(kind), failureOf(r))
-	if action != Reattach {
+	if action != continuation.Reattach {
 		m.learnFrom(r, kind)
 	}
 	m.follow(r, kind, detail, action)
 }
 
-func (m *Manager) situation(r generation.Record, kind Loss) Situation {
-	return Situation{
+func (m *Manager) situation(r generation.Record, kind continuation.Loss) continuation.Situation {
+	return continuation.Situation{
 		Loss:       kind,
 		Attached:   reattachFailed(r),
 		Tokens:     len(r.Tokens),
@@ -63,7 +65,7 @@
 	return r.Attempt.Attached && len(r.Tokens) == r.Attempt.First
 }
 
-func (m *Manager) logLoss(r generation.Record, kind Loss, detail Detail, action Action) {
+func (m *Manager) logLoss(r generation.Record, kind continuation.Loss, detail continuation.Detail, action continuation.Action) {
 	m.opts.Log.WithField("request_id", string(r.Spec.Request)).
 		WithField("upstream", string(r.Attempt.Upstream)).
 		WithField("attempt", r.Attempt.Number).
@@ -97,18 +99,18 @@
 // learnFrom marks the engine and counts evidence on its version and on the
 // request. A loss that concerns the whole engine counts once for all its
 // streams, and a loss that a known suspect explains does not count.
-func (m *Manager) learnFrom(r generation.Record, kind Loss) {
+func (m *Manager) learnFrom(r generation.Record, kind continuation.Loss) {
 	now := time.Now()
 	row, ok := m.opts.Upstreams.Get(r.Attempt.Upstream)
 	if !ok {
 		return
 	}
-	counts := countsAgainstVersion(kind) && m.opts.Guard.Check(r.Print) == suspicion.Free
-	if concernsEngine(kind) {
+	counts := continuation.CountsAgainstVersion(kind) && m.opts.Guard.Check(r.Print) == suspicion.Free
+	if continuation.ConcernsEngine(kind) {
 		counts = counts && row.Usable(now)
 		m.opts.Upstreams.Failed(r.Attempt.Upstream, now.Add(downTime))
 	}
-	if diedUnder(kind, reattachFailed(r)) {
+	if continuation.DiedUnder(kind, reattachFailed(r)) {
 		running := []suspicion.Running{{Fingerprint: r.Print, Position: len(r.Tokens)}}
 		m.opts.Guard.EngineDied(r.Attempt.Upstream, r.Attempt.Incarnation, running)
 	}
@@ -118,10 +120,10 @@
 }
 
 // follow carries out the action after a loss.
-func (m *Manager) follow(r generation.Record, kind Loss, detail Detail, action Action) {
+func (m *Manager) follow(r generation.Record, kind continuation.Loss, detail continuation.Detail, action continuation.Action) {
 	id := r.Spec.Request
 	row, known := m.opts.Upstreams.Get(r.Attempt.Upstream)
-	if action == Reattach && known {
+	if action == continuation.Reattach && known {
 		m.opts.Upstreams.Acquire(r.Attempt.Upstream, time.Now())
 		m.attach(r, row.Upstream)
 		return
@@ -130,20 +132,20 @@
 		m.opts.Engines.Cancel(row.Upstream, r.Attempt.Stream)
 	}
 	switch action {
-	case GiveUp:
+	case continuation.GiveUp:
 		m.refuse(r, gaveUp(r, kind, detail))
-	case Restart:
+	case continuation.Restart:
 		m.restartLine(id)
 		m.place(id)
-	case Wait:
+	case continuation.Wait:
 		m.waitForEngine(r)
 	default:
 		m.place(id)
 	}
 }
 
-func gaveUp(r generation.Record, kind Loss, detail Detail) *model.Refusal {
-	if kind == LossRejected {
+func gaveUp(r generation.Record, kind continuation.Loss, detail continuation.Detail) *model.Refusal {
+	if kind == continuation.LossRejected {
 		return &model.Refusal{
 			Code:    "rejected_by_engine",
 			Message: fmt.Sprintf("The engine rejected the request: %s.", cmp.Or(detail.Said, detail.Cause)),
--- a/internal/coordination/relay/metrics.go
+++ b/internal/coordination/relay/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
@@ -50,7 +52,7 @@
 	}
 }
 
-func (m *metrics) countLoss(kind Loss, action Action) {
+func (m *metrics) countLoss(kind continuation.Loss, action continuation.Action) {
 	m.lost.Add(context.Background(), 1, metric.WithAttributes(
 		attribute.String("kind", string(kind)),
 		attribute.String("action", string(action)),
--- a/internal/coordination/relay/place.go
+++ b/internal/coordination/relay/place.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
@@ -249,8 +251,8 @@
 	}
 	waited := time.Since(waiting)
 	switch {
-	case r.Shown == 0 && waited < maxUnplacedWait && !pastDeadline(r):
-	case r.Shown > 0 && waited < maxContinuationWait:
+	case r.Shown == 0 && waited < continuation.MaxUnplacedWait && !pastDeadline(r):
+	case r.Shown > 0 && waited < continuation.MaxContinuationWait:
 	default:
 		m.refuse(r, noEngine(r))
 		return
--- a/internal/coordination/relay/relay.go
+++ b/internal/coordination/relay/relay.go
@@ -2,8 +2,8 @@
 // going when engines fail.
 //
 // Each generation has one attempt at a time. Tokens are accepted by position
-// and only from the current attempt; a lost attempt is replaced as next
-// decides. All items of one generation run under its request ID as the key, so
+// and only from the current attempt; a lost attempt is replaced as
+// continuation.Next decides. All items of one generation run under its request ID as the key, so
 // that the steps of one generation never overlap. The relay must not choose
 // upstreams (routing does) and must not encode anything.
 //
@@ -20,6 +20,8 @@
 import (
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/routing"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
@@ -59,15 +61,7 @@
 type Events interface {
 	Tokens(stream string, position int, tokens []string)
 	Ended(stream string, total int, reason string)
-	Lost(kind Loss, detail Detail)
-}
-
-// Detail says more about a loss.
-type Detail struct {
-	Cause string // in this system's words; logged
-	// Said is what the engine answered. It may quote the prompt, so it goes to
-	// the request's own caller only and is never logged.
-	Said string
+	Lost(kind continuation.Loss, detail continuation.Detail)
 }
 
 // Admission bounds the generations in flight.
@@ -118,7 +112,7 @@
 	NewLine func(model.RequestID) model.LineID
 	// Decide chooses what follows a loss. Nil means the package's own rules; a
 	// measurement sets its baseline here.
-	Decide    func(Situation) Action
+	Decide    func(continuation.Situation) continuation.Action
 	CopyAfter time.Duration // age from which tokens are copied
 	Retain    time.Duration // how long an ended generation is kept for reconnects
 	Log       log.Interface
@@ -134,7 +128,7 @@
 func New(opts Options) *Manager {
 	opts.Log = opts.Log.WithField("part", "relay")
 	if opts.Decide == nil {
-		opts.Decide = next
+		opts.Decide = continuation.Next
 	}
 	return &Manager{opts: opts, metrics: newMetrics()}
 }
--- a/internal/coordination/relay/silence.go
+++ b/internal/coordination/relay/silence.go
@@ -3,48 +3,37 @@
 import (
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/generation"
 )
 
-// Limits on the silence of a stream. Two losses in a row must fit in 5 s: the
-// silence of a stream and of its first replacement take at most 3 s together.
 const (
-	silenceFactor       = 8 // of the smoothed time between tokens
 	minSilence          = 400 * time.Millisecond
-	maxSilence          = 1500 * time.Millisecond
-	firstTokenFactor    = 3 // of the estimated queue and prefill time
-	minFirstTokenWait   = time.Second
-	maxFirstTokenWait   = 4 * time.Second // nothing is shown yet
-	maxResumeTokenWait  = 1500 * time.Millisecond
-	intervalSmoothing   = 0.2 // weight of the newest interval
 	reattachTimeout     = 250 * time.Millisecond
 	replacementInterval = 100 * time.Millisecond // between tries to find an engine
 )
 
-// silenceLimit returns how long the attempt may be silent. resumed says that
-// the caller has waited through a loss already.
-func silenceLimit(a generation.Attempt, gotToken, resumed bool) time.Duration {
-	if a.Attached && !gotToken {
-		return minSilence
-	}
-	if gotToken {
-		return clamp(silenceFactor*a.Interval, minSilence, maxSilence)
-	}
-	longest := maxFirstTokenWait
-	if resumed {
-		longest = maxResumeTokenWait
-	}
-	return clamp(firstTokenFactor*a.Expected, minFirstTokenWait, longest)
+// tokenSilence bounds the silence of a token stream. Two losses in a row must
+// fit in 5 s: the silence of a stream and of its first replacement take at
+// most 3 s together.
+var tokenSilence = continuation.Limits{
+	Factor:          8,
+	Min:             minSilence,
+	Max:             1500 * time.Millisecond,
+	FirstFactor:     3,
+	MinFirst:        time.Second,
+	MaxFirst:        4 * time.Second,
+	MaxFirstResumed: 1500 * time.Millisecond,
 }
 
-func clamp(d, low, high time.Duration) time.Duration {
-	return min(max(d, low), high)
+func paceOf(a generation.Attempt) continuation.Pace {
+	return continuation.Pace{Interval: a.Interval, Expected: a.Expected, Attached: a.Attached}
 }
 
-// smooth returns the new smoothed interval after one more token interval.
-func smooth(old, latest time.Duration) time.Duration {
-	if old == 0 {
-		return latest
+// currentOf is the attempt as the acceptance rules see it.
+func currentOf(a generation.Attempt) continuation.Current {
+	return continuation.Current{
+		Connection: continuation.Connection{Number: a.Number, Stream: string(a.Stream)},
+		Open:       a.Open,
 	}
-	return old + time.Duration(intervalSmoothing*float64(latest-old))
 }
--- /dev/null
+++ b/internal/coordination/relay/silence_test.go
@@ -0,0 +1,16 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against limits by which two losses in a row take more than 5 s.
+func TestSilenceOfTwoLossesFitsTheTarget(t *testing.T) {
+	slow := continuation.Pace{Interval: time.Second, Expected: time.Minute}
+	total := tokenSilence.Silence(slow, true, false) + tokenSilence.Silence(slow, false, true)
+	assert.Assert(t, total <= 3*time.Second, "%v", total)
+}
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -75,7 +77,7 @@
 func (c *Client) Start(up model.Upstream, req relay.StreamRequest, events relay.Events) string {
 	body, err := json.Marshal(completionRequest(req))
 	if err != nil {
-		events.Lost(relay.LossRejected, relay.Detail{Cause: err.Error()})
+		events.Lost(continuation.LossRejected, continuation.Detail{Cause: err.Error()})
 		return ""
 	}
 	target := "http://" + up.Address + engineapi.CompletionsPath
@@ -206,10 +208,10 @@
 // exchange sends the request and reads the stream. It returns the kind of loss
 // or "" after a whole stream.
 func (c *Client) exchange(ctx context.Context, cancel context.CancelCauseFunc,
-	build func(context.Context) (*http.Request, error), timeout time.Duration, events relay.Events) (relay.Loss, relay.Detail) {
+	build func(context.Context) (*http.Request, error), timeout time.Duration, events relay.Events) (continuation.Loss, continuation.Detail) {
 	req, err := build(ctx)
 	if err != nil {
-		return relay.LossRejected, relay.Detail{Cause: err.Error()}
+		return continuation.LossRejected, continuation.Detail{Cause: err.Error()}
 	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
@@ -218,14 +220,14 @@
 	resp, err := c.http.Do(req)
 	stop()
 	if err != nil {
-		return lossOf(err), relay.Detail{Cause: err.Error()}
+		return lossOf(err), continuation.Detail{Cause: err.Error()}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
 		return lossOfStatus(resp)
 	}
 	if resp.Header.Get(engineapi.HeaderLeaving) == "true" {
-		events.Lost(relay.LossLeaving, relay.Detail{Cause: "response header"})
+		events.Lost(continuation.LossLeaving, continuation.Detail{Cause: "response header"})
 	}
 	return readStream(resp.Body, events)
 }
@@ -241,65 +243,65 @@
 }
 
 // lossOf tells a refused connection from a broken one.
-func lossOf(err error) relay.Loss {
+func lossOf(err error) continuation.Loss {
 	var op *net.OpError
 	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial") {
-		return relay.LossDial
+		return continuation.LossDial
 	}
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
-		return relay.LossSilence
+		return continuation.LossSilence
 	}
-	return relay.LossReset
+	return continuation.LossReset
 }
 
-func lossOfStatus(resp *http.Response) (relay.Loss, relay.Detail) {
+func lossOfStatus(resp *http.Response) (continuation.Loss, continuation.Detail) {
 	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	detail := relay.Detail{Cause: fmt.Sprintf("status %d", resp.StatusCode)}
+	detail := continuation.Detail{Cause: fmt.Sprintf("status %d", resp.StatusCode)}
 	var reply engineapi.ErrorReply
 	if json.Unmarshal(body, &reply) == nil {
 		detail.Said = reply.Error.Message
 	}
 	switch resp.StatusCode {
 	case http.StatusNotFound, http.StatusGone:
-		return relay.LossNoStream, detail
+		return continuation.LossNoStream, detail
 	case http.StatusConflict:
-		return relay.LossVersion, detail
+		return continuation.LossVersion, detail
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return relay.LossBusy, detail
+		return continuation.LossBusy, detail
 	}
 	if resp.StatusCode < http.StatusInternalServerError {
-		return relay.LossRejected, detail
+		return continuation.LossRejected, detail
 	}
-	return relay.LossStatus, detail
+	return continuation.LossStatus, detail
 }
 
 // readStream hands the events of a stream over until its end.
-func readStream(body io.Reader, events relay.Events) (relay.Loss, relay.Detail) {
+func readStream(body io.Reader, events relay.Events) (continuation.Loss, continuation.Detail) {
 	ended := false
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
 			if ended {
-				return "", relay.Detail{}
+				return "", continuation.Detail{}
 			}
-			return relay.LossReset, relay.Detail{Cause: err.Error()}
+			return continuation.LossReset, continuation.Detail{Cause: err.Error()}
 		}
 		if event.Type == engineapi.EventLeaving {
-			events.Lost(relay.LossLeaving, relay.Detail{Cause: "notice in the stream"})
+			events.Lost(continuation.LossLeaving, continuation.Detail{Cause: "notice in the stream"})
 			continue
 		}
 		if strings.TrimSpace(event.Data) == engineapi.EndOfStream {
-			return "", relay.Detail{}
+			return "", continuation.Detail{}
 		}
 		done, err := handChunk(event.Data, events)
 		if err != nil {
-			return relay.LossCrossed, relay.Detail{Cause: err.Error()}
+			return continuation.LossCrossed, continuation.Detail{Cause: err.Error()}
 		}
 		ended = ended || done
 	}
 	if ended {
-		return "", relay.Detail{}
+		return "", continuation.Detail{}
 	}
-	return relay.LossTruncated, relay.Detail{Cause: "stream ended without a finish reason"}
+	return continuation.LossTruncated, continuation.Detail{Cause: "stream ended without a finish reason"}
 }
 
 // errChunkInvalid names no cause: the error of a decoder quotes what it read,
--- a/internal/transport/engine/fuzz_test.go
+++ b/internal/transport/engine/fuzz_test.go
@@ -5,9 +5,9 @@
 	"strings"
 	"testing"
 
-	"gotest.tools/v3/assert"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"gotest.tools/v3/assert"
 )
 
 // recorder counts what a stream hands over.
@@ -16,9 +16,9 @@
 	ended  int
 }
 
-func (r *recorder) Tokens(_ string, _ int, tokens []string) { r.tokens += len(tokens) }
-func (r *recorder) Ended(string, int, string)               { r.ended++ }
-func (r *recorder) Lost(relay.Loss, relay.Detail)           {}
+func (r *recorder) Tokens(_ string, _ int, tokens []string)     { r.tokens += len(tokens) }
+func (r *recorder) Ended(string, int, string)                   { r.ended++ }
+func (r *recorder) Lost(continuation.Loss, continuation.Detail) {}
 
 // Guards against an engine's stream that crashes its reader, or that counts as
 // whole without an end.
@@ -36,7 +36,7 @@
 	f.Fuzz(func(t *testing.T, body []byte) {
 		var got recorder
 		loss, detail := readStream(bytes.NewReader(body), &got)
-		assert.Assert(t, loss == "" || detail != (relay.Detail{}), loss)
+		assert.Assert(t, loss == "" || detail != (continuation.Detail{}), loss)
 		if loss == "" && !bytes.Contains(body, []byte("[DONE]")) {
 			assert.Assert(t, got.ended > 0)
 		}
--- a/internal/transport/measure/fleet.go
+++ b/internal/transport/measure/fleet.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
@@ -47,7 +49,7 @@
 
 // newFleet starts n engines and a relay with the given decision after a loss;
 // nil means the relay's own.
-func newFleet(n int, opts standin.Options, decide func(relay.Situation) relay.Action) *fleet {
+func newFleet(n int, opts standin.Options, decide func(continuation.Situation) continuation.Action) *fleet {
 	f := &fleet{pool: worker.NewPool(worker.Options{}), table: generation.NewTable(), ups: upstream.NewTable(), client: engine.New()}
 	doc := &model.Document{Generation: 1, Models: []model.Model{{Name: modelName}}}
 	opts.Model, opts.Version = modelName, version
--- a/internal/transport/measure/trial.go
+++ b/internal/transport/measure/trial.go
@@ -8,7 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	standin "github.com/sequoiavalve/sequoiavalve/internal/transport/standin/engine"
 )
@@ -74,9 +75,9 @@
 }
 
 func newTrial(loss Loss, policy Policy, seed uint64, number int) *trial {
-	var decide func(relay.Situation) relay.Action
+	var decide func(continuation.Situation) continuation.Action
 	if policy == PolicyRestart {
-		decide = func(relay.Situation) relay.Action { return relay.GiveUp }
+		decide = func(continuation.Situation) continuation.Action { return continuation.GiveUp }
 	}
 	opts := standin.Options{TokenTime: 5 * time.Millisecond, PrefillRate: 200_000, Slots: 8}
 	rng := rand.New(rand.NewPCG(seed, uint64(number)))
