Wait longer for the first event of a stream

Ruled out: dead engines, which show resets at the same moment. Change: the first event may take 0.6 of the objective (2.7 s), which leaves 1.8 s to read the prompt elsewhere.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -36,8 +36,10 @@
 	request model.RequestID
 }
 
-// silenceOf derives the limits on silence from the route: a loss must be
-// noticed early enough for a copy to go on within the longest pause.
+// silenceOf derives the limits on silence from the route. A loss must be noticed
+// early enough for a copy to go on within the longest pause. Before the first
+// event an engine may read other prompts first, of which this instance does not
+// know all; the limit leaves time to read a prompt once more elsewhere.
 func silenceOf(route model.HostRoute) continuation.Limits {
 	gap, objective := route.MaxGap, route.Objective
 	if gap == 0 {
@@ -51,7 +53,7 @@
 		Min:             gap * 4 / 10,
 		Max:             gap / 2,
 		FirstFactor:     1.5,
-		MinFirst:        objective / 3,
+		MinFirst:        objective * 6 / 10,
 		MaxFirst:        objective * 7 / 10,
 		MaxFirstResumed: gap * 4 / 10,
 	}
--- /dev/null
+++ b/internal/coordination/forward/stream_test.go
@@ -0,0 +1,76 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against an engine that reads several prompts in turn and is given up
+// as silent: each prompt then is read once more elsewhere.
+func TestSlowFirstEventIsAwaited(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		reply, _ := b.submit("/log/1")
+		b.pass(2500 * time.Millisecond)
+		assert.Equal(t, len(b.sends), 1)
+		b.last().Began(200, nil)
+		b.last().event(1)
+		assert.Assert(t, reply.begun)
+	})
+}
+
+// Guards against a stream whose engine is silent before the first event and
+// that has no time left for another engine.
+func TestSilenceBeforeTheFirstEventLeavesTimeForAnotherEngine(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		b.submit("/log/1")
+		b.pass(3200 * time.Millisecond)
+		assert.Equal(t, len(b.sends), 2)
+		assert.Assert(t, b.sends[0].cancelled)
+		assert.Assert(t, b.sends[1].Upstream.ID != b.sends[0].Upstream.ID)
+	})
+}
+
+// Guards against events that are missing, repeated or of two runs when a
+// stream goes on from a copy after its engine is lost.
+func TestStreamGoesOnFromItsCopy(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		reply, _ := b.submit("/log/1")
+		first := b.last()
+		assert.Assert(t, first.CopyTo != "")
+		first.Began(200, nil)
+		first.event(1)
+		first.event(2)
+		first.Lost(continuation.LossReset, "EOF", true)
+		b.pass(0)
+		second := b.last()
+		assert.Equal(t, second.Upstream.Address, first.CopyTo)
+		assert.Equal(t, second.From.Request, first.Request.ID)
+		assert.Equal(t, second.After, Position(2))
+		assert.Assert(t, second.Upstream.FailureDomain != first.Upstream.FailureDomain)
+		first.event(3) // late, from the lost engine
+		second.Began(200, nil)
+		second.event(3)
+		second.Ended()
+		b.pass(0)
+		assert.Equal(t, reply.events, "id: 1\n\nid: 2\n\nid: 3\n\n")
+		assert.Assert(t, reply.ended && !reply.broken)
+	})
+}
+
+// Guards against a stream whose silence is noticed too late for the longest
+// pause, 700 ms.
+func TestSilenceOfARunningStreamIsNoticedInTime(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		b.submit("/log/1")
+		b.last().Began(200, nil)
+		for p := range Position(10) {
+			b.pass(31 * time.Millisecond)
+			b.last().event(p + 1)
+		}
+		b.pass(400 * time.Millisecond)
+		assert.Equal(t, len(b.sends), 2)
+	})
+}
