Tell all instances the work in flight

Instances saw only their own work, so up to 20 of them sent their next stream to the engine that had just started. Ruled out: dead engines (no reset at that time); load reports of engines, which are old and priced. Certificates are pinned by fingerprints in the store.

--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -13,6 +13,7 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	kratos "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
@@ -24,7 +25,9 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/backend"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/edgelink"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/ingress"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
 	"github.com/sequoiavalve/sequoiavalve/platform"
 )
 
@@ -32,6 +35,8 @@
 	// commitmentLife is the time for which another instance's work counts after
 	// it was last heard of.
 	commitmentLife = 3 * time.Second
+	// peerIdleTime ends a connection over which no state came.
+	peerIdleTime = 4 * time.Second
 	// typicalInstances stands in for the number of instances until it is known.
 	typicalInstances = 12
 	// stopMargin is left of the platform's time for a stop to end connections.
@@ -54,12 +59,15 @@
 	store     *platform.Store
 	client    *backend.Client
 	registry  *registry.Manager
+	exchange  *exchange.Manager
+	peers     *peer.Client
+	peerLink  *peer.Server
 	forward   *forward.Manager
 	ingress   *ingress.Server
 	leaving   atomic.Bool
 }
 
-func newEdge(s platform.Settings, logger log.Interface) *edge {
+func newEdge(s platform.Settings, logger log.Interface) (*edge, error) {
 	e := &edge{
 		settings:  s,
 		log:       logger.WithField("part", "edged"),
@@ -70,25 +78,35 @@
 		client:    backend.New(platform.Names()),
 	}
 	e.directory = membership.NewDirectory(e.instances)
+	identity, err := peer.NewPinned(string(s.Instance), e.trusts)
+	if err != nil {
+		return nil, err
+	}
+	self := e.self(identity.Fingerprint())
 	upstreams := upstream.NewTable()
+	commitments := commitment.NewTable(commitmentLife)
 	e.registry = registry.New(registry.Options{
 		Pool:      e.pool,
 		Store:     e.store,
-		Self:      e.self(),
+		Self:      self,
 		Rules:     e.rules,
 		Upstreams: upstreams,
 		Instances: e.instances,
 		LeaveTime: s.LeaveTime,
 		Log:       logger,
 	})
+	if err := e.connect(identity, self, commitments, logger); err != nil {
+		return nil, err
+	}
 	e.forward = forward.New(forward.Options{
 		Pool:          e.pool,
 		Rules:         e.rules,
 		Upstreams:     upstreams,
-		Commitments:   commitment.NewTable(commitmentLife),
+		Commitments:   commitments,
 		Sender:        e.client,
 		Budget:        resend.New(resend.Limit{Ratio: s.Resends.Ratio, Burst: s.Resends.Burst, Window: s.Resends.Window}, typicalInstances),
 		FailureDomain: s.FailureDomain,
+		Changed:       e.exchange.Changed,
 		Log:           logger,
 	})
 	e.ingress = ingress.New(ingress.Options{
@@ -98,11 +116,46 @@
 		Rules:   e.rules,
 		Log:     logger,
 	})
-	return e
+	return e, nil
+}
+
+// connect listens for the other instances and prepares to talk to them.
+func (e *edge) connect(identity *peer.Pinned, self model.Instance, commitments *commitment.Table, logger log.Interface) error {
+	options := peer.Options{
+		Address:     self.ControlAddress,
+		Pinned:      identity,
+		KeepAlive:   -1, // states are sent more often
+		IdleTimeout: peerIdleTime,
+	}
+	var err error
+	if e.peers, err = peer.NewClient(options); err != nil {
+		return err
+	}
+	e.exchange = exchange.New(exchange.Options{
+		Pool:        e.pool,
+		Self:        self,
+		Instances:   e.instances,
+		Commitments: commitments,
+		Link:        edgelink.New(e.peers, logger),
+		Log:         logger,
+	})
+	options.Datagrams = edgelink.Receive(e.exchange.Receive, logger)
+	e.peerLink, err = peer.NewServer(options, peer.Mux{})
+	return err
+}
+
+// trusts reports whether an instance published the fingerprint.
+func (e *edge) trusts(name, fingerprint string) bool {
+	in, known := e.instances.Get(model.InstanceID(name))
+	if !known || in.Fingerprint != fingerprint {
+		e.registry.ReadInstancesSoon()
+		return false
+	}
+	return true
 }
 
 // self is this instance as others see it.
-func (e *edge) self() model.Instance {
+func (e *edge) self(fingerprint string) model.Instance {
 	return model.Instance{
 		ID:             e.settings.Instance,
 		Incarnation:    uint64(time.Now().UnixNano()),
@@ -111,10 +164,14 @@
 		CallerAddress:  e.settings.CallerAddress,
 		ControlAddress: e.settings.PeerAddress,
 		State:          model.InstanceLive,
+		Fingerprint:    fingerprint,
 	}
 }
 
-func (e *edge) start() { e.registry.Start() }
+func (e *edge) start() {
+	e.registry.Start()
+	e.exchange.Start()
+}
 
 // servers are the listeners of the process.
 func (e *edge) servers(metricsPort int, metrics http.Handler) []transport.Server {
@@ -161,6 +218,7 @@
 	end := began.Add(e.settings.StopTime - stopMargin)
 	e.log.WithField("running", e.forward.Running()).WithField("until", end).Info("drain begins")
 	e.leaving.Store(true)
+	e.exchange.Leave()
 	e.registry.Withdraw()
 	at := func(due time.Time) { sleepUntil(ctx, due) }
 	at(began.Add(e.settings.StopTime - stopMargin - streamTime))
@@ -186,6 +244,9 @@
 
 func (e *edge) stop() {
 	e.pool.Close()
+	if err := errors.Join(e.peerLink.Close(), e.peers.Close()); err != nil {
+		e.log.WithError(err).Warn("peer connections did not close")
+	}
 	e.client.Close()
 	e.store.Close()
 }
--- a/cmd/edged/main.go
+++ b/cmd/edged/main.go
@@ -52,7 +52,10 @@
 	}
 	defer func() { _ = tel.Shutdown(context.Background()) }()
 
-	e := newEdge(s, log.Log)
+	e, err := newEdge(s, log.Log)
+	if err != nil {
+		return err
+	}
 	log.WithField("part", "edged").WithField("instance", string(s.Instance)).WithField("address", s.CallerAddress).Info("instance starts")
 	e.start()
 	app := kratos.New(
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -95,6 +95,7 @@
 			Sender:        b,
 			Budget:        openBudget{},
 			FailureDomain: "a",
+			Changed:       func() {},
 			Log:           &log.Logger{Handler: discard.Default},
 		})
 		run(b)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -95,6 +95,7 @@
 	Sender        Sender
 	Budget        Budget
 	FailureDomain model.FailureDomain // of this instance
+	Changed       func()              // the commitments of this instance changed
 	Log           log.Interface
 }
 
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -102,6 +102,7 @@
 	if a.holder.ID != "" {
 		r.m.opts.Commitments.Add(a.holder.ID, a.copied)
 	}
+	r.told(a)
 	s.Upstream, s.Request, s.Organisation, s.Deadline = a.upstream, r.req, r.organisation, r.deadline
 	a.cancel = r.m.opts.Sender.Start(s, &receiver{r, a.number})
 }
@@ -118,4 +119,13 @@
 	if a.holder.ID != "" {
 		r.m.opts.Commitments.Remove(a.holder.ID, a.copied)
 	}
+	r.told(a)
+}
+
+// told lets the other instances know that the work of a stream changed. A call
+// is over before they could make use of it.
+func (r *run) told(a *attempt) {
+	if a.work.Memory > 0 {
+		r.m.opts.Changed()
+	}
 }
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -170,6 +170,7 @@
 	r.m.opts.Upstreams.Succeeded(a.upstream.ID)
 	r.m.opts.Commitments.Remove(a.upstream.ID, commitment.Work{Prefill: a.work.Prefill})
 	a.work.Prefill = 0
+	r.m.opts.Changed()
 	r.m.metrics.firstEvent(r.service.Name, a.fromCopy, at.Sub(a.started))
 	if !r.stream.lostAt.IsZero() {
 		r.m.metrics.resumed(r.service.Name, a.fromCopy, at.Sub(r.stream.lostAt))
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -104,7 +104,9 @@
 	opts    Options
 	rules   duty
 	members duty
-	entries entryState // items under keyEntries alone touch it
+	readDue *worker.Timer // of the next read of the instances; nil during one
+	readAt  time.Time     // when the last one began
+	entries entryState    // items under keyEntries alone touch it
 }
 
 // New returns a Manager that reads nothing yet.
@@ -191,11 +193,24 @@
 			m.opts.Pool.After(retryWait, keyInstances, worker.Func(m.announce))
 			return
 		}
-		m.opts.Pool.After(instancesSoon, keyInstances, worker.Func(m.readInstances))
+		m.readDue = m.opts.Pool.After(instancesSoon, keyInstances, worker.Func(m.readInstances))
 	})
 }
 
+// ReadInstancesSoon asks for a read before its time, since an instance was met
+// that is not known. It may be called from any goroutine.
+func (m *Manager) ReadInstancesSoon() {
+	m.opts.Pool.Post(keyInstances, worker.Func(func() {
+		if m.readDue == nil || time.Since(m.readAt) < instancesSoon {
+			return
+		}
+		m.readDue.Stop()
+		m.readInstances()
+	}))
+}
+
 func (m *Manager) readInstances() {
+	m.readDue, m.readAt = nil, time.Now()
 	worker.Call(m.opts.Pool, keyInstances, callTimeout, m.opts.Store.Instances, func(all []model.Instance, err error) {
 		m.members.result(err)
 		wait := instancesInterval
@@ -207,7 +222,7 @@
 				m.opts.Instances.Merge(in)
 			}
 		}
-		m.opts.Pool.After(wait, keyInstances, worker.Func(m.readInstances))
+		m.readDue = m.opts.Pool.After(wait, keyInstances, worker.Func(m.readInstances))
 	})
 }
 
--- a/internal/protocol/peerwire/peerwire.go
+++ b/internal/protocol/peerwire/peerwire.go
@@ -44,6 +44,8 @@
 	KindLogFetch      Kind = "log.fetch"
 	KindLogFollow     Kind = "log.follow"
 	KindSuspectPermit Kind = "suspect.permit"
+	KindState         Kind = "state"
+	KindRegistry      Kind = "registry"
 	KindError         Kind = "error"
 )
 
@@ -52,7 +54,7 @@
 func (k Kind) Label() string {
 	switch k {
 	case KindView, KindReport, KindGossip, KindLogOpen, KindLogAppend, KindLogClose, KindLogFetch, KindLogFollow,
-		KindSuspectPermit, KindError:
+		KindSuspectPermit, KindState, KindRegistry, KindError:
 		return string(k)
 	}
 	return "other"
--- /dev/null
+++ b/internal/protocol/peerwire/state.go
@@ -0,0 +1,72 @@
+package peerwire
+
+import (
+	"github.com/gravitational/trace"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+type stateBody struct {
+	Instance    model.InstanceID `cbor:"1,keyasint"`
+	Incarnation uint64           `cbor:"2,keyasint"`
+	Sequence    uint64           `cbor:"3,keyasint"`
+	Leaving     bool             `cbor:"4,keyasint,omitempty"`
+	Work        []workRow        `cbor:"5,keyasint,omitempty"`
+}
+
+// workRow is the work on one upstream.
+type workRow struct {
+	_        struct{} `cbor:",toarray"`
+	Upstream model.UpstreamID
+	Requests uint32
+	Prefill  uint32
+	Memory   uint32
+	Copies   uint32
+}
+
+// EncodeState returns the message with an instance's state.
+func EncodeState(s exchange.State) (Message, error) {
+	b := stateBody{Instance: s.Instance, Incarnation: s.Incarnation, Sequence: s.Sequence, Leaving: s.Leaving}
+	for id, w := range s.Work {
+		b.Work = append(b.Work, workRow{
+			Upstream: id,
+			Requests: count(w.Requests),
+			Prefill:  count(w.Prefill),
+			Memory:   count(w.Memory),
+			Copies:   count(w.Copies),
+		})
+	}
+	body, err := encoding.Marshal(b)
+	return Message{Kind: KindState, Body: body}, trace.Wrap(err)
+}
+
+// count bounds a figure to what the row holds.
+func count(n int) uint32 { return uint32(min(max(n, 0), 1<<31-1)) }
+
+// DecodeState reads an instance's state.
+func DecodeState(m Message) (exchange.State, error) {
+	var b stateBody
+	if err := decoding.Unmarshal(m.Body, &b); err != nil {
+		return exchange.State{}, trace.BadParameter("state message: %v", err)
+	}
+	if b.Instance == "" {
+		return exchange.State{}, trace.BadParameter("state message names no instance")
+	}
+	s := exchange.State{
+		Instance:    b.Instance,
+		Incarnation: b.Incarnation,
+		Sequence:    b.Sequence,
+		Leaving:     b.Leaving,
+		Work:        make(map[model.UpstreamID]commitment.Work, len(b.Work)),
+	}
+	for _, r := range b.Work {
+		s.Work[r.Upstream] = commitment.Work{
+			Requests: int(r.Requests),
+			Prefill:  int(r.Prefill),
+			Memory:   int(r.Memory),
+			Copies:   int(r.Copies),
+		}
+	}
+	return s, nil
+}
--- a/internal/state/instance/instance.go
+++ b/internal/state/instance/instance.go
@@ -12,7 +12,8 @@
 // Table maps instance IDs to what is known of them. mu has
 // lock.RankInstance and guards instances and version.
 //
-// Invariant: for each instance the pair (incarnation, state rank) never falls.
+// Invariant: for each instance the pair (incarnation, state rank) never falls,
+// but for a suspicion that Restore takes back.
 type Table struct {
 	mu        lock.Mutex
 	instances map[model.InstanceID]model.Instance
@@ -96,3 +97,18 @@
 		t.version++
 	}
 }
+
+// Restore makes a suspected instance live again, after it was heard of in the
+// same incarnation. It reports a change.
+func (t *Table) Restore(id model.InstanceID, incarnation uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	in, ok := t.instances[id]
+	if !ok || in.Incarnation != incarnation || in.State != model.InstanceSuspected {
+		return false
+	}
+	in.State = model.InstanceLive
+	t.instances[id] = in
+	t.version++
+	return true
+}
--- a/internal/state/model/model.go
+++ b/internal/state/model/model.go
@@ -150,6 +150,7 @@
 	EntryAddress   string // UDP IP:port of entryd's QUIC listener
 	ControlAddress string // UDP IP:port of controld's QUIC listener
 	State          InstanceState
+	Fingerprint    string // of its certificate; empty where a CA vouches for it
 }
 
 // VersionKey names one version of one model or service.
--- a/internal/transport/peer/client.go
+++ b/internal/transport/peer/client.go
@@ -70,6 +70,24 @@
 	return reply, err
 }
 
+// Tell sends a message without a reply. It may be lost; a connection that is
+// not there yet is made first.
+func (c *Client) Tell(ctx context.Context, addr string, m peerwire.Message) error {
+	conn, err := c.conns.get(ctx, addr)
+	if err != nil {
+		return err
+	}
+	data, err := peerwire.Encode(m)
+	if err != nil {
+		return err
+	}
+	if err := conn.SendDatagram(data); err != nil {
+		return trace.ConnectionProblem(err, "send %s datagram to %s: %v", m.Kind, addr, err)
+	}
+	c.meter.count(ctx, m.Kind, true, len(data))
+	return nil
+}
+
 func (c *Client) exchange(ctx context.Context, conn *quic.Conn, m peerwire.Message) (peerwire.Message, error) {
 	stream, err := c.open(ctx, conn, m)
 	if err != nil {
--- a/internal/transport/peer/credentials.go
+++ b/internal/transport/peer/credentials.go
@@ -10,17 +10,27 @@
 )
 
 // credentials make the TLS configurations of both ends.
-type credentials struct {
-	files *tlsfiles.Files
+type credentials interface {
+	serverTLS() *tls.Config
+	// clientTLS returns the configuration for one connection.
+	clientTLS() *tls.Config
 }
 
 func newCredentials(o Options) (credentials, error) {
+	if o.Pinned != nil {
+		return o.Pinned, nil
+	}
 	files, err := tlsfiles.Open(tlsfiles.Names{Cert: o.CertFile, Key: o.KeyFile, CA: o.CAFile})
-	return credentials{files}, err
+	return fileCredentials{files}, err
+}
+
+// fileCredentials trust what a certificate authority signed.
+type fileCredentials struct {
+	files *tlsfiles.Files
 }
 
 // serverTLS asks for the current files at each handshake.
-func (c credentials) serverTLS() *tls.Config {
+func (c fileCredentials) serverTLS() *tls.Config {
 	return &tls.Config{
 		MinVersion: tls.VersionTLS13,
 		NextProtos: []string{ALPN},
@@ -41,7 +51,7 @@
 // clientTLS returns the configuration for one connection. Peers are addressed
 // by IP, and their certificates carry instance names, so the chain is verified
 // here without a host name.
-func (c credentials) clientTLS() *tls.Config {
+func (c fileCredentials) clientTLS() *tls.Config {
 	cert, roots := c.files.Current()
 	return &tls.Config{
 		MinVersion:         tls.VersionTLS13,
--- a/internal/transport/peer/options.go
+++ b/internal/transport/peer/options.go
@@ -9,6 +9,8 @@
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 )
 
 // ALPN is the application protocol in the TLS handshake.
@@ -50,6 +52,12 @@
 	CertFile string
 	KeyFile  string
 	CAFile   string
+	// Pinned replaces the files where instances learn each other's certificates
+	// from a shared store.
+	Pinned *Pinned
+	// Datagrams receives the messages that peers send without a reply. It runs
+	// on a network goroutine and only hands over. Nil drops them.
+	Datagrams func(from Peer, m peerwire.Message)
 	// KeepAlive is the time between a client's probes; zero means
 	// DefaultKeepAlive and a negative value means none.
 	KeepAlive time.Duration
@@ -90,6 +98,7 @@
 		HandshakeIdleTimeout:           handshakeTimeout,
 		MaxIdleTimeout:                 idle,
 		KeepAlivePeriod:                max(keepAlive, 0),
+		EnableDatagrams:                true,
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
 		InitialStreamReceiveWindow:     streamWindow,
--- /dev/null
+++ b/internal/transport/peer/pinned.go
@@ -0,0 +1,89 @@
+package peer
+
+import (
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"math/big"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// pinnedLife is the life of a certificate that is made at the start of a
+// process. Peers check its fingerprint and not its times, since clocks differ.
+const pinnedLife = 10 * 365 * 24 * time.Hour
+
+// Pinned trusts certificates by their fingerprints, which instances publish in
+// a store that only they can write.
+type Pinned struct {
+	certificate tls.Certificate
+	fingerprint string
+	// Trusts reports whether the fingerprint is the one that the instance of
+	// this name published.
+	Trusts func(name, fingerprint string) bool
+}
+
+// NewPinned makes a key and a certificate for this process.
+func NewPinned(name string, trusts func(name, fingerprint string) bool) (*Pinned, error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	now := time.Now()
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(now.UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-pinnedLife),
+		NotAfter:     now.Add(pinnedLife),
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, public, private)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return &Pinned{
+		certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private},
+		fingerprint: fingerprint(der),
+		Trusts:      trusts,
+	}, nil
+}
+
+// Fingerprint returns what peers must know to trust this process.
+func (p *Pinned) Fingerprint() string { return p.fingerprint }
+
+func fingerprint(der []byte) string {
+	sum := sha256.Sum256(der)
+	return hex.EncodeToString(sum[:])
+}
+
+func (p *Pinned) serverTLS() *tls.Config {
+	config := p.clientTLS()
+	config.ClientAuth = tls.RequireAnyClientCert // VerifyConnection checks it
+	config.SessionTicketsDisabled = true         // a resumed session would skip the check
+	return config
+}
+
+func (p *Pinned) clientTLS() *tls.Config {
+	return &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		NextProtos:         []string{ALPN},
+		Certificates:       []tls.Certificate{p.certificate},
+		InsecureSkipVerify: true, // replaced by VerifyConnection
+		VerifyConnection:   p.verify,
+	}
+}
+
+func (p *Pinned) verify(state tls.ConnectionState) error {
+	if len(state.PeerCertificates) == 0 {
+		return trace.AccessDenied("peer has no certificate")
+	}
+	name := certificateName(state)
+	if !p.Trusts(name, fingerprint(state.PeerCertificates[0].Raw)) {
+		return trace.AccessDenied("certificate is not the one that instance %q published", name)
+	}
+	return nil
+}
--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -61,6 +61,7 @@
 // Server accepts connections from peers with a certificate of the CA.
 type Server struct {
 	handler  Handler
+	datagram func(from Peer, m peerwire.Message)
 	listener *quic.Listener
 	socket   net.PacketConn
 	meter    *meter
@@ -89,7 +90,7 @@
 	if err != nil {
 		return nil, trace.NewAggregate(err, socket.Close())
 	}
-	s := &Server{handler: h, listener: listener, socket: socket, meter: meter, tracer: o.Tracers.Tracer(instrumentationKey)}
+	s := &Server{handler: h, datagram: o.Datagrams, listener: listener, socket: socket, meter: meter, tracer: o.Tracers.Tracer(instrumentationKey)}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.running.Go(s.accept)
 	return s, nil
@@ -124,6 +125,9 @@
 	stop := context.AfterFunc(s.ctx, func() { _ = conn.CloseWithError(0, "server closes") })
 	defer stop()
 	from := Peer{Name: certificateName(conn.ConnectionState().TLS), Address: conn.RemoteAddr().String()}
+	if s.datagram != nil {
+		s.running.Go(func() { s.receiveDatagrams(from, conn) })
+	}
 	for {
 		stream, err := conn.AcceptStream(s.ctx)
 		if err != nil {
@@ -133,6 +137,24 @@
 	}
 }
 
+// receiveDatagrams hands over the messages that came without a stream, until
+// the connection ends.
+func (s *Server) receiveDatagrams(from Peer, conn *quic.Conn) {
+	for {
+		data, err := conn.ReceiveDatagram(s.ctx)
+		if err != nil {
+			return
+		}
+		m, err := peerwire.Decode(data)
+		if err != nil {
+			log.WithField("part", "peer").WithField("peer", from.Name).WithError(err).Debug("datagram dropped")
+			continue
+		}
+		s.meter.count(s.ctx, m.Kind, false, len(data))
+		s.datagram(from, m)
+	}
+}
+
 // requestTimeout bounds the arrival of a request after its stream opened.
 const requestTimeout = 10 * time.Second
 
