Doubt the upstreams of a failure domain that goes down

Ruled out: copies that were lost by live holders, other than those of streams younger than 0.3 s. Change: a failure counts until a sign of life, for 4 s; two failures and 30 % of a domain put its other upstreams in doubt; states carry failures. Doubtful upstreams get work only if there is no other, and no copies.

--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -95,7 +95,7 @@
 		LeaveTime: s.LeaveTime,
 		Log:       logger,
 	})
-	if err := e.connect(identity, self, commitments, logger); err != nil {
+	if err := e.connect(identity, self, commitments, upstreams, logger); err != nil {
 		return nil, err
 	}
 	e.forward = forward.New(forward.Options{
@@ -107,6 +107,7 @@
 		Budget:        resend.New(resend.Limit{Ratio: s.Resends.Ratio, Burst: s.Resends.Burst, Window: s.Resends.Window}, typicalInstances),
 		FailureDomain: s.FailureDomain,
 		Changed:       e.exchange.Changed,
+		Failed:        e.exchange.Failed,
 		Log:           logger,
 	})
 	e.ingress = ingress.New(ingress.Options{
@@ -120,7 +121,7 @@
 }
 
 // connect listens for the other instances and prepares to talk to them.
-func (e *edge) connect(identity *peer.Pinned, self model.Instance, commitments *commitment.Table, logger log.Interface) error {
+func (e *edge) connect(identity *peer.Pinned, self model.Instance, commitments *commitment.Table, upstreams *upstream.Table, logger log.Interface) error {
 	options := peer.Options{
 		Address:     self.ControlAddress,
 		Pinned:      identity,
@@ -136,6 +137,7 @@
 		Self:        self,
 		Instances:   e.instances,
 		Commitments: commitments,
+		Upstreams:   upstreams,
 		Link:        edgelink.New(e.peers, logger),
 		Log:         logger,
 	})
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
 // State is what an instance tells of itself.
@@ -25,6 +26,7 @@
 	Sequence    uint64 // rises with each state of an incarnation
 	Leaving     bool   // takes no further callers
 	Work        map[model.UpstreamID]commitment.Work
+	Failed      map[model.UpstreamID]time.Duration // age of a connection failure that the instance met
 }
 
 // Link carries states. Tell returns at once; a state may be lost.
@@ -42,6 +44,10 @@
 	silentAfter = 2500 * time.Millisecond
 )
 
+// failureLife is how long a connection failure is told. Afterwards the others
+// have it, or have met it themselves.
+const failureLife = time.Second
+
 const key worker.Key = "exchange"
 
 // Options configure a Manager.
@@ -50,6 +56,7 @@
 	Self        model.Instance
 	Instances   *instance.Table
 	Commitments *commitment.Table
+	Upstreams   *upstream.Table
 	Link        Link
 	Log         log.Interface
 }
@@ -61,6 +68,7 @@
 	leaving  bool
 	pending  bool // a state is about to be sent
 	heard    map[model.InstanceID]hearing
+	failed   map[model.UpstreamID]time.Time // connection failures that this instance met
 }
 
 // hearing is the newest state of another instance.
@@ -74,7 +82,7 @@
 // New returns a Manager that sends nothing yet.
 func New(opts Options) *Manager {
 	opts.Log = opts.Log.WithField("part", "exchange")
-	return &Manager{opts: opts, heard: map[model.InstanceID]hearing{}}
+	return &Manager{opts: opts, heard: map[model.InstanceID]hearing{}, failed: map[model.UpstreamID]time.Time{}}
 }
 
 // Start begins to send states.
@@ -83,15 +91,25 @@
 // Changed says that this instance's work changed. It may be called by items of
 // any key.
 func (m *Manager) Changed() {
+	m.opts.Pool.Post(key, worker.Func(m.sendSoon))
+}
+
+// Failed says that the connection to an upstream failed here.
+func (m *Manager) Failed(id model.UpstreamID, at time.Time) {
 	m.opts.Pool.Post(key, worker.Func(func() {
-		if m.pending {
-			return
-		}
-		m.pending = true
-		m.opts.Pool.After(settleTime, key, worker.Func(m.send))
+		m.failed[id] = at
+		m.sendSoon()
 	}))
 }
 
+func (m *Manager) sendSoon() {
+	if m.pending {
+		return
+	}
+	m.pending = true
+	m.opts.Pool.After(settleTime, key, worker.Func(m.send))
+}
+
 // Leave tells the others that this instance takes no further callers.
 func (m *Manager) Leave() {
 	m.opts.Pool.Post(key, worker.Func(func() {
@@ -116,6 +134,7 @@
 		Sequence:    m.sequence,
 		Leaving:     m.leaving,
 		Work:        m.opts.Commitments.Own(),
+		Failed:      m.failures(time.Now()),
 	}
 	for _, in := range m.opts.Instances.All() {
 		if in.ID != m.opts.Self.ID && in.State != model.InstanceDead && in.ControlAddress != "" {
@@ -124,6 +143,19 @@
 	}
 }
 
+// failures returns the ages of the failures that are still told.
+func (m *Manager) failures(now time.Time) map[model.UpstreamID]time.Duration {
+	ages := make(map[model.UpstreamID]time.Duration, len(m.failed))
+	for id, at := range m.failed {
+		if now.Sub(at) > failureLife {
+			delete(m.failed, id)
+			continue
+		}
+		ages[id] = now.Sub(at)
+	}
+	return ages
+}
+
 // Receive takes in another instance's state.
 func (m *Manager) Receive(s State) {
 	m.opts.Pool.Post(key, worker.Func(func() { m.receive(s, time.Now()) }))
@@ -139,6 +171,10 @@
 		m.opts.Log.WithField("instance", string(s.Instance)).WithField("incarnation", s.Incarnation).Info("instance is heard")
 	}
 	m.opts.Commitments.Tell(s.Instance, s.Work, now)
+	for id, age := range s.Failed {
+		at := now.Add(-age)
+		m.opts.Upstreams.Failed(id, at, at.Add(failureLife))
+	}
 	in, found := m.opts.Instances.Get(s.Instance)
 	if !found || in.Incarnation != s.Incarnation {
 		return
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -65,7 +65,7 @@
 		r.last, r.hasLast = answer, true
 		r.again(a, "status")
 	default:
-		r.m.opts.Upstreams.Succeeded(a.upstream.ID)
+		r.m.opts.Upstreams.Succeeded(a.upstream.ID, time.Now())
 		r.deliver(answer)
 	}
 }
@@ -131,7 +131,9 @@
 func (r *run) lost(a *attempt, kind continuation.Loss, cause string, sent bool) {
 	r.drop(a)
 	if continuation.ConcernsEngine(kind) {
-		r.m.opts.Upstreams.Failed(a.upstream.ID, time.Now().Add(downTime))
+		now := time.Now()
+		r.m.opts.Upstreams.Failed(a.upstream.ID, now, now.Add(downTime))
+		r.m.opts.Failed(a.upstream.ID, now)
 	}
 	r.m.metrics.countLoss(r.service.Name, kind)
 	if r.route.Stream {
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -96,6 +96,7 @@
 			Budget:        openBudget{},
 			FailureDomain: "a",
 			Changed:       func() {},
+			Failed:        func(model.UpstreamID, time.Time) {},
 			Log:           &log.Logger{Handler: discard.Default},
 		})
 		run(b)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -96,7 +96,9 @@
 	Budget        Budget
 	FailureDomain model.FailureDomain // of this instance
 	Changed       func()              // the commitments of this instance changed
-	Log           log.Interface
+	// Failed is called when the connection to an upstream failed here.
+	Failed func(id model.UpstreamID, at time.Time)
+	Log    log.Interface
 }
 
 // Manager forwards the requests of one instance.
--- /dev/null
+++ b/internal/coordination/forward/outage_test.go
@@ -0,0 +1,75 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against streams and copies that are sent to further upstreams of a
+// failure domain that just went down, one after the other.
+func TestLostFailureDomainIsAvoided(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		now := time.Now()
+		b.upstreams.Failed("engine-a0", now, now)
+		b.upstreams.Failed("engine-a1", now, now)
+		b.upstreams.Configure(append(engines(b), fakeUpstream("engine", "a", 2)))
+		for range 12 {
+			b.submit("/log/1")
+			assert.Assert(t, b.last().Upstream.FailureDomain != "a")
+			assert.Assert(t, b.last().CopyTo != "engine-a2")
+		}
+	})
+}
+
+// Guards against a failure domain that is avoided although it is back.
+func TestSignsOfLifeEndTheDoubt(t *testing.T) {
+	now := time.Now()
+	row := func(failed, seen, reported time.Time) upstream.Row {
+		r := upstream.Row{FailedAt: failed, SeenAt: seen}
+		r.Report.At = reported
+		return r
+	}
+	cases := []struct {
+		name string
+		row  upstream.Row
+		want bool
+	}{
+		{"failed", row(now, time.Time{}, time.Time{}), true},
+		{"output since", row(now.Add(-time.Second), now, time.Time{}), false},
+		{"report that may be older", row(now.Add(-time.Second), time.Time{}, now), true},
+		{"report since", row(now.Add(-2*time.Second), time.Time{}, now), false},
+		{"long ago", row(now.Add(-time.Minute), time.Time{}, time.Time{}), false},
+	}
+	for _, c := range cases {
+		assert.Equal(t, outages{}.doubts(c.row, now), c.want, c.name)
+	}
+}
+
+// Guards against a copy that is expected from an upstream that failed.
+func TestCopyOfALostHolderIsNotUsed(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		b.submit("/log/1")
+		first := b.last()
+		first.Began(200, nil)
+		first.event(1)
+		now := time.Now()
+		b.upstreams.Failed(model.UpstreamID(first.CopyTo), now, now)
+		first.Lost(continuation.LossReset, "EOF", true)
+		b.pass(0)
+		assert.Assert(t, b.last().From == nil)
+	})
+}
+
+// engines returns the fakes' engines.
+func engines(b *bench) []model.Upstream {
+	var all []model.Upstream
+	for _, row := range b.upstreams.Serving("engine") {
+		all = append(all, row.Upstream)
+	}
+	return all
+}
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -26,22 +26,35 @@
 )
 
 // usable returns the upstreams of the service that may take the request. Those
-// whose connection failed just now come into question only if there is no other.
+// that are in doubt come into question only if there is no other.
 func (m *Manager) usable(service string, tried map[model.UpstreamID]bool, now time.Time) []upstream.Row {
-	var ready, down []upstream.Row
-	for _, row := range m.opts.Upstreams.Serving(service) {
+	ready, doubtful := m.sorted(service, tried, now)
+	if len(ready) == 0 {
+		return doubtful
+	}
+	return ready
+}
+
+// sorted returns the upstreams of the service that may take the request, apart
+// by whether they are in doubt.
+func (m *Manager) sorted(service string, tried map[model.UpstreamID]bool, now time.Time) (ready, doubtful []upstream.Row) {
+	rows := m.opts.Upstreams.Serving(service)
+	out := outagesOf(rows, now)
+	for _, row := range rows {
 		switch {
 		case tried[row.Upstream.ID], row.Report.Health == upstream.HealthLeaving, row.Report.Health == upstream.HealthDown:
-		case row.Usable(now):
-			ready = append(ready, row)
+		case out.doubts(row, now):
+			doubtful = append(doubtful, row)
 		default:
-			down = append(down, row)
+			ready = append(ready, row)
 		}
 	}
-	if len(ready) == 0 {
-		return down
-	}
-	return ready
+	return ready, doubtful
+}
+
+// inDoubt reports whether the upstream may have failed and not be back yet.
+func (m *Manager) inDoubt(row upstream.Row, now time.Time) bool {
+	return outagesOf(m.opts.Upstreams.Serving(row.Upstream.Serves), now).doubts(row, now)
 }
 
 // pickCall returns the upstream with the most room for a call.
@@ -125,9 +138,10 @@
 	now := time.Now()
 	totals := m.opts.Commitments.Totals(now)
 	best, bestCost := model.Upstream{}, 0.0
-	for _, row := range m.usable(r.service.Name, r.tried, now) {
+	ready, _ := m.sorted(r.service.Name, r.tried, now)
+	for _, row := range ready {
 		up, load := row.Upstream, totals[row.Upstream.ID]
-		if up.ID == runs.ID || !row.Usable(now) || !fitsMemory(r.service.Engine, load, want.memory) {
+		if up.ID == runs.ID || !fitsMemory(r.service.Engine, load, want.memory) {
 			continue
 		}
 		cost := engineCost(load) + tieBreak(string(r.req.ID), up.ID)
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -97,7 +97,7 @@
 	source := r.stream.copy
 	r.stream.copy = nil
 	row, known := r.m.opts.Upstreams.Get(source.holder.ID)
-	if !known || !row.Usable(time.Now()) || row.Report.Health == upstream.HealthLeaving {
+	if !known || row.Report.Health == upstream.HealthLeaving || r.m.inDoubt(row, time.Now()) {
 		r.placeStream()
 		return
 	}
@@ -153,6 +153,7 @@
 	}
 	a.positions++
 	a.lastSeen = at
+	r.m.opts.Upstreams.Succeeded(a.upstream.ID, at)
 	r.stream.accepted, r.stream.shown = e.Position, e.Position
 	r.stream.failures = 0
 	if !r.stream.begun {
@@ -167,15 +168,22 @@
 
 // firstEvent notes that the engine has read the prompt.
 func (r *run) firstEvent(a *attempt, at time.Time) {
-	r.m.opts.Upstreams.Succeeded(a.upstream.ID)
 	r.m.opts.Commitments.Remove(a.upstream.ID, commitment.Work{Prefill: a.work.Prefill})
 	a.work.Prefill = 0
 	r.m.opts.Changed()
 	r.m.metrics.firstEvent(r.service.Name, a.fromCopy, at.Sub(a.started))
-	if !r.stream.lostAt.IsZero() {
-		r.m.metrics.resumed(r.service.Name, a.fromCopy, at.Sub(r.stream.lostAt))
-		r.stream.lostAt = time.Time{}
+	if r.stream.lostAt.IsZero() {
+		return
 	}
+	pause := at.Sub(r.stream.lostAt)
+	r.m.metrics.resumed(r.service.Name, a.fromCopy, pause)
+	r.stream.lostAt = time.Time{}
+	r.m.opts.Log.WithField("request_id", string(r.req.ID)).
+		WithField("upstream", string(a.upstream.ID)).
+		WithField("attempt", a.number).
+		WithField("from_copy", a.fromCopy).
+		WithField("pause_ms", pause.Milliseconds()).
+		Info("stream resumed")
 }
 
 // streamEnded takes the end of the current attempt's stream.
--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -142,7 +142,7 @@
 	id := r.Spec.Request
 	m.opts.Generations.Update(id, func(r *generation.Record) { closeRecord(r, "", time.Now()) })
 	m.opts.Upstreams.Release(r.Attempt.Upstream)
-	m.opts.Upstreams.Succeeded(r.Attempt.Upstream)
+	m.opts.Upstreams.Succeeded(r.Attempt.Upstream, time.Now())
 	m.opts.Guard.Finished(r.Print)
 	m.opts.Guard.Stopped(r.Print, r.Attempt.Upstream)
 	m.observe(r, false)
--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -108,7 +108,7 @@
 	counts := continuation.CountsAgainstVersion(kind) && m.opts.Guard.Check(r.Print) == suspicion.Free
 	if continuation.ConcernsEngine(kind) {
 		counts = counts && row.Usable(now)
-		m.opts.Upstreams.Failed(r.Attempt.Upstream, now.Add(downTime))
+		m.opts.Upstreams.Failed(r.Attempt.Upstream, now, now.Add(downTime))
 	}
 	if continuation.DiedUnder(kind, reattachFailed(r)) {
 		running := []suspicion.Running{{Fingerprint: r.Print, Position: len(r.Tokens)}}
--- a/internal/protocol/peerwire/state.go
+++ b/internal/protocol/peerwire/state.go
@@ -1,6 +1,8 @@
 package peerwire
 
 import (
+	"time"
+
 	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
@@ -13,6 +15,8 @@
 	Sequence    uint64           `cbor:"3,keyasint"`
 	Leaving     bool             `cbor:"4,keyasint,omitempty"`
 	Work        []workRow        `cbor:"5,keyasint,omitempty"`
+	// Failed holds the ages of connection failures in milliseconds.
+	Failed map[model.UpstreamID]uint32 `cbor:"6,keyasint,omitempty"`
 }
 
 // workRow is the work on one upstream.
@@ -37,6 +41,12 @@
 			Copies:   count(w.Copies),
 		})
 	}
+	for id, age := range s.Failed {
+		if b.Failed == nil {
+			b.Failed = make(map[model.UpstreamID]uint32, len(s.Failed))
+		}
+		b.Failed[id] = count(int(age.Milliseconds()))
+	}
 	body, err := encoding.Marshal(b)
 	return Message{Kind: KindState, Body: body}, trace.Wrap(err)
 }
@@ -59,6 +69,10 @@
 		Sequence:    b.Sequence,
 		Leaving:     b.Leaving,
 		Work:        make(map[model.UpstreamID]commitment.Work, len(b.Work)),
+		Failed:      make(map[model.UpstreamID]time.Duration, len(b.Failed)),
+	}
+	for id, age := range b.Failed {
+		s.Failed[id] = time.Duration(age) * time.Millisecond
 	}
 	for _, r := range b.Work {
 		s.Work[r.Upstream] = commitment.Work{
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -47,7 +47,9 @@
 	Report    Report
 	InFlight  int       // this instance's requests
 	Sent      int       // this instance's requests sent after Report.At, at most maxSends
-	DownUntil time.Time // a local connection failure keeps new work away until then
+	DownUntil time.Time // a connection failure keeps new work away until then
+	FailedAt  time.Time // of the last connection failure, here or at another instance
+	SeenAt    time.Time // of the last output that came from it
 	Failures  int       // consecutive local connection failures
 	Version   uint64    // of the table when Report last changed
 }
@@ -236,23 +238,27 @@
 	}
 }
 
-// Failed keeps new work away from an upstream until the given time after a
-// connection failure.
-func (t *Table) Failed(id model.UpstreamID, until time.Time) {
+// Failed keeps new work away from an upstream until the given time, after a
+// connection failure at another one. A failure older than the last one that is
+// known changes nothing.
+func (t *Table) Failed(id model.UpstreamID, at, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if row, ok := t.rows[id]; ok {
+	if row, ok := t.rows[id]; ok && !at.Before(row.FailedAt) {
 		row.Failures++
+		row.FailedAt = at
 		row.DownUntil = until
 	}
 }
 
-// Succeeded clears the mark that Failed left.
-func (t *Table) Succeeded(id model.UpstreamID) {
+// Succeeded notes output of an upstream at the given time and clears the mark
+// that Failed left.
+func (t *Table) Succeeded(id model.UpstreamID, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if row, ok := t.rows[id]; ok {
 		row.Failures = 0
+		row.SeenAt = at
 		row.DownUntil = time.Time{}
 	}
 }
