--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -75,7 +75,7 @@
 		rules:     rules.NewTable(),
 		instances: instance.NewTable(),
 		store:     platform.NewStore(s.Store, logger),
-		client:    backend.New(platform.Names()),
+		client:    backend.New(platform.Names(), platform.StatePath),
 	}
 	e.directory = membership.NewDirectory(e.instances)
 	identity, err := peer.NewPinned(string(s.Instance), e.trusts)
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -59,6 +59,7 @@
 	pool      *worker.Pool
 	upstreams *upstream.Table
 	sends     []*fakeSend
+	dead      bool // engines do not answer probes
 }
 
 // Start implements Sender.
@@ -68,6 +69,9 @@
 	return func() { send.cancelled = true }
 }
 
+// Probe implements Sender.
+func (b *bench) Probe(_ model.Upstream, _ time.Duration, answered func(bool)) { answered(!b.dead) }
+
 // domains are the failure domains of the fakes' upstreams, two in each.
 var domains = []model.FailureDomain{"a", "b", "c"}
 
--- a/internal/coordination/forward/metrics.go
+++ b/internal/coordination/forward/metrics.go
@@ -19,6 +19,7 @@
 	resends  metric.Int64Counter
 	first    metric.Float64Histogram
 	resume   metric.Float64Histogram
+	probes   metric.Int64Counter
 }
 
 // newMetrics returns the instruments. Creating one fails only for an invalid
@@ -32,9 +33,14 @@
 	m.resends, _ = meter.Int64Counter("forward_resends", metric.WithDescription("Further sends of a call, by service and cause."))
 	m.first, _ = meter.Float64Histogram("forward_first_event_seconds", metric.WithUnit("s"), metric.WithDescription("Time from a send to its first event."))
 	m.resume, _ = meter.Float64Histogram("forward_resume_seconds", metric.WithUnit("s"), metric.WithDescription("Pause between the last event before a loss and the next one."))
+	m.probes, _ = meter.Int64Counter("forward_probes", metric.WithDescription("Questions to engines that were silent before their first event."))
 	return m
 }
 
+func (m *metrics) countProbe(service string) {
+	m.probes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 func (m *metrics) countEnd(route model.HostRoute, outcome string, took time.Duration) {
 	labels := metric.WithAttributes(attribute.String("route", route.Name), attribute.String("outcome", outcome))
 	m.requests.Add(context.Background(), 1, labels)
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -65,6 +65,9 @@
 // send's connection, after which nothing more is delivered.
 type Sender interface {
 	Start(s Send, to Receiver) (cancel func())
+	// Probe asks an engine for its state, apart from any request, and reports
+	// whether it answered in time.
+	Probe(up model.Upstream, timeout time.Duration, answered func(alive bool))
 }
 
 // attempt is one send that is under way.
--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -35,6 +35,11 @@
 	return out
 }
 
+// Expect names the only upstream that may answer.
+func (n Names) Expect(out http.Header, id model.UpstreamID) {
+	set(out, n.ExpectedUpstream, string(id))
+}
+
 func set(out http.Header, name, value string) {
 	if name != "" && value != "" {
 		out.Set(name, value)
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	oteltrace "go.opentelemetry.io/otel/trace"
@@ -38,15 +39,18 @@
 // Client implements forward.Sender.
 type Client struct {
 	names  forwardwire.Names
+	state  string          // path of an engine's state
 	fresh  *http.Transport // a connection for each request
 	pooled *http.Transport // for requests that may run more than once
 	tracer oteltrace.Tracer
 }
 
-// New returns a client that uses the given header names.
-func New(names forwardwire.Names) *Client {
+// New returns a client that uses the given header names, and the path at which
+// engines tell their state.
+func New(names forwardwire.Names, statePath string) *Client {
 	return &Client{
 		names:  names,
+		state:  statePath,
 		fresh:  newTransport(false),
 		pooled: newTransport(true),
 		tracer: otel.Tracer(tracerName),
@@ -77,6 +81,30 @@
 	return stop
 }
 
+// Probe implements forward.Sender.
+func (c *Client) Probe(up model.Upstream, timeout time.Duration, answered func(alive bool)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		answered(c.probe(ctx, up))
+	}()
+}
+
+// probe reports whether the engine answers, in whatever way.
+func (c *Client) probe(ctx context.Context, up model.Upstream) bool {
+	target := url.URL{Scheme: "http", Host: up.Address, Path: c.state}
+	out, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
+	if err != nil {
+		return false
+	}
+	c.names.Expect(out.Header, up.ID)
+	in, err := c.fresh.RoundTrip(out)
+	if err != nil {
+		return false
+	}
+	return in.Body.Close() == nil && in.StatusCode < http.StatusInternalServerError && in.StatusCode != http.StatusMisdirectedRequest
+}
+
 // run makes one send and reports to the receiver.
 func (c *Client) run(ctx context.Context, s forward.Send, to forward.Receiver) {
 	ctx, span := c.tracer.Start(ctx, "forward send", oteltrace.WithSpanKind(oteltrace.SpanKindClient),
