Spread placements that are made at the same moment

Engines with three running streams were preferred to one that read a prompt. Ruled out: states that were lost or late (5 ms to gather, 1 ms on the way). Change: a part of half a prompt by hash in an engine's cost; memory of running streams counts 0.4 instead of 0.2 of a prompt token, copies 0.1.

--- a/internal/coordination/forward/outage_test.go
+++ b/internal/coordination/forward/outage_test.go
@@ -1,10 +1,12 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"gotest.tools/v3/assert"
@@ -73,3 +75,20 @@
 	}
 	return all
 }
+
+// Guards against instances that place streams at the same moment, each without
+// knowing of the others', and all choose one engine.
+func TestSimultaneousPlacementsSpread(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		chosen := map[model.UpstreamID]int{}
+		for i := range 24 {
+			r := &run{m: b.m, req: &Request{ID: model.RequestID(fmt.Sprint(i)), Generation: Generation{PromptTokens: 5000}}}
+			r.service.Name = "engine"
+			b.m.opts.Commitments.Add("engine-a0", commitment.Work{Requests: 1, Memory: 800})
+			up, _, _ := b.m.pickEngine(r, need{prefill: 5000, memory: 5800})
+			b.m.opts.Commitments.Remove("engine-a0", commitment.Work{Requests: 1, Memory: 800})
+			chosen[up.ID]++
+		}
+		assert.Assert(t, len(chosen) >= 5, "%v", chosen)
+	})
+}
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +14,8 @@
 	// otherDomain is the load, as a part of an upstream's slots, that a call
 	// accepts to stay in its failure domain.
 	otherDomain = 0.2
+	// tieBreak is the random part of a call's cost, in parts of the slots.
+	tieBreak = 1e-3
 	// defaultSlots stands in for what an upstream does not tell.
 	defaultSlots = 1
 	// memoryHeadroom is the part of an engine's memory that placements fill.
@@ -20,9 +23,15 @@
 	memoryHeadroom = 0.9
 	// prefillRate is the speed at which an engine is assumed to read prompts.
 	prefillRate = 5000.0 // tokens/s
-	// memoryWeight is the cost of a token of memory in use against one that
-	// must be read before the request's own.
-	memoryWeight = 0.2
+	// memoryWeight and copyWeight are the costs of a token in the memory of a
+	// running stream, and in a copy, against one that must be read before the
+	// request's own. Reading a prompt slows the running streams down.
+	memoryWeight = 0.4
+	copyWeight   = 0.1
+	// spread is the random part of an engine's cost, in prompts. Instances that
+	// place streams at the same moment do not know of each other's yet, and
+	// would all choose the engine of least cost.
+	spread = 0.5
 )
 
 // usable returns the upstreams of the service that may take the request. Those
@@ -68,7 +77,7 @@
 		if up.FailureDomain != m.opts.FailureDomain {
 			cost += otherDomain
 		}
-		cost += tieBreak(string(r.req.ID), up.ID)
+		cost += tieBreak * draw(string(r.req.ID), up.ID)
 		if best.ID == "" || cost < bestCost {
 			best, bestCost = up, cost
 		}
@@ -76,11 +85,10 @@
 	return best, best.ID != ""
 }
 
-// tieBreak orders upstreams of equal cost by a hash of the key and the
-// upstream, so that a choice repeats and different keys spread.
-func tieBreak(key string, id model.UpstreamID) float64 {
-	const most = 1e-3
-	return most * float64(xxhash.Sum64String(key+"\x00"+string(id))) / float64(1<<63) / 2
+// draw returns a number from 0 to 1 that depends on the key and the upstream
+// alone, so that a choice repeats and different keys spread.
+func draw(key string, id model.UpstreamID) float64 {
+	return float64(xxhash.Sum64String(key+"\x00"+string(id))) / math.MaxUint64
 }
 
 // need is what a stream needs of an engine.
@@ -100,7 +108,7 @@
 	for _, row := range m.usable(r.service.Name, r.tried, now) {
 		up := row.Upstream
 		load := totals[up.ID]
-		cost := engineCost(load) + tieBreak(key, up.ID)
+		cost := engineCost(load) + spread*float64(want.prefill)*draw(key, up.ID)
 		fits := fitsMemory(r.service.Engine, load, want.memory)
 		if best.ID == "" || (fits && !bestFits) || (fits == bestFits && cost < bestCost) {
 			best, bestCost, bestFits = up, cost, fits
@@ -110,7 +118,7 @@
 }
 
 func engineCost(load commitment.Work) float64 {
-	return float64(load.Prefill) + memoryWeight*float64(load.Memory+load.Copies)
+	return float64(load.Prefill) + memoryWeight*float64(load.Memory) + copyWeight*float64(load.Copies)
 }
 
 func fitsMemory(engine *model.EngineTraits, load commitment.Work, more int) bool {
@@ -137,6 +145,7 @@
 	}
 	now := time.Now()
 	totals := m.opts.Commitments.Totals(now)
+	key := string(r.req.ID) + "/copy"
 	best, bestCost := model.Upstream{}, 0.0
 	ready, _ := m.sorted(r.service.Name, r.tried, now)
 	for _, row := range ready {
@@ -144,7 +153,7 @@
 		if up.ID == runs.ID || !fitsMemory(r.service.Engine, load, want.memory) {
 			continue
 		}
-		cost := engineCost(load) + tieBreak(string(r.req.ID), up.ID)
+		cost := engineCost(load) + spread*float64(r.req.Generation.PromptTokens)*draw(key, up.ID)
 		if up.FailureDomain == runs.FailureDomain {
 			cost += float64(r.service.Engine.MemoryTokens)
 		}
