--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -13,12 +13,14 @@
 	"github.com/go-kratos/kratos/v2/transport"
 	kratos "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/cell"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/membership"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -56,6 +58,7 @@
 	rules     *rules.Table
 	instances *instance.Table
 	directory *membership.Directory
+	cell      *cell.Tracker
 	store     *platform.Store
 	client    *backend.Client
 	registry  *registry.Manager
@@ -77,6 +80,7 @@
 		store:     platform.NewStore(s.Store, logger),
 		client:    backend.New(platform.Names(), platform.StatePath),
 	}
+	e.cell = cell.NewTracker(e.instances, s.Instance)
 	e.directory = membership.NewDirectory(e.instances)
 	identity, err := peer.NewPinned(string(s.Instance), e.trusts)
 	if err != nil {
@@ -85,17 +89,23 @@
 	self := e.self(identity.Fingerprint())
 	upstreams := upstream.NewTable()
 	commitments := commitment.NewTable(commitmentLife)
+	if e.peers, err = peer.NewClient(peerOptions(identity, self)); err != nil {
+		return nil, err
+	}
+	link := edgelink.New(e.peers, logger)
 	e.registry = registry.New(registry.Options{
 		Pool:      e.pool,
 		Store:     e.store,
+		Peers:     link,
 		Self:      self,
 		Rules:     e.rules,
 		Upstreams: upstreams,
 		Instances: e.instances,
+		Members:   e.cell.Members,
 		LeaveTime: s.LeaveTime,
 		Log:       logger,
 	})
-	if err := e.connect(identity, self, commitments, upstreams, logger); err != nil {
+	if err := e.connect(identity, self, link, commitments, upstreams, logger); err != nil {
 		return nil, err
 	}
 	e.forward = forward.New(forward.Options{
@@ -106,6 +116,7 @@
 		Sender:        e.client,
 		Budget:        resend.New(resend.Limit{Ratio: s.Resends.Ratio, Burst: s.Resends.Burst, Window: s.Resends.Window}, typicalInstances),
 		FailureDomain: s.FailureDomain,
+		Owns:          e.cell.Owns,
 		Changed:       e.exchange.Changed,
 		Failed:        e.exchange.Failed,
 		Log:           logger,
@@ -120,29 +131,32 @@
 	return e, nil
 }
 
-// connect listens for the other instances and prepares to talk to them.
-func (e *edge) connect(identity *peer.Pinned, self model.Instance, commitments *commitment.Table, upstreams *upstream.Table, logger log.Interface) error {
-	options := peer.Options{
+func peerOptions(identity *peer.Pinned, self model.Instance) peer.Options {
+	return peer.Options{
 		Address:     self.ControlAddress,
 		Pinned:      identity,
 		KeepAlive:   -1, // states are sent more often
 		IdleTimeout: peerIdleTime,
 	}
-	var err error
-	if e.peers, err = peer.NewClient(options); err != nil {
-		return err
-	}
+}
+
+// connect exchanges states with the other instances and listens for them.
+func (e *edge) connect(identity *peer.Pinned, self model.Instance, link *edgelink.Link,
+	commitments *commitment.Table, upstreams *upstream.Table, logger log.Interface) error {
 	e.exchange = exchange.New(exchange.Options{
 		Pool:        e.pool,
 		Self:        self,
 		Instances:   e.instances,
+		Members:     e.cell.Members,
 		Commitments: commitments,
 		Upstreams:   upstreams,
-		Link:        edgelink.New(e.peers, logger),
+		Link:        link,
 		Log:         logger,
 	})
+	options := peerOptions(identity, self)
 	options.Datagrams = edgelink.Receive(e.exchange.Receive, logger)
-	e.peerLink, err = peer.NewServer(options, peer.Mux{})
+	var err error
+	e.peerLink, err = peer.NewServer(options, peer.Mux{peerwire.KindRegistry: edgelink.ServeNews(e.registry.News)})
 	return err
 }
 
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -1,5 +1,5 @@
-// Package exchange tells the other instances what this one has in flight, and
-// takes in what they tell.
+// Package exchange tells the other instances of its cell what this one has in
+// flight, and takes in what they tell.
 //
 // Placements are made from the work of all instances: each one alone would
 // send its requests to the same upstreams. A state is sent soon after it
@@ -55,6 +55,7 @@
 	Pool        *worker.Pool
 	Self        model.Instance
 	Instances   *instance.Table
+	Members     func() []model.Instance // of this instance's cell
 	Commitments *commitment.Table
 	Upstreams   *upstream.Table
 	Link        Link
@@ -136,7 +137,7 @@
 		Work:        m.opts.Commitments.Own(),
 		Failed:      m.failures(time.Now()),
 	}
-	for _, in := range m.opts.Instances.All() {
+	for _, in := range m.opts.Members() {
 		if in.ID != m.opts.Self.ID && in.State != model.InstanceDead && in.ControlAddress != "" {
 			m.opts.Link.Tell(in, s)
 		}
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -99,6 +99,7 @@
 			Sender:        b,
 			Budget:        openBudget{},
 			FailureDomain: "a",
+			Owns:          func(string) bool { return true },
 			Changed:       func() {},
 			Failed:        func(model.UpstreamID, time.Time) {},
 			Log:           &log.Logger{Handler: discard.Default},
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -95,7 +95,9 @@
 	Sender        Sender
 	Budget        Budget
 	FailureDomain model.FailureDomain // of this instance
-	Changed       func()              // the commitments of this instance changed
+	// Owns reports whether this instance's cell prefers the engine at an address.
+	Owns    func(address string) bool
+	Changed func() // the commitments of this instance changed
 	// Failed is called when the connection to an upstream failed here.
 	Failed func(id model.UpstreamID, at time.Time)
 	Log    log.Interface
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -16,6 +16,9 @@
 	otherDomain = 0.2
 	// tieBreak is the random part of a call's cost, in parts of the slots.
 	tieBreak = 1e-3
+	// otherCell is the cost, in prompts, of an engine that another cell prefers,
+	// whose work there this instance does not know.
+	otherCell = 1.0
 	// defaultSlots stands in for what an upstream does not tell.
 	defaultSlots = 1
 	// memoryHeadroom is the part of an engine's memory that placements fill.
@@ -108,7 +111,7 @@
 	for _, row := range m.usable(r.service.Name, r.tried, now) {
 		up := row.Upstream
 		load := totals[up.ID]
-		cost := engineCost(load) + spread*float64(want.prefill)*draw(key, up.ID)
+		cost := m.engineCost(up, load, r.req, key)
 		fits := fitsMemory(r.service.Engine, load, want.memory)
 		if best.ID == "" || (fits && !bestFits) || (fits == bestFits && cost < bestCost) {
 			best, bestCost, bestFits = up, cost, fits
@@ -117,8 +120,14 @@
 	return best, totals[best.ID], best.ID != ""
 }
 
-func engineCost(load commitment.Work) float64 {
-	return float64(load.Prefill) + memoryWeight*float64(load.Memory) + copyWeight*float64(load.Copies)
+// engineCost orders engines by what a request would find there.
+func (m *Manager) engineCost(up model.Upstream, load commitment.Work, req *Request, key string) float64 {
+	cost := float64(load.Prefill) + memoryWeight*float64(load.Memory) + copyWeight*float64(load.Copies)
+	prompt := float64(req.Generation.PromptTokens)
+	if !m.opts.Owns(up.Address) {
+		cost += otherCell * prompt
+	}
+	return cost + spread*prompt*draw(key, up.ID)
 }
 
 func fitsMemory(engine *model.EngineTraits, load commitment.Work, more int) bool {
@@ -153,7 +162,7 @@
 		if up.ID == runs.ID || !fitsMemory(r.service.Engine, load, want.memory) {
 			continue
 		}
-		cost := engineCost(load) + spread*float64(r.req.Generation.PromptTokens)*draw(key, up.ID)
+		cost := m.engineCost(up, load, r.req, key)
 		if up.FailureDomain == runs.FailureDomain {
 			cost += float64(r.service.Engine.MemoryTokens)
 		}
--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -18,6 +18,7 @@
 	known   map[model.UpstreamID]Entry
 	missing map[model.UpstreamID]time.Time // entries that are gone, with the time at which that counts
 	back    time.Time                      // end of the last outage
+	readAt  time.Time                      // of the last read that succeeded
 }
 
 func newEntryState(logger log.Interface) entryState {
@@ -28,9 +29,16 @@
 	}
 }
 
-// readEntries reads the changes and plans the next read.
+// readEntries asks the cell's reader for changes, or reads them from the store
+// and plans the next read.
 func (m *Manager) readEntries() {
 	started := time.Now()
+	reader := m.reader(started)
+	m.direct.Store(reader.ID == m.opts.Self.ID)
+	if !m.direct.Load() {
+		m.follow(reader)
+		return
+	}
 	call := func(ctx context.Context) (Entries, error) { return m.opts.Store.Entries(ctx, m.entries.after) }
 	worker.Call(m.opts.Pool, keyEntries, callTimeout, call, func(got Entries, err error) {
 		m.entries.noteOutage(err)
@@ -41,6 +49,9 @@
 			wait = 0
 		case err != nil:
 			wait = retryWait
+			if m.opts.Peers != nil {
+				m.avoid[m.opts.Self.ID] = time.Now().Add(avoidReader)
+			}
 		default:
 			m.applyEntries(got)
 		}
@@ -59,8 +70,8 @@
 	s.result(err)
 }
 
-// applyEntries brings the table of upstreams up to date. A read that is older
-// than what is known is ignored.
+// applyEntries takes in a read of the store. One that is older than what is
+// known is ignored.
 func (m *Manager) applyEntries(got Entries) {
 	s := &m.entries
 	if got.Revision < s.after {
@@ -68,6 +79,16 @@
 		return
 	}
 	s.after = got.Revision
+	s.readAt = time.Now()
+	m.shareMu.Lock()
+	m.sharedReadAt = s.readAt
+	m.shareMu.Unlock()
+	m.takeChanges(got)
+}
+
+// takeChanges brings the table of upstreams up to date.
+func (m *Manager) takeChanges(got Entries) {
+	s := &m.entries
 	now := time.Now()
 	for _, e := range got.Changed {
 		delete(s.missing, e.Upstream.ID)
@@ -78,20 +99,22 @@
 			s.missing[id] = laterOf(now, s.back.Add(returnGrace))
 		}
 	}
-	s.dropMissing(now)
+	m.dropMissing(now)
 	m.configure()
 	for _, e := range got.Changed {
 		m.report(e)
 	}
 }
 
-// noteEntry keeps the entry, and logs one that is new or begins to leave.
+// noteEntry keeps the entry. One that is new, restarted or begins to leave is
+// logged and told to the others; one that only lives on is not.
 func (m *Manager) noteEntry(e Entry) {
 	old, known := m.entries.known[e.Upstream.ID]
 	m.entries.known[e.Upstream.ID] = e
 	if known && old.Leaving == e.Leaving && old.Incarnation == e.Incarnation {
 		return
 	}
+	m.noteChange(change{entry: e})
 	m.opts.Log.WithField("upstream", string(e.Upstream.ID)).
 		WithField("service", e.Upstream.Serves).
 		WithField("address", e.Upstream.Address).
@@ -119,14 +142,16 @@
 }
 
 // dropMissing forgets the upstreams whose time has come.
-func (s *entryState) dropMissing(now time.Time) {
+func (m *Manager) dropMissing(now time.Time) {
+	s := &m.entries
 	for id, due := range s.missing {
 		if now.Before(due) {
 			continue
 		}
 		delete(s.missing, id)
-		if _, known := s.known[id]; known {
+		if e, known := s.known[id]; known {
 			delete(s.known, id)
+			m.noteChange(change{entry: e, removed: true})
 			s.log.WithField("upstream", string(id)).WithField("revision", s.after).Info("upstream entry is gone")
 		}
 	}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -10,6 +10,8 @@
 import (
 	"context"
 	"errors"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -63,11 +65,13 @@
 type Options struct {
 	Pool      *worker.Pool
 	Store     Store
+	Peers     Peers
 	Self      model.Instance
 	Rules     *rules.Table
 	Upstreams *upstream.Table
 	Instances *instance.Table
-	LeaveTime time.Duration // within which a leaving upstream gets no more work
+	Members   func() []model.Instance // of this instance's cell, sorted by ID
+	LeaveTime time.Duration           // within which a leaving upstream gets no more work
 	Log       log.Interface
 }
 
@@ -87,6 +91,9 @@
 	// instancesSoon is the time of the second read, when all instances of a
 	// deployment that starts have announced themselves.
 	instancesSoon = time.Second
+	// followCheck is the time between checks whether this instance has to read
+	// the rules itself again.
+	followCheck = 100 * time.Millisecond
 	// returnGrace is the time after an outage in which entries that lapsed
 	// meanwhile come back. One that is missing after it is gone.
 	returnGrace = 2500 * time.Millisecond
@@ -99,20 +106,36 @@
 	keyInstances worker.Key = "registry/instances"
 )
 
-// Manager reads the store.
+// Manager reads the store. shareMu guards the fields named for sharing, and is a
+// leaf: no other lock is taken under it.
 type Manager struct {
-	opts    Options
-	rules   duty
-	members duty
-	readDue *worker.Timer // of the next read of the instances; nil during one
-	readAt  time.Time     // when the last one began
-	entries entryState    // items under keyEntries alone touch it
+	opts   Options
+	rules  duty
+	direct atomic.Bool                    // this instance reads the store itself
+	known  Known                          // items under keyEntries alone touch it
+	avoid  map[model.InstanceID]time.Time // readers that are passed over until then; as known
+
+	shareMu      sync.Mutex
+	shareVersion uint64
+	shared       map[model.UpstreamID]change
+	sharedReadAt time.Time
+	shareChanged chan struct{} // closed at the next change
+	members      duty
+	readDue      *worker.Timer // of the next read of the instances; nil during one
+	readAt       time.Time     // when the last one began
+	entries      entryState    // items under keyEntries alone touch it
 }
 
 // New returns a Manager that reads nothing yet.
 func New(opts Options) *Manager {
 	opts.Log = opts.Log.WithField("part", "registry")
-	m := &Manager{opts: opts}
+	m := &Manager{
+		opts:         opts,
+		avoid:        map[model.InstanceID]time.Time{},
+		shared:       map[model.UpstreamID]change{},
+		shareChanged: make(chan struct{}),
+	}
+	m.direct.Store(true)
 	m.rules = duty{log: opts.Log, what: "rules"}
 	m.members = duty{log: opts.Log, what: "instances"}
 	m.entries = newEntryState(opts.Log)
@@ -153,6 +176,10 @@
 }
 
 func (m *Manager) readRules(after Revision) {
+	if !m.direct.Load() {
+		m.opts.Pool.After(followCheck, keyRules, worker.Func(func() { m.readRules(after) }))
+		return
+	}
 	call := func(ctx context.Context) (rulesRead, error) {
 		r, next, err := m.opts.Store.Rules(ctx, after, rulesWait)
 		return rulesRead{r, next}, err
@@ -181,6 +208,9 @@
 		WithField("organisations", len(r.Holders)).
 		WithField("source", source).
 		Info("rules in force")
+	m.shareMu.Lock()
+	defer m.shareMu.Unlock()
+	m.wake()
 }
 
 func (m *Manager) announce() {
@@ -217,15 +247,31 @@
 		if err != nil {
 			wait = retryWait
 		}
-		for _, in := range all {
-			if in.ID != m.opts.Self.ID {
-				m.opts.Instances.Merge(in)
-			}
+		if err == nil {
+			m.applyInstances(all)
 		}
 		m.readDue = m.opts.Pool.After(wait, keyInstances, worker.Func(m.readInstances))
 	})
 }
 
+// applyInstances takes in the list of instances. One that is not in it any more
+// has stopped.
+func (m *Manager) applyInstances(all []model.Instance) {
+	listed := make(map[model.InstanceID]bool, len(all))
+	for _, in := range all {
+		listed[in.ID] = true
+		if in.ID != m.opts.Self.ID {
+			m.opts.Instances.Merge(in)
+		}
+	}
+	for _, in := range m.opts.Instances.All() {
+		if !listed[in.ID] && in.ID != m.opts.Self.ID && instance.StateRank(in.State) < instance.StateRank(model.InstanceLeaving) {
+			in.State = model.InstanceLeaving
+			m.opts.Instances.Merge(in)
+		}
+	}
+}
+
 // Withdraw takes this instance out of the store before it stops.
 func (m *Manager) Withdraw() {
 	call := func(ctx context.Context) (struct{}, error) {
--- /dev/null
+++ b/internal/coordination/registry/share.go
@@ -0,0 +1,180 @@
+package registry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// One instance of a cell, its reader, reads the store; the others ask it for
+// what is new. The reader is the first live member by ID that is not known to
+// have lost the store. A member whose reader does not answer, or has not read
+// lately, takes the next one, which may be itself.
+
+// Known says what an instance has from a reader.
+type Known struct {
+	Reader  uint64 // incarnation of the reader that Version is of
+	Version uint64
+	Rules   uint64 // revision of the rules
+}
+
+// News is what a reader knows beyond Known.
+type News struct {
+	Reader  uint64 // incarnation
+	Version uint64
+	Whole   bool // Changed holds all entries that there are
+	Changed []Entry
+	Removed []model.UpstreamID
+	Rules   *model.RoutingRules // nil unless they are newer
+	Age     time.Duration       // since the reader last read the entries
+}
+
+// Peers asks another instance for what is new. It blocks until there is
+// something, at most for the given time.
+type Peers interface {
+	News(ctx context.Context, from model.Instance, known Known, wait time.Duration) (News, error)
+}
+
+const (
+	// newsWait is how long a reader keeps a question without news. A reader
+	// that is lost is noticed newsWait and newsMargin later.
+	newsWait   = 700 * time.Millisecond
+	newsMargin = 400 * time.Millisecond
+	// freshFor is the age of a reader's last read from which on it has lost the
+	// store.
+	freshFor = 1800 * time.Millisecond
+	// avoidReader is how long a reader is passed over after it failed.
+	avoidReader = 3 * time.Second
+	// keptRemovals bounds the removed entries that a reader still tells.
+	keptRemovals = 1024
+)
+
+// change is the last change of one entry.
+type change struct {
+	version uint64
+	entry   Entry
+	removed bool
+}
+
+// reader returns the member of this instance's cell that reads the store. It
+// runs under keyEntries.
+func (m *Manager) reader(now time.Time) model.Instance {
+	if m.opts.Peers == nil {
+		return m.opts.Self
+	}
+	for _, in := range m.opts.Members() {
+		if in.State != model.InstanceLive || now.Before(m.avoid[in.ID]) {
+			continue
+		}
+		return in
+	}
+	return m.opts.Self
+}
+
+// follow asks the reader for news. It runs under keyEntries.
+func (m *Manager) follow(from model.Instance) {
+	known := m.known
+	if r := m.opts.Rules.Current(); r != nil {
+		known.Rules = r.Revision
+	}
+	call := func(ctx context.Context) (News, error) { return m.opts.Peers.News(ctx, from, known, newsWait) }
+	worker.Call(m.opts.Pool, keyEntries, newsWait+newsMargin, call, func(news News, err error) {
+		now := time.Now()
+		if err != nil || news.Age > freshFor {
+			m.avoid[from.ID] = now.Add(avoidReader)
+			m.opts.Log.WithField("instance", string(from.ID)).WithField("age_ms", news.Age.Milliseconds()).WithError(err).Warn("reader lost")
+		}
+		if err == nil {
+			m.applyNews(news, from)
+			m.entries.readAt = now.Add(-news.Age)
+		}
+		m.readEntries()
+	})
+}
+
+// applyNews takes in what a reader knows.
+func (m *Manager) applyNews(news News, from model.Instance) {
+	m.known = Known{Reader: news.Reader, Version: news.Version}
+	m.ApplyRules(news.Rules, string(from.ID))
+	if len(news.Changed) > 0 || len(news.Removed) > 0 || news.Whole {
+		m.takeChanges(Entries{Whole: news.Whole, Changed: news.Changed, Removed: news.Removed})
+	}
+}
+
+// noteChange remembers a change for the instances that ask, and wakes them.
+func (m *Manager) noteChange(c change) {
+	m.shareMu.Lock()
+	defer m.shareMu.Unlock()
+	m.shareVersion++
+	c.version = m.shareVersion
+	m.shared[c.entry.Upstream.ID] = c
+	m.forgetRemovals()
+	m.wake()
+}
+
+// wake ends the wait of all that ask. The caller holds shareMu.
+func (m *Manager) wake() {
+	close(m.shareChanged)
+	m.shareChanged = make(chan struct{})
+}
+
+// forgetRemovals drops the oldest removals when there are too many. An instance
+// that does not know of one keeps an upstream that answers nothing. The caller
+// holds shareMu.
+func (m *Manager) forgetRemovals() {
+	if len(m.shared) < 2*keptRemovals {
+		return
+	}
+	for id, c := range m.shared {
+		if c.removed && c.version+keptRemovals < m.shareVersion {
+			delete(m.shared, id)
+		}
+	}
+}
+
+// News answers an instance of the cell. It blocks until something is new, at
+// most for the given time, and is called by network goroutines.
+func (m *Manager) News(ctx context.Context, known Known, wait time.Duration) News {
+	due := time.NewTimer(min(wait, newsWait))
+	defer due.Stop()
+	for {
+		news, changed := m.newsSince(known)
+		if changed == nil {
+			return news
+		}
+		select {
+		case <-changed:
+		case <-due.C:
+			return news
+		case <-ctx.Done():
+			return news
+		}
+	}
+}
+
+// newsSince returns what is new, and the channel to wait on if nothing is.
+func (m *Manager) newsSince(known Known) (News, <-chan struct{}) {
+	current := m.opts.Rules.Current()
+	m.shareMu.Lock()
+	defer m.shareMu.Unlock()
+	news := News{Reader: m.opts.Self.Incarnation, Version: m.shareVersion, Age: time.Since(m.sharedReadAt)}
+	news.Whole = known.Reader != news.Reader
+	for id, c := range m.shared {
+		switch {
+		case !news.Whole && c.version <= known.Version:
+		case !c.removed:
+			news.Changed = append(news.Changed, c.entry)
+		case !news.Whole:
+			news.Removed = append(news.Removed, id)
+		}
+	}
+	if current != nil && current.Revision > known.Rules {
+		news.Rules = current
+	}
+	if news.Whole || len(news.Changed) > 0 || len(news.Removed) > 0 || news.Rules != nil {
+		return news, nil
+	}
+	return news, m.shareChanged
+}
--- /dev/null
+++ b/internal/protocol/peerwire/registry.go
@@ -0,0 +1,117 @@
+package peerwire
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
+
+// newsAsk asks for what is new in the registry.
+type newsAsk struct {
+	Reader  uint64 `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Rules   uint64 `cbor:"3,keyasint"`
+	WaitMs  uint32 `cbor:"4,keyasint"`
+}
+
+type newsBody struct {
+	Reader  uint64              `cbor:"1,keyasint"`
+	Version uint64              `cbor:"2,keyasint"`
+	Whole   bool                `cbor:"3,keyasint,omitempty"`
+	Changed []entryRow          `cbor:"4,keyasint,omitempty"`
+	Removed []model.UpstreamID  `cbor:"5,keyasint,omitempty"`
+	Rules   *model.RoutingRules `cbor:"6,keyasint,omitempty"`
+	AgeMs   uint32              `cbor:"7,keyasint"`
+}
+
+// entryRow is what an upstream tells of itself.
+type entryRow struct {
+	_           struct{} `cbor:",toarray"`
+	ID          model.UpstreamID
+	Address     string
+	Domain      model.FailureDomain
+	Serves      string
+	Version     string
+	Slots       int
+	Incarnation uint64
+	Sequence    uint64
+	Leaving     bool
+}
+
+// EncodeNewsAsk returns the message that asks for news.
+func EncodeNewsAsk(known registry.Known, wait time.Duration) (Message, error) {
+	body, err := encoding.Marshal(newsAsk{known.Reader, known.Version, known.Rules, count(int(wait.Milliseconds()))})
+	return Message{Kind: KindRegistry, Body: body}, trace.Wrap(err)
+}
+
+// DecodeNewsAsk reads a question for news.
+func DecodeNewsAsk(m Message) (registry.Known, time.Duration, error) {
+	var b newsAsk
+	if err := decoding.Unmarshal(m.Body, &b); err != nil {
+		return registry.Known{}, 0, trace.BadParameter("registry message: %v", err)
+	}
+	known := registry.Known{Reader: b.Reader, Version: b.Version, Rules: b.Rules}
+	return known, time.Duration(b.WaitMs) * time.Millisecond, nil
+}
+
+// EncodeNews returns the answer to a question for news.
+func EncodeNews(n registry.News) (Message, error) {
+	b := newsBody{
+		Reader:  n.Reader,
+		Version: n.Version,
+		Whole:   n.Whole,
+		Removed: n.Removed,
+		Rules:   n.Rules,
+		AgeMs:   count(int(n.Age.Milliseconds())),
+	}
+	for _, e := range n.Changed {
+		b.Changed = append(b.Changed, entryRow{
+			ID:          e.Upstream.ID,
+			Address:     e.Upstream.Address,
+			Domain:      e.Upstream.FailureDomain,
+			Serves:      e.Upstream.Serves,
+			Version:     e.Upstream.Version,
+			Slots:       e.Upstream.Slots,
+			Incarnation: e.Incarnation,
+			Sequence:    e.Sequence,
+			Leaving:     e.Leaving,
+		})
+	}
+	body, err := encoding.Marshal(b)
+	return Message{Kind: KindRegistry, Body: body}, trace.Wrap(err)
+}
+
+// DecodeNews reads an answer with news.
+func DecodeNews(m Message) (registry.News, error) {
+	var b newsBody
+	if err := decoding.Unmarshal(m.Body, &b); err != nil {
+		return registry.News{}, trace.BadParameter("registry message: %v", err)
+	}
+	n := registry.News{
+		Reader:  b.Reader,
+		Version: b.Version,
+		Whole:   b.Whole,
+		Removed: b.Removed,
+		Rules:   b.Rules,
+		Age:     time.Duration(b.AgeMs) * time.Millisecond,
+	}
+	for _, r := range b.Changed {
+		n.Changed = append(n.Changed, registry.Entry{
+			Upstream: model.Upstream{
+				ID:            r.ID,
+				Kind:          model.KindService,
+				Address:       r.Address,
+				FailureDomain: r.Domain,
+				Serves:        r.Serves,
+				Version:       r.Version,
+				Slots:         r.Slots,
+			},
+			Incarnation: r.Incarnation,
+			Sequence:    r.Sequence,
+			Leaving:     r.Leaving,
+		})
+	}
+	return n, nil
+}
--- a/internal/state/lock/lock.go
+++ b/internal/state/lock/lock.go
@@ -14,6 +14,7 @@
 const (
 	RankDocument     Rank = 10
 	RankInstance     Rank = 20
+	RankCell         Rank = 25
 	RankUpstream     Rank = 30
 	RankCommitment   Rank = 33
 	RankPrefix       Rank = 35
--- /dev/null
+++ b/internal/transport/edgelink/registry.go
@@ -0,0 +1,39 @@
+package edgelink
+
+import (
+	"context"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
+)
+
+// News implements registry.Peers.
+func (l *Link) News(ctx context.Context, from model.Instance, known registry.Known, wait time.Duration) (registry.News, error) {
+	ask, err := peerwire.EncodeNewsAsk(known, wait)
+	if err != nil {
+		return registry.News{}, err
+	}
+	reply, err := l.client.Request(ctx, from.ControlAddress, ask)
+	if err != nil {
+		return registry.News{}, err
+	}
+	return peerwire.DecodeNews(reply)
+}
+
+// ServeNews returns the handler of questions for news.
+func ServeNews(news func(ctx context.Context, known registry.Known, wait time.Duration) registry.News) peer.Handler {
+	return peer.HandlerFunc(func(ctx context.Context, _ peer.Peer, m peerwire.Message, w peer.MessageWriter) error {
+		known, wait, err := peerwire.DecodeNewsAsk(m)
+		if err != nil {
+			return err
+		}
+		reply, err := peerwire.EncodeNews(news(ctx, known, wait))
+		if err != nil {
+			return err
+		}
+		return w.Write(reply)
+	})
+}
