Read the store once for each cell, and test edged on stand-ins

Ruled out: a lower rate of states, which lets placements collide again; gossip of all work, whose size grows with the deployment. States go to the cell; its first live member reads the store and the others ask it for news with a wait, and read themselves when it does not answer or has lost the store.

--- /dev/null
+++ b/internal/coordination/exchange/exchange_test.go
@@ -0,0 +1,138 @@
+package exchange
+
+import (
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"gotest.tools/v3/assert"
+)
+
+// member is one instance with its tables.
+type member struct {
+	*Manager
+	pool        *worker.Pool
+	instances   *instance.Table
+	commitments *commitment.Table
+	upstreams   *upstream.Table
+	cut         atomic.Bool // its states are lost
+}
+
+// network delivers states at once.
+type network map[model.InstanceID]*member
+
+// Tell implements Link.
+func (n network) Tell(to model.Instance, s State) {
+	if !n[s.Instance].cut.Load() {
+		n[to.ID].Receive(s)
+	}
+}
+
+// startPair starts two instances that know each other.
+func startPair(t *testing.T) (a, b *member, stop func()) {
+	t.Helper()
+	n := network{}
+	all := []model.Instance{
+		{ID: "a", Incarnation: 1, State: model.InstanceLive, ControlAddress: "a"},
+		{ID: "b", Incarnation: 1, State: model.InstanceLive, ControlAddress: "b"},
+	}
+	for _, self := range all {
+		m := &member{
+			pool:        worker.NewPool(worker.Options{Workers: 1}),
+			instances:   instance.NewTable(),
+			commitments: commitment.NewTable(3 * time.Second),
+			upstreams:   upstream.NewTable(),
+		}
+		for _, in := range all {
+			m.instances.Merge(in)
+		}
+		m.upstreams.Configure([]model.Upstream{{ID: "u", Serves: "s"}})
+		m.Manager = New(Options{
+			Pool: m.pool, Self: self, Instances: m.instances, Members: m.instances.All, Commitments: m.commitments,
+			Upstreams: m.upstreams, Link: n, Log: &log.Logger{Handler: discard.Default},
+		})
+		n[self.ID] = m
+	}
+	for _, m := range n {
+		m.Start()
+	}
+	return n["a"], n["b"], func() {
+		for _, m := range n {
+			m.pool.Close()
+		}
+	}
+}
+
+// Guards against placements that do not see what another instance just placed.
+func TestWorkIsToldAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, stop := startPair(t)
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		a.commitments.Add("u", commitment.Work{Requests: 1, Prefill: 5000})
+		a.Changed()
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, b.commitments.Totals(time.Now())["u"].Prefill, 5000)
+	})
+}
+
+// Guards against work of a lost instance that counts for ever, and against
+// callers that are sent there.
+func TestSilentInstanceIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, stop := startPair(t)
+		defer stop()
+		a.commitments.Add("u", commitment.Work{Requests: 1})
+		a.Changed()
+		time.Sleep(2 * time.Second)
+		a.cut.Store(true)
+		time.Sleep(4 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, b.commitments.Totals(time.Now())["u"], commitment.Work{})
+		in, _ := b.instances.Get("a")
+		assert.Equal(t, in.State, model.InstanceSuspected)
+		a.cut.Store(false)
+		time.Sleep(2 * time.Second)
+		in, _ = b.instances.Get("a")
+		assert.Equal(t, in.State, model.InstanceLive)
+	})
+}
+
+// Guards against a failure that each instance has to meet itself.
+func TestFailureIsToldToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, stop := startPair(t)
+		defer stop()
+		time.Sleep(100 * time.Millisecond)
+		a.Failed("u", time.Now())
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		row, _ := b.upstreams.Get("u")
+		assert.Assert(t, !row.FailedAt.IsZero())
+	})
+}
+
+// Guards against an older state that replaces a newer one.
+func TestOlderStateIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, b, stop := startPair(t)
+		defer stop()
+		work := func(n int) map[model.UpstreamID]commitment.Work {
+			return map[model.UpstreamID]commitment.Work{"u": {Requests: n}}
+		}
+		b.Receive(State{Instance: "c", Incarnation: 2, Sequence: 5, Work: work(2)})
+		b.Receive(State{Instance: "c", Incarnation: 2, Sequence: 4, Work: work(7)})
+		b.Receive(State{Instance: "c", Incarnation: 1, Sequence: 9, Work: work(9)})
+		synctest.Wait()
+		assert.Equal(t, b.commitments.Totals(time.Now())["u"].Requests, 2)
+	})
+}
--- /dev/null
+++ b/internal/coordination/registry/registry_test.go
@@ -0,0 +1,278 @@
+package registry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/discard"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
+	"gotest.tools/v3/assert"
+)
+
+var errDown = errors.New("store is down")
+
+// fakeStore is a store of which each instance may be cut off.
+type fakeStore struct {
+	world *world
+	reads atomic.Int32
+	cut   atomic.Bool
+}
+
+// world is what the store holds. mu guards it.
+type world struct {
+	mu        sync.Mutex
+	revision  Revision
+	rules     *model.RoutingRules
+	entries   map[model.UpstreamID]Entry
+	instances []model.Instance
+}
+
+// change changes the world at once.
+func (w *world) change(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f()
+}
+
+func (w *world) at() Revision {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.revision
+}
+
+func (s *fakeStore) Rules(ctx context.Context, after Revision, d time.Duration) (*model.RoutingRules, Revision, error) {
+	if s.cut.Load() {
+		return nil, 0, errDown
+	}
+	if after == s.world.at() {
+		wait.Sleep(ctx, d)
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	return s.world.rules, s.world.revision, nil
+}
+
+func (s *fakeStore) Entries(context.Context, Revision) (Entries, error) {
+	s.reads.Add(1)
+	if s.cut.Load() {
+		return Entries{}, errDown
+	}
+	s.world.mu.Lock()
+	defer s.world.mu.Unlock()
+	got := Entries{Revision: s.world.revision, Whole: true}
+	for _, e := range s.world.entries {
+		got.Changed = append(got.Changed, e)
+	}
+	return got, nil
+}
+
+func (s *fakeStore) Instances(context.Context) ([]model.Instance, error) {
+	if s.cut.Load() {
+		return nil, errDown
+	}
+	return s.world.instances, nil
+}
+
+func (s *fakeStore) Announce(context.Context, model.Instance) error { return nil }
+func (s *fakeStore) Withdraw(context.Context, model.Instance) error { return nil }
+
+// member is one instance of a cell.
+type member struct {
+	*Manager
+	store     *fakeStore
+	table     *rules.Table
+	upstreams *upstream.Table
+	pool      *worker.Pool
+	lost      atomic.Bool // does not answer the others
+}
+
+// cellOf asks the other members.
+type cellOf map[model.InstanceID]*member
+
+func (c cellOf) News(ctx context.Context, from model.Instance, known Known, d time.Duration) (News, error) {
+	other := c[from.ID]
+	if other.lost.Load() {
+		wait.Sleep(ctx, time.Hour)
+		return News{}, ctx.Err()
+	}
+	return other.Manager.News(ctx, known, d), nil
+}
+
+// startCell starts a cell of instances over one store.
+func startCell(t *testing.T, w *world, ids ...model.InstanceID) cellOf {
+	t.Helper()
+	c := cellOf{}
+	for i, id := range ids {
+		w.instances = append(w.instances, model.Instance{ID: id, Incarnation: uint64(i + 1), State: model.InstanceLive})
+	}
+	for _, self := range w.instances {
+		m := &member{
+			store:     &fakeStore{world: w},
+			table:     rules.NewTable(),
+			upstreams: upstream.NewTable(),
+			pool:      worker.NewPool(worker.Options{Workers: 1}),
+		}
+		instances := instance.NewTable()
+		m.Manager = New(Options{
+			Pool:      m.pool,
+			Store:     m.store,
+			Peers:     c,
+			Self:      self,
+			Rules:     m.table,
+			Upstreams: m.upstreams,
+			Instances: instances,
+			Members:   instances.All,
+			LeaveTime: 2 * time.Second,
+			Log:       &log.Logger{Handler: discard.Default},
+		})
+		c[self.ID] = m
+	}
+	for _, m := range c {
+		m.Start()
+	}
+	return c
+}
+
+func (c cellOf) close() {
+	for _, m := range c {
+		m.pool.Close()
+	}
+}
+
+func entryOf(id model.UpstreamID, leaving bool, sequence uint64) Entry {
+	return Entry{Upstream: model.Upstream{ID: id, Address: string(id), Serves: "s"}, Sequence: sequence, Leaving: leaving}
+}
+
+func newWorld() *world {
+	return &world{
+		revision: 10,
+		rules:    &model.RoutingRules{Revision: 1},
+		entries:  map[model.UpstreamID]Entry{"u1": entryOf("u1", false, 1), "u2": entryOf("u2", false, 1)},
+	}
+}
+
+// Guards against a store that each instance reads, which costs more the larger
+// the deployment is.
+func TestOneMemberReadsForTheCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a", "b", "c")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		before := c["b"].store.reads.Load() + c["c"].store.reads.Load()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, c["b"].store.reads.Load()+c["c"].store.reads.Load(), before)
+		assert.Equal(t, len(c["c"].upstreams.Serving("s")), 2)
+	})
+}
+
+// Guards against a leaving upstream, and against rules, that members learn too
+// late from their reader.
+func TestMembersLearnChangesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a", "b", "c")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		w.change(func() {
+			w.entries["u1"] = entryOf("u1", true, 2)
+			w.rules = &model.RoutingRules{Revision: 2}
+			w.revision = 11
+		})
+		time.Sleep(1800 * time.Millisecond)
+		for id, m := range c {
+			row, _ := m.upstreams.Get("u1")
+			assert.Equal(t, row.Report.Health, upstream.HealthLeaving, id)
+		}
+		time.Sleep(time.Second) // the fake's wait does not end at a change
+		for id, m := range c {
+			assert.Equal(t, m.table.Current().Revision, uint64(2), id)
+		}
+	})
+}
+
+// Guards against members that go on with old rules after their reader stopped.
+func TestLostReaderIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a", "b", "c")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		c["a"].lost.Store(true)
+		w.change(func() {
+			w.rules = &model.RoutingRules{Revision: 2}
+			w.revision = 11
+		})
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c["b"].table.Current().Revision, uint64(2))
+		assert.Equal(t, c["c"].table.Current().Revision, uint64(2))
+	})
+}
+
+// Guards against an instance that the store turns away and that does not learn
+// from the others which keys were taken away.
+func TestInstanceWithoutStoreLearnsFromOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a", "b", "c")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		c["a"].store.cut.Store(true) // the reader
+		w.change(func() {
+			w.rules = &model.RoutingRules{Revision: 2}
+			w.entries["u2"] = entryOf("u2", true, 2)
+			w.revision = 11
+		})
+		time.Sleep(5 * time.Second)
+		for id, m := range c {
+			assert.Equal(t, m.table.Current().Revision, uint64(2), id)
+			row, _ := m.upstreams.Get("u2")
+			assert.Equal(t, row.Report.Health, upstream.HealthLeaving, id)
+		}
+	})
+}
+
+// Guards against upstreams that are taken as gone since their entries lapsed
+// while the store was away, and against ones that stay although they are gone.
+func TestLapsedEntriesMayComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		c["a"].store.cut.Store(true)
+		time.Sleep(5 * time.Second)
+		kept := w.entries
+		w.change(func() { w.entries, w.revision = map[model.UpstreamID]Entry{}, 12 })
+		c["a"].store.cut.Store(false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, len(c["a"].upstreams.Serving("s")), 2)
+		w.change(func() { w.entries, w.revision = map[model.UpstreamID]Entry{"u1": kept["u1"]}, 13 })
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, len(c["a"].upstreams.Serving("s")), 1)
+	})
+}
+
+// Guards against a stale read that brings back an older state.
+func TestStaleReadIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		w.change(func() { w.entries, w.revision = map[model.UpstreamID]Entry{}, 4 })
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, len(c["a"].upstreams.Serving("s")), 2)
+	})
+}
--- /dev/null
+++ b/internal/protocol/forwardwire/names_test.go
@@ -0,0 +1,106 @@
+package forwardwire
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+)
+
+func testNames() Names {
+	return Names{
+		Request: "X-Req", TimeLeft: "X-Left", CredentialScheme: "Token", LastEvent: "Last-Event-Id", Tokens: "X-Tokens",
+		PromptParts: "X-Parts", Organisation: "X-Org", ExpectedUpstream: "X-Expect", NotRun: "X-Not-Run", CopyTo: "X-Copy-To",
+		CopyFrom: "Copy-From", SystemOnly: []string{"X-Rank"},
+	}
+}
+
+func header(pairs ...string) http.Header {
+	h := http.Header{}
+	for i := 0; i < len(pairs); i += 2 {
+		h.Add(pairs[i], pairs[i+1])
+	}
+	return h
+}
+
+// Guards against fields of the caller that upstreams would take as the
+// system's word, and against its credential reaching an upstream.
+func TestCallerCannotSpeakForTheSystem(t *testing.T) {
+	in := header("X-Req", "r1", "X-Org", "other", "X-Expect", "u", "X-Copy-To", "a", "Copy-From", "b", "X-Rank", "0",
+		"Authorization", "Token key", "Connection", "X-Hop", "X-Hop", "1", "X-Kept", "1")
+	req, err := testNames().DecodeRequest(in, time.Now())
+	assert.NilError(t, err)
+	assert.Equal(t, req.Credential, "key")
+	assert.DeepEqual(t, req.Header, forward.Header{"X-Req": {"r1"}, "X-Kept": {"1"}})
+}
+
+// Guards against malformed fields that are taken as zero.
+func TestMalformedFieldsAreNamed(t *testing.T) {
+	for _, c := range []struct{ name, value string }{
+		{"X-Left", "soon"}, {"X-Left", "-1"}, {"Last-Event-Id", "x"}, {"X-Tokens", "5"}, {"X-Tokens", "5,-1"}, {"X-Parts", "a"}, {"X-Parts", "a:b"},
+	} {
+		_, err := testNames().DecodeRequest(header(c.name, c.value), time.Now())
+		assert.ErrorContains(t, err, c.name)
+	}
+}
+
+// Guards against a send that gives the upstream more time than is left, or
+// that does not name who may run it.
+func TestSendCarriesWhatTheUpstreamMustKnow(t *testing.T) {
+	now := time.Now()
+	out := testNames().EncodeSend(forward.Send{
+		Upstream:     model.Upstream{ID: "u1"},
+		Request:      &forward.Request{ID: "r1", Header: forward.Header{"X-Left": {"9000"}, "X-Kept": {"1"}}},
+		Organisation: "org",
+		Deadline:     now.Add(1500 * time.Millisecond),
+		After:        7,
+		CopyTo:       "10.0.0.2:1",
+		From:         &forward.CopySource{Holder: "10.0.0.3:1", Request: "r1"},
+	}, now)
+	assert.DeepEqual(t, out, http.Header{
+		"X-Req": {"r1"}, "X-Expect": {"u1"}, "X-Org": {"org"}, "X-Left": {"1500"}, "Last-Event-Id": {"7"}, "X-Copy-To": {"10.0.0.2:1"},
+		"Copy-From": {"10.0.0.3:1/r1"}, "X-Kept": {"1"}, "User-Agent": {""},
+	})
+}
+
+// Guards against an answer to another request, and against a refusal that is
+// taken as a run or the other way round.
+func TestJudge(t *testing.T) {
+	cases := []struct {
+		name   string
+		status int
+		header http.Header
+		want   Verdict
+	}{
+		{"own answer", 200, header("X-Req", "r1"), Verdict{Own: true}},
+		{"answer to another request", 200, header("X-Req", "r2"), Verdict{}},
+		{"nameless answer", 200, header(), Verdict{}},
+		{"full", 503, header("X-Not-Run", "1"), Verdict{Own: true, NotRun: true}},
+		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true}},
+		{"address reused", 421, header(), Verdict{Own: true, NotRun: true, Elsewhere: true}},
+	}
+	for _, c := range cases {
+		assert.Equal(t, testNames().Judge("r1", c.status, c.header), c.want, c.name)
+	}
+}
+
+// Guards against fields of a caller that end the process or give a request
+// that cannot be sent.
+func FuzzDecodeRequest(f *testing.F) {
+	f.Add("r", "100", "Token k", "3", "5000,800", "a:1,b:2")
+	f.Add("", "9223372036854775807", "Token", "", "1,1", ":")
+	f.Fuzz(func(t *testing.T, id, left, credential, event, tokens, parts string) {
+		now := time.Now()
+		in := header("X-Req", id, "X-Left", left, "Authorization", credential, "Last-Event-Id", event, "X-Tokens", tokens, "X-Parts", parts)
+		req, err := testNames().DecodeRequest(in, now)
+		if err != nil {
+			return
+		}
+		assert.Assert(t, req.Deadline.IsZero() || !req.Deadline.Before(now))
+		assert.Assert(t, req.Generation.PromptTokens >= 0 && req.Generation.OutputTokens >= 0)
+		testNames().EncodeSend(forward.Send{Request: req, Deadline: req.Deadline}, now)
+	})
+}
--- /dev/null
+++ b/internal/protocol/peerwire/state_test.go
@@ -0,0 +1,83 @@
+package peerwire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+)
+
+func someState() exchange.State {
+	return exchange.State{
+		Instance: "i", Incarnation: 3, Sequence: 9, Leaving: true,
+		Work:   map[model.UpstreamID]commitment.Work{"u": {Requests: 1, Prefill: 2, Memory: 3, Copies: 4}},
+		Failed: map[model.UpstreamID]time.Duration{"v": 250 * time.Millisecond},
+	}
+}
+
+func someNews() registry.News {
+	return registry.News{
+		Reader: 1, Version: 2, Whole: true, Age: time.Second, Removed: []model.UpstreamID{"gone"},
+		Changed: []registry.Entry{{
+			Upstream:    model.Upstream{ID: "u", Kind: model.KindService, Address: "10.0.0.1:1", FailureDomain: "d", Serves: "s", Version: "v1", Slots: 4},
+			Incarnation: 5, Sequence: 6, Leaving: true,
+		}},
+		Rules: &model.RoutingRules{
+			Revision: 8,
+			Routes:   []model.HostRoute{{Name: "r", Host: "h", Prefix: "/p/", Repeat: model.RepeatAny, Timeout: time.Second, Targets: []model.RouteTarget{{Service: "s", Weight: 1}}}},
+			Services: []model.BackendService{{Name: "s", Engine: &model.EngineTraits{MemoryTokens: 9, Copies: true}}},
+			Holders:  []model.KeyHolder{{Organisation: "o", Keys: []string{"k"}}},
+		},
+	}
+}
+
+// Guards against a field that is lost between two instances.
+func TestStateAndNewsRoundTrip(t *testing.T) {
+	m, err := EncodeState(someState())
+	assert.NilError(t, err)
+	state, err := DecodeState(m)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, state, someState())
+	m, err = EncodeNews(someNews())
+	assert.NilError(t, err)
+	news, err := DecodeNews(m)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, news, someNews())
+	m, err = EncodeNewsAsk(registry.Known{Reader: 1, Version: 2, Rules: 3}, time.Second)
+	assert.NilError(t, err)
+	known, wait, err := DecodeNewsAsk(m)
+	assert.NilError(t, err)
+	assert.Equal(t, known, registry.Known{Reader: 1, Version: 2, Rules: 3})
+	assert.Equal(t, wait, time.Second)
+}
+
+// Guards against a peer's message that ends the process.
+func FuzzStateAndNews(f *testing.F) {
+	for _, m := range []func() (Message, error){
+		func() (Message, error) { return EncodeState(someState()) },
+		func() (Message, error) { return EncodeNews(someNews()) },
+	} {
+		message, err := m()
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(message.Body)
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		if s, err := DecodeState(Message{Kind: KindState, Body: body}); err == nil {
+			_, err := EncodeState(s)
+			assert.NilError(t, err)
+		}
+		if n, err := DecodeNews(Message{Kind: KindRegistry, Body: body}); err == nil {
+			_, err := EncodeNews(n)
+			assert.NilError(t, err)
+		}
+		if _, wait, err := DecodeNewsAsk(Message{Kind: KindRegistry, Body: body}); err == nil {
+			assert.Assert(t, wait >= 0)
+		}
+	})
+}
--- /dev/null
+++ b/internal/transport/standin/fleet/worker.go
@@ -0,0 +1,215 @@
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// WorkerOptions describe a worker.
+type WorkerOptions struct {
+	ID      string
+	Service string
+	Zone    string
+	Slots   int
+	// Events of each stream; 0 makes an application worker, whose answers are
+	// whole.
+	Events    int
+	Interval  time.Duration // between events
+	Prefill   time.Duration // reading of a prompt
+	WorkTime  time.Duration // of an application worker
+	CopyEvery time.Duration // between parts of a copy
+}
+
+// Run is one run of a request at a worker.
+type Run struct {
+	Request string
+	Tenant  string
+	From    int  // position after which it went on
+	Copied  bool // from a copy of the memory
+	Key     string
+}
+
+// Worker is a model worker or an application worker. mu guards the fields
+// below it.
+type Worker struct {
+	fleet *Fleet
+	opts  WorkerOptions
+
+	mu       sync.Mutex
+	server   *http.Server
+	listener net.Listener
+	address  string
+	running  int
+	runs     []Run
+	copies   map[string]int // position up to which a copy holds a request's memory
+	full     bool           // rejects all requests
+	beat     chan struct{}  // closed at the end of the liveness reports
+	sequence int
+}
+
+// Address returns IP:port.
+func (w *Worker) Address() string { return w.address }
+
+// ID returns the worker's ID.
+func (w *Worker) ID() string { return w.opts.ID }
+
+// Runs returns what the worker has run.
+func (w *Worker) Runs() []Run {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Run(nil), w.runs...)
+}
+
+// Running returns the number of requests that it works on.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.running
+}
+
+// SetFull makes the worker reject all requests without running them.
+func (w *Worker) SetFull(full bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.full = full
+}
+
+// ServeHTTP implements http.Handler.
+func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set("X-Instance-Id", w.opts.ID)
+	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != w.opts.ID {
+		rw.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if r.URL.Path == "/v1/report" {
+		w.report(rw)
+		return
+	}
+	if !w.enter() {
+		rw.Header().Set("X-Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer w.leave()
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
+	if w.opts.Events > 0 {
+		w.stream(rw, r)
+		return
+	}
+	w.call(rw, r)
+}
+
+func (w *Worker) enter() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.full || w.running >= w.opts.Slots {
+		return false
+	}
+	w.running++
+	return true
+}
+
+func (w *Worker) leave() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.running--
+}
+
+func (w *Worker) report(rw http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	rw.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(rw).Encode(map[string]any{"phase": "unified", "queued": 0, "active": w.running}) // the caller sees a cut answer
+}
+
+func (w *Worker) note(run Run) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runs = append(w.runs, run)
+}
+
+func (w *Worker) head(rw http.ResponseWriter, r *http.Request) {
+	rw.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+	rw.Header().Set("X-Server-Signature", "signed-"+w.opts.ID)
+}
+
+func (w *Worker) call(rw http.ResponseWriter, r *http.Request) {
+	w.note(Run{Request: r.Header.Get("X-Attempt-Id"), Tenant: r.Header.Get("X-Tenant-Name"), Key: r.Header.Get("Authorization")})
+	if !pause(r, w.opts.WorkTime) {
+		return
+	}
+	w.head(rw, r)
+	_, _ = fmt.Fprintf(rw, "done %s", r.Header.Get("X-Attempt-Id")) // a lost answer is a fault that callers test
+}
+
+// stream generates the events after the position that the request names.
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Attempt-Id")
+	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	copied := false
+	if from := r.Header.Get("Kv-From"); from != "" {
+		_, name, _ := strings.Cut(from, "/")
+		if !w.takeCopy(name) {
+			rw.Header().Set("X-Not-Executed", "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		copied = true
+	}
+	if !copied && !pause(r, w.opts.Prefill) {
+		return
+	}
+	w.note(Run{Request: id, Tenant: r.Header.Get("X-Tenant-Name"), From: after, Copied: copied, Key: r.Header.Get("Authorization")})
+	w.head(rw, r)
+	rw.Header().Set("Content-Type", "text/event-stream")
+	w.generate(rw, r, id, after)
+}
+
+func (w *Worker) generate(rw http.ResponseWriter, r *http.Request, id string, after int) {
+	control := http.NewResponseController(rw)
+	copyTo, copiedAt := r.Header.Get("X-Kv-Replica"), time.Now()
+	for position := after + 1; position <= w.opts.Events; position++ {
+		if !pause(r, w.opts.Interval) {
+			return
+		}
+		if _, err := fmt.Fprintf(rw, "id: %d\ndata: %s.%d\n\n", position, id, position); err != nil {
+			return
+		}
+		if err := control.Flush(); err != nil {
+			return
+		}
+		if copyTo != "" && time.Since(copiedAt) >= w.opts.CopyEvery {
+			copiedAt = time.Now()
+			w.fleet.copy(copyTo, id, position)
+		}
+	}
+}
+
+func (w *Worker) takeCopy(request string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	_, held := w.copies[request]
+	delete(w.copies, request)
+	return held
+}
+
+// pause waits, unless the caller leaves.
+func pause(r *http.Request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
--- /dev/null
+++ b/tests/e2e/edge_test.go
@@ -0,0 +1,353 @@
+package e2e
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/fleet"
+	"gotest.tools/v3/assert"
+)
+
+const edgeRules = `{"version":%d,"routes":[
+{"name":"log","host":"h.example","prefix":"/log/","kind":"streaming","resumable":true,"timeoutMs":25000,"targetLatencyMs":4500,"targetGapMs":700,"service":"engine","maxAttempts":5},
+{"name":"book","host":"h.example","prefix":"/book/","kind":"non_idempotent","timeoutMs":5000,"targetLatencyMs":300,"service":"desk","maxAttempts":1},
+{"name":"read","host":"h.example","prefix":"/read/","kind":"idempotent","timeoutMs":5000,"targetLatencyMs":300,"service":"desk","maxAttempts":2}],
+"services":[{"name":"engine","runtime":{"slots":8,"kvCapacity":55000,"replicas":true,"stepSize":6,"handleTtlS":4}},{"name":"desk"}],
+"limits":{"maxBodyBytes":65536},"tenants":[{"name":"org","apiKeys":["key"]}]}`
+
+// edges is a deployment of edged processes on stand-ins.
+type edges struct {
+	t     *testing.T
+	fleet *fleet.Fleet
+	procs []*process
+	ports []edgePorts
+	last  int // request number
+}
+
+type edgePorts struct{ callers, ready, directory, peers int }
+
+func startEdges(t *testing.T, count int) *edges {
+	t.Helper()
+	f, err := fleet.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &edges{t: t, fleet: f}
+	t.Cleanup(func() {
+		for _, p := range e.procs {
+			p.kill()
+			if t.Failed() {
+				t.Logf("%s:\n%s", p.name, p.tail(20))
+			}
+		}
+		assert.Check(t, f.Close())
+	})
+	for i := range 6 {
+		zone := string(rune('a' + i%3))
+		e.add(fleet.WorkerOptions{
+			ID: fmt.Sprintf("engine%d", i), Service: "engine", Zone: zone, Slots: 8, Events: 60,
+			Interval: 30 * time.Millisecond, Prefill: 200 * time.Millisecond, CopyEvery: 100 * time.Millisecond,
+		})
+		if i < 3 {
+			e.add(fleet.WorkerOptions{ID: fmt.Sprintf("desk%d", i), Service: "desk", Zone: zone, Slots: 6, WorkTime: 20 * time.Millisecond})
+		}
+	}
+	dir := t.TempDir()
+	for i := range count {
+		e.startEdge(dir, i)
+	}
+	return e
+}
+
+func (e *edges) add(opts fleet.WorkerOptions) {
+	e.t.Helper()
+	_, err := e.fleet.Add(opts)
+	assert.NilError(e.t, err)
+}
+
+func (e *edges) startEdge(dir string, i int) {
+	p := edgePorts{freePort(e.t), freePort(e.t), freePort(e.t), freePort(e.t)}
+	at := func(port int) string { return fmt.Sprintf("127.0.0.1:%d", port) }
+	settings, err := json.Marshal(map[string]any{
+		"nodeName": fmt.Sprintf("edge%d", i), "zone": string(rune('a' + i%3)), "region": "r",
+		"listen":         map[string]string{"frontend": at(p.callers), "readiness": at(p.ready), "directorySvc": at(p.directory), "controlPlane": at(p.peers)},
+		"contractParams": map[string]any{"drainMs": 2000, "graceS": 8, "retryRatio": 0.8, "retryAllowance": 300, "retryWindowS": 10},
+		"platform":       map[string]string{"address": e.fleet.StoreAddress()},
+	})
+	assert.NilError(e.t, err)
+	file := filepath.Join(dir, fmt.Sprintf("edge%d.json", i))
+	assert.NilError(e.t, os.WriteFile(file, settings, 0o600))
+	proc := newProcess(dir, fmt.Sprintf("edge%d", i), "edged", file)
+	assert.NilError(e.t, proc.start())
+	e.procs, e.ports = append(e.procs, proc), append(e.ports, p)
+}
+
+// rules publishes a version of the rules.
+func (e *edges) rules(version int) {
+	e.fleet.Store.Put("op", "config", []byte(fmt.Sprintf(edgeRules, version)))
+}
+
+// ready waits until all instances are ready.
+func (e *edges) ready() {
+	e.t.Helper()
+	for i, p := range e.ports {
+		eventually(e.t, 10*time.Second, fmt.Sprintf("edge %d is ready", i), func() bool {
+			resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/readyz", p.ready))
+			return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusOK
+		})
+	}
+}
+
+// eventually waits for a condition.
+func eventually(t *testing.T, limit time.Duration, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	t.Fatalf("after %v it does not hold that %s", limit, what)
+}
+
+// request returns a request of a caller with the key.
+func (e *edges) request(edge int, method, path string) *http.Request {
+	e.t.Helper()
+	e.last++
+	req, err := http.NewRequest(method, fmt.Sprintf("http://127.0.0.1:%d%s", e.ports[edge].callers, path), strings.NewReader("prompt"))
+	assert.NilError(e.t, err)
+	req.Host = "h.example"
+	req.Header.Set("X-Attempt-Id", fmt.Sprintf("attempt%d", e.last))
+	req.Header.Set("X-Deadline-Remaining", "20000")
+	req.Header.Set("X-Token-Usage", "5000,360")
+	req.Header.Set("Authorization", "Token key")
+	return req
+}
+
+func (e *edges) do(req *http.Request) (int, string, http.Header) {
+	e.t.Helper()
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(e.t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NilError(e.t, err)
+	assert.NilError(e.t, resp.Body.Close())
+	return resp.StatusCode, string(body), resp.Header
+}
+
+// wantStream is what a caller must get of a stream of the stand-in.
+func wantStream(id string, events int) string {
+	var want strings.Builder
+	for p := 1; p <= events; p++ {
+		fmt.Fprintf(&want, "id: %d\ndata: %s.%d\n\n", p, id, p)
+	}
+	return want.String()
+}
+
+// Guards against answers that are changed on the way, and against requests that
+// are served without a route, a key or rules.
+func TestEdgeServesCallsAndStreams(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 1)
+	eventually(t, 5*time.Second, "the edge answers", func() bool {
+		resp, err := http.DefaultClient.Do(e.request(0, "GET", "/read/1"))
+		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusServiceUnavailable
+	})
+	e.rules(1)
+	e.ready()
+	req := e.request(0, "POST", "/book/1?a=b")
+	status, body, header := e.do(req)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, "done "+req.Header.Get("X-Attempt-Id"))
+	assert.Assert(t, strings.HasPrefix(header.Get("X-Server-Signature"), "signed-desk"))
+	req = e.request(0, "POST", "/log/1")
+	status, body, _ = e.do(req)
+	assert.Equal(t, status, 200)
+	assert.Equal(t, body, wantStream(req.Header.Get("X-Attempt-Id"), 60))
+	status, _, _ = e.do(e.request(0, "GET", "/nowhere/1"))
+	assert.Equal(t, status, 404)
+	req = e.request(0, "GET", "/read/1")
+	req.Header.Set("Authorization", "Token other")
+	status, _, _ = e.do(req)
+	assert.Equal(t, status, 401)
+	req = e.request(0, "POST", "/book/1")
+	req.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 70000)))
+	req.ContentLength = 70000
+	status, _, _ = e.do(req)
+	assert.Equal(t, status, 413)
+	for _, w := range e.fleet.Workers("") {
+		for _, run := range w.Runs() {
+			assert.Equal(t, run.Tenant, "org")
+			assert.Equal(t, run.Key, "", "the key reached a worker")
+		}
+	}
+}
+
+// Guards against missing or repeated events, and against a prompt that is read
+// again, when the worker of a running stream crashes.
+func TestEdgeStreamSurvivesItsWorker(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 2)
+	e.rules(1)
+	e.ready()
+	req := e.request(0, "POST", "/log/1")
+	id := req.Header.Get("X-Attempt-Id")
+	resp, err := http.DefaultClient.Do(req)
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, resp.Body.Close()) }()
+	in := bufio.NewReader(resp.Body)
+	var got strings.Builder
+	for range 3 * 30 {
+		line, err := in.ReadString('\n')
+		assert.NilError(t, err)
+		got.WriteString(line)
+	}
+	for _, w := range e.fleet.Workers("engine") {
+		if w.Running() > 0 {
+			e.fleet.Crash(w)
+		}
+	}
+	rest, err := io.ReadAll(in)
+	assert.NilError(t, err)
+	assert.Equal(t, got.String()+string(rest), wantStream(id, 60))
+	copied := false
+	for _, w := range e.fleet.Workers("engine") {
+		for _, run := range w.Runs() {
+			copied = copied || (run.Request == id && run.Copied && run.From > 0)
+		}
+	}
+	assert.Assert(t, copied, "the stream did not go on from its copy")
+}
+
+// Guards against a call that runs twice when its worker crashes, and against a
+// refusal that says that it has not run.
+func TestEdgeDoesNotRepeatACall(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 1)
+	for _, w := range e.fleet.Workers("desk") {
+		e.fleet.Crash(w)
+		e.fleet.Store.Remove("servers", w.ID())
+	}
+	for i := range 3 {
+		e.add(fleet.WorkerOptions{ID: fmt.Sprintf("slow%d", i), Service: "desk", Zone: "a", Slots: 6, WorkTime: 2 * time.Second})
+	}
+	e.rules(1)
+	e.ready()
+	var running sync.WaitGroup
+	running.Go(func() {
+		time.Sleep(500 * time.Millisecond)
+		for _, w := range e.fleet.Workers("desk") {
+			if w.Running() > 0 {
+				e.fleet.Crash(w)
+			}
+		}
+	})
+	status, _, _ := e.do(e.request(0, "POST", "/book/1"))
+	running.Wait()
+	assert.Equal(t, status, http.StatusBadGateway)
+	runs := 0
+	for _, w := range e.fleet.Workers("desk") {
+		runs += len(w.Runs())
+	}
+	assert.Equal(t, runs, 0) // the worker that ran it is gone
+}
+
+// Guards against a call that is given up though the worker said that it has
+// not run it, and against a refusal without a time to come back.
+func TestEdgeGoesElsewhereWhenAWorkerIsFull(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 1)
+	e.rules(1)
+	e.ready()
+	workers := e.fleet.Workers("desk")
+	for _, w := range workers[1:] {
+		w.SetFull(true)
+	}
+	status, _, _ := e.do(e.request(0, "POST", "/book/1"))
+	assert.Equal(t, status, 200)
+	workers[0].SetFull(true)
+	status, _, header := e.do(e.request(0, "POST", "/book/1"))
+	assert.Equal(t, status, http.StatusTooManyRequests)
+	assert.Assert(t, header.Get("Retry-After") != "")
+}
+
+// Guards against new work for a worker that leaves, and against rules that
+// arrive late or only at one instance.
+func TestEdgesFollowTheStore(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 3)
+	e.rules(1)
+	e.ready()
+	leaving := e.fleet.Workers("desk")[0]
+	e.fleet.Drain(leaving)
+	time.Sleep(2 * time.Second)
+	before := len(leaving.Runs())
+	for i := range 9 {
+		status, _, _ := e.do(e.request(i%3, "GET", "/read/1"))
+		assert.Equal(t, status, 200)
+	}
+	assert.Equal(t, len(leaving.Runs()), before)
+	e.fleet.Store.Put("op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(edgeRules, 2), `"key"`, `"new"`)))
+	for i := range 3 {
+		eventually(t, 2*time.Second, "the key is gone", func() bool {
+			status, _, _ := e.do(e.request(i, "GET", "/read/1"))
+			return status == 401
+		})
+	}
+}
+
+// Guards against a process that stops serving while the store is away, or that
+// goes on with a history that the store dropped.
+func TestEdgeOutlivesTheStore(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 2)
+	e.rules(1)
+	e.ready()
+	e.fleet.Store.SetFault(fleet.FaultBusy)
+	time.Sleep(3 * time.Second)
+	status, _, _ := e.do(e.request(0, "GET", "/read/1"))
+	assert.Equal(t, status, 200)
+	e.fleet.Store.Put("op", "config", []byte(strings.ReplaceAll(fmt.Sprintf(edgeRules, 2), `"key"`, `"new"`)))
+	e.fleet.Store.Compact()
+	e.fleet.Store.SetFault(fleet.FaultNone)
+	eventually(t, 6*time.Second, "the new rules are in force", func() bool {
+		status, _, _ := e.do(e.request(0, "GET", "/read/1"))
+		return status == 401
+	})
+}
+
+// Guards against a planned stop that cuts requests, and against callers that
+// are sent to the instance that stops.
+func TestEdgeStopsWithoutCuttingRequests(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 2)
+	e.rules(1)
+	e.ready()
+	addresses := func() string {
+		resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/resolution?name=h.example&region=r&zone=b", e.ports[1].directory))
+		assert.NilError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		return string(body)
+	}
+	stopped := fmt.Sprintf("127.0.0.1:%d", e.ports[0].callers)
+	eventually(t, 6*time.Second, "both instances are answered", func() bool { return strings.Contains(addresses(), stopped) })
+	req := e.request(0, "POST", "/log/1")
+	id := req.Header.Get("X-Attempt-Id")
+	var body string
+	var running sync.WaitGroup
+	running.Go(func() { _, body, _ = e.do(req) })
+	time.Sleep(300 * time.Millisecond)
+	e.procs[0].signal(syscall.SIGTERM)
+	eventually(t, 3*time.Second, "the stopping instance is left out", func() bool { return !strings.Contains(addresses(), stopped) })
+	running.Wait()
+	assert.Equal(t, body, wantStream(id, 60))
+	assert.Equal(t, e.procs[0].exitCode(t, 9*time.Second), 0)
+}
--- a/tests/e2e/process_test.go
+++ b/tests/e2e/process_test.go
@@ -25,7 +25,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	bin = dir
-	build := exec.Command("go", "build", "-tags", "lockcheck", "-o", dir+"/", "../../cmd/entryd", "../../cmd/controld",
+	build := exec.Command("go", "build", "-tags", "lockcheck", "-o", dir+"/", "../../cmd/entryd", "../../cmd/controld", "../../cmd/edged",
 		"../../cmd/standin", "../../cmd/svctl")
 	if out, err := build.CombinedOutput(); err != nil {
 		_, _ = os.Stderr.Write(out)
