--- a/cmd/edged/main.go
+++ b/cmd/edged/main.go
@@ -58,6 +58,8 @@
 	}
 	log.WithField("part", "edged").WithField("instance", string(s.Instance)).WithField("address", s.CallerAddress).Info("instance starts")
 	e.start()
+	stopReload := e.reloadOn(syscall.SIGHUP, cli.Settings)
+	defer stopReload()
 	app := kratos.New(
 		kratos.Name("edged"),
 		kratos.Server(e.servers(cli.MetricsPort, tel.Handler())...),
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -30,7 +30,7 @@
 // Admit matches a request to its route and its organisation.
 func Admit(current *model.RoutingRules, req *Request) (Admitted, *model.Refusal) {
 	if current == nil {
-		return Admitted{}, access.NotReady()
+		return Admitted{}, notReady(req)
 	}
 	route, ok := Match(current, req.Host, req.Path)
 	if !ok {
@@ -114,6 +114,20 @@
 // as an upstream needs to finish its shortest requests.
 const busyRetryAfter = 200 * time.Millisecond
 
+// notReadyRetryAfter is the longest wait that a caller is asked for while there
+// are no rules: about as long as the store is away at a restart. Callers come
+// back once or twice only, and within a third of their time.
+const notReadyRetryAfter = 2 * time.Second
+
+func notReady(req *Request) *model.Refusal {
+	refusal := access.NotReady()
+	refusal.RetryAfter = notReadyRetryAfter
+	if !req.Deadline.IsZero() {
+		refusal.RetryAfter = min(refusal.RetryAfter, max(req.Deadline.Sub(req.Arrived)/3, 0))
+	}
+	return refusal
+}
+
 func refuseBusy(service string) *model.Refusal {
 	return &model.Refusal{
 		Code:       codeOverloaded,
--- /dev/null
+++ b/internal/coordination/forward/admit_test.go
@@ -0,0 +1,81 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+)
+
+func admitRules() *model.RoutingRules {
+	to := func(service string) []model.RouteTarget { return []model.RouteTarget{{Service: service, Weight: 1}} }
+	return &model.RoutingRules{
+		Routes: []model.HostRoute{
+			{Name: "all", Host: "h", Prefix: "/a/", Targets: to("s")},
+			{Name: "part", Host: "h", Prefix: "/a/b/", Targets: to("s"), Priority: 3},
+			{Name: "open", Host: "h", Prefix: "/open/", Targets: to("s"), Public: true},
+			{Name: "split", Host: "h", Prefix: "/split/", Targets: []model.RouteTarget{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}},
+		},
+		Holders: []model.KeyHolder{{Organisation: "o", Keys: []string{"k1", "k2"}, Priority: 1, Ranked: true}},
+	}
+}
+
+// Guards against a request that goes to another route or organisation than the
+// rules say, or is refused though they allow it.
+func TestAdmit(t *testing.T) {
+	cases := []struct {
+		name, host, path, key string
+		route, code           string
+	}{
+		{"prefix", "h", "/a/x", "k1", "all", ""},
+		{"longest prefix", "h", "/a/b/x", "k2", "part", ""},
+		{"prefix ends with a slash", "h", "/a", "k1", "", codeNoRoute},
+		{"other host", "i", "/a/x", "k1", "", codeNoRoute},
+		{"host in capitals", "H", "/a/x", "k1", "all", ""},
+		{"unknown key", "h", "/a/x", "k3", "", codeUnknownCredential},
+		{"no key", "h", "/a/x", "", "", codeUnknownCredential},
+		{"public without key", "h", "/open/x", "", "open", ""},
+	}
+	for _, c := range cases {
+		admitted, refusal := Admit(admitRules(), &Request{ID: "r", Host: c.host, Path: c.path, Credential: c.key})
+		if c.code != "" {
+			assert.Equal(t, refusal.Code, c.code, c.name)
+			continue
+		}
+		assert.Assert(t, refusal == nil, c.name)
+		assert.Equal(t, admitted.Route.Name, c.route, c.name)
+		if c.key != "" {
+			assert.Equal(t, admitted.Organisation, model.OrganisationID("o"), c.name)
+			assert.Equal(t, admitted.Priority, 1, c.name)
+		}
+	}
+}
+
+// Guards against a split that ignores its weights, or that sends one request
+// here and there.
+func TestSplitFollowsItsWeights(t *testing.T) {
+	count := map[string]int{}
+	for i := range 2000 {
+		req := &Request{ID: model.RequestID(time.Duration(i).String()), Host: "h", Path: "/split/", Credential: "k1"}
+		first, _ := Admit(admitRules(), req)
+		again, _ := Admit(admitRules(), req)
+		assert.Equal(t, first.Service.Name, again.Service.Name)
+		count[first.Service.Name]++
+	}
+	assert.Assert(t, count["y"] > 140 && count["y"] < 260, "%v", count)
+}
+
+// Guards against a caller that comes back once, too early, while no rules are
+// known, and is lost.
+func TestNotReadySaysWhenToComeBack(t *testing.T) {
+	now := time.Now()
+	for left, want := range map[time.Duration]time.Duration{
+		25 * time.Second:        2 * time.Second,
+		1500 * time.Millisecond: 500 * time.Millisecond,
+	} {
+		_, refusal := Admit(nil, &Request{Arrived: now, Deadline: now.Add(left)})
+		assert.Equal(t, refusal.RetryAfter, want)
+		assert.Equal(t, refusal.Outcome, model.OutcomeNotRun)
+	}
+}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -83,9 +83,9 @@
 	// silent hides changes for this long.
 	rulesWait = 2 * time.Second
 	// callTimeout bounds a call, beside its wait.
-	callTimeout = time.Second
+	callTimeout = 800 * time.Millisecond
 	// retryWait is the pause after a failed call.
-	retryWait = 300 * time.Millisecond
+	retryWait = 200 * time.Millisecond
 	// instancesInterval is the time between reads of the instances.
 	instancesInterval = 10 * time.Second
 	// instancesSoon is the time of the second read, when all instances of a
@@ -184,7 +184,11 @@
 		r, next, err := m.opts.Store.Rules(ctx, after, rulesWait)
 		return rulesRead{r, next}, err
 	}
-	worker.Call(m.opts.Pool, keyRules, rulesWait+callTimeout, call, func(got rulesRead, err error) {
+	limit := callTimeout
+	if after > 0 {
+		limit += rulesWait // the first read does not wait for a change
+	}
+	worker.Call(m.opts.Pool, keyRules, limit, call, func(got rulesRead, err error) {
 		m.rules.result(err)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -27,6 +27,7 @@
 	world *world
 	reads atomic.Int32
 	cut   atomic.Bool
+	dark  atomic.Bool // does not answer
 }
 
 // world is what the store holds. mu guards it.
@@ -52,6 +53,10 @@
 }
 
 func (s *fakeStore) Rules(ctx context.Context, after Revision, d time.Duration) (*model.RoutingRules, Revision, error) {
+	if s.dark.Load() {
+		wait.Sleep(ctx, time.Hour)
+		return nil, 0, ctx.Err()
+	}
 	if s.cut.Load() {
 		return nil, 0, errDown
 	}
@@ -117,26 +122,7 @@
 		w.instances = append(w.instances, model.Instance{ID: id, Incarnation: uint64(i + 1), State: model.InstanceLive})
 	}
 	for _, self := range w.instances {
-		m := &member{
-			store:     &fakeStore{world: w},
-			table:     rules.NewTable(),
-			upstreams: upstream.NewTable(),
-			pool:      worker.NewPool(worker.Options{Workers: 1}),
-		}
-		instances := instance.NewTable()
-		m.Manager = New(Options{
-			Pool:      m.pool,
-			Store:     m.store,
-			Peers:     c,
-			Self:      self,
-			Rules:     m.table,
-			Upstreams: m.upstreams,
-			Instances: instances,
-			Members:   instances.All,
-			LeaveTime: 2 * time.Second,
-			Log:       &log.Logger{Handler: discard.Default},
-		})
-		c[self.ID] = m
+		c[self.ID] = newMember(w, c, self)
 	}
 	for _, m := range c {
 		m.Start()
@@ -144,6 +130,30 @@
 	return c
 }
 
+// newMember returns an instance that is not started.
+func newMember(w *world, c cellOf, self model.Instance) *member {
+	m := &member{
+		store:     &fakeStore{world: w},
+		table:     rules.NewTable(),
+		upstreams: upstream.NewTable(),
+		pool:      worker.NewPool(worker.Options{Workers: 1}),
+	}
+	instances := instance.NewTable()
+	m.Manager = New(Options{
+		Pool:      m.pool,
+		Store:     m.store,
+		Peers:     c,
+		Self:      self,
+		Rules:     m.table,
+		Upstreams: m.upstreams,
+		Instances: instances,
+		Members:   instances.All,
+		LeaveTime: 2 * time.Second,
+		Log:       &log.Logger{Handler: discard.Default},
+	})
+	return m
+}
+
 func (c cellOf) close() {
 	for _, m := range c {
 		m.pool.Close()
@@ -276,3 +286,19 @@
 		assert.Equal(t, len(c["a"].upstreams.Serving("s")), 2)
 	})
 }
+
+// Guards against an instance that starts while the store is silent, and goes on
+// waiting for its first read after the store is back.
+func TestFirstReadIsRepeatedSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		m := newMember(w, cellOf{}, model.Instance{ID: "a", Incarnation: 1, State: model.InstanceLive})
+		defer m.pool.Close()
+		m.store.dark.Store(true)
+		m.Start()
+		time.Sleep(100 * time.Millisecond)
+		m.store.dark.Store(false)
+		time.Sleep(1100 * time.Millisecond)
+		assert.Assert(t, m.table.Current() != nil)
+	})
+}
