Read the store in person when the cell's reader lost it

Its last read counted as fresh for 1.8 s, and members then tried further readers in turn; rules of 2.74 s were not known at 4.85 s. Ruled out: a lost news answer (the reader answered each question). Change: news are at most 1.2 s old; then a member reads the store itself for 3 s. The reader reads each 0.6 s and ends a wait when its last read gets too old. A member without store asks the others in turn.

--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -76,9 +76,9 @@
 }
 
 const (
-	// entryShare is the part of LeaveTime between two reads of the entries.
-	// Reading and the requests on their way need the rest.
-	entryShare = 0.5
+	// entryShare is the part of LeaveTime between two reads of the entries. The
+	// rest is for an instance that finds out that its reader lost the store.
+	entryShare = 0.3
 	// rulesWait is how long a read waits for a change. A connection that went
 	// silent hides changes for this long.
 	rulesWait = 2 * time.Second
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -53,23 +53,27 @@
 }
 
 func (s *fakeStore) Rules(ctx context.Context, after Revision, d time.Duration) (*model.RoutingRules, Revision, error) {
-	if s.dark.Load() {
-		wait.Sleep(ctx, time.Hour)
-		return nil, 0, ctx.Err()
-	}
 	if s.cut.Load() {
 		return nil, 0, errDown
 	}
 	if after == s.world.at() {
 		wait.Sleep(ctx, d)
 	}
+	if s.dark.Load() {
+		wait.Sleep(ctx, time.Hour)
+		return nil, 0, ctx.Err()
+	}
 	s.world.mu.Lock()
 	defer s.world.mu.Unlock()
 	return s.world.rules, s.world.revision, nil
 }
 
-func (s *fakeStore) Entries(context.Context, Revision) (Entries, error) {
+func (s *fakeStore) Entries(ctx context.Context, _ Revision) (Entries, error) {
 	s.reads.Add(1)
+	if s.dark.Load() {
+		wait.Sleep(ctx, time.Hour)
+		return Entries{}, ctx.Err()
+	}
 	if s.cut.Load() {
 		return Entries{}, errDown
 	}
@@ -302,3 +306,27 @@
 		assert.Assert(t, m.table.Current() != nil)
 	})
 }
+
+// Guards against a member that learns a change late since its reader, and the
+// members after it, lost the store without an answer.
+func TestMembersOfAReaderThatLostTheStoreReadThemselves(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			c := startCell(t, w, "a", "b", "c", "d")
+			defer c.close()
+			time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
+			for _, id := range []model.InstanceID{"a", "b", "c"} {
+				c[id].store.dark.Store(true)
+			}
+			w.change(func() {
+				w.rules = &model.RoutingRules{Revision: 2}
+				w.revision = 11
+			})
+			time.Sleep(1900 * time.Millisecond)
+			assert.Equal(t, c["d"].table.Current().Revision, uint64(2))
+			time.Sleep(4 * time.Second)
+			assert.Equal(t, c["a"].table.Current().Revision, uint64(2))
+		})
+	}
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -9,9 +9,11 @@
 )
 
 // One instance of a cell, its reader, reads the store; the others ask it for
-// what is new. The reader is the first live member by ID that is not known to
-// have lost the store. A member whose reader does not answer, or has not read
-// lately, takes the next one, which may be itself.
+// what is new. The reader is the first live member by ID. A member whose reader
+// does not answer, or has not read lately, reads the store itself for a while:
+// several members may have lost the store at once, and to try one after the
+// other takes longer than a change may take. A member that has lost the store
+// asks the others in turn.
 
 // Known says what an instance has from a reader.
 type Known struct {
@@ -43,8 +45,9 @@
 	newsWait   = 700 * time.Millisecond
 	newsMargin = 400 * time.Millisecond
 	// freshFor is the age of a reader's last read from which on it has lost the
-	// store.
-	freshFor = 1800 * time.Millisecond
+	// store. It is two reads of the entries, and leaves the rest of the time
+	// for a change to a read of the member's own.
+	freshFor = 1200 * time.Millisecond
 	// avoidReader is how long a reader is passed over after it failed.
 	avoidReader = 3 * time.Second
 	// keptRemovals bounds the removed entries that a reader still tells.
@@ -64,11 +67,15 @@
 	if m.opts.Peers == nil {
 		return m.opts.Self
 	}
+	lost := now.Before(m.avoid[m.opts.Self.ID])
 	for _, in := range m.opts.Members() {
-		if in.State != model.InstanceLive || now.Before(m.avoid[in.ID]) {
-			continue
+		switch {
+		case in.State != model.InstanceLive:
+		case !now.Before(m.avoid[in.ID]):
+			return in
+		case !lost:
+			return m.opts.Self
 		}
-		return in
 	}
 	return m.opts.Self
 }
@@ -137,16 +144,21 @@
 // News answers an instance of the cell. It blocks until something is new, at
 // most for the given time, and is called by network goroutines.
 func (m *Manager) News(ctx context.Context, known Known, wait time.Duration) News {
-	due := time.NewTimer(min(wait, newsWait))
-	defer due.Stop()
+	var due *time.Timer
 	for {
 		news, changed := m.newsSince(known)
-		if changed == nil {
+		if changed == nil || news.Age > freshFor {
 			return news
 		}
+		if due == nil {
+			// One that waits learns in time that the reader lost the store.
+			due = time.NewTimer(min(wait, newsWait, freshFor-news.Age+time.Millisecond))
+			defer due.Stop()
+		}
 		select {
 		case <-changed:
 		case <-due.C:
+			news, _ = m.newsSince(known)
 			return news
 		case <-ctx.Done():
 			return news
