Share the resend budget by the number of instances

Each of 104 instances kept the part of one of 12, and crashed upstreams stayed in the list beside the new ones at their addresses, which answered 421. Ruled out: hedges of calls (the service has streams only). Change: the count of instances follows the store; what an instance saves grows with its calls of one window; resumes from a copy are charged; a stream without budget waits for it. A new upstream at an address replaces the old one at once, and a 421 is told to the cell.

--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -94,6 +94,7 @@
 	if e.peers, err = peer.NewClient(peerOptions(identity, self)); err != nil {
 		return nil, err
 	}
+	budgets := resend.New(resend.Limit{Ratio: s.Resends.Ratio, Burst: s.Resends.Burst, Window: s.Resends.Window}, typicalInstances)
 	link := edgelink.New(e.peers, logger)
 	e.registry = registry.New(registry.Options{
 		Pool:      e.pool,
@@ -105,6 +106,7 @@
 		Instances: e.instances,
 		Members:   e.cell.Members,
 		LeaveTime: s.LeaveTime,
+		Counted:   budgets.SetInstances,
 		Log:       logger,
 	})
 	if err := e.connect(identity, self, link, commitments, upstreams, logger); err != nil {
@@ -116,7 +118,7 @@
 		Upstreams:     upstreams,
 		Commitments:   commitments,
 		Sender:        e.client,
-		Budget:        resend.New(resend.Limit{Ratio: s.Resends.Ratio, Burst: s.Resends.Burst, Window: s.Resends.Window}, typicalInstances),
+		Budget:        budgets,
 		FailureDomain: s.FailureDomain,
 		Owns:          e.cell.Owns,
 		Changed:       e.exchange.Changed,
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -58,6 +58,7 @@
 	switch {
 	case answer.Elsewhere:
 		r.m.opts.Upstreams.Leave(a.upstream.ID)
+		r.m.opts.Failed(a.upstream.ID, time.Now())
 		r.notRun(a, "another upstream has the address")
 	case answer.NotRun:
 		r.notRun(a, "upstream is full")
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -87,7 +87,8 @@
 		return
 	}
 	if r.number > 0 && !r.m.opts.Budget.Resend(r.service.Name) {
-		r.settleStream()
+		r.m.metrics.countResend(r.service.Name, "held back")
+		r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 		return
 	}
 	expected := time.Duration(float64(load.Prefill+want.prefill) / prefillRate * float64(time.Second))
@@ -111,6 +112,8 @@
 	}
 	want := r.need()
 	want.prefill = 0
+	// A copy is lost soon, so the budget is charged and does not hold it back.
+	r.m.opts.Budget.Resend(r.service.Name)
 	r.startStream(row.Upstream, want, 0, &CopySource{Holder: row.Upstream.Address, Request: source.request})
 }
 
--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -14,18 +14,21 @@
 // entryState is what is known of the upstreams' table.
 type entryState struct {
 	duty
-	after   Revision
-	known   map[model.UpstreamID]Entry
-	missing map[model.UpstreamID]time.Time // entries that are gone, with the time at which that counts
-	back    time.Time                      // end of the last outage
-	readAt  time.Time                      // of the last read that succeeded
+	after Revision
+	known map[model.UpstreamID]Entry
+	// byAddress holds the newest upstream at each address.
+	byAddress map[string]model.UpstreamID
+	missing   map[model.UpstreamID]time.Time // entries that are gone, with the time at which that counts
+	back      time.Time                      // end of the last outage
+	readAt    time.Time                      // of the last read that succeeded
 }
 
 func newEntryState(logger log.Interface) entryState {
 	return entryState{
-		duty:    duty{log: logger, what: "entries"},
-		known:   map[model.UpstreamID]Entry{},
-		missing: map[model.UpstreamID]time.Time{},
+		duty:      duty{log: logger, what: "entries"},
+		known:     map[model.UpstreamID]Entry{},
+		byAddress: map[string]model.UpstreamID{},
+		missing:   map[model.UpstreamID]time.Time{},
 	}
 }
 
@@ -93,6 +96,7 @@
 	for _, e := range got.Changed {
 		delete(s.missing, e.Upstream.ID)
 		m.noteEntry(e)
+		m.dropPredecessors(e)
 	}
 	for _, id := range s.removed(got) {
 		if _, noted := s.missing[id]; !noted {
@@ -106,6 +110,25 @@
 	}
 }
 
+// dropPredecessors forgets the upstreams whose address a new one has. Entries of
+// crashed upstreams stay for some intervals, while the address is in use again.
+func (m *Manager) dropPredecessors(e Entry) {
+	s := &m.entries
+	if s.byAddress[e.Upstream.Address] == e.Upstream.ID {
+		return
+	}
+	for id, old := range s.known {
+		if id != e.Upstream.ID && old.Upstream.Address == e.Upstream.Address && !newerThan(old, e) {
+			s.missing[id] = time.Time{}
+		}
+	}
+	s.byAddress[e.Upstream.Address] = e.Upstream.ID
+}
+
+// newerThan reports whether the entry is of a later start. Entries that do not
+// tell count as older than one that appeared after them.
+func newerThan(e, than Entry) bool { return e.Incarnation > than.Incarnation }
+
 // noteEntry keeps the entry. One that is new, restarted or begins to leave is
 // logged and told to the others; one that only lives on is not.
 func (m *Manager) noteEntry(e Entry) {
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -72,7 +72,9 @@
 	Instances *instance.Table
 	Members   func() []model.Instance // of this instance's cell, sorted by ID
 	LeaveTime time.Duration           // within which a leaving upstream gets no more work
-	Log       log.Interface
+	// Counted is called with the number of instances whenever they were read.
+	Counted func(int)
+	Log     log.Interface
 }
 
 const (
@@ -268,6 +270,7 @@
 			m.opts.Instances.Merge(in)
 		}
 	}
+	m.opts.Counted(len(all))
 	for _, in := range m.opts.Instances.All() {
 		if !listed[in.ID] && in.ID != m.opts.Self.ID && instance.StateRank(in.State) < instance.StateRank(model.InstanceLeaving) {
 			in.State = model.InstanceLeaving
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -153,6 +153,7 @@
 		Instances: instances,
 		Members:   instances.All,
 		LeaveTime: 2 * time.Second,
+		Counted:   func(int) {},
 		Log:       &log.Logger{Handler: discard.Default},
 	})
 	return m
@@ -330,3 +331,27 @@
 		})
 	}
 }
+
+// Guards against requests for a crashed upstream whose address another one has
+// by now: they are refused there, and count as sent again.
+func TestNewUpstreamAtAnAddressReplacesTheOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a", "b")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		fresh := entryOf("u9", false, 1)
+		fresh.Upstream.Address, fresh.Incarnation = "u1", 5
+		w.change(func() {
+			w.entries["u9"] = fresh
+			w.revision = 11
+		})
+		time.Sleep(1500 * time.Millisecond)
+		for id, m := range c {
+			_, known := m.upstreams.Get("u1")
+			assert.Assert(t, !known, id)
+			_, known = m.upstreams.Get("u9")
+			assert.Assert(t, known, id)
+		}
+	})
+}
--- a/internal/coordination/resend/resend.go
+++ b/internal/coordination/resend/resend.go
@@ -4,6 +4,8 @@
 package resend
 
 import (
+	"maps"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,9 +40,21 @@
 	return b
 }
 
-// SetInstances changes the number of instances that share the limit. It counts
-// for services that are seen later.
-func (b *Budgets) SetInstances(n int) { b.instances.Store(int64(max(n, 1))) }
+// SetInstances changes the number of instances that share the limit.
+func (b *Budgets) SetInstances(n int) {
+	if b.instances.Swap(int64(max(n, 1))) == int64(max(n, 1)) {
+		return
+	}
+	for _, budget := range b.all() {
+		budget.SetOptions(b.options())
+	}
+}
+
+func (b *Budgets) all() []*call.Budget {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Values(b.services))
+}
 
 // Arrived implements forward.Budget.
 func (b *Budgets) Arrived(service string) { b.of(service).Deposit() }
@@ -65,7 +79,8 @@
 	burst := keep * float64(b.limit.Burst) / float64(b.instances.Load())
 	return call.BudgetOptions{
 		Share:  keep * b.limit.Ratio,
-		Burst:  max(burst/2, 1),
+		Burst:  burst / 2,
 		Refill: burst / 2 / max(b.limit.Window.Seconds(), 1),
+		Window: b.limit.Window,
 	}
 }
