Write the log without waiting for its reader

Cause: a process whose standard output is not read would block each request at its next log line, and at most 20 equal lines of 10 s were printed, so that requests could not be followed. Ruled out: a larger pipe, which only delays it. The last line of a request names its upstream. Lint findings of the new code are mended.

--- a/cmd/edged/main.go
+++ b/cmd/edged/main.go
@@ -17,6 +17,10 @@
 	"github.com/sequoiavalve/sequoiavalve/platform"
 )
 
+// requestLines is the number of equal log lines in 10 s. Each request has one
+// to three, and an instance has up to 40 requests/s at the target size.
+const requestLines = 1200
+
 type commandLine struct {
 	Settings    string `arg:"" optional:"" env:"SEQUOIAVALVE_BOOT" help:"Settings file of the platform." type:"path"`
 	MetricsPort int    `help:"TCP port of /metrics; 0 means none." default:"0"`
@@ -46,6 +50,7 @@
 		LogFormat:     telemetry.FormatJSON,
 		LogLevel:      cli.LogLevel,
 		LogOutput:     os.Stdout,
+		FloodLimit:    requestLines,
 	})
 	if err != nil {
 		return err
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -44,7 +44,6 @@
 func (f *fakeReply) End()                    { f.ended = true }
 func (f *fakeReply) Break()                  { f.broken = true }
 func (f *fakeReply) Refuse(r *model.Refusal) { f.refused = r }
-func (f *fakeReply) done() bool              { return f.answer != nil || f.refused != nil || f.ended || f.broken }
 
 // openBudget allows all sends.
 type openBudget struct{}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -150,6 +150,7 @@
 	timer        *worker.Timer
 
 	number   int                       // of the newest attempt
+	upstream model.UpstreamID          // of the newest attempt
 	attempts map[int]*attempt          // those that are under way
 	tried    map[model.UpstreamID]bool // upstreams that got the request and did not answer it well
 	ran      int                       // attempts that may have run
@@ -255,6 +256,7 @@
 		"service":    r.service.Name,
 		"revision":   r.revision,
 		"attempts":   r.number,
+		"upstream":   string(r.upstream),
 		"position":   uint64(r.stream.accepted),
 		"status":     status,
 		"ms":         took.Milliseconds(),
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -97,6 +97,7 @@
 func (r *run) begin(a *attempt, s Send) {
 	r.number++
 	a.number = r.number
+	r.upstream = a.upstream.ID
 	a.started = time.Now()
 	a.lastSeen = a.started
 	r.attempts[a.number] = a
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -115,7 +115,7 @@
 		wait.Sleep(ctx, time.Hour)
 		return News{}, ctx.Err()
 	}
-	return other.Manager.News(ctx, known, d), nil
+	return other.News(ctx, known, d), nil
 }
 
 // startCell starts a cell of instances over one store.
--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -67,6 +67,6 @@
 // Answered returns the fields of an upstream's answer that go to the caller.
 func (n Names) Answered(in http.Header) forward.Header {
 	out := hop.EndToEnd(in)
-	http.Header(out).Del(n.NotRun)
+	out.Del(n.NotRun)
 	return out
 }
--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -102,7 +102,7 @@
 			return false
 		}
 		for _, s := range x.take() {
-			if err := x.write(s); err != nil {
+			if !x.write(s) {
 				return false
 			}
 			if s.broken {
@@ -118,10 +118,11 @@
 	}
 }
 
-func (x *exchange) write(s step) error {
+// write reports false if the caller is gone.
+func (x *exchange) write(s step) bool {
 	if s.refuse != nil {
 		x.server.refuse(x.w, x.id, s.refuse)
-		return nil
+		return true
 	}
 	if s.head != nil {
 		maps.Copy(x.w.Header(), s.head.header)
@@ -131,10 +132,10 @@
 		x.w.WriteHeader(s.head.status)
 	}
 	if len(s.raw) == 0 {
-		return nil
+		return true
 	}
 	_, err := x.w.Write(s.raw)
-	return err
+	return err == nil
 }
 
 // refuse answers with a refusal.
--- /dev/null
+++ b/internal/transport/telemetry/async_test.go
@@ -0,0 +1,51 @@
+package telemetry
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apex/log"
+	"gotest.tools/v3/assert"
+)
+
+// stuckReader blocks until it is released.
+type stuckReader struct {
+	release chan struct{}
+	mu      sync.Mutex
+	got     bytes.Buffer
+}
+
+func (r *stuckReader) Write(p []byte) (int, error) {
+	<-r.release
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got.Write(p)
+}
+
+// Guards against requests that wait for a reader of the log that stopped, and
+// against lines that are lost without a word.
+func TestStuckReaderDoesNotBlock(t *testing.T) {
+	reader := &stuckReader{release: make(chan struct{})}
+	flood, writer, err := setupLog(Options{LogFormat: FormatJSON, LogOutput: reader, FloodLimit: 1 << 20})
+	assert.NilError(t, err)
+	defer flood.Flush()
+	began := time.Now()
+	for i := range 3 * asyncLines {
+		log.WithField("part", "x").WithField("n", i).Info("line")
+	}
+	assert.Assert(t, time.Since(began) < 5*time.Second)
+	close(reader.release)
+	time.Sleep(50 * time.Millisecond)
+	log.WithField("part", "x").Info("last")
+	writer.Close()
+	reader.mu.Lock()
+	defer reader.mu.Unlock()
+	text := reader.got.String()
+	assert.Assert(t, strings.Contains(text, "lines were dropped"), text[max(0, len(text)-300):])
+	assert.Assert(t, strings.Contains(text, `"message":"x: last"`))
+	assert.Assert(t, strings.Count(text, "\n") <= asyncLines+5, fmt.Sprint(strings.Count(text, "\n")))
+}
--- a/internal/transport/telemetry/handler.go
+++ b/internal/transport/telemetry/handler.go
@@ -35,13 +35,21 @@
 
 // NewHandler returns a handler that writes to out in the given format.
 func NewHandler(out io.Writer, format string) (*Handler, error) {
-	switch format {
+	write, err := formatOf(format)
+	if err != nil {
+		return nil, err
+	}
+	return &Handler{format: write, out: out}, nil
+}
+
+func formatOf(name string) (func(*log.Entry) []byte, error) {
+	switch name {
 	case FormatText, "":
-		return &Handler{format: formatText, out: out}, nil
+		return formatText, nil
 	case FormatJSON:
-		return &Handler{format: formatJSON, out: out}, nil
+		return formatJSON, nil
 	}
-	return nil, trace.BadParameter("log format must be text or json, not %q", format)
+	return nil, trace.BadParameter("log format must be text or json, not %q", name)
 }
 
 // HandleLog implements log.Handler.
--- a/internal/transport/telemetry/options.go
+++ b/internal/transport/telemetry/options.go
@@ -22,6 +22,9 @@
 	LogFormat     string    // FormatText or FormatJSON; empty means FormatText
 	LogLevel      string    // debug, info, warn or error; empty means info
 	LogOutput     io.Writer // nil means standard error
+	// FloodLimit is the number of equal entries that are printed in 10 s. Zero
+	// means 20.
+	FloodLimit int
 	// TraceEndpoint is the OTLP/HTTP URL of a trace collector. Empty means
 	// that trace contexts are passed on but no spans are exported.
 	TraceEndpoint string
--- a/internal/transport/telemetry/setup.go
+++ b/internal/transport/telemetry/setup.go
@@ -1,10 +1,12 @@
 package telemetry
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
 	"os"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/gravitational/trace"
@@ -35,16 +37,17 @@
 
 	registry *prometheus.Registry
 	flood    *FloodControl
+	writer   *asyncWriter
 }
 
 // Setup configures the process: the global apex logger, into which libraries'
 // lines go too, the global OpenTelemetry providers and the W3C propagator. It starts no listener.
 func Setup(opts Options) (*Telemetry, error) {
-	flood, err := setupLog(opts)
+	flood, writer, err := setupLog(opts)
 	if err != nil {
 		return nil, err
 	}
-	t := &Telemetry{registry: prometheus.NewRegistry(), flood: flood}
+	t := &Telemetry{registry: prometheus.NewRegistry(), flood: flood, writer: writer}
 	about := describe(opts)
 	if t.Metrics, err = newMetrics(t.registry, about); err != nil {
 		return nil, err
@@ -65,6 +68,7 @@
 func (t *Telemetry) Shutdown(ctx context.Context) error {
 	err := errors.Join(t.Traces.Shutdown(ctx), t.Metrics.Shutdown(ctx))
 	t.flood.Flush()
+	t.writer.Close()
 	return trace.Wrap(err)
 }
 
@@ -82,25 +86,37 @@
 	log.WithField(partField, "telemetry").WithError(err).Warn("export failed")
 }
 
-func setupLog(opts Options) (*FloodControl, error) {
+func setupLog(opts Options) (*FloodControl, *asyncWriter, error) {
 	out := opts.LogOutput
 	if out == nil {
 		out = os.Stderr
 	}
-	handler, err := NewHandler(out, opts.LogFormat)
-	if err != nil {
-		return nil, err
-	}
 	level := log.InfoLevel
 	if opts.LogLevel != "" {
+		var err error
 		if level, err = log.ParseLevel(opts.LogLevel); err != nil {
-			return nil, trace.BadParameter("log level must be debug, info, warn or error, not %q", opts.LogLevel)
+			return nil, nil, trace.BadParameter("log level must be debug, info, warn or error, not %q", opts.LogLevel)
 		}
 	}
-	flood := NewFloodControl(handler, floodLimit, floodWindow)
+	format, err := formatOf(opts.LogFormat)
+	if err != nil {
+		return nil, nil, err
+	}
+	writer := newAsyncWriter(out, func(dropped int64) []byte { return format(droppedEntry(dropped)) })
+	flood := NewFloodControl(&Handler{format: format, out: writer}, cmp.Or(opts.FloodLimit, floodLimit), floodWindow)
 	log.SetHandler(flood)
 	log.SetLevel(level)
-	return flood, nil
+	return flood, writer, nil
+}
+
+// droppedEntry tells how many lines a slow reader cost.
+func droppedEntry(lines int64) *log.Entry {
+	return &log.Entry{
+		Timestamp: time.Now(),
+		Level:     log.WarnLevel,
+		Message:   "lines were dropped, as the reader of the log is slow",
+		Fields:    log.Fields{partField: "telemetry", "lines": lines},
+	}
 }
 
 func describe(opts Options) *resource.Resource {
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -90,9 +90,9 @@
 	e.procs, e.ports = append(e.procs, proc), append(e.ports, p)
 }
 
-// rules publishes a version of the rules.
-func (e *edges) rules(version int) {
-	e.fleet.Store.Put("op", "config", []byte(fmt.Sprintf(edgeRules, version)))
+// rules publishes the first version of the rules.
+func (e *edges) rules() {
+	e.fleet.Store.Put("op", "config", []byte(fmt.Sprintf(edgeRules, 1)))
 }
 
 // ready waits until all instances are ready.
@@ -159,7 +159,7 @@
 		resp, err := http.DefaultClient.Do(e.request(0, "GET", "/read/1"))
 		return err == nil && resp.Body.Close() == nil && resp.StatusCode == http.StatusServiceUnavailable
 	})
-	e.rules(1)
+	e.rules()
 	e.ready()
 	req := e.request(0, "POST", "/book/1?a=b")
 	status, body, header := e.do(req)
@@ -194,7 +194,7 @@
 func TestEdgeStreamSurvivesItsWorker(t *testing.T) {
 	t.Parallel()
 	e := startEdges(t, 2)
-	e.rules(1)
+	e.rules()
 	e.ready()
 	req := e.request(0, "POST", "/log/1")
 	id := req.Header.Get("X-Attempt-Id")
@@ -237,7 +237,7 @@
 	for i := range 3 {
 		e.add(fleet.WorkerOptions{ID: fmt.Sprintf("slow%d", i), Service: "desk", Zone: "a", Slots: 6, WorkTime: 2 * time.Second})
 	}
-	e.rules(1)
+	e.rules()
 	e.ready()
 	var running sync.WaitGroup
 	running.Go(func() {
@@ -263,7 +263,7 @@
 func TestEdgeGoesElsewhereWhenAWorkerIsFull(t *testing.T) {
 	t.Parallel()
 	e := startEdges(t, 1)
-	e.rules(1)
+	e.rules()
 	e.ready()
 	workers := e.fleet.Workers("desk")
 	for _, w := range workers[1:] {
@@ -282,7 +282,7 @@
 func TestEdgesFollowTheStore(t *testing.T) {
 	t.Parallel()
 	e := startEdges(t, 3)
-	e.rules(1)
+	e.rules()
 	e.ready()
 	leaving := e.fleet.Workers("desk")[0]
 	e.fleet.Drain(leaving)
@@ -307,7 +307,7 @@
 func TestEdgeOutlivesTheStore(t *testing.T) {
 	t.Parallel()
 	e := startEdges(t, 2)
-	e.rules(1)
+	e.rules()
 	e.ready()
 	e.fleet.Store.SetFault(fleet.FaultBusy)
 	time.Sleep(3 * time.Second)
@@ -327,7 +327,7 @@
 func TestEdgeStopsWithoutCuttingRequests(t *testing.T) {
 	t.Parallel()
 	e := startEdges(t, 2)
-	e.rules(1)
+	e.rules()
 	e.ready()
 	addresses := func() string {
 		resp, err := http.Get(fmt.Sprintf("http://127.0.0.1:%d/v1/resolution?name=h.example&region=r&zone=b", e.ports[1].directory))
