Answer addresses from the cell, and call a store less that is away

Ruled out: telling a stop to all instances, which needs a connection between each two. Change: failed calls are repeated after 1 s once there are rules; an address answer holds the live members of the answering instance's cell, and is empty until the instances were read.

--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -45,9 +45,9 @@
 	typicalInstances = 12
 	// stopMargin is left of the platform's time for a stop to end connections.
 	stopMargin = 400 * time.Millisecond
-	// streamTime is about the time of a typical stream. New ones are refused
-	// when less than that is left before the stop.
-	streamTime = 6 * time.Second
+	// streamTime is the time of a long stream. New ones are refused when less
+	// than that is left before the stop.
+	streamTime = 7 * time.Second
 	// drainInterval is the time between checks for the last request.
 	drainInterval = 50 * time.Millisecond
 )
@@ -59,7 +59,6 @@
 	pool      *worker.Pool
 	rules     *rules.Table
 	instances *instance.Table
-	directory *membership.Directory
 	cell      *cell.Tracker
 	store     *platform.Store
 	client    *backend.Client
@@ -83,7 +82,6 @@
 		client:    backend.New(platform.Names(), platform.StatePath),
 	}
 	e.cell = cell.NewTracker(e.instances, s.Instance)
-	e.directory = membership.NewDirectory(e.instances)
 	identity, err := peer.NewPinned(string(s.Instance), e.trusts)
 	if err != nil {
 		return nil, err
@@ -197,7 +195,7 @@
 func (e *edge) servers(metricsPort int, metrics http.Handler) []transport.Server {
 	list := []transport.Server{e.ingress, plainServer(e.settings.ReadyAddress, platform.ReadyPath, platform.ReadyHandler(e.ready))}
 	if e.settings.AddressService != "" {
-		list = append(list, plainServer(e.settings.AddressService, platform.AddressPath, platform.AddressHandler(e.directory.Nearby)))
+		list = append(list, plainServer(e.settings.AddressService, platform.AddressPath, platform.AddressHandler(e.nearby)))
 	}
 	if metricsPort > 0 {
 		host, _, err := net.SplitHostPort(e.settings.CallerAddress)
@@ -249,6 +247,15 @@
 	return closer{s}
 }
 
+// nearby answers a caller that asks for addresses. Before the instances are
+// known it names none, so that callers ask another one.
+func (e *edge) nearby(domain model.FailureDomain, now time.Time) membership.Endpoints {
+	if !e.registry.InstancesKnown() {
+		return membership.Endpoints{}
+	}
+	return membership.Nearby(e.cell.Members(), domain, now)
+}
+
 // ready reports whether requests can be served.
 func (e *edge) ready() bool { return !e.leaving.Load() && e.rules.Current() != nil }
 
--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -51,7 +51,7 @@
 			m.entries.after = 0
 			wait = 0
 		case err != nil:
-			wait = retryWait
+			wait = m.retryWait()
 			if m.opts.Peers != nil {
 				m.avoid[m.opts.Self.ID] = time.Now().Add(avoidReader)
 			}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -86,12 +86,15 @@
 	rulesWait = 2 * time.Second
 	// callTimeout bounds a call, beside its wait.
 	callTimeout = 800 * time.Millisecond
-	// retryWait is the pause after a failed call.
-	retryWait = 200 * time.Millisecond
+	// startRetryWait is the pause after a failed call while there are no rules
+	// yet, and retryWait the one afterwards: calls are priced and bounded, also
+	// those that fail, and all instances try during an outage.
+	startRetryWait = 200 * time.Millisecond
+	retryWait      = time.Second
 	// instancesInterval is the time between reads of the instances.
 	instancesInterval = 10 * time.Second
-	// instancesSoon is the time of the second read, when all instances of a
-	// deployment that starts have announced themselves.
+	// instancesSoon is the time between the first two reads. At the second one
+	// all instances of a deployment that starts have announced themselves.
 	instancesSoon = time.Second
 	// followCheck is the time between checks whether this instance has to read
 	// the rules itself again.
@@ -111,11 +114,12 @@
 // Manager reads the store. shareMu guards the fields named for sharing, and is a
 // leaf: no other lock is taken under it.
 type Manager struct {
-	opts   Options
-	rules  duty
-	direct atomic.Bool                    // this instance reads the store itself
-	known  Known                          // items under keyEntries alone touch it
-	avoid  map[model.InstanceID]time.Time // readers that are passed over until then; as known
+	opts           Options
+	rules          duty
+	instancesKnown atomic.Bool
+	direct         atomic.Bool                    // this instance reads the store itself
+	known          Known                          // items under keyEntries alone touch it
+	avoid          map[model.InstanceID]time.Time // readers that are passed over until then; as known
 
 	shareMu      sync.Mutex
 	shareVersion uint64
@@ -171,6 +175,14 @@
 	}
 }
 
+// retryWait is the pause after a failed call.
+func (m *Manager) retryWait() time.Duration {
+	if m.opts.Rules.Current() == nil {
+		return startRetryWait
+	}
+	return retryWait
+}
+
 // rulesRead is the result of one call.
 type rulesRead struct {
 	rules *model.RoutingRules
@@ -196,7 +208,7 @@
 		case errors.Is(err, ErrHistoryGone):
 			m.readRules(0)
 		case err != nil:
-			m.opts.Pool.After(retryWait, keyRules, worker.Func(func() { m.readRules(after) }))
+			m.opts.Pool.After(m.retryWait(), keyRules, worker.Func(func() { m.readRules(after) }))
 		default:
 			m.ApplyRules(got.rules, "store")
 			m.readRules(got.next)
@@ -226,10 +238,10 @@
 	worker.Call(m.opts.Pool, keyInstances, callTimeout, call, func(_ struct{}, err error) {
 		m.members.result(err)
 		if err != nil {
-			m.opts.Pool.After(retryWait, keyInstances, worker.Func(m.announce))
+			m.opts.Pool.After(m.retryWait(), keyInstances, worker.Func(m.announce))
 			return
 		}
-		m.readDue = m.opts.Pool.After(instancesSoon, keyInstances, worker.Func(m.readInstances))
+		m.readInstances()
 	})
 }
 
@@ -250,10 +262,12 @@
 	worker.Call(m.opts.Pool, keyInstances, callTimeout, m.opts.Store.Instances, func(all []model.Instance, err error) {
 		m.members.result(err)
 		wait := instancesInterval
-		if err != nil {
-			wait = retryWait
+		if !m.InstancesKnown() {
+			wait = instancesSoon
 		}
-		if err == nil {
+		if err != nil {
+			wait = m.retryWait()
+		} else {
 			m.applyInstances(all)
 		}
 		m.readDue = m.opts.Pool.After(wait, keyInstances, worker.Func(m.readInstances))
@@ -270,6 +284,7 @@
 			m.opts.Instances.Merge(in)
 		}
 	}
+	m.instancesKnown.Store(true)
 	m.opts.Counted(len(all))
 	for _, in := range m.opts.Instances.All() {
 		if !listed[in.ID] && in.ID != m.opts.Self.ID && instance.StateRank(in.State) < instance.StateRank(model.InstanceLeaving) {
@@ -279,6 +294,9 @@
 	}
 }
 
+// InstancesKnown reports whether the list of instances was read.
+func (m *Manager) InstancesKnown() bool { return m.instancesKnown.Load() }
+
 // Withdraw takes this instance out of the store before it stops.
 func (m *Manager) Withdraw() {
 	call := func(ctx context.Context) (struct{}, error) {
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -25,7 +25,8 @@
 // fakeStore is a store of which each instance may be cut off.
 type fakeStore struct {
 	world *world
-	reads atomic.Int32
+	reads atomic.Int32 // of the entries
+	calls atomic.Int32
 	cut   atomic.Bool
 	dark  atomic.Bool // does not answer
 }
@@ -53,6 +54,7 @@
 }
 
 func (s *fakeStore) Rules(ctx context.Context, after Revision, d time.Duration) (*model.RoutingRules, Revision, error) {
+	s.calls.Add(1)
 	if s.cut.Load() {
 		return nil, 0, errDown
 	}
@@ -70,6 +72,7 @@
 
 func (s *fakeStore) Entries(ctx context.Context, _ Revision) (Entries, error) {
 	s.reads.Add(1)
+	s.calls.Add(1)
 	if s.dark.Load() {
 		wait.Sleep(ctx, time.Hour)
 		return Entries{}, ctx.Err()
@@ -355,3 +358,24 @@
 		}
 	})
 }
+
+// Guards against instances that call a store without pause while it is away.
+func TestOutageIsNotFilledWithCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a", "b", "c", "d")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		before := int32(0)
+		for _, m := range c {
+			m.store.cut.Store(true)
+			before += m.store.calls.Load()
+		}
+		time.Sleep(8 * time.Second)
+		during := -before
+		for _, m := range c {
+			during += m.store.calls.Load()
+		}
+		assert.Assert(t, during <= 4*8*2, "%d calls", during)
+	})
+}
