Send returning callers to their engine, and find engines without the store

Ruled out: lost copies (2 of 40), slow engines (2 of 18). Change: instances tell each other where they placed a prompt, and a caller that comes back goes there; a 421 names the upstream at the address, and while the store is away an engine that tells its state there is used, if all engines are of one service. A probe counts only with a 200. The server cuts what is left at the stop.

--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -25,6 +25,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
@@ -89,6 +90,7 @@
 	self := e.self(identity.Fingerprint())
 	upstreams := upstream.NewTable()
 	commitments := commitment.NewTable(commitmentLife)
+	locations := location.NewTable()
 	if e.peers, err = peer.NewClient(peerOptions(identity, self)); err != nil {
 		return nil, err
 	}
@@ -107,7 +109,7 @@
 		Counted:   budgets.SetInstances,
 		Log:       logger,
 	})
-	if err := e.connect(identity, self, link, commitments, upstreams, logger); err != nil {
+	if err := e.connect(identity, self, link, tables{commitments, upstreams, locations}, logger); err != nil {
 		return nil, err
 	}
 	e.forward = forward.New(forward.Options{
@@ -115,11 +117,13 @@
 		Rules:         e.rules,
 		Upstreams:     upstreams,
 		Commitments:   commitments,
+		Locations:     locations,
 		Sender:        e.client,
 		Budget:        budgets,
 		FailureDomain: s.FailureDomain,
 		Owns:          e.cell.Owns,
 		Changed:       e.exchange.Changed,
+		Found:         e.registry.Found,
 		Failed:        e.exchange.Failed,
 		Log:           logger,
 	})
@@ -142,16 +146,24 @@
 	}
 }
 
+// tables are what the exchange of states reads and fills.
+type tables struct {
+	commitments *commitment.Table
+	upstreams   *upstream.Table
+	locations   *location.Table
+}
+
 // connect exchanges states with the other instances and listens for them.
 func (e *edge) connect(identity *peer.Pinned, self model.Instance, link *edgelink.Link,
-	commitments *commitment.Table, upstreams *upstream.Table, logger log.Interface) error {
+	shared tables, logger log.Interface) error {
 	e.exchange = exchange.New(exchange.Options{
 		Pool:        e.pool,
 		Self:        self,
 		Instances:   e.instances,
 		Members:     e.cell.Members,
-		Commitments: commitments,
-		Upstreams:   upstreams,
+		Commitments: shared.commitments,
+		Upstreams:   shared.upstreams,
+		Locations:   shared.locations,
 		Link:        link,
 		Log:         logger,
 	})
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
@@ -26,6 +27,7 @@
 	Sequence    uint64 // rises with each state of an incarnation
 	Leaving     bool   // takes no further callers
 	Work        map[model.UpstreamID]commitment.Work
+	Parts       map[string]model.UpstreamID        // last parts of prompts that the instance placed lately
 	Failed      map[model.UpstreamID]time.Duration // age of a connection failure that the instance met
 }
 
@@ -48,6 +50,9 @@
 // have it, or have met it themselves.
 const failureLife = time.Second
 
+// partLife is how long a placed prompt is told: at least one beat.
+const partLife = 1200 * time.Millisecond
+
 const key worker.Key = "exchange"
 
 // Options configure a Manager.
@@ -58,6 +63,7 @@
 	Members     func() []model.Instance // of this instance's cell
 	Commitments *commitment.Table
 	Upstreams   *upstream.Table
+	Locations   *location.Table
 	Link        Link
 	Log         log.Interface
 }
@@ -135,6 +141,7 @@
 		Sequence:    m.sequence,
 		Leaving:     m.leaving,
 		Work:        m.opts.Commitments.Own(),
+		Parts:       m.opts.Locations.OwnSince(time.Now().Add(-partLife)),
 		Failed:      m.failures(time.Now()),
 	}
 	for _, in := range m.opts.Members() {
@@ -172,6 +179,9 @@
 		m.opts.Log.WithField("instance", string(s.Instance)).WithField("incarnation", s.Incarnation).Info("instance is heard")
 	}
 	m.opts.Commitments.Tell(s.Instance, s.Work, now)
+	for part, up := range s.Parts {
+		m.opts.Locations.Tell(part, up, now)
+	}
 	for id, age := range s.Failed {
 		at := now.Add(-age)
 		m.opts.Upstreams.Failed(id, at, at.Add(failureLife))
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -59,6 +59,7 @@
 	case answer.Elsewhere:
 		r.m.opts.Upstreams.Leave(a.upstream.ID)
 		r.m.opts.Failed(a.upstream.ID, time.Now())
+		r.m.lookFor(a.upstream, r.service, answer.Answering)
 		r.notRun(a, "another upstream has the address")
 	case answer.NotRun:
 		r.notRun(a, "upstream is full")
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
@@ -58,6 +59,7 @@
 	pool      *worker.Pool
 	upstreams *upstream.Table
 	sends     []*fakeSend
+	found     []model.Upstream
 	dead      bool // engines do not answer probes
 }
 
@@ -95,11 +97,13 @@
 			Rules:         table,
 			Upstreams:     b.upstreams,
 			Commitments:   commitment.NewTable(time.Second),
+			Locations:     location.NewTable(),
 			Sender:        b,
 			Budget:        openBudget{},
 			FailureDomain: "a",
 			Owns:          func(string) bool { return true },
 			Changed:       func() {},
+			Found:         func(up model.Upstream) { b.found = append(b.found, up) },
 			Failed:        func(model.UpstreamID, time.Time) {},
 			Log:           &log.Logger{Handler: discard.Default},
 		})
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -19,6 +19,7 @@
 	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
@@ -92,12 +93,15 @@
 	Rules         *rules.Table
 	Upstreams     *upstream.Table
 	Commitments   *commitment.Table
+	Locations     *location.Table
 	Sender        Sender
 	Budget        Budget
 	FailureDomain model.FailureDomain // of this instance
 	// Owns reports whether this instance's cell prefers the engine at an address.
 	Owns    func(address string) bool
 	Changed func() // the commitments of this instance changed
+	// Found is called with an engine that has the address of a lost one.
+	Found func(model.Upstream)
 	// Failed is called when the connection to an upstream failed here.
 	Failed func(id model.UpstreamID, at time.Time)
 	Log    log.Interface
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -19,6 +19,9 @@
 	// otherCell is the cost, in prompts, of an engine that another cell prefers,
 	// whose work there this instance does not know.
 	otherCell = 1.0
+	// cachedPrompt is the part of a prompt that an engine is expected to have in
+	// its cache if it read the prompt lately.
+	cachedPrompt = 1.0
 	// defaultSlots stands in for what an upstream does not tell.
 	defaultSlots = 1
 	// memoryHeadroom is the part of an engine's memory that placements fill.
@@ -101,17 +104,21 @@
 }
 
 // pickEngine returns the engine that reads the prompt first among those whose
-// memory has room. Streams with the same last part of the prompt prefer the
-// same engine, which may still have it in its cache.
+// memory has room. A caller that comes back with a prompt prefers the engine
+// that read it, which may still have it in its cache.
 func (m *Manager) pickEngine(r *run, want need) (model.Upstream, commitment.Work, bool) {
 	now := time.Now()
 	totals := m.opts.Commitments.Totals(now)
 	key := affinityKey(r.req)
+	located, _ := m.opts.Locations.Of(key, now)
 	best, bestCost, bestFits := model.Upstream{}, 0.0, false
 	for _, row := range m.usable(r.service.Name, r.tried, now) {
 		up := row.Upstream
 		load := totals[up.ID]
 		cost := m.engineCost(up, load, r.req, key)
+		if up.ID == located {
+			cost -= cachedPrompt * float64(want.prefill)
+		}
 		fits := fitsMemory(r.service.Engine, load, want.memory)
 		if best.ID == "" || (fits && !bestFits) || (fits == bestFits && cost < bestCost) {
 			best, bestCost, bestFits = up, cost, fits
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -17,6 +17,8 @@
 	NotRun bool
 	// Elsewhere says that another upstream has the address by now.
 	Elsewhere bool
+	// Answering is the upstream at the address, if it said so.
+	Answering model.UpstreamID
 	Leaving   bool // the upstream takes no further work
 }
 
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -134,6 +134,7 @@
 		s.CopyTo = holder.Address
 	}
 	r.ran++
+	r.m.opts.Locations.Placed(affinityKey(r.req), up.ID, time.Now())
 	r.begin(a, s)
 	r.logPlaced(a, expected)
 	r.armSilence(a)
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -1,10 +1,13 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"gotest.tools/v3/assert"
 )
 
@@ -75,3 +78,38 @@
 		assert.Equal(t, len(b.sends), 2)
 	})
 }
+
+// Guards against a prompt that is read once more when its caller comes back
+// after its instance stopped.
+func TestReturningCallerGoesToTheEngineThatReadThePrompt(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		parts := []Part{{ID: "shared", Tokens: 200}, {ID: "own", Tokens: 4800}}
+		b.m.opts.Locations.Tell("own", "engine-c1", time.Now())
+		for i := range 8 {
+			req := &Request{
+				ID: model.RequestID(fmt.Sprintf("back%d", i)), Host: "h", Method: "POST", Path: "/log/1", Credential: "key",
+				Arrived: time.Now(), After: 3, Generation: Generation{PromptTokens: 5000, OutputTokens: 800, Parts: parts},
+			}
+			left := b.m.Submit(req, &fakeReply{})
+			synctest.Wait()
+			assert.Equal(t, b.last().Upstream.ID, model.UpstreamID("engine-c1"))
+			left()
+			synctest.Wait()
+		}
+	})
+}
+
+// Guards against an engine that restarted under another ID and gets no work
+// while the store is away.
+func TestSuccessorAtAnAddressIsFound(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		b.submit("/log/1")
+		lost := b.last().Upstream
+		b.last().Answered(Answer{Status: 421, NotRun: true, Elsewhere: true, Answering: "engine-new"})
+		b.pass(0)
+		assert.Equal(t, len(b.found), 1)
+		assert.Equal(t, b.found[0].ID, model.UpstreamID("engine-new"))
+		assert.Equal(t, b.found[0].Address, lost.Address)
+		assert.Assert(t, b.last().Upstream.ID != lost.ID)
+	})
+}
--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -18,9 +18,12 @@
 	known map[model.UpstreamID]Entry
 	// byAddress holds the newest upstream at each address.
 	byAddress map[string]model.UpstreamID
-	missing   map[model.UpstreamID]time.Time // entries that are gone, with the time at which that counts
-	back      time.Time                      // end of the last outage
-	readAt    time.Time                      // of the last read that succeeded
+	// found holds upstreams that were met at the address of a lost one while
+	// the store was away, and that have no entry yet.
+	found   map[model.UpstreamID]bool
+	missing map[model.UpstreamID]time.Time // entries that are gone, with the time at which that counts
+	back    time.Time                      // end of the last outage
+	readAt  time.Time                      // of the last read that succeeded
 }
 
 func newEntryState(logger log.Interface) entryState {
@@ -28,6 +31,7 @@
 		duty:      duty{log: logger, what: "entries"},
 		known:     map[model.UpstreamID]Entry{},
 		byAddress: map[string]model.UpstreamID{},
+		found:     map[model.UpstreamID]bool{},
 		missing:   map[model.UpstreamID]time.Time{},
 	}
 }
@@ -87,6 +91,10 @@
 	m.sharedReadAt = s.readAt
 	m.shareMu.Unlock()
 	m.takeChanges(got)
+	for id := range s.found {
+		s.missing[id] = s.readAt.Add(returnGrace)
+		delete(s.found, id)
+	}
 }
 
 // takeChanges brings the table of upstreams up to date.
@@ -95,6 +103,7 @@
 	now := time.Now()
 	for _, e := range got.Changed {
 		delete(s.missing, e.Upstream.ID)
+		delete(s.found, e.Upstream.ID)
 		m.noteEntry(e)
 		m.dropPredecessors(e)
 	}
@@ -146,6 +155,24 @@
 		Info("upstream entry")
 }
 
+// Found takes in an upstream that was met at the address of a lost one. While
+// the store answers, its entry is awaited instead. It may be called from any
+// goroutine.
+func (m *Manager) Found(up model.Upstream) {
+	m.opts.Pool.Post(keyEntries, worker.Func(func() {
+		s := &m.entries
+		if _, known := s.known[up.ID]; known || time.Since(s.readAt) < freshFor {
+			return
+		}
+		s.found[up.ID] = true
+		e := Entry{Upstream: up}
+		m.noteEntry(e)
+		m.dropPredecessors(e)
+		m.dropMissing(time.Now())
+		m.configure()
+	}))
+}
+
 // removed returns the known upstreams that have no entry any more.
 func (s *entryState) removed(got Entries) []model.UpstreamID {
 	if !got.Whole {
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -379,3 +379,32 @@
 		assert.Assert(t, during <= 4*8*2, "%d calls", during)
 	})
 }
+
+// Guards against engines that restart while the store is away and get no work
+// until it is back, and against ones that stay without an entry afterwards.
+func TestUpstreamsAreFoundWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCell(t, w, "a")
+		defer c.close()
+		m := c["a"]
+		fresh := model.Upstream{ID: "u9", Address: "u1", Serves: "s"}
+		time.Sleep(5 * time.Second)
+		m.Found(fresh)
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(m.upstreams.Serving("s")), 2) // the store answers
+		m.store.cut.Store(true)
+		time.Sleep(3 * time.Second)
+		m.Found(fresh)
+		time.Sleep(100 * time.Millisecond)
+		_, known := m.upstreams.Get("u9")
+		assert.Assert(t, known)
+		_, known = m.upstreams.Get("u1")
+		assert.Assert(t, !known)
+		m.store.cut.Store(false)
+		w.change(func() { w.revision = 11 })
+		time.Sleep(6 * time.Second)
+		_, known = m.upstreams.Get("u9")
+		assert.Assert(t, !known)
+	})
+}
--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -51,6 +51,8 @@
 	Own       bool // the answer is to the send, and not to another one
 	NotRun    bool
 	Elsewhere bool // another upstream has the address
+	// Answering is the upstream at the address, if it said so.
+	Answering model.UpstreamID
 }
 
 // Judge reads an answer's status and header.
@@ -61,6 +63,7 @@
 		Own:       echoed == string(id) || (echoed == "" && notRun),
 		NotRun:    notRun,
 		Elsewhere: status == http.StatusMisdirectedRequest,
+		Answering: model.UpstreamID(in.Get(n.Answering)),
 	}
 }
 
--- a/internal/protocol/forwardwire/names.go
+++ b/internal/protocol/forwardwire/names.go
@@ -14,6 +14,7 @@
 
 	Organisation     string // that the request belongs to
 	ExpectedUpstream string // ID of the only upstream that may run the request
+	Answering        string // in an answer: ID of the upstream that gives it
 	NotRun           string // in an answer: the upstream did not run the request
 	CopyTo           string // IP:port of the upstream that receives copies of the memory
 	CopyFrom         string // IP:port/ID of a copy to go on from
--- a/internal/protocol/forwardwire/names_test.go
+++ b/internal/protocol/forwardwire/names_test.go
@@ -13,7 +13,7 @@
 func testNames() Names {
 	return Names{
 		Request: "X-Req", TimeLeft: "X-Left", CredentialScheme: "Token", LastEvent: "Last-Event-Id", Tokens: "X-Tokens",
-		PromptParts: "X-Parts", Organisation: "X-Org", ExpectedUpstream: "X-Expect", NotRun: "X-Not-Run", CopyTo: "X-Copy-To",
+		PromptParts: "X-Parts", Organisation: "X-Org", ExpectedUpstream: "X-Expect", NotRun: "X-Not-Run", Answering: "X-Id", CopyTo: "X-Copy-To",
 		CopyFrom: "Copy-From", SystemOnly: []string{"X-Rank"},
 	}
 }
@@ -80,7 +80,7 @@
 		{"nameless answer", 200, header(), Verdict{}},
 		{"full", 503, header("X-Not-Run", "1"), Verdict{Own: true, NotRun: true}},
 		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true}},
-		{"address reused", 421, header(), Verdict{Own: true, NotRun: true, Elsewhere: true}},
+		{"address reused", 421, header("X-Id", "u2"), Verdict{Own: true, NotRun: true, Elsewhere: true, Answering: "u2"}},
 	}
 	for _, c := range cases {
 		assert.Equal(t, testNames().Judge("r1", c.status, c.header), c.want, c.name)
--- a/internal/protocol/peerwire/state.go
+++ b/internal/protocol/peerwire/state.go
@@ -17,6 +17,7 @@
 	Work        []workRow        `cbor:"5,keyasint,omitempty"`
 	// Failed holds the ages of connection failures in milliseconds.
 	Failed map[model.UpstreamID]uint32 `cbor:"6,keyasint,omitempty"`
+	Parts  map[string]model.UpstreamID `cbor:"7,keyasint,omitempty"`
 }
 
 // workRow is the work on one upstream.
@@ -31,7 +32,7 @@
 
 // EncodeState returns the message with an instance's state.
 func EncodeState(s exchange.State) (Message, error) {
-	b := stateBody{Instance: s.Instance, Incarnation: s.Incarnation, Sequence: s.Sequence, Leaving: s.Leaving}
+	b := stateBody{Instance: s.Instance, Incarnation: s.Incarnation, Sequence: s.Sequence, Leaving: s.Leaving, Parts: s.Parts}
 	for id, w := range s.Work {
 		b.Work = append(b.Work, workRow{
 			Upstream: id,
@@ -68,6 +69,7 @@
 		Incarnation: b.Incarnation,
 		Sequence:    b.Sequence,
 		Leaving:     b.Leaving,
+		Parts:       b.Parts,
 		Work:        make(map[model.UpstreamID]commitment.Work, len(b.Work)),
 		Failed:      make(map[model.UpstreamID]time.Duration, len(b.Failed)),
 	}
--- a/internal/protocol/peerwire/state_test.go
+++ b/internal/protocol/peerwire/state_test.go
@@ -15,6 +15,7 @@
 	return exchange.State{
 		Instance: "i", Incarnation: 3, Sequence: 9, Leaving: true,
 		Work:   map[model.UpstreamID]commitment.Work{"u": {Requests: 1, Prefill: 2, Memory: 3, Copies: 4}},
+		Parts:  map[string]model.UpstreamID{"5c1e07a2": "u"},
 		Failed: map[model.UpstreamID]time.Duration{"v": 250 * time.Millisecond},
 	}
 }
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -90,7 +90,8 @@
 	}()
 }
 
-// probe reports whether the engine answers, in whatever way.
+// probe reports whether the engine at the address is the one that is meant, and
+// tells its state.
 func (c *Client) probe(ctx context.Context, up model.Upstream) bool {
 	target := url.URL{Scheme: "http", Host: up.Address, Path: c.state}
 	out, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
@@ -102,7 +103,7 @@
 	if err != nil {
 		return false
 	}
-	return in.Body.Close() == nil && in.StatusCode < http.StatusInternalServerError && in.StatusCode != http.StatusMisdirectedRequest
+	return in.Body.Close() == nil && in.StatusCode == http.StatusOK
 }
 
 // run makes one send and reports to the receiver.
@@ -185,6 +186,7 @@
 		Body:      body,
 		NotRun:    verdict.NotRun,
 		Elsewhere: verdict.Elsewhere,
+		Answering: verdict.Answering,
 		Leaving:   in.Close,
 	})
 }
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -77,9 +77,20 @@
 	return nil
 }
 
-// Stop ends the server after the requests in flight, or when ctx ends. It
-// implements the kratos transport.Server interface.
-func (s *Server) Stop(ctx context.Context) error { return s.http.Shutdown(ctx) }
+// closeTime is what Stop leaves to requests that are still in flight.
+const closeTime = 100 * time.Millisecond
+
+// Stop ends the server. Requests in flight had their time before, so it cuts
+// those that are left. It implements the kratos transport.Server interface.
+func (s *Server) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, closeTime)
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.opts.Log.WithField("running", s.opts.Forward.Running()).Warn("requests in flight are cut at the stop")
+		return s.http.Close()
+	}
+	return nil
+}
 
 // CloseConnections makes each answer the last one on its connection.
 func (s *Server) CloseConnections() { s.closing.Store(true) }
