Show a stream that survives its worker on the platform's stand-ins

Change: 'standin fleet' serves the store and workers, 'make demo-edge' streams through a crashed worker and checks each event; the layers test refuses imports of platform/ from internal/.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 RAPID_PACKAGES = $(shell grep -rl --include='*_test.go' pgregory.net/rapid internal | xargs -n1 dirname | sort -u | sed 's|^|./|')
 SIZE ?= 0.3
 
-.PHONY: build test check fmt demo up demo-move soak measure
+.PHONY: build test check fmt demo demo-edge up demo-move soak measure
 
 build:
 	go build -o bin/ ./cmd/...
@@ -22,7 +22,7 @@
 
 # Formatter, linter, vet and module checks.
 check: $(LINT)
-	@unformatted=$$(gofmt -l cmd internal); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	@unformatted=$$(gofmt -l cmd internal platform tests); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
 	go vet ./...
 	go vet -tags lockcheck ./...
 	go mod verify
@@ -32,6 +32,10 @@
 demo: build
 	scripts/demo.sh
 
+# Streams through a crashed model worker on stand-ins of the users' platform.
+demo-edge: build
+	scripts/edge.sh
+
 # Starts a local deployment and keeps it until it is interrupted.
 up: build
 	scripts/up.sh
@@ -49,7 +53,7 @@
 	scripts/measure.sh --seed $(SEED) --size $(SIZE)
 
 fmt:
-	gofmt -w cmd internal
+	gofmt -w cmd internal platform tests
 
 $(LINT):
 	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_LINT_VERSION)
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -25,6 +25,7 @@
 	Platform platformCommand `cmd:"" help:"Serve tables, objects, weights and the list of machines."`
 	Engine   engineCommand   `cmd:"" help:"Serve a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Serve a plain service."`
+	Fleet    fleetCommand    `cmd:"" help:"Serve the store and workers of the users' platform."`
 	Certs    certsCommand    `cmd:"" help:"Make certificates for a local deployment."`
 }
 
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -12,7 +12,12 @@
 	"gotest.tools/v3/assert"
 )
 
-const modulePath = "github.com/sequoiavalve/sequoiavalve/internal/"
+const (
+	modulePath = "github.com/sequoiavalve/sequoiavalve/internal/"
+	// platformPath stands outside the layers. It may import them, and only
+	// commands import it.
+	platformPath = "github.com/sequoiavalve/sequoiavalve/platform"
+)
 
 // allowed lists for each layer the layers that it may import besides itself.
 var allowed = map[string][]string{
@@ -45,6 +50,7 @@
 	for _, spec := range file.Imports {
 		name, err := strconv.Unquote(spec.Path.Value)
 		assert.NilError(t, err)
+		assert.Assert(t, !strings.HasPrefix(name, platformPath), "%s imports %s; only cmd may", path, name)
 		rest, ours := strings.CutPrefix(name, modulePath)
 		if !ours {
 			continue
