--- a/internal/coordination/relay/metrics.go
+++ b/internal/coordination/relay/metrics.go
@@ -13,7 +13,7 @@
 )
 
 // metrics are the relay's instruments. Their names are documented in
-// docs/operations.md.
+// docs/OPERATIONS.md.
 type metrics struct {
 	ended   metric.Int64Counter     // generations, by outcome
 	tokens  metric.Int64Counter     // accepted tokens
--- a/tests/e2e/metrics_test.go
+++ b/tests/e2e/metrics_test.go
@@ -23,7 +23,7 @@
 // with their labels.
 func documentedMetrics(t *testing.T, process string) []string {
 	t.Helper()
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	assert.NilError(t, err)
 	var metrics []string
 	for _, row := range documentedMetric.FindAllStringSubmatch(string(page), -1) {
