Replace the holder of a stream's copy when it is lost

Ruled out: copies that had not begun (2), holders without room (0). Change: each 0.3 s a stream looks whether its holder lives; a new holder gets copies on order, renewed each second.

--- a/cmd/edged/edge.go
+++ b/cmd/edged/edge.go
@@ -80,7 +80,7 @@
 		rules:     rules.NewTable(),
 		instances: instance.NewTable(),
 		store:     platform.NewStore(s.Store, logger),
-		client:    backend.New(platform.Names(), platform.StatePath),
+		client:    backend.New(platform.Names(), platform.EngineCalls()),
 	}
 	e.cell = cell.NewTracker(e.instances, s.Instance)
 	identity, err := peer.NewPinned(string(s.Instance), e.trusts)
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -60,7 +60,8 @@
 	upstreams *upstream.Table
 	sends     []*fakeSend
 	found     []model.Upstream
-	dead      bool // engines do not answer probes
+	copies    []model.UpstreamID // holders of ordered copies
+	dead      bool               // engines do not answer probes
 }
 
 // Start implements Sender.
@@ -73,6 +74,12 @@
 // Probe implements Sender.
 func (b *bench) Probe(_ model.Upstream, _ time.Duration, answered func(bool)) { answered(!b.dead) }
 
+// Copy implements Sender.
+func (b *bench) Copy(_ model.Upstream, _ model.RequestID, to model.Upstream, _ time.Duration, copied func(string, error)) {
+	b.copies = append(b.copies, to.ID)
+	copied("handle-"+string(to.ID), nil)
+}
+
 // domains are the failure domains of the fakes' upstreams, two in each.
 var domains = []model.FailureDomain{"a", "b", "c"}
 
@@ -135,7 +142,7 @@
 			},
 		},
 		Services: []model.BackendService{
-			{Name: "engine", Engine: &model.EngineTraits{MemoryTokens: 55000, Copies: true, EventTokens: 6}},
+			{Name: "engine", Engine: &model.EngineTraits{MemoryTokens: 55000, Copies: true, Moves: true, EventTokens: 6}},
 			{Name: "desk"},
 		},
 		Holders: []model.KeyHolder{{Organisation: "org", Keys: []string{"key"}}},
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -28,10 +28,12 @@
 	Raw      []byte // with its closing blank line
 }
 
-// CopySource is a copy of an engine's memory of a stream.
+// CopySource names a copy of an engine's memory of a stream. An engine that
+// copies a stream as it grows names the copy by its holder and the request, and
+// one that was asked to copy it by itself and a handle.
 type CopySource struct {
-	Holder  string          // IP:port of the upstream that has the copy
-	Request model.RequestID // whose stream was copied
+	Address string // IP:port
+	ID      string
 }
 
 // Send is one attempt at one upstream.
@@ -70,6 +72,9 @@
 	// Probe asks an engine for its state, apart from any request, and reports
 	// whether it answered in time.
 	Probe(up model.Upstream, timeout time.Duration, answered func(alive bool))
+	// Copy asks the engine that runs a stream to copy its memory to another one,
+	// and reports the handle of the copy once it is complete.
+	Copy(from model.Upstream, request model.RequestID, to model.Upstream, timeout time.Duration, copied func(handle string, err error))
 }
 
 // attempt is one send that is under way.
@@ -77,6 +82,8 @@
 	number    int
 	upstream  model.Upstream
 	holder    model.Upstream // of copies; empty ID means none
+	ordered   bool           // the holder gets copies on order, not as the stream grows
+	handle    string         // of the newest ordered copy
 	work      commitment.Work
 	copied    commitment.Work
 	started   time.Time
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -40,8 +40,8 @@
 
 // copyOf is an engine's memory of a stream that another engine holds.
 type copyOf struct {
-	holder  model.Upstream
-	request model.RequestID
+	holder model.Upstream
+	source CopySource
 }
 
 // silenceOf derives the limits on silence from the route. A loss must be noticed
@@ -114,7 +114,7 @@
 	want.prefill = 0
 	// A copy is lost soon, so the budget is charged and does not hold it back.
 	r.m.opts.Budget.Resend(r.service.Name)
-	r.startStream(row.Upstream, want, 0, &CopySource{Holder: row.Upstream.Address, Request: source.request})
+	r.startStream(row.Upstream, want, 0, &source.source)
 }
 
 // startStream sends the stream to the engine, and copies of its memory to
@@ -138,6 +138,7 @@
 	r.begin(a, s)
 	r.logPlaced(a, expected)
 	r.armSilence(a)
+	r.watchCopyLater(a, copyCheck)
 }
 
 // arrived takes events of the current attempt.
@@ -226,9 +227,7 @@
 		r.settleStream()
 		return
 	}
-	if a.holder.ID != "" && a.positions > 0 {
-		r.stream.copy = &copyOf{holder: a.holder, request: r.req.ID}
-	}
+	r.stream.copy = r.copyAfter(a)
 	switch continuation.Next(r.situation(kind)) {
 	case continuation.Continue, continuation.Restart:
 		r.placeStream()
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -51,7 +51,7 @@
 		b.pass(0)
 		second := b.last()
 		assert.Equal(t, second.Upstream.Address, first.CopyTo)
-		assert.Equal(t, second.From.Request, first.Request.ID)
+		assert.Equal(t, *second.From, CopySource{Address: first.CopyTo, ID: string(first.Request.ID)})
 		assert.Equal(t, second.After, Position(2))
 		assert.Assert(t, second.Upstream.FailureDomain != first.Upstream.FailureDomain)
 		first.event(3) // late, from the lost engine
@@ -113,3 +113,27 @@
 		assert.Assert(t, b.last().Upstream.ID != lost.ID)
 	})
 }
+
+// Guards against a stream that has no copy any more since the holder of its
+// copy was lost before its engine.
+func TestLostHolderIsReplaced(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		b.submit("/log/1")
+		first := b.last()
+		first.Began(200, nil)
+		first.event(1)
+		now := time.Now()
+		b.upstreams.Failed(model.UpstreamID(first.CopyTo), now, now)
+		b.pass(250 * time.Millisecond)
+		first.event(2)
+		b.pass(100 * time.Millisecond)
+		assert.Equal(t, len(b.copies), 1)
+		holder := b.copies[0]
+		assert.Assert(t, string(holder) != first.CopyTo && holder != first.Upstream.ID)
+		first.Lost(continuation.LossReset, "EOF", true)
+		b.pass(0)
+		assert.Equal(t, b.last().Upstream.ID, holder)
+		assert.Equal(t, *b.last().From, CopySource{Address: first.Upstream.Address, ID: "handle-" + string(holder)})
+		assert.Equal(t, b.last().After, Position(2))
+	})
+}
--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -27,7 +27,7 @@
 	}
 	set(out, n.CopyTo, s.CopyTo)
 	if s.From != nil {
-		set(out, n.CopyFrom, s.From.Holder+"/"+string(s.From.Request))
+		set(out, n.CopyFrom, s.From.Address+"/"+s.From.ID)
 	}
 	if _, given := out["User-Agent"]; !given {
 		out["User-Agent"] = []string{""} // net/http would send its own
--- a/internal/protocol/forwardwire/names_test.go
+++ b/internal/protocol/forwardwire/names_test.go
@@ -58,7 +58,7 @@
 		Deadline:     now.Add(1500 * time.Millisecond),
 		After:        7,
 		CopyTo:       "10.0.0.2:1",
-		From:         &forward.CopySource{Holder: "10.0.0.3:1", Request: "r1"},
+		From:         &forward.CopySource{Address: "10.0.0.3:1", ID: "r1"},
 	}, now)
 	assert.DeepEqual(t, out, http.Header{
 		"X-Req": {"r1"}, "X-Expect": {"u1"}, "X-Org": {"org"}, "X-Left": {"1500"}, "Last-Event-Id": {"7"}, "X-Copy-To": {"10.0.0.2:1"},
--- a/internal/state/model/forwarding.go
+++ b/internal/state/model/forwarding.go
@@ -38,6 +38,7 @@
 type EngineTraits struct {
 	MemoryTokens int           // prompt and output tokens that one engine holds
 	Copies       bool          // an engine can hold a copy of another one's memory of a stream
+	Moves        bool          // an engine copies its memory of a stream on order
 	CopyLife     time.Duration // for which a copy is kept after its last part
 	EventTokens  int           // output tokens in one event
 }
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
@@ -29,6 +30,8 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxAnswerBytes bounds the memory of one whole answer.
 	maxAnswerBytes = 16 << 20
+	// maxOrderAnswer bounds the answer to an engine call.
+	maxOrderAnswer = 64 << 10
 	maxIdlePerHost = 4
 	// idleTimeout is shorter than that of usual upstreams, which close idle
 	// connections while a request is under way to them.
@@ -39,18 +42,27 @@
 // Client implements forward.Sender.
 type Client struct {
 	names  forwardwire.Names
-	state  string          // path of an engine's state
+	engine EngineCalls
 	fresh  *http.Transport // a connection for each request
 	pooled *http.Transport // for requests that may run more than once
 	tracer oteltrace.Tracer
 }
 
-// New returns a client that uses the given header names, and the path at which
-// engines tell their state.
-func New(names forwardwire.Names, statePath string) *Client {
+// EngineCalls are the calls that engines take beside requests.
+type EngineCalls struct {
+	StatePath string // where an engine tells its state
+	CopyPath  string // where it takes orders to copy its memory of a stream
+	// EncodeCopy returns the body of an order, and DecodeCopy the handle of the
+	// copy from the answer.
+	EncodeCopy func(request model.RequestID, to string) ([]byte, error)
+	DecodeCopy func(answer []byte) (handle string, err error)
+}
+
+// New returns a client that uses the given header names and engine calls.
+func New(names forwardwire.Names, engine EngineCalls) *Client {
 	return &Client{
 		names:  names,
-		state:  statePath,
+		engine: engine,
 		fresh:  newTransport(false),
 		pooled: newTransport(true),
 		tracer: otel.Tracer(tracerName),
@@ -93,7 +105,7 @@
 // probe reports whether the engine at the address is the one that is meant, and
 // tells its state.
 func (c *Client) probe(ctx context.Context, up model.Upstream) bool {
-	target := url.URL{Scheme: "http", Host: up.Address, Path: c.state}
+	target := url.URL{Scheme: "http", Host: up.Address, Path: c.engine.StatePath}
 	out, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
 		return false
@@ -106,6 +118,41 @@
 	return in.Body.Close() == nil && in.StatusCode == http.StatusOK
 }
 
+// Copy implements forward.Sender.
+func (c *Client) Copy(from model.Upstream, request model.RequestID, to model.Upstream, timeout time.Duration, copied func(string, error)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		defer cancel()
+		copied(c.copy(ctx, from, request, to))
+	}()
+}
+
+func (c *Client) copy(ctx context.Context, from model.Upstream, request model.RequestID, to model.Upstream) (string, error) {
+	body, err := c.engine.EncodeCopy(request, to.Address)
+	if err != nil {
+		return "", err
+	}
+	target := url.URL{Scheme: "http", Host: from.Address, Path: c.engine.CopyPath}
+	out, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
+	if err != nil {
+		return "", trace.Wrap(err)
+	}
+	out.Header.Set("Content-Type", "application/json")
+	c.names.Expect(out.Header, from.ID)
+	in, err := c.fresh.RoundTrip(out)
+	if err != nil {
+		return "", trace.ConnectionProblem(err, "copy order to %q: %v", from.ID, err)
+	}
+	answer, err := io.ReadAll(io.LimitReader(in.Body, maxOrderAnswer))
+	if err := trace.NewAggregate(err, in.Body.Close()); err != nil {
+		return "", err
+	}
+	if in.StatusCode != http.StatusOK {
+		return "", trace.ConnectionProblem(nil, "copy order to %q was answered with status %d", from.ID, in.StatusCode)
+	}
+	return c.engine.DecodeCopy(answer)
+}
+
 // run makes one send and reports to the receiver.
 func (c *Client) run(ctx context.Context, s forward.Send, to forward.Receiver) {
 	ctx, span := c.tracer.Start(ctx, "forward send", oteltrace.WithSpanKind(oteltrace.SpanKindClient),
