Free ordered copies at the end of their streams

Ruled out: copies that are used (those are freed by their use). Change: a stream that ends tells its engine to free the copy at both ends.

--- a/internal/coordination/forward/copy.go
+++ b/internal/coordination/forward/copy.go
@@ -62,6 +62,14 @@
 	r.orderCopy(a)
 }
 
+// discardCopy frees the ordered copy of an attempt after which nothing follows.
+func (r *run) discardCopy(a *attempt) {
+	if a.handle != "" {
+		r.m.opts.Sender.Discard(a.upstream, a.handle)
+		a.handle = ""
+	}
+}
+
 func (r *run) holderAlive(a *attempt) bool {
 	row, known := r.m.opts.Upstreams.Get(a.holder.ID)
 	return known && row.Report.Health != upstream.HealthLeaving && !r.m.inDoubt(row, time.Now())
@@ -94,6 +102,9 @@
 	r.m.opts.Sender.Copy(a.upstream, r.req.ID, holder, copyTimeout, func(handle string, err error) {
 		r.m.opts.Pool.Post(r.key, worker.Func(func() {
 			if r.ended || r.attempts[a.number] != a {
+				if err == nil {
+					r.m.opts.Sender.Discard(a.upstream, handle)
+				}
 				return
 			}
 			if err != nil {
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -60,6 +60,7 @@
 	upstreams *upstream.Table
 	sends     []*fakeSend
 	found     []model.Upstream
+	freed     []string           // handles of copies
 	copies    []model.UpstreamID // holders of ordered copies
 	dead      bool               // engines do not answer probes
 }
@@ -80,6 +81,9 @@
 	copied("handle-"+string(to.ID), nil)
 }
 
+// Discard implements Sender.
+func (b *bench) Discard(_ model.Upstream, handle string) { b.freed = append(b.freed, handle) }
+
 // domains are the failure domains of the fakes' upstreams, two in each.
 var domains = []model.FailureDomain{"a", "b", "c"}
 
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -249,6 +249,7 @@
 	r.ended = true
 	r.timer.Stop()
 	for _, a := range r.attempts {
+		r.discardCopy(a)
 		r.drop(a)
 	}
 	r.m.running.Add(-1)
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -201,6 +201,7 @@
 
 // streamEnded takes the end of the current attempt's stream.
 func (r *run) streamEnded(a *attempt) {
+	r.discardCopy(a)
 	r.drop(a)
 	if !r.stream.begun {
 		r.reply.Begin(a.status, a.header)
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -137,3 +137,21 @@
 		assert.Equal(t, b.last().After, Position(2))
 	})
 }
+
+// Guards against engines that keep copies of streams that have ended.
+func TestOrderedCopyIsFreedAtTheEnd(t *testing.T) {
+	inBubble(t, func(b *bench) {
+		b.submit("/log/1")
+		first := b.last()
+		first.Began(200, nil)
+		first.event(1)
+		now := time.Now()
+		b.upstreams.Failed(model.UpstreamID(first.CopyTo), now, now)
+		b.pass(250 * time.Millisecond)
+		first.event(2)
+		b.pass(100 * time.Millisecond)
+		first.Ended()
+		b.pass(0)
+		assert.DeepEqual(t, b.freed, []string{"handle-" + string(b.copies[0])})
+	})
+}
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
@@ -30,6 +31,7 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxAnswerBytes bounds the memory of one whole answer.
 	maxAnswerBytes = 16 << 20
+	discardTimeout = 500 * time.Millisecond
 	// maxOrderAnswer bounds the answer to an engine call.
 	maxOrderAnswer = 64 << 10
 	maxIdlePerHost = 4
@@ -52,6 +54,8 @@
 type EngineCalls struct {
 	StatePath string // where an engine tells its state
 	CopyPath  string // where it takes orders to copy its memory of a stream
+	// DiscardPath, followed by a handle, is what frees a copy.
+	DiscardPath string
 	// EncodeCopy returns the body of an order, and DecodeCopy the handle of the
 	// copy from the answer.
 	EncodeCopy func(request model.RequestID, to string) ([]byte, error)
@@ -127,6 +131,32 @@
 	}()
 }
 
+// Discard implements forward.Sender. A copy that cannot be freed lapses by
+// itself after some seconds.
+func (c *Client) Discard(from model.Upstream, handle string) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), discardTimeout)
+		defer cancel()
+		if err := c.discard(ctx, from, handle); err != nil {
+			log.WithField("part", "backend").WithField("upstream", string(from.ID)).WithError(err).Debug("copy not freed")
+		}
+	}()
+}
+
+func (c *Client) discard(ctx context.Context, from model.Upstream, handle string) error {
+	target := url.URL{Scheme: "http", Host: from.Address, Path: c.engine.DiscardPath + handle}
+	out, err := http.NewRequestWithContext(ctx, http.MethodDelete, target.String(), nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.names.Expect(out.Header, from.ID)
+	in, err := c.fresh.RoundTrip(out)
+	if err != nil {
+		return trace.ConnectionProblem(err, "free copy at %q: %v", from.ID, err)
+	}
+	return trace.Wrap(in.Body.Close())
+}
+
 func (c *Client) copy(ctx context.Context, from model.Upstream, request model.RequestID, to model.Upstream) (string, error) {
 	body, err := c.engine.EncodeCopy(request, to.Address)
 	if err != nil {
