Read the store once for all cells

Ruled out: slower reads, which break the bound for leaving upstreams. Change: the first live instance reads for all cells; readers of other cells ask it, with the same age limit and the same fall back to their own read. The list of instances is read each 30 s.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -86,10 +86,7 @@
 		return
 	}
 	s.after = got.Revision
-	s.readAt = time.Now()
-	m.shareMu.Lock()
-	m.sharedReadAt = s.readAt
-	m.shareMu.Unlock()
+	m.noteRead(time.Now())
 	m.takeChanges(got)
 	for id := range s.found {
 		s.missing[id] = s.readAt.Add(returnGrace)
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -91,8 +91,9 @@
 	// those that fail, and all instances try during an outage.
 	startRetryWait = 200 * time.Millisecond
 	retryWait      = time.Second
-	// instancesInterval is the time between reads of the instances.
-	instancesInterval = 10 * time.Second
+	// instancesInterval is the time between reads of the instances. One that is
+	// met and not known makes an instance read them before.
+	instancesInterval = 30 * time.Second
 	// instancesSoon is the time between the first two reads. At the second one
 	// all instances of a deployment that starts have announced themselves.
 	instancesSoon = time.Second
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -123,13 +124,19 @@
 
 // startCell starts a cell of instances over one store.
 func startCell(t *testing.T, w *world, ids ...model.InstanceID) cellOf {
+	t.Helper()
+	return startCells(t, w, len(ids), ids...)
+}
+
+// startCells starts cells of the given size.
+func startCells(t *testing.T, w *world, size int, ids ...model.InstanceID) cellOf {
 	t.Helper()
 	c := cellOf{}
 	for i, id := range ids {
 		w.instances = append(w.instances, model.Instance{ID: id, Incarnation: uint64(i + 1), State: model.InstanceLive})
 	}
 	for _, self := range w.instances {
-		c[self.ID] = newMember(w, c, self)
+		c[self.ID] = newMember(w, c, size, self)
 	}
 	for _, m := range c {
 		m.Start()
@@ -138,7 +145,7 @@
 }
 
 // newMember returns an instance that is not started.
-func newMember(w *world, c cellOf, self model.Instance) *member {
+func newMember(w *world, c cellOf, size int, self model.Instance) *member {
 	m := &member{
 		store:     &fakeStore{world: w},
 		table:     rules.NewTable(),
@@ -154,7 +161,14 @@
 		Rules:     m.table,
 		Upstreams: m.upstreams,
 		Instances: instances,
-		Members:   instances.All,
+		Members: func() []model.Instance {
+			for part := range slices.Chunk(instances.All(), size) {
+				if slices.ContainsFunc(part, func(in model.Instance) bool { return in.ID == self.ID }) {
+					return part
+				}
+			}
+			return nil
+		},
 		LeaveTime: 2 * time.Second,
 		Counted:   func(int) {},
 		Log:       &log.Logger{Handler: discard.Default},
@@ -300,7 +314,7 @@
 func TestFirstReadIsRepeatedSoon(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld()
-		m := newMember(w, cellOf{}, model.Instance{ID: "a", Incarnation: 1, State: model.InstanceLive})
+		m := newMember(w, cellOf{}, 1, model.Instance{ID: "a", Incarnation: 1, State: model.InstanceLive})
 		defer m.pool.Close()
 		m.store.dark.Store(true)
 		m.Start()
@@ -408,3 +422,35 @@
 		assert.Assert(t, !known)
 	})
 }
+
+// Guards against readers of many cells that all call the store.
+func TestOneInstanceReadsForAllCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		c := startCells(t, w, 2, "a", "b", "c", "d", "e", "f")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		before := c["c"].store.reads.Load() + c["e"].store.reads.Load()
+		w.change(func() {
+			w.entries["u1"] = entryOf("u1", true, 2)
+			w.revision = 11
+		})
+		time.Sleep(1500 * time.Millisecond)
+		for id, m := range c {
+			row, _ := m.upstreams.Get("u1")
+			assert.Equal(t, row.Report.Health, upstream.HealthLeaving, id)
+		}
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c["c"].store.reads.Load()+c["e"].store.reads.Load(), before)
+		c["a"].lost.Store(true)
+		c["a"].store.dark.Store(true)
+		w.change(func() {
+			w.rules = &model.RoutingRules{Revision: 2}
+			w.revision = 12
+		})
+		time.Sleep(3 * time.Second)
+		for _, id := range []model.InstanceID{"b", "c", "d", "e", "f"} {
+			assert.Equal(t, c[id].table.Current().Revision, uint64(2), id)
+		}
+	})
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -8,8 +8,10 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
-// One instance of a cell, its reader, reads the store; the others ask it for
-// what is new. The reader is the first live member by ID. A member whose reader
+// One instance of a cell, its reader, keeps up with the store; the others ask it
+// for what is new. The reader is the first live member by ID. The reader of the
+// first cell reads the store, and those of the other cells ask that one, so that
+// the calls to the store do not grow with the deployment. A member whose reader
 // does not answer, or has not read lately, reads the store itself for a while:
 // several members may have lost the store at once, and to try one after the
 // other takes longer than a change may take. A member that has lost the store
@@ -42,7 +44,7 @@
 const (
 	// newsWait is how long a reader keeps a question without news. A reader
 	// that is lost is noticed newsWait and newsMargin later.
-	newsWait   = 700 * time.Millisecond
+	newsWait   = 300 * time.Millisecond
 	newsMargin = 400 * time.Millisecond
 	// freshFor is the age of a reader's last read from which on it has lost the
 	// store. It is two reads of the entries, and leaves the rest of the time
@@ -71,6 +73,8 @@
 	for _, in := range m.opts.Members() {
 		switch {
 		case in.State != model.InstanceLive:
+		case in.ID == m.opts.Self.ID && !lost:
+			return m.root(now)
 		case !now.Before(m.avoid[in.ID]):
 			return in
 		case !lost:
@@ -80,6 +84,21 @@
 	return m.opts.Self
 }
 
+// root returns the instance that reads the store for all cells, or this one
+// while that one does not do.
+func (m *Manager) root(now time.Time) model.Instance {
+	for _, in := range m.opts.Instances.All() {
+		if in.State != model.InstanceLive {
+			continue
+		}
+		if now.Before(m.avoid[in.ID]) {
+			break
+		}
+		return in
+	}
+	return m.opts.Self
+}
+
 // follow asks the reader for news. It runs under keyEntries.
 func (m *Manager) follow(from model.Instance) {
 	known := m.known
@@ -95,12 +114,23 @@
 		}
 		if err == nil {
 			m.applyNews(news, from)
-			m.entries.readAt = now.Add(-news.Age)
+			m.noteRead(now.Add(-news.Age))
 		}
 		m.readEntries()
 	})
 }
 
+// noteRead remembers when the store was read, here or for this instance.
+func (m *Manager) noteRead(at time.Time) {
+	if at.Before(m.entries.readAt) {
+		return
+	}
+	m.entries.readAt = at
+	m.shareMu.Lock()
+	defer m.shareMu.Unlock()
+	m.sharedReadAt = at
+}
+
 // applyNews takes in what a reader knows.
 func (m *Manager) applyNews(news News, from model.Instance) {
 	m.known = Known{Reader: news.Reader, Version: news.Version}
