--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -24,7 +24,6 @@
 	Route        model.HostRoute
 	Service      model.BackendService
 	Organisation model.OrganisationID // empty on routes that ask for no credential
-	Priority     int
 }
 
 // Admit matches a request to its route and its organisation.
@@ -36,16 +35,13 @@
 	if !ok {
 		return Admitted{}, &model.Refusal{Code: codeNoRoute, Message: "No route of this host has a prefix of the path.", Outcome: model.OutcomeNotRun}
 	}
-	a := Admitted{Route: route, Priority: route.Priority}
+	a := Admitted{Route: route}
 	if len(current.Holders) > 0 {
 		holder, known := holderOf(current, req.Credential)
 		if !known && !route.Public {
 			return Admitted{}, &model.Refusal{Code: codeUnknownCredential, Message: "The credential names no organisation.", Outcome: model.OutcomeNotRun}
 		}
 		a.Organisation = holder.Organisation
-		if holder.Ranked {
-			a.Priority = holder.Priority
-		}
 	}
 	name := target(route, req.ID)
 	service, ok := current.Service(name)
--- a/internal/coordination/forward/admit_test.go
+++ b/internal/coordination/forward/admit_test.go
@@ -13,11 +13,11 @@
 	return &model.RoutingRules{
 		Routes: []model.HostRoute{
 			{Name: "all", Host: "h", Prefix: "/a/", Targets: to("s")},
-			{Name: "part", Host: "h", Prefix: "/a/b/", Targets: to("s"), Priority: 3},
+			{Name: "part", Host: "h", Prefix: "/a/b/", Targets: to("s")},
 			{Name: "open", Host: "h", Prefix: "/open/", Targets: to("s"), Public: true},
 			{Name: "split", Host: "h", Prefix: "/split/", Targets: []model.RouteTarget{{Service: "x", Weight: 90}, {Service: "y", Weight: 10}}},
 		},
-		Holders: []model.KeyHolder{{Organisation: "o", Keys: []string{"k1", "k2"}, Priority: 1, Ranked: true}},
+		Holders: []model.KeyHolder{{Organisation: "o", Keys: []string{"k1", "k2"}}},
 	}
 }
 
@@ -47,7 +47,6 @@
 		assert.Equal(t, admitted.Route.Name, c.route, c.name)
 		if c.key != "" {
 			assert.Equal(t, admitted.Organisation, model.OrganisationID("o"), c.name)
-			assert.Equal(t, admitted.Priority, 1, c.name)
 		}
 	}
 }
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -146,7 +146,7 @@
 			},
 		},
 		Services: []model.BackendService{
-			{Name: "engine", Engine: &model.EngineTraits{MemoryTokens: 55000, Copies: true, Moves: true, EventTokens: 6}},
+			{Name: "engine", Engine: &model.EngineTraits{MemoryTokens: 55000, Copies: true, Moves: true}},
 			{Name: "desk"},
 		},
 		Holders: []model.KeyHolder{{Organisation: "org", Keys: []string{"key"}}},
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -148,7 +148,6 @@
 	route        model.HostRoute
 	service      model.BackendService
 	organisation model.OrganisationID
-	priority     int
 	revision     uint64    // of the rules that chose the route
 	deadline     time.Time // for the answer; zero means none
 	timer        *worker.Timer
@@ -172,7 +171,7 @@
 		r.refuse(refusal)
 		return
 	}
-	r.route, r.organisation, r.priority = admitted.Route, admitted.Organisation, admitted.Priority
+	r.route, r.organisation = admitted.Route, admitted.Organisation
 	r.service, r.revision = admitted.Service, current.Revision
 	r.deadline = deadlineOf(r.req, r.route)
 	r.tried = map[model.UpstreamID]bool{}
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -19,7 +19,6 @@
 	Elsewhere bool
 	// Answering is the upstream at the address, if it said so.
 	Answering model.UpstreamID
-	Leaving   bool // the upstream takes no further work
 }
 
 // Event is one event of a stream.
--- a/internal/state/model/forwarding.go
+++ b/internal/state/model/forwarding.go
@@ -28,7 +28,6 @@
 	Timeout     time.Duration // longest time that a request waits for its answer; zero means no limit
 	Objective   time.Duration // latency objective
 	MaxGap      time.Duration // longest pause between events that is on time; zero means none is given
-	Priority    int           // 0 is served first
 	Targets     []RouteTarget
 	MaxAttempts int  // upstreams that one request may run on
 	Public      bool // needs no credential
@@ -36,35 +35,26 @@
 
 // EngineTraits describe the engines of a service.
 type EngineTraits struct {
-	MemoryTokens int           // prompt and output tokens that one engine holds
-	Copies       bool          // an engine can hold a copy of another one's memory of a stream
-	Moves        bool          // an engine copies its memory of a stream on order
-	CopyLife     time.Duration // for which a copy is kept after its last part
-	EventTokens  int           // output tokens in one event
+	MemoryTokens int  // prompt and output tokens that one engine holds
+	Copies       bool // an engine can hold a copy of another one's memory of a stream
+	Moves        bool // an engine copies its memory of a stream on order
 }
 
 // BackendService is a service that upstreams register for.
 type BackendService struct {
-	Name           string
-	HealthPath     string
-	MaxConnections int           // of one upstream, from all instances
-	Engine         *EngineTraits // nil for plain services
+	Name   string
+	Engine *EngineTraits // nil for plain services
 }
 
 // KeyHolder is an organisation with the credentials that name it.
 type KeyHolder struct {
 	Organisation OrganisationID
 	Keys         []string
-	Priority     int  // takes precedence over the route's
-	Ranked       bool // Priority is set
 }
 
 // CallerLimits bound what a caller may send.
 type CallerLimits struct {
-	HeaderBytes int
-	BodyBytes   int64
-	HeaderTime  time.Duration
-	IdleTime    time.Duration
+	BodyBytes int64 // zero means none is given
 }
 
 // RoutingRules say how requests are forwarded. They are replaced as a whole.
--- a/internal/state/rules/rules.go
+++ b/internal/state/rules/rules.go
@@ -2,8 +2,6 @@
 package rules
 
 import (
-	"time"
-
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -13,7 +11,6 @@
 type Table struct {
 	mu      lock.Mutex
 	current *model.RoutingRules
-	since   time.Time // when current came into force here
 }
 
 // NewTable returns a table without rules.
@@ -29,7 +26,7 @@
 	if t.current != nil && r.Revision <= t.current.Revision {
 		return false
 	}
-	t.current, t.since = r, time.Now()
+	t.current = r
 	return true
 }
 
@@ -39,10 +36,3 @@
 	defer t.mu.Unlock()
 	return t.current
 }
-
-// Since returns the time at which the rules in force were applied here.
-func (t *Table) Since() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.since
-}
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -264,7 +264,6 @@
 		NotRun:    verdict.NotRun,
 		Elsewhere: verdict.Elsewhere,
 		Answering: verdict.Answering,
-		Leaving:   in.Close,
 	})
 }
 
--- /dev/null
+++ b/internal/transport/backend/client_test.go
@@ -0,0 +1,131 @@
+package backend
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+)
+
+// outcome is what one send brought.
+type outcome struct {
+	answer *forward.Answer
+	loss   continuation.Loss
+	sent   bool
+}
+
+// waiter hands the outcome over.
+type waiter chan outcome
+
+func (w waiter) Answered(a forward.Answer) { w <- outcome{answer: &a} }
+func (w waiter) Began(int, forward.Header) {}
+func (w waiter) Arrived([]forward.Event)   {}
+func (w waiter) Ended()                    { w <- outcome{} }
+func (w waiter) Lost(k continuation.Loss, _ string, sent bool) {
+	w <- outcome{loss: k, sent: sent}
+}
+
+// rawWorker answers each request with the bytes and closes the connection.
+func rawWorker(t *testing.T, answer string) (address string, requests *atomic.Int32) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	requests = new(atomic.Int32)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+				requests.Add(1)
+				_, _ = fmt.Fprint(conn, answer)
+			}
+			_ = conn.Close()
+		}
+	}()
+	return listener.Addr().String(), requests
+}
+
+func sendTo(t *testing.T, address string, reuse bool) outcome {
+	t.Helper()
+	client := New(forwardwire.Names{Request: "X-Req", NotRun: "X-Not-Run"}, EngineCalls{})
+	defer client.Close()
+	got := make(waiter, 1)
+	client.Start(forward.Send{
+		Upstream: model.Upstream{ID: "u", Address: address},
+		Request:  &forward.Request{ID: "r1", Host: "h", Method: "POST", Path: "/p/", Header: forward.Header{"X-Req": {"r1"}}, Body: []byte("body")},
+		Deadline: time.Now().Add(5 * time.Second),
+		Reuse:    reuse,
+	}, got)
+	select {
+	case o := <-got:
+		return o
+	case <-time.After(5 * time.Second):
+		t.Fatal("the send brought nothing")
+		return outcome{}
+	}
+}
+
+// Guards against answers of faulty workers that reach the caller as whole, and
+// against a failure that is taken as "not run" though the worker may have run.
+func TestFaultyAnswers(t *testing.T) {
+	cases := []struct {
+		name, answer string
+		loss         continuation.Loss
+		status       int
+		body         string
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nX-Req: r1\r\nContent-Length: 2\r\n\r\nok", "", 200, "ok"},
+		{"no length", "HTTP/1.1 200 OK\r\nX-Req: r1\r\n\r\nok", "", 200, "ok"},
+		{"cut body", "HTTP/1.1 200 OK\r\nX-Req: r1\r\nContent-Length: 9\r\n\r\nok", continuation.LossTruncated, 0, ""},
+		{"added bytes", "HTTP/1.1 200 OK\r\nX-Req: r1\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n\r\n", "", 200, "ok"},
+		{"another request's", "HTTP/1.1 200 OK\r\nX-Req: r2\r\nContent-Length: 2\r\n\r\nok", continuation.LossCrossed, 0, ""},
+		{"no answer", "", continuation.LossReset, 0, ""},
+		{"not HTTP", "garbage\r\n\r\n", continuation.LossReset, 0, ""},
+		{"broken chunk", "HTTP/1.1 200 OK\r\nX-Req: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz", continuation.LossTruncated, 0, ""},
+	}
+	for _, c := range cases {
+		address, _ := rawWorker(t, c.answer)
+		got := sendTo(t, address, false)
+		assert.Equal(t, got.loss, c.loss, c.name)
+		if c.loss != "" {
+			assert.Assert(t, got.sent, c.name)
+			continue
+		}
+		assert.Equal(t, got.answer.Status, c.status, c.name)
+		assert.Equal(t, string(got.answer.Body), c.body, c.name)
+	}
+}
+
+// Guards against a request that is said to have been sent although no
+// connection was made.
+func TestRefusedConnectionCountsAsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	got := sendTo(t, address, false)
+	assert.Equal(t, got.loss, continuation.LossDial)
+	assert.Assert(t, !got.sent)
+}
+
+// Guards against a library that sends a request again on its own.
+func TestRequestIsSentOnce(t *testing.T) {
+	for _, reuse := range []bool{false, true} {
+		address, requests := rawWorker(t, "")
+		sendTo(t, address, reuse)
+		time.Sleep(50 * time.Millisecond)
+		assert.Equal(t, requests.Load(), int32(1))
+	}
+}
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -141,6 +142,20 @@
 	return resp.StatusCode, string(body), resp.Header
 }
 
+// raw sends bytes and returns the status of the answer.
+func (e *edges) raw(text string) int {
+	e.t.Helper()
+	conn, err := net.Dial("tcp", fmt.Sprintf("127.0.0.1:%d", e.ports[0].callers))
+	assert.NilError(e.t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, text)
+	assert.NilError(e.t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(e.t, err)
+	assert.NilError(e.t, resp.Body.Close())
+	return resp.StatusCode
+}
+
 // wantStream is what a caller must get of a stream of the stand-in.
 func wantStream(id string, events int) string {
 	var want strings.Builder
@@ -176,6 +191,12 @@
 	req.Header.Set("Authorization", "Token other")
 	status, _, _ = e.do(req)
 	assert.Equal(t, status, 401)
+	req = e.request(0, "GET", "/read/1")
+	req.Header.Set("X-Deadline-Remaining", "soon")
+	status, _, _ = e.do(req)
+	assert.Equal(t, status, 400)
+	assert.Equal(t, e.raw("POST /book/1 HTTP/1.1\r\nHost: h.example\r\nContent-Length: 4\r\nContent-Length: 9\r\n\r\nbody"), 400)
+	assert.Equal(t, e.raw("GET /read/1 HTTP/1.1\r\nHost: h.example\r\nX-Long: "+strings.Repeat("x", 80<<10)+"\r\n\r\n"), 431)
 	req = e.request(0, "POST", "/book/1")
 	req.Body = io.NopCloser(strings.NewReader(strings.Repeat("x", 70000)))
 	req.ContentLength = 70000
