Count an entry at once that is taken away after an outage

Ruled out: late news (members had the removal within 5 ms of the reader). Change: the grace holds for entries that the first read after the return lacks; a later removal counts at once if the entry was renewed since, else after 0.3 s; members follow their reader's judgement.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -21,14 +21,17 @@
 	// found holds upstreams that were met at the address of a lost one while
 	// the store was away, and that have no entry yet.
 	found   map[model.UpstreamID]bool
+	fresh   bool                           // the last read was the first one after an outage
 	missing map[model.UpstreamID]time.Time // entries that are gone, with the time at which that counts
 	back    time.Time                      // end of the last outage
+	renewed map[model.UpstreamID]time.Time // when an entry was last seen to change
 	readAt  time.Time                      // of the last read that succeeded
 }
 
 func newEntryState(logger log.Interface) entryState {
 	return entryState{
 		duty:      duty{log: logger, what: "entries"},
+		renewed:   map[model.UpstreamID]time.Time{},
 		known:     map[model.UpstreamID]Entry{},
 		byAddress: map[string]model.UpstreamID{},
 		found:     map[model.UpstreamID]bool{},
@@ -71,7 +74,8 @@
 	if errors.Is(err, ErrHistoryGone) {
 		return
 	}
-	if err == nil && !s.failed.IsZero() {
+	s.fresh = err == nil && !s.failed.IsZero()
+	if s.fresh {
 		s.back = time.Now()
 	}
 	s.result(err)
@@ -87,26 +91,47 @@
 	}
 	s.after = got.Revision
 	m.noteRead(time.Now())
-	m.takeChanges(got)
+	m.takeChanges(got, s.countsFrom)
 	for id := range s.found {
 		s.missing[id] = s.readAt.Add(returnGrace)
 		delete(s.found, id)
 	}
 }
 
-// takeChanges brings the table of upstreams up to date.
-func (m *Manager) takeChanges(got Entries) {
+// atOnce is for removals that a reader has judged already.
+func atOnce(_ model.UpstreamID, now time.Time) time.Time { return now }
+
+// countsFrom returns the time from which a removed entry counts as gone. After
+// an outage entries that lapsed meanwhile come back, but not one that was
+// renewed since: its upstream took it away.
+func (s *entryState) countsFrom(id model.UpstreamID, now time.Time) time.Time {
+	due := s.back.Add(returnGrace)
+	switch {
+	case s.renewed[id].After(s.back), !due.After(now):
+		return now
+	case s.fresh:
+		return due
+	default:
+		return earlierOf(due, now.Add(lateLapse))
+	}
+}
+
+// takeChanges brings the table of upstreams up to date. countsFrom says when a
+// removal counts.
+func (m *Manager) takeChanges(got Entries, countsFrom func(model.UpstreamID, time.Time) time.Time) {
 	s := &m.entries
 	now := time.Now()
 	for _, e := range got.Changed {
 		delete(s.missing, e.Upstream.ID)
 		delete(s.found, e.Upstream.ID)
+		s.renewed[e.Upstream.ID] = now
+		_, known := s.known[e.Upstream.ID]
 		m.noteEntry(e)
-		m.dropPredecessors(e)
+		m.settleAddress(e, known)
 	}
 	for _, id := range s.removed(got) {
 		if _, noted := s.missing[id]; !noted {
-			s.missing[id] = laterOf(now, s.back.Add(returnGrace))
+			s.missing[id] = countsFrom(id, now)
 		}
 	}
 	m.dropMissing(now)
@@ -116,23 +141,26 @@
 	}
 }
 
-// dropPredecessors forgets the upstreams whose address a new one has. Entries of
-// crashed upstreams stay for some intervals, while the address is in use again.
-func (m *Manager) dropPredecessors(e Entry) {
+// settleAddress forgets the older one of two upstreams at one address. Entries
+// of crashed upstreams stay for some intervals, while the address is in use
+// again. known says that the entry was there before.
+func (m *Manager) settleAddress(e Entry, known bool) {
 	s := &m.entries
-	if s.byAddress[e.Upstream.Address] == e.Upstream.ID {
+	address := e.Upstream.Address
+	other, shared := s.known[s.byAddress[address]]
+	if !shared || other.Upstream.ID == e.Upstream.ID || other.Upstream.Address != address {
+		s.byAddress[address] = e.Upstream.ID
 		return
 	}
-	for id, old := range s.known {
-		if id != e.Upstream.ID && old.Upstream.Address == e.Upstream.Address && !newerThan(old, e) {
-			s.missing[id] = time.Time{}
-		}
+	if newerThan(other, e) || (known && !newerThan(e, other)) {
+		s.missing[e.Upstream.ID] = time.Time{}
+		return
 	}
-	s.byAddress[e.Upstream.Address] = e.Upstream.ID
+	s.missing[other.Upstream.ID] = time.Time{}
+	s.byAddress[address] = e.Upstream.ID
 }
 
-// newerThan reports whether the entry is of a later start. Entries that do not
-// tell count as older than one that appeared after them.
+// newerThan reports whether the entry is of a later start.
 func newerThan(e, than Entry) bool { return e.Incarnation > than.Incarnation }
 
 // noteEntry keeps the entry. One that is new, restarted or begins to leave is
@@ -164,7 +192,7 @@
 		s.found[up.ID] = true
 		e := Entry{Upstream: up}
 		m.noteEntry(e)
-		m.dropPredecessors(e)
+		m.settleAddress(e, false)
 		m.dropMissing(time.Now())
 		m.configure()
 	}))
@@ -198,6 +226,7 @@
 		delete(s.missing, id)
 		if e, known := s.known[id]; known {
 			delete(s.known, id)
+			delete(s.renewed, id)
 			m.noteChange(change{entry: e, removed: true})
 			s.log.WithField("upstream", string(id)).WithField("revision", s.after).Info("upstream entry is gone")
 		}
@@ -228,8 +257,8 @@
 	})
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
+func earlierOf(a, b time.Time) time.Time {
+	if a.Before(b) {
 		return a
 	}
 	return b
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -103,6 +103,10 @@
 	// returnGrace is the time after an outage in which entries that lapsed
 	// meanwhile come back. One that is missing after it is gone.
 	returnGrace = 2500 * time.Millisecond
+	// lateLapse is how long a removal waits that the first read after an outage
+	// did not show, of an entry that was not renewed since. It leaves time within
+	// the bound for leaving upstreams.
+	lateLapse = 300 * time.Millisecond
 )
 
 // Keys of the items. One key orders the steps of one duty.
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -454,3 +454,39 @@
 		}
 	})
 }
+
+// Guards against new work for an upstream that takes its entry away soon after
+// an outage of the store.
+func TestEntryThatIsTakenAwayAfterAnOutageCountsAtOnce(t *testing.T) {
+	for _, renewed := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld()
+			c := startCell(t, w, "a", "b")
+			defer c.close()
+			time.Sleep(5 * time.Second)
+			for _, m := range c {
+				m.store.cut.Store(true)
+			}
+			time.Sleep(4 * time.Second)
+			w.change(func() {
+				if renewed {
+					w.entries["u1"] = entryOf("u1", false, 2)
+				}
+				w.revision = 11
+			})
+			for _, m := range c {
+				m.store.cut.Store(false)
+			}
+			time.Sleep(1200 * time.Millisecond)
+			w.change(func() {
+				delete(w.entries, "u1")
+				w.revision = 12
+			})
+			time.Sleep(1700 * time.Millisecond)
+			for id, m := range c {
+				_, known := m.upstreams.Get("u1")
+				assert.Assert(t, !known, id)
+			}
+		})
+	}
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -136,7 +136,7 @@
 	m.known = Known{Reader: news.Reader, Version: news.Version}
 	m.ApplyRules(news.Rules, string(from.ID))
 	if len(news.Changed) > 0 || len(news.Removed) > 0 || news.Whole {
-		m.takeChanges(Entries{Whole: news.Whole, Changed: news.Changed, Removed: news.Removed})
+		m.takeChanges(Entries{Whole: news.Whole, Changed: news.Changed, Removed: news.Removed}, atOnce)
 	}
 }
 
