--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -59,6 +59,9 @@
 	Deadline   time.Time // until which the caller waits; zero means unknown
 	After      Position  // of the last event that the caller has
 	Generation Generation
+	// TraceParent is the W3C trace context of the caller's span; empty unless it
+	// is recorded.
+	TraceParent string
 }
 
 // Reply is the caller's side of a request. Its methods return at once and are
--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -49,7 +49,8 @@
 		m.follow(reader)
 		return
 	}
-	call := func(ctx context.Context) (Entries, error) { return m.opts.Store.Entries(ctx, m.entries.after) }
+	after := m.entries.after
+	call := func(ctx context.Context) (Entries, error) { return m.opts.Store.Entries(ctx, after) }
 	worker.Call(m.opts.Pool, keyEntries, callTimeout, call, func(got Entries, err error) {
 		m.entries.noteOutage(err)
 		wait := time.Duration(entryShare*float64(m.opts.LeaveTime)) - time.Since(started)
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	oteltrace "go.opentelemetry.io/otel/trace"
@@ -185,7 +186,7 @@
 
 // run makes one send and reports to the receiver.
 func (c *Client) run(ctx context.Context, s forward.Send, to forward.Receiver) {
-	ctx, span := c.tracer.Start(ctx, "forward send", oteltrace.WithSpanKind(oteltrace.SpanKindClient),
+	ctx, span := c.tracer.Start(tracecontext.Extract(ctx, s.Request.TraceParent), "forward send", oteltrace.WithSpanKind(oteltrace.SpanKindClient),
 		oteltrace.WithAttributes(
 			attribute.String("request_id", string(s.Request.ID)),
 			attribute.String("upstream", string(s.Upstream.ID)),
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
@@ -109,9 +110,10 @@
 		s.refuse(w, model.RequestID(r.Header.Get(s.opts.Names.Request)), refusal)
 		return
 	}
-	_, span := s.tracer.Start(r.Context(), "forward", trace.WithSpanKind(trace.SpanKindServer),
+	ctx, span := s.tracer.Start(tracecontext.FromHeader(r.Context(), r.Header), "forward", trace.WithSpanKind(trace.SpanKindServer),
 		trace.WithAttributes(attribute.String("request_id", string(req.ID))))
 	defer span.End()
+	req.TraceParent = tracecontext.SampledParent(ctx)
 	x := newExchange(s, w, req.ID)
 	left := s.opts.Forward.Submit(req, x)
 	if !x.run(r.Context()) {
