Read the request in the fake worker before it closes its connection

Ruled out: the client, which rightly takes the reset as a loss. Change: the fake reads the body first.

--- a/internal/transport/backend/client_test.go
+++ b/internal/transport/backend/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -47,7 +48,12 @@
 			if err != nil {
 				return
 			}
-			if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			req, err := http.ReadRequest(bufio.NewReader(conn))
+			if err == nil {
+				// A connection that is closed with unread bytes is reset.
+				_, err = io.Copy(io.Discard, req.Body)
+			}
+			if err == nil {
 				requests.Add(1)
 				_, _ = fmt.Fprint(conn, answer)
 			}
