Refuse requests that come late in a planned stop

Ruled out: a slow worker (the call was the usual 200 ms). Change: from 6 s on, three times the life of an address answer, new requests are refused as not run.

--- a/cmd/edged/drain.go
+++ b/cmd/edged/drain.go
@@ -33,6 +33,7 @@
 	at(began.Add(membership.NearbyTTL))
 	e.ingress.CloseConnections()
 	at(began.Add(3 * membership.NearbyTTL)) // some callers keep answers for three times their life
+	e.ingress.RefuseRequests()
 	for e.forward.Running() > 0 && time.Now().Before(end) {
 		at(time.Now().Add(drainInterval))
 	}
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -50,6 +50,7 @@
 	tracer  trace.Tracer
 	closing atomic.Bool // answers close their connections
 	streams atomic.Bool // new streams are refused
+	refuses atomic.Bool // all new requests are refused
 }
 
 // New returns a Server that does not listen yet.
@@ -99,6 +100,9 @@
 // RefuseStreams refuses new streams, which would not end before the stop.
 func (s *Server) RefuseStreams() { s.streams.Store(true) }
 
+// RefuseRequests refuses all new requests, which might not end before the stop.
+func (s *Server) RefuseRequests() { s.refuses.Store(true) }
+
 // serve takes one request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
@@ -127,7 +131,7 @@
 	if err != nil {
 		return nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
 	}
-	if s.streams.Load() && s.isStream(r) {
+	if s.refuses.Load() || (s.streams.Load() && s.isStream(r)) {
 		return nil, refuseLeaving()
 	}
 	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyBytes()))
