Name test engines in field terms, and share the setup of two stream tests

Ruled out: changing the layers test, which names platform/ only to refuse its import; it imports nothing of it. No code of the product.

--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -114,19 +114,25 @@
 	})
 }
 
+// streamWithLostHolder starts a stream and loses the holder of its copy.
+func (b *bench) streamWithLostHolder() *fakeSend {
+	b.submit("/log/1")
+	first := b.last()
+	first.Began(200, nil)
+	first.event(1)
+	now := time.Now()
+	b.upstreams.Failed(model.UpstreamID(first.CopyTo), now, now)
+	b.pass(250 * time.Millisecond)
+	first.event(2)
+	b.pass(100 * time.Millisecond)
+	return first
+}
+
 // Guards against a stream that has no copy any more since the holder of its
 // copy was lost before its engine.
 func TestLostHolderIsReplaced(t *testing.T) {
 	inBubble(t, func(b *bench) {
-		b.submit("/log/1")
-		first := b.last()
-		first.Began(200, nil)
-		first.event(1)
-		now := time.Now()
-		b.upstreams.Failed(model.UpstreamID(first.CopyTo), now, now)
-		b.pass(250 * time.Millisecond)
-		first.event(2)
-		b.pass(100 * time.Millisecond)
+		first := b.streamWithLostHolder()
 		assert.Equal(t, len(b.copies), 1)
 		holder := b.copies[0]
 		assert.Assert(t, string(holder) != first.CopyTo && holder != first.Upstream.ID)
@@ -141,15 +147,7 @@
 // Guards against engines that keep copies of streams that have ended.
 func TestOrderedCopyIsFreedAtTheEnd(t *testing.T) {
 	inBubble(t, func(b *bench) {
-		b.submit("/log/1")
-		first := b.last()
-		first.Began(200, nil)
-		first.event(1)
-		now := time.Now()
-		b.upstreams.Failed(model.UpstreamID(first.CopyTo), now, now)
-		b.pass(250 * time.Millisecond)
-		first.event(2)
-		b.pass(100 * time.Millisecond)
+		first := b.streamWithLostHolder()
 		first.Ended()
 		b.pass(0)
 		assert.DeepEqual(t, b.freed, []string{"handle-" + string(b.copies[0])})
--- a/internal/transport/operator/daemon_test.go
+++ b/internal/transport/operator/daemon_test.go
@@ -52,10 +52,10 @@
 	viewer := debugapi.Viewer{Instance: "a-1", Process: debugapi.ProcessControl, Environment: "production", Generation: 4, At: at}
 	inEntry := viewer
 	inEntry.Process, inEntry.ViewAge = debugapi.ProcessEntry, debugapi.Seconds(12*time.Second)
-	up := model.Upstream{ID: "bake-a1", Kind: model.KindEngine, Serves: "bake-log", Version: "2.0", Address: "10.20.1.11:8000"}
+	up := model.Upstream{ID: "engine-a1", Kind: model.KindEngine, Serves: "report-log", Version: "2.0", Address: "10.20.1.11:8000"}
 	rows := []upstream.Row{
 		{Upstream: up, Report: upstream.Report{Health: upstream.HealthUp, Running: 3, Waiting: 1, At: at.Add(-1500 * time.Millisecond)}, InFlight: 2},
-		{Upstream: model.Upstream{ID: "bake-b1", Kind: model.KindEngine, Serves: "bake-log", Version: "2.1", Address: "10.20.2.11:8000"},
+		{Upstream: model.Upstream{ID: "engine-b1", Kind: model.KindEngine, Serves: "report-log", Version: "2.1", Address: "10.20.2.11:8000"},
 			Report: upstream.Report{Health: upstream.HealthUnknown}, DownUntil: at.Add(time.Second), Failures: 2},
 	}
 	upstreams := debugapi.Upstreams{Viewer: inEntry}
--- a/internal/transport/operator/operator_test.go
+++ b/internal/transport/operator/operator_test.go
@@ -86,12 +86,12 @@
 	t.Setenv("SVCTL_PLATFORM", "http://127.0.0.1:1")
 	now := time.Date(2026, 10, 1, 12, 0, 0, 0, time.UTC)
 	b := &bench{t: t, heads: &fakeRows[environment.Head]{rows: map[string]environment.Head{}}, moves: &fakeRows[rollout.Move]{rows: map[string]rollout.Move{}}}
-	b.moves.rows["moves/production/bake-log/4"] = rollout.Move{
-		Serves: "bake-log", Plan: model.VersionPlan{Target: "2.1", Previous: "2.0", FinishBy: now}, State: rollout.Moving,
+	b.moves.rows["moves/production/report-log/4"] = rollout.Move{
+		Serves: "report-log", Plan: model.VersionPlan{Target: "2.1", Previous: "2.0", FinishBy: now}, State: rollout.Moving,
 		Share: 0.25, ShareSince: now, Figures: rollout.Figures{Requests: 420, Failures: 3},
 	}
-	b.moves.rows["moves/production/bake-log/3"] = rollout.Move{
-		Serves: "bake-log", Plan: model.VersionPlan{Target: "2.0"}, State: rollout.Finished, Share: 1, Reason: "in time",
+	b.moves.rows["moves/production/report-log/3"] = rollout.Move{
+		Serves: "report-log", Plan: model.VersionPlan{Target: "2.0"}, State: rollout.Finished, Share: 1, Reason: "in time",
 		Ended: now.Add(-time.Hour),
 	}
 	platform := &Platform{Heads: b.heads, Moves: b.moves, Objects: fakeObjects{}}
@@ -211,13 +211,13 @@
 		}
 		started := time.Date(2026, 10, 1, 12, 0, 0, 0, time.UTC)
 		_ = json.NewEncoder(w).Encode(debugapi.Request{
-			Request: request, Model: "bake-log", Version: "2.0", Tokens: 42, State: "running", Attempts: []debugapi.Attempt{
+			Request: request, Model: "report-log", Version: "2.0", Tokens: 42, State: "running", Attempts: []debugapi.Attempt{
 				{
-					Number: 1, Upstream: "bake-a1", Version: "2.0", Started: started, Tokens: 40, Loss: "reset",
+					Number: 1, Upstream: "engine-a1", Version: "2.0", Started: started, Tokens: 40, Loss: "reset",
 					Why: debugapi.Why{Version: state.VersionPrevious, Share: 0.25, Upstream: state.UpstreamEarliest, Expected: 0.21},
 				},
 				{
-					Number: 2, Upstream: "bake-b1", Version: "2.0", Started: started.Add(time.Second), Tokens: 2,
+					Number: 2, Upstream: "engine-b1", Version: "2.0", Started: started.Add(time.Second), Tokens: 2,
 					Why: debugapi.Why{Version: state.VersionOfLine, Upstream: state.UpstreamNoOther, Expected: 1.5},
 				},
 			},
