--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -30,7 +30,10 @@
 	listReads   atomic.Int32 // reads of the list of instances
 	unreachable atomic.Bool
 	hangs       atomic.Bool // reads get no answer
-	writesHang  atomic.Bool // writes get no answer
+	// changeTransferTime is how long one change of the rules takes to arrive, in
+	// nanoseconds. A read from a revision receives each change since then.
+	changeTransferTime atomic.Int64
+	writesHang         atomic.Bool // writes get no answer
 }
 
 // storeContent is the content of the store, which all fakeStores share. mu guards
@@ -69,6 +72,14 @@
 		wait.Sleep(ctx, time.Hour)
 		return Published{}, ctx.Err()
 	}
+	changes := Revision(1)
+	if after > 0 {
+		changes = s.content.currentRevision() - after
+	}
+	wait.Sleep(ctx, time.Duration(int64(changes)*s.changeTransferTime.Load()))
+	if ctx.Err() != nil {
+		return Published{}, ctx.Err()
+	}
 	s.content.mu.Lock()
 	defer s.content.mu.Unlock()
 	return Published{Revision: s.content.revision, Rules: s.content.rules}, nil
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -112,6 +112,10 @@
 	// callTimeout is the timeout of a call, not counting the time for which a long
 	// poll waits.
 	callTimeout = 800 * time.Millisecond
+	// maxRulesReadTimeout bounds the timeout of a read of all rules, which is doubled
+	// after each read that timed out. The largest rules are about 500 kB, which take
+	// 0.4 s on an idle link of 10 Mbit/s.
+	maxRulesReadTimeout = 4 * callTimeout
 	// startRetryWait is the pause after a failed call while this instance has no
 	// rules yet, and retryWait the pause once it has. Failed calls also cost money
 	// and count towards the limit on calls, and in an outage all instances retry.
@@ -140,12 +144,13 @@
 // Manager reads the store, directly or through a reader. shareMu guards the fields
 // whose names start with share, and is a leaf: no other lock is taken under it.
 type Manager struct {
-	opts           Options
-	rulesOutage    outageTracker
-	instancesKnown atomic.Bool
-	readsStore     atomic.Bool                    // this instance reads the store itself
-	cursor         Cursor                         // used only by items under keyEntries
-	avoidUntil     map[model.InstanceID]time.Time // until when a reader is passed over; used as cursor is
+	opts             Options
+	rulesOutage      outageTracker
+	rulesReadTimeout time.Duration // of a read of all rules; used only by items under keyRules
+	instancesKnown   atomic.Bool
+	readsStore       atomic.Bool                    // this instance reads the store itself
+	cursor           Cursor                         // used only by items under keyEntries
+	avoidUntil       map[model.InstanceID]time.Time // until when a reader is passed over; used as cursor is
 
 	shareMu            sync.Mutex
 	shareVersion       uint64
@@ -171,6 +176,7 @@
 		shareChanged:    make(chan struct{}),
 	}
 	m.readsStore.Store(!opts.FirstStart)
+	m.rulesReadTimeout = callTimeout
 	m.rulesOutage = outageTracker{log: opts.Log, table: "rules"}
 	m.list = newListState(opts.Log)
 	m.entries = newEntryState(opts.Log)
@@ -223,37 +229,53 @@
 	return retryWait
 }
 
+// readRules reads the changes of the rules after the revision and schedules the next
+// read. After a failed read, and after a time in which this instance relied on a
+// reader, the rules are read as a whole: the changes since an old revision may be
+// too large to arrive within the timeout, and grow until they are read.
 func (m *Manager) readRules(after Revision) {
 	if !m.readsStore.Load() {
-		m.opts.Pool.After(readerCheckInterval, keyRules, worker.Func(func() { m.readRules(after) }))
+		m.opts.Pool.After(readerCheckInterval, keyRules, worker.Func(func() { m.readRules(0) }))
 		return
 	}
+	started := time.Now()
 	call := func(ctx context.Context) (Published, error) { return m.opts.Store.Published(ctx, after, longPollTime) }
-	limit := callTimeout
+	limit := m.rulesReadTimeout
 	if after > 0 {
-		limit += longPollTime // the first read does not wait for a change
+		limit = callTimeout + longPollTime
 	}
 	worker.Call(m.opts.Pool, keyRules, limit, call, func(got Published, err error) {
 		m.rulesOutage.record(err)
-		switch {
-		case errors.Is(err, ErrHistoryGone):
-			m.readRules(0)
-		case err != nil:
-			m.opts.Pool.After(m.retryWait(), keyRules, worker.Func(func() { m.readRules(after) }))
-		default:
-			m.ApplyRules(got.Rules, "store")
-			pause := time.Duration(0)
-			if after > 0 && (got.Rules != nil || len(got.Orders) > 0) {
-				pause = rulesReadPause
-			}
-			if len(got.Orders) > 0 {
-				m.opts.OnVersionOrders(got.Orders)
-			}
-			m.opts.Pool.After(pause, keyRules, worker.Func(func() { m.readRules(got.Revision) }))
+		if err != nil {
+			m.rulesReadFailed(after, time.Since(started), err)
+			return
 		}
+		m.rulesReadTimeout = callTimeout
+		m.ApplyRules(got.Rules, "store")
+		pause := time.Duration(0)
+		if after > 0 && (got.Rules != nil || len(got.Orders) > 0) {
+			pause = rulesReadPause
+		}
+		if len(got.Orders) > 0 {
+			m.opts.OnVersionOrders(got.Orders)
+		}
+		m.opts.Pool.After(pause, keyRules, worker.Func(func() { m.readRules(got.Revision) }))
 	})
 }
 
+// rulesReadFailed schedules the next read of the rules after a failed one.
+func (m *Manager) rulesReadFailed(after Revision, took time.Duration, err error) {
+	if errors.Is(err, ErrHistoryGone) {
+		m.readRules(0)
+		return
+	}
+	if after == 0 && took >= m.rulesReadTimeout {
+		m.rulesReadTimeout = min(2*m.rulesReadTimeout, maxRulesReadTimeout)
+	}
+	m.opts.Log.WithField("after", after).WithField("ms", took.Milliseconds()).WithError(err).Debug("read of the rules failed")
+	m.opts.Pool.After(m.retryWait(), keyRules, worker.Func(func() { m.readRules(0) }))
+}
+
 // ApplyRules puts rules in force if they are newer than the current ones.
 func (m *Manager) ApplyRules(r *model.RoutingRules, source string) {
 	if r == nil || !m.opts.Rules.Apply(r) {
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -332,3 +332,54 @@
 		assert.Assert(t, rules <= int32(storm/(250*time.Millisecond)), "%d calls for rules", rules)
 	})
 }
+
+// Guards against an instance that replaces its reader and then reads all changes that
+// it received from the reader before: with large rules the read never finishes.
+func TestInstanceThatReplacesItsReaderReadsTheRulesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newStoreContent()
+		c := startCell(t, w, "a", "b")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		for _, m := range c {
+			m.store.changeTransferTime.Store(int64(300 * time.Millisecond))
+		}
+		change := func() {
+			w.change(func() {
+				w.revision++
+				w.rules = &model.RoutingRules{Revision: w.rules.Revision + 1}
+			})
+		}
+		for range 12 {
+			change()
+			time.Sleep(500 * time.Millisecond)
+		}
+		c["a"].unresponsive.Store(true)
+		change()
+		time.Sleep(3 * time.Second) // the time allowed for rules to come into force
+		assert.Equal(t, c["b"].rulesTable.Current().Revision, w.rules.Revision)
+	})
+}
+
+// Guards against an instance that repeats a failed read of the rules from the same
+// revision: each repeat has more changes to transfer than the one before.
+func TestRulesAreReadAfterManyChangesWhileTheStoreWasAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newStoreContent()
+		c := startCell(t, w, "a")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		c["a"].store.changeTransferTime.Store(int64(300 * time.Millisecond))
+		c["a"].store.unreachable.Store(true)
+		for range 12 {
+			time.Sleep(300 * time.Millisecond)
+			w.change(func() {
+				w.revision++
+				w.rules = &model.RoutingRules{Revision: w.rules.Revision + 1}
+			})
+		}
+		c["a"].store.unreachable.Store(false)
+		time.Sleep(3 * time.Second) // the time allowed for rules to come into force
+		assert.Equal(t, c["a"].rulesTable.Current().Revision, w.rules.Revision)
+	})
+}
