Read the upstream entries as a whole after a failed read or a reader

An instance that replaced its reader asked for all renewals since its own last read, up to 20 s of them; on a slow link that takes longer than the timeout of 0.8 s, and each repeat has more to transfer. A leaving upstream kept getting work from that instance.

Change: the first own read after a reader, and the read after a failed one, return all entries. A read of all entries counts as a change of an entry only if its sequence or its incarnation differs, so that what lapsed during an outage still has its time to come back. Because the known revision is kept, a stale read of all entries is ignored too.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -16,6 +16,10 @@
 type entryState struct {
 	outageTracker
 	after Revision // up to which the entries have been read
+	// readAll means that the next read returns all entries. It is set after a failed
+	// read and while this instance relies on a reader, because the changes since
+	// after may then be too many to arrive within callTimeout.
+	readAll bool
 	byID  map[model.UpstreamID]Entry
 	// byAddress holds the newest upstream at each address.
 	byAddress map[string]model.UpstreamID
@@ -47,19 +51,24 @@
 	reader := m.reader(started)
 	m.readsStore.Store(reader.ID == m.opts.Self.ID)
 	if !m.readsStore.Load() {
+		m.entries.readAll = true
 		m.pollReader(reader)
 		return
 	}
 	after := m.entries.after
+	if m.entries.readAll {
+		after = 0
+	}
 	call := func(ctx context.Context) (Entries, error) { return m.opts.Store.Entries(ctx, after) }
 	worker.Call(m.opts.Pool, keyEntries, callTimeout, call, func(got Entries, err error) {
 		m.entries.recordOutcome(err)
 		wait := time.Duration(entryReadFraction*float64(m.opts.LeaveTimeout)) - time.Since(started)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
-			m.entries.after = 0
+			m.entries.readAll = true
 			wait = 0
 		case err != nil:
+			m.entries.readAll = true
 			wait = m.retryWait()
 			if m.opts.Peers != nil {
 				m.avoidUntil[m.opts.Self.ID] = time.Now().Add(avoidReaderFor)
@@ -92,7 +101,7 @@
 		m.opts.Log.WithField("revision", got.Revision).WithField("known", s.after).Warn("stale entries ignored")
 		return
 	}
-	s.after = got.Revision
+	s.after, s.readAll = got.Revision, false
 	m.recordRead(time.Now(), m.opts.Self.ID)
 	m.applyChanges(got, s.removalTime)
 	for id := range s.discovered {
@@ -129,8 +138,10 @@
 	for _, e := range got.Changed {
 		delete(s.removalDue, e.Upstream.ID)
 		delete(s.discovered, e.Upstream.ID)
-		s.lastChanged[e.Upstream.ID] = now
-		_, known := s.byID[e.Upstream.ID]
+		old, known := s.byID[e.Upstream.ID]
+		if !known || !got.Snapshot || e.Incarnation != old.Incarnation || e.Sequence != old.Sequence {
+			s.lastChanged[e.Upstream.ID] = now
+		}
 		m.storeEntry(e)
 		m.resolveAddress(e, known)
 	}
--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -30,8 +30,8 @@
 	listReads   atomic.Int32 // reads of the list of instances
 	unreachable atomic.Bool
 	hangs       atomic.Bool // reads get no answer
-	// changeTransferTime is how long one change of the rules takes to arrive, in
-	// nanoseconds. A read from a revision receives each change since then.
+	// changeTransferTime is how long one change takes to arrive, in nanoseconds. A
+	// read from a revision receives each change since then.
 	changeTransferTime atomic.Int64
 	writesHang         atomic.Bool // writes get no answer
 }
@@ -72,20 +72,26 @@
 		wait.Sleep(ctx, time.Hour)
 		return Published{}, ctx.Err()
 	}
+	if err := s.transfer(ctx, after); err != nil {
+		return Published{}, err
+	}
+	s.content.mu.Lock()
+	defer s.content.mu.Unlock()
+	return Published{Revision: s.content.revision, Rules: s.content.rules}, nil
+}
+
+// transfer waits until the changes after the revision have arrived, or all rows for
+// revision 0.
+func (s *fakeStore) transfer(ctx context.Context, after Revision) error {
 	changes := Revision(1)
 	if after > 0 {
 		changes = s.content.currentRevision() - after
 	}
 	wait.Sleep(ctx, time.Duration(int64(changes)*s.changeTransferTime.Load()))
-	if ctx.Err() != nil {
-		return Published{}, ctx.Err()
-	}
-	s.content.mu.Lock()
-	defer s.content.mu.Unlock()
-	return Published{Revision: s.content.revision, Rules: s.content.rules}, nil
+	return ctx.Err()
 }
 
-func (s *fakeStore) Entries(ctx context.Context, _ Revision) (Entries, error) {
+func (s *fakeStore) Entries(ctx context.Context, after Revision) (Entries, error) {
 	s.entryReads.Add(1)
 	s.calls.Add(1)
 	if s.hangs.Load() {
@@ -95,6 +101,9 @@
 	if s.unreachable.Load() {
 		return Entries{}, errDown
 	}
+	if err := s.transfer(ctx, after); err != nil {
+		return Entries{}, err
+	}
 	s.content.mu.Lock()
 	defer s.content.mu.Unlock()
 	got := Entries{Revision: s.content.revision, Snapshot: true}
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -383,3 +383,30 @@
 		assert.Equal(t, c["a"].rulesTable.Current().Revision, w.rules.Revision)
 	})
 }
+
+// Guards against an instance that replaces its reader and then reads all renewals of
+// entries since its own last read: on a slow link the read never finishes.
+func TestInstanceThatReplacesItsReaderReadsTheEntriesOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newStoreContent()
+		c := startCell(t, w, "a", "b")
+		defer c.close()
+		time.Sleep(5 * time.Second)
+		c["b"].store.changeTransferTime.Store(int64(50 * time.Millisecond))
+		for sequence := range uint64(40) {
+			w.change(func() {
+				w.revision++
+				w.entries["u1"] = entryOf("u1", false, sequence+2)
+			})
+			time.Sleep(100 * time.Millisecond)
+		}
+		c["a"].unresponsive.Store(true)
+		w.change(func() {
+			w.revision++
+			w.entries["u2"] = entryOf("u2", true, 2)
+		})
+		time.Sleep(2 * time.Second) // LeaveTimeout
+		row, _ := c["b"].upstreams.Get("u2")
+		assert.Equal(t, row.Report.Health, upstream.HealthLeaving)
+	})
+}
