Look for new rules on another connection once one falls silent

Its reads of the entries go on, so its age stays fresh and no instance looks for another reader: rules are late everywhere by 3.8 s or more, with a bound of 2 s on the small sites.

The list of instances is still polled for 2 s, since states show which instances live.

Whether this is what the users saw is not known.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -20,7 +20,7 @@
 	// read and while this instance relies on a reader, because the changes since
 	// after may then be too many to arrive within callTimeout.
 	readAll bool
-	byID  map[model.UpstreamID]Entry
+	byID    map[model.UpstreamID]Entry
 	// byAddress holds the newest upstream at each address.
 	byAddress map[string]model.UpstreamID
 	// discovered holds upstreams that answered at the address of a lost upstream
--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -30,6 +30,7 @@
 	listReads   atomic.Int32 // reads of the list of instances
 	unreachable atomic.Bool
 	hangs       atomic.Bool // reads get no answer
+	silentRules atomic.Bool // reads of the rules that have begun get no answer
 	// changeTransferTime is how long one change takes to arrive, in nanoseconds. A
 	// read from a revision receives each change since then.
 	changeTransferTime atomic.Int64
@@ -64,11 +65,15 @@
 	if s.unreachable.Load() {
 		return Published{}, errDown
 	}
+	silent := s.silentRules.Load
+	if silent() {
+		silent = func() bool { return false } // a later read has a connection of its own
+	}
 	const step = 5 * time.Millisecond
 	for end := time.Now().Add(d); ctx.Err() == nil && after == s.content.currentRevision() && time.Now().Before(end); {
 		wait.Sleep(ctx, step)
 	}
-	if s.hangs.Load() {
+	if s.hangs.Load() || silent() {
 		wait.Sleep(ctx, time.Hour)
 		return Published{}, ctx.Err()
 	}
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -187,7 +187,7 @@
 	if !m.readsStore.Load() {
 		m.list.readerUsedAt = time.Now()
 	}
-	wait := longPollTime
+	wait := instancesPollTime
 	switch {
 	case overdue || !m.InstancesKnown():
 		wait = 0
--- a/internal/coordination/registry/instances_test.go
+++ b/internal/coordination/registry/instances_test.go
@@ -21,7 +21,7 @@
 		w.change(func() {
 			w.instances = slices.DeleteFunc(w.instances, func(in model.Instance) bool { return in.ID == "b" })
 		})
-		time.Sleep(2 * longPollTime)
+		time.Sleep(2 * instancesPollTime)
 		synctest.Wait()
 		in, _ := c["a"].opts.Instances.Get("b")
 		assert.Equal(t, in.State, model.InstanceLive)
@@ -41,12 +41,12 @@
 		w.change(func() {
 			w.instances = append(w.instances, model.Instance{ID: "e", Incarnation: 9, State: model.InstanceLive})
 		})
-		time.Sleep(longPollTime + 3*readerPollWait)
+		time.Sleep(instancesPollTime + 3*readerPollWait)
 		synctest.Wait()
 		in, known := c["d"].opts.Instances.Get("e")
 		assert.Assert(t, known && in.Incarnation == 9)
 		w.change(func() { w.instances = w.instances[:4] })
-		time.Sleep(longPollTime + 3*readerPollWait)
+		time.Sleep(instancesPollTime + 3*readerPollWait)
 		synctest.Wait()
 		in, _ = c["d"].opts.Instances.Get("e")
 		assert.Equal(t, in.State, model.InstanceLeaving)
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -102,9 +102,12 @@
 	// fraction of LeaveTimeout. The rest of LeaveTimeout lets an instance detect that its
 	// reader has lost the store, and read the entries itself.
 	entryReadFraction = 0.3
-	// longPollTime is how long a read of rules or instances waits for a change. If
-	// the connection breaks without notice, changes go unseen for this long.
-	longPollTime = 2 * time.Second
+	// rulesPollTime is how long a read of the rules waits for a change. If the
+	// connection falls silent, changes go unseen for rulesPollTime + callTimeout, which
+	// must be less than the 2 s within which rules must be in force.
+	rulesPollTime = time.Second
+	// instancesPollTime is how long a read of the instances waits for a change.
+	instancesPollTime = 2 * time.Second
 	// rulesReadPause is the pause between a read that returned a change and the next
 	// read. Operators sometimes change rules many times a second and each call to
 	// the store costs money, while rules must be in force within 2 s.
@@ -239,15 +242,18 @@
 		return
 	}
 	started := time.Now()
-	call := func(ctx context.Context) (Published, error) { return m.opts.Store.Published(ctx, after, longPollTime) }
-	limit := m.rulesReadTimeout
+	call := func(ctx context.Context) (Published, error) { return m.opts.Store.Published(ctx, after, rulesPollTime) }
+	timeout := m.rulesReadTimeout
 	if after > 0 {
-		limit = callTimeout + longPollTime
+		timeout = callTimeout + rulesPollTime
 	}
-	worker.Call(m.opts.Pool, keyRules, limit, call, func(got Published, err error) {
+	worker.Call(m.opts.Pool, keyRules, timeout, call, func(got Published, err error) {
+		firstFailure := err != nil && m.rulesOutage.failedSince.IsZero()
 		m.rulesOutage.record(err)
 		if err != nil {
-			m.rulesReadFailed(after, time.Since(started), err)
+			took := time.Since(started)
+			m.opts.Log.WithField("after", after).WithField("ms", took.Milliseconds()).WithError(err).Debug("read of the rules failed")
+			m.rulesReadFailed(after, firstFailure && took >= timeout, err)
 			return
 		}
 		m.rulesReadTimeout = callTimeout
@@ -263,17 +269,18 @@
 	})
 }
 
-// rulesReadFailed schedules the next read of the rules after a failed one.
-func (m *Manager) rulesReadFailed(after Revision, took time.Duration, err error) {
-	if errors.Is(err, ErrHistoryGone) {
-		m.readRules(0)
-		return
-	}
-	if after == 0 && took >= m.rulesReadTimeout {
+// rulesReadFailed schedules the next read of the rules after a failed one. silent
+// means that the read timed out after one that had succeeded: its connection may have
+// fallen silent while the store answers on others.
+func (m *Manager) rulesReadFailed(after Revision, silent bool, err error) {
+	pause := m.retryWait()
+	switch {
+	case errors.Is(err, ErrHistoryGone), silent:
+		pause = 0
+	case after == 0 && errors.Is(err, context.DeadlineExceeded):
 		m.rulesReadTimeout = min(2*m.rulesReadTimeout, maxRulesReadTimeout)
 	}
-	m.opts.Log.WithField("after", after).WithField("ms", took.Milliseconds()).WithError(err).Debug("read of the rules failed")
-	m.opts.Pool.After(m.retryWait(), keyRules, worker.Func(func() { m.readRules(0) }))
+	m.opts.Pool.After(pause, keyRules, worker.Func(func() { m.readRules(0) }))
 }
 
 // ApplyRules puts rules in force if they are newer than the current ones.
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -410,3 +410,23 @@
 		assert.Equal(t, row.Report.Health, upstream.HealthLeaving)
 	})
 }
+
+// Guards against a connection that falls silent under the reader's call for the rules,
+// while its other calls are answered: no member looks for another reader then.
+func TestRulesAreInTimeAfterASilentConnection(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCell(t, w, "a", "b")
+			defer c.close()
+			time.Sleep(5*time.Second + time.Duration(phase)*200*time.Millisecond)
+			c["a"].store.silentRules.Store(true)
+			w.change(func() {
+				w.rules = &model.RoutingRules{Revision: 2}
+				w.revision = 11
+			})
+			time.Sleep(2 * time.Second) // the time allowed for rules to come into force
+			assert.Equal(t, c["b"].rulesTable.Current().Revision, uint64(2), "phase %d", phase)
+		})
+	}
+}
