Send instances only the routes that changed

With 1,400 routes that is about 230 kB each, five seconds of a link of 10 Mbit/s, so polls timed out after 0.7 s, the members took the reader for lost and each read the store instead.

Change: a poll says that its sender decodes packed rules.

Class of fault: cost that grows with the size of a state instead of the size of its change.

--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -163,7 +163,7 @@
 // fakePeers implements Peers by direct calls to the other members.
 type fakePeers map[model.InstanceID]*member
 
-func (c fakePeers) Poll(ctx context.Context, from model.Instance, cursor Cursor, d time.Duration) (Delta, error) {
+func (c fakePeers) Poll(ctx context.Context, from model.Instance, cursor Cursor, _ *model.RoutingRules, d time.Duration) (Delta, error) {
 	other := c[from.ID]
 	if other.unresponsive.Load() {
 		wait.Sleep(ctx, time.Hour)
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -40,12 +40,14 @@
 	Moves            []model.VersionMove // all version moves if any of them changed
 	Age              time.Duration       // time since the entries were last read from the store
 	Source           model.InstanceID    // instance that made that read
+	RulesBase        *model.RoutingRules // rules that the poller has, for a transfer of the difference; nil if unknown
 }
 
 // Peers polls another instance for changes. It blocks until there is a change,
-// at most for the given time.
+// at most for the given time. current are the rules at the cursor, nil if there are
+// none.
 type Peers interface {
-	Poll(ctx context.Context, from model.Instance, cursor Cursor, wait time.Duration) (Delta, error)
+	Poll(ctx context.Context, from model.Instance, cursor Cursor, current *model.RoutingRules, wait time.Duration) (Delta, error)
 }
 
 const (
@@ -117,12 +119,12 @@
 
 // pollReader polls the reader for changes. It runs under keyEntries.
 func (m *Manager) pollReader(reader model.Instance) {
-	cursor := m.cursor
-	if current := m.opts.Rules.Current(); current != nil {
+	cursor, current := m.cursor, m.opts.Rules.Current()
+	if current != nil {
 		cursor.RulesRevision = current.Revision
 	}
 	call := func(ctx context.Context) (Delta, error) {
-		return m.opts.Peers.Poll(ctx, reader, cursor, readerPollWait)
+		return m.opts.Peers.Poll(ctx, reader, cursor, current, readerPollWait)
 	}
 	worker.Call(m.opts.Pool, keyEntries, readerPollWait+readerPollMargin, call, func(delta Delta, err error) {
 		now := time.Now()
@@ -284,7 +286,7 @@
 		delta.Moves = m.opts.Moves.All()
 	}
 	if current := m.opts.Rules.Current(); current != nil && current.Revision > cursor.RulesRevision {
-		delta.Rules = current
+		delta.Rules, delta.RulesBase = current, m.opts.Rules.Recent(cursor.RulesRevision)
 	}
 	if delta.Snapshot || len(delta.Changed) > 0 || len(delta.Removed) > 0 || len(delta.Instances) > 0 || len(delta.RemovedInstances) > 0 || len(delta.Moves) > 0 || delta.Rules != nil {
 		return delta, nil
--- a/internal/protocol/peerwire/registry.go
+++ b/internal/protocol/peerwire/registry.go
@@ -15,6 +15,7 @@
 	Version uint64 `cbor:"2,keyasint"`
 	Rules   uint64 `cbor:"3,keyasint"`
 	WaitMs  uint32 `cbor:"4,keyasint"`
+	Packed  bool   `cbor:"5,keyasint,omitempty"` // the sender decodes packed rules
 }
 
 // registryDelta is the reply to a registryPoll.
@@ -31,6 +32,7 @@
 	Left      []model.InstanceID  `cbor:"9,keyasint,omitempty"`
 	Moves     []model.VersionMove `cbor:"10,keyasint,omitempty"`
 	Source    model.InstanceID    `cbor:"11,keyasint,omitempty"`
+	Packed    []byte              `cbor:"12,keyasint,omitempty"` // sent in place of Rules to a sender that asked for it
 }
 
 // instanceRow is an instance as it announced itself in the platform's store.
@@ -61,23 +63,39 @@
 
 // EncodeNewsAsk encodes a poll for the registry changes since a cursor.
 func EncodeNewsAsk(cursor registry.Cursor, wait time.Duration) (Message, error) {
-	body, err := encoding.Marshal(registryPoll{cursor.ReaderIncarnation, cursor.Version, cursor.RulesRevision, clampCount(int(wait.Milliseconds()))})
+	body, err := encoding.Marshal(registryPoll{
+		Reader:  cursor.ReaderIncarnation,
+		Version: cursor.Version,
+		Rules:   cursor.RulesRevision,
+		WaitMs:  clampCount(int(wait.Milliseconds())),
+		Packed:  true,
+	})
 	return Message{Kind: KindRegistry, Body: body}, trace.Wrap(err)
 }
 
-// DecodeNewsAsk decodes a poll for registry changes. It returns the sender's cursor
-// and the time for which the receiver may wait for a change.
-func DecodeNewsAsk(m Message) (registry.Cursor, time.Duration, error) {
+// NewsAsk is a decoded poll for registry changes.
+type NewsAsk struct {
+	Cursor registry.Cursor
+	Wait   time.Duration // for which the receiver may wait for a change
+	Packed bool          // the sender decodes packed rules
+}
+
+// DecodeNewsAsk decodes a poll for registry changes.
+func DecodeNewsAsk(m Message) (NewsAsk, error) {
 	var b registryPoll
 	if err := decoding.Unmarshal(m.Body, &b); err != nil {
-		return registry.Cursor{}, 0, trace.BadParameter("registry message: %v", err)
+		return NewsAsk{}, trace.BadParameter("registry message: %v", err)
 	}
-	cursor := registry.Cursor{ReaderIncarnation: b.Reader, Version: b.Version, RulesRevision: b.Rules}
-	return cursor, time.Duration(b.WaitMs) * time.Millisecond, nil
+	return NewsAsk{
+		Cursor: registry.Cursor{ReaderIncarnation: b.Reader, Version: b.Version, RulesRevision: b.Rules},
+		Wait:   time.Duration(b.WaitMs) * time.Millisecond,
+		Packed: b.Packed,
+	}, nil
 }
 
-// EncodeNews encodes registry changes as the reply to a poll.
-func EncodeNews(n registry.Delta) (Message, error) {
+// EncodeNews encodes registry changes as the reply to a poll. packed, if it is not
+// nil, are the rules as PackRules encoded them.
+func EncodeNews(n registry.Delta, packed []byte) (Message, error) {
 	b := registryDelta{
 		Reader:  n.ReaderIncarnation,
 		Version: n.Version,
@@ -88,6 +106,10 @@
 		Source:  n.Source,
 		Left:    n.RemovedInstances,
 		Moves:   n.Moves,
+		Packed:  packed,
+	}
+	if packed != nil {
+		b.Rules = nil
 	}
 	for _, in := range n.Instances {
 		b.Instances = append(b.Instances, instanceRow{
@@ -117,8 +139,9 @@
 	return Message{Kind: KindRegistry, Body: body}, trace.Wrap(err)
 }
 
-// DecodeNews decodes the registry changes in a reply to a poll.
-func DecodeNews(m Message) (registry.Delta, error) {
+// DecodeNews decodes the registry changes in a reply to a poll. current are the rules
+// whose revision the poll named; nil means none.
+func DecodeNews(m Message, current *model.RoutingRules) (registry.Delta, error) {
 	var b registryDelta
 	if err := decoding.Unmarshal(m.Body, &b); err != nil {
 		return registry.Delta{}, trace.BadParameter("registry message: %v", err)
@@ -134,6 +157,12 @@
 		RemovedInstances:  b.Left,
 		Moves:             b.Moves,
 	}
+	if b.Packed != nil {
+		var err error
+		if n.Rules, err = unpackRules(b.Packed, current); err != nil {
+			return registry.Delta{}, err
+		}
+	}
 	for _, r := range b.Instances {
 		n.Instances = append(n.Instances, model.Instance{
 			ID:             r.ID,
--- a/internal/protocol/peerwire/state_test.go
+++ b/internal/protocol/peerwire/state_test.go
@@ -58,17 +58,18 @@
 	state, err := DecodeState(m)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, state, sampleState())
-	m, err = EncodeNews(sampleDelta())
+	m, err = EncodeNews(sampleDelta(), nil)
 	assert.NilError(t, err)
-	delta, err := DecodeNews(m)
+	delta, err := DecodeNews(m, nil)
 	assert.NilError(t, err)
 	assert.DeepEqual(t, delta, sampleDelta())
 	m, err = EncodeNewsAsk(registry.Cursor{ReaderIncarnation: 1, Version: 2, RulesRevision: 3}, time.Second)
 	assert.NilError(t, err)
-	cursor, wait, err := DecodeNewsAsk(m)
+	ask, err := DecodeNewsAsk(m)
 	assert.NilError(t, err)
-	assert.Equal(t, cursor, registry.Cursor{ReaderIncarnation: 1, Version: 2, RulesRevision: 3})
-	assert.Equal(t, wait, time.Second)
+	assert.Equal(t, ask.Cursor, registry.Cursor{ReaderIncarnation: 1, Version: 2, RulesRevision: 3})
+	assert.Equal(t, ask.Wait, time.Second)
+	assert.Assert(t, ask.Packed)
 }
 
 // Guards against a peer's message that crashes a decoder, and against a decoded
@@ -76,7 +77,7 @@
 func FuzzStateAndRegistryDelta(f *testing.F) {
 	for _, m := range []func() (Message, error){
 		func() (Message, error) { return EncodeState(sampleState()) },
-		func() (Message, error) { return EncodeNews(sampleDelta()) },
+		func() (Message, error) { return EncodeNews(sampleDelta(), nil) },
 		func() (Message, error) {
 			return EncodeSuspects(suspect.Rows{Deaths: []suspect.Death{{Fingerprint: "f", At: time.Unix(1, 0)}}, Clears: []suspect.Clear{{Fingerprint: "g"}}})
 		},
@@ -92,16 +93,16 @@
 			_, err := EncodeState(s)
 			assert.NilError(t, err)
 		}
-		if n, err := DecodeNews(Message{Kind: KindRegistry, Body: body}); err == nil {
-			_, err := EncodeNews(n)
+		if n, err := DecodeNews(Message{Kind: KindRegistry, Body: body}, nil); err == nil {
+			_, err := EncodeNews(n, nil)
 			assert.NilError(t, err)
 		}
 		if rows, err := DecodeSuspects(Message{Kind: KindSuspects, Body: body}); err == nil {
 			_, err := EncodeSuspects(rows)
 			assert.NilError(t, err)
 		}
-		if _, wait, err := DecodeNewsAsk(Message{Kind: KindRegistry, Body: body}); err == nil {
-			assert.Assert(t, wait >= 0)
+		if ask, err := DecodeNewsAsk(Message{Kind: KindRegistry, Body: body}); err == nil {
+			assert.Assert(t, ask.Wait >= 0)
 		}
 	})
 }
--- a/internal/state/rules/rules.go
+++ b/internal/state/rules/rules.go
@@ -2,15 +2,22 @@
 package rules
 
 import (
+	"slices"
+
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
+// maxReplaced is the number of replaced rules that are kept. Instances poll for
+// changes without pause, so that they are rarely more than a few changes behind.
+const maxReplaced = 4
+
 // Table holds one set of routing rules. mu has lock.RankDocument and guards
 // the other fields. Invariant: the revision of current never falls.
 type Table struct {
-	mu      lock.Mutex
-	current *model.RoutingRules
+	mu       lock.Mutex
+	current  *model.RoutingRules
+	replaced []*model.RoutingRules // the last ones, oldest first
 }
 
 // NewTable returns a table without rules.
@@ -26,10 +33,29 @@
 	if t.current != nil && r.Revision <= t.current.Revision {
 		return false
 	}
+	if t.current != nil {
+		if len(t.replaced) == maxReplaced {
+			t.replaced = slices.Delete(t.replaced, 0, 1)
+		}
+		t.replaced = append(t.replaced, t.current)
+	}
 	t.current = r
 	return true
 }
 
+// Recent returns the rules of the revision if they were replaced recently, or nil.
+// The caller must not change them.
+func (t *Table) Recent(revision uint64) *model.RoutingRules {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range t.replaced {
+		if r.Revision == revision {
+			return r
+		}
+	}
+	return nil
+}
+
 // Current returns the rules in force, or nil. The caller must not change them.
 func (t *Table) Current() *model.RoutingRules {
 	t.mu.Lock()
--- a/tests/golden/messages_test.go
+++ b/tests/golden/messages_test.go
@@ -85,10 +85,12 @@
 		sampleOf("registry", nil,
 			func(r registryRequest) (peerwire.Message, error) { return peerwire.EncodeNewsAsk(r.Known, r.Wait) },
 			func(m peerwire.Message) (registryRequest, error) {
-				known, wait, err := peerwire.DecodeNewsAsk(m)
-				return registryRequest{known, wait}, err
+				ask, err := peerwire.DecodeNewsAsk(m)
+				return registryRequest{ask.Cursor, ask.Wait}, err
 			}),
-		sampleOf[registry.Delta]("registry reply", nil, peerwire.EncodeNews, peerwire.DecodeNews),
+		sampleOf("registry reply", nil,
+			func(d registry.Delta) (peerwire.Message, error) { return peerwire.EncodeNews(d, nil) },
+			func(m peerwire.Message) (registry.Delta, error) { return peerwire.DecodeNews(m, nil) }),
 		{
 			name:   "error",
 			encode: func() (peerwire.Message, error) { return peerwire.EncodeError(errors.New("cause")), nil },
