--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -31,6 +31,7 @@
 	unreachable atomic.Bool
 	hangs       atomic.Bool // reads get no answer
 	silentRules atomic.Bool // reads of the rules that have begun get no answer
+	rulesHang   atomic.Bool // reads of the rules get no answer, others do
 	// changeTransferTime is how long one change takes to arrive, in nanoseconds. A
 	// read from a revision receives each change since then.
 	changeTransferTime atomic.Int64
@@ -73,7 +74,7 @@
 	for end := time.Now().Add(d); ctx.Err() == nil && after == s.content.currentRevision() && time.Now().Before(end); {
 		wait.Sleep(ctx, step)
 	}
-	if s.hangs.Load() || silent() {
+	if s.hangs.Load() || s.rulesHang.Load() || silent() {
 		wait.Sleep(ctx, time.Hour)
 		return Published{}, ctx.Err()
 	}
--- a/internal/coordination/registry/outage_test.go
+++ b/internal/coordination/registry/outage_test.go
@@ -56,6 +56,7 @@
 		}
 		defer c.close()
 		c["a"].recordRead(time.Now(), "b")
+		c["a"].recordRulesFresh(time.Now())
 		c["b"].opts.Instances.Merge(w.instances[0])
 		c["b"].Start()
 		time.Sleep(700 * time.Millisecond)
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -160,8 +160,9 @@
 	sharedEntries      map[model.UpstreamID]entryChange
 	sharedInstances    map[model.InstanceID]instanceChange
 	sharedMovesVersion uint64 // share version of the last change of a version move
-	sharedReadAt       time.Time
+	sharedReadAt       time.Time // last read of the entries, by sharedReadBy
 	sharedReadBy       model.InstanceID
+	sharedRulesFreshAt time.Time // until when the rules are known to have been the newest
 	shareChanged       chan struct{} // closed at the next change
 
 	list    listState  // used only by items under keyInstances
@@ -258,6 +259,7 @@
 		}
 		m.rulesReadTimeout = callTimeout
 		m.ApplyRules(got.Rules, "store")
+		m.recordRulesFresh(time.Now().Add(rulesPollTime)) // the next read may wait that long
 		pause := time.Duration(0)
 		if after > 0 && (got.Rules != nil || len(got.Orders) > 0) {
 			pause = rulesReadPause
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -430,3 +430,25 @@
 		})
 	}
 }
+
+// Guards against members that keep to a reader whose entries are fresh but which
+// cannot read the rules.
+func TestReaderThatCannotReadTheRulesIsReplaced(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCells(t, w, 2, "a", "b", "c", "d") // c is the reader of the second cell
+			defer c.close()
+			time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
+			c["a"].store.rulesHang.Store(true)
+			w.change(func() {
+				w.rules = &model.RoutingRules{Revision: 2}
+				w.revision = 11
+			})
+			time.Sleep(3 * time.Second) // the time allowed for rules to come into force in large fleets
+			for _, id := range []model.InstanceID{"b", "c", "d"} {
+				assert.Equal(t, c[id].rulesTable.Current().Revision, uint64(2), "%s, phase %d", id, phase)
+			}
+		})
+	}
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -38,8 +38,8 @@
 	RemovedInstances []model.InstanceID
 	Rules            *model.RoutingRules // nil unless they are newer
 	Moves            []model.VersionMove // all version moves if any of them changed
-	Age              time.Duration       // time since the entries were last read from the store
-	Source           model.InstanceID    // instance that made that read
+	Age              time.Duration       // time for which the entries or the rules have not been read from the store
+	Source           model.InstanceID    // instance that last read the entries
 	RulesBase        *model.RoutingRules // rules that the poller has, for a transfer of the difference; nil if unknown
 }
 
@@ -138,6 +138,7 @@
 		if err == nil {
 			m.applyDelta(delta, reader)
 			m.recordRead(now.Add(-delta.Age), delta.Source)
+			m.recordRulesFresh(now.Add(-delta.Age))
 		}
 		m.readEntries()
 	})
@@ -154,6 +155,16 @@
 	m.sharedReadAt, m.sharedReadBy = at, by
 }
 
+// recordRulesFresh records until when the rules are known to have been the newest.
+// A reader that cannot read the rules must not pass for fresh because of its entries.
+func (m *Manager) recordRulesFresh(until time.Time) {
+	m.shareMu.Lock()
+	defer m.shareMu.Unlock()
+	if until.After(m.sharedRulesFreshAt) {
+		m.sharedRulesFreshAt = until
+	}
+}
+
 // applyDelta applies the changes that a reader returned.
 func (m *Manager) applyDelta(delta Delta, reader model.Instance) {
 	m.cursor = Cursor{ReaderIncarnation: delta.ReaderIncarnation, Version: delta.Version}
@@ -301,7 +312,7 @@
 	incarnation := m.self().Incarnation
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
-	delta = Delta{ReaderIncarnation: incarnation, Version: m.shareVersion, Age: time.Since(m.sharedReadAt), Source: m.sharedReadBy}
+	delta = Delta{ReaderIncarnation: incarnation, Version: m.shareVersion, Age: max(time.Since(m.sharedReadAt), time.Since(m.sharedRulesFreshAt)), Source: m.sharedReadBy}
 	delta.Snapshot = cursor.ReaderIncarnation != delta.ReaderIncarnation
 	for id, c := range m.sharedEntries {
 		switch {
