Look for a crash when a stream ends inside its first event

Cause: an attempt was checked for a crashed upstream only if its connection was reset.

Change: a truncated answer is checked too. The check still asks whether anything listens at the upstream's address, so upstreams that live and spoil an answer are not counted.

--- a/internal/coordination/forward/crash.go
+++ b/internal/coordination/forward/crash.go
@@ -100,9 +100,10 @@
 }
 
 // scheduleCrashCheck checks after crashCheckDelay whether the upstream crashed when
-// the attempt was lost.
+// the attempt was lost. A crash resets the connection or ends it within an event.
 func (r *activeRequest) scheduleCrashCheck(a *attempt, kind continuation.Loss, sent bool) {
-	if kind != continuation.LossReset || !sent || a.eventCount > 0 {
+	broken := kind == continuation.LossReset || kind == continuation.LossTruncated
+	if !broken || !sent || a.eventCount > 0 {
 		return
 	}
 	death := suspect.Death{Fingerprint: r.fingerprint(), ID: suspect.DeathID{Upstream: a.upstream.ID}, At: time.Now()}
@@ -110,15 +111,29 @@
 		death.ID.Incarnation = row.Report.Incarnation
 	}
 	r.brokenUpstreams = append(r.brokenUpstreams, a.upstream.ID)
+	r.pendingCrashChecks++
 	r.m.opts.Pool.After(crashCheckDelay, r.key, worker.Func(func() {
 		r.m.opts.Sender.CheckStopped(a.upstream, crashCheckTimeout, func(ended bool) {
-			if ended {
-				r.m.opts.Pool.Post(r.key, worker.Func(func() { r.recordCrash(death) }))
-			}
+			r.m.opts.Pool.Post(r.key, worker.Func(func() {
+				r.pendingCrashChecks--
+				if ended {
+					r.recordCrash(death)
+				}
+			}))
 		})
 	}))
 }
 
+// awaitsCrashCheck reports whether a check in progress may bring the request to the
+// number of crashes from which on it is refused.
+func (r *activeRequest) awaitsCrashCheck() bool {
+	if r.pendingCrashChecks == 0 {
+		return false
+	}
+	crashes, _ := r.crashHistory(time.Now())
+	return crashes < crashRefuseCount && crashes+r.pendingCrashChecks >= crashRefuseCount
+}
+
 // recordCrash records a crash against the request, unless too many upstreams that
 // did not run the request failed at the same time.
 func (r *activeRequest) recordCrash(death suspect.Death) {
--- a/internal/coordination/forward/crash_test.go
+++ b/internal/coordination/forward/crash_test.go
@@ -147,3 +147,35 @@
 		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
 	})
 }
+
+// crashStream submits a stream, crashes each upstream that begins to write its first
+// event, and returns the number of sends.
+func (b *harness) crashStream(request *Request) (*fakeReply, int) {
+	before := len(b.sends)
+	reply := b.submitRequest(request)
+	for at := before; at < len(b.sends); at++ {
+		b.advance(time.Second) // the engine reads the prompt
+		send := b.sends[at]
+		b.crashedUpstreams[send.Upstream.ID] = true
+		send.StreamBegan(200, nil)
+		send.Lost(continuation.LossTruncated, "stream ended within an event", true)
+		b.advance(crashCheckDelay)
+		b.crashedUpstreams[send.Upstream.ID] = false
+		b.upstreams.Apply(upstream.Report{
+			Upstream: send.Upstream.ID, Incarnation: uint64(len(b.sends)), Health: upstream.HealthUp, At: time.Now().Add(time.Second),
+		})
+	}
+	return reply, len(b.sends) - before
+}
+
+// Guards against a stream that crashes upstreams inside its first event, where the
+// connection ends without a reset: such crashes were not looked for.
+func TestStreamThatEndsUpstreamsInItsFirstEventIsStopped(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		_, runs := b.crashStream(b.request("/log/1"))
+		assert.Equal(t, runs, crashRefuseCount)
+		reply, runs := b.crashStream(b.request("/log/1"))
+		assert.Equal(t, runs, 0)
+		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
+	})
+}
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -200,11 +200,10 @@
 	}
 }
 
-// submit sends a request to the path and waits until it is placed.
-func (b *harness) submit(path string) (*fakeReply, func()) {
-	reply := &fakeReply{}
+// request returns a new request to the path.
+func (b *harness) request(path string) *Request {
 	defer func() { b.submitted++ }()
-	left := b.m.Submit(&Request{
+	return &Request{
 		ID:         model.RequestID(fmt.Sprintf("r%d", b.submitted)),
 		Host:       "h",
 		Method:     "POST",
@@ -213,11 +212,25 @@
 		Arrived:    time.Now(),
 		Deadline:   time.Now().Add(25 * time.Second),
 		Work:       GenerationWork{PromptTokens: 5000, OutputTokens: 800},
-	}, reply)
+	}
+}
+
+// submit sends a request to the path and waits until it is placed.
+func (b *harness) submit(path string) (*fakeReply, func()) {
+	reply := &fakeReply{}
+	left := b.m.Submit(b.request(path), reply)
 	synctest.Wait()
 	return reply, left
 }
 
+// submitRequest sends the request and waits until it is placed.
+func (b *harness) submitRequest(request *Request) *fakeReply {
+	reply := &fakeReply{}
+	b.m.Submit(request, reply)
+	synctest.Wait()
+	return reply
+}
+
 // lastSend returns the newest send.
 func (b *harness) lastSend() *fakeSend {
 	b.t.Helper()
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -186,6 +186,8 @@
 	cachedFingerprint suspect.Fingerprint // computed on first use; empty before
 	brokenUpstreams   []model.UpstreamID  // upstreams whose connections broke before an answer
 
+	pendingCrashChecks int // checks whether one of brokenUpstreams crashed
+
 	held      bool      // counted in Manager.heldCount
 	holdUntil time.Time // end of the hold; zero if there was none
 }
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -72,6 +72,10 @@
 		r.resumeFromCopy()
 		return
 	}
+	if r.awaitsCrashCheck() {
+		r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
+		return
+	}
 	if r.executions >= max(r.route.MaxAttempts, 1) || (r.executions > 0 && !r.mayRunAgain()) {
 		r.settleStream()
 		return
