--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -159,10 +159,10 @@
 	shareVersion       uint64
 	sharedEntries      map[model.UpstreamID]entryChange
 	sharedInstances    map[model.InstanceID]instanceChange
-	sharedMovesVersion uint64 // share version of the last change of a version move
+	sharedMovesVersion uint64    // share version of the last change of a version move
 	sharedReadAt       time.Time // last read of the entries, by sharedReadBy
 	sharedReadBy       model.InstanceID
-	sharedRulesFreshAt time.Time // until when the rules are known to have been the newest
+	sharedRulesFreshAt time.Time     // until when the rules are known to have been the newest
 	shareChanged       chan struct{} // closed at the next change
 
 	list    listState  // used only by items under keyInstances
