Compare a crash with failures at the same moment only

Cause: a crash does not count against a request if more than a fifth of the service's other upstreams failed in the last 4 s, which shall set outages of a failure domain apart. With 18 upstreams the crashes of four other requests pass for such an outage, so that the evidence hides itself.

Change: only failures within 0.5 s of the crash are compared with it. An outage ends the connections of its upstreams at one moment.

--- a/internal/coordination/forward/crash.go
+++ b/internal/coordination/forward/crash.go
@@ -36,9 +36,11 @@
 	// crashCheckTimeout bounds the check whether the upstream crashed.
 	crashCheckTimeout = 250 * time.Millisecond
 	// commonFailureShare is the share of a service's upstreams that may have failed
-	// at the same time without having run the request. If more have failed, the
-	// failures are taken to have a common cause other than the request.
+	// within commonFailureTime of the crash without having run the request. If more
+	// have failed, the failures are taken to have a common cause other than the
+	// request. Crashes caused by requests follow each other with more time between.
 	commonFailureShare = 0.2
+	commonFailureTime  = 500 * time.Millisecond
 	// crashBroadcastCount is the number of crashes from which on the records go to
 	// all instances and not only to those of the cell. A single lost connection
 	// has many other possible causes.
@@ -148,7 +150,7 @@
 	rows := r.m.opts.Upstreams.Serving(r.service.Name)
 	others := 0
 	for _, row := range rows {
-		if !suspected[row.Upstream.ID] && recentlyFailed(row, now) {
+		if !suspected[row.Upstream.ID] && recentlyFailed(row, now) && row.FailedAt.Sub(death.At).Abs() <= commonFailureTime {
 			others++
 		}
 	}
--- a/internal/coordination/forward/crash_test.go
+++ b/internal/coordination/forward/crash_test.go
@@ -179,3 +179,14 @@
 		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
 	})
 }
+
+// Guards against crashes that are not counted because of earlier crashes which the
+// same requests caused: with few upstreams those are soon more than a fifth.
+func TestCrashesInSuccessionDoNotHideEachOther(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.upstreams.RecordFailure("engine-b1", time.Now(), time.Now())
+		b.upstreams.RecordFailure("engine-c1", time.Now(), time.Now())
+		_, runs := b.crashStream(b.request("/log/1"))
+		assert.Equal(t, runs, crashRefuseCount)
+	})
+}
