Refuse prompts with a part that crashes upstreams

Cause: crashes were recorded under a hash of the whole request, so requests that differ, but share a part of their prompts, never added up.

Change: a crash is recorded under the request and under each part of its prompt, and sent to all instances, since such requests come at any. From the third crash on, requests with the part are refused. A part whose crashes another fingerprint has too may run where that one is absent, so that what sound requests share with the others is not refused; the next crash tells them apart. An event that an engine writes clears the parts, an answer of another kind only the request. A request that waited is checked again before it is sent, also when it goes on from a copy. The ends of upstreams that were leaving are not counted. The log has the parts.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -71,12 +71,12 @@
 	case answer.NotRun:
 		r.retryNotRun(a, "upstream is full")
 	case answer.Status >= 500 && r.route.Repeat != model.RepeatNever:
-		r.clearSuspicion()
+		r.clearSuspicion(false)
 		r.recordOutcome(a, true, "status")
 		r.lastFailure, r.hasLastFailure = answer, true
 		r.retryOrSettle(a, "status")
 	default:
-		r.clearSuspicion()
+		r.clearSuspicion(false)
 		r.recordOutcome(a, answer.Status >= 500, "answer")
 		r.m.opts.Upstreams.RecordOutput(a.upstream.ID, time.Now())
 		r.deliver(answer)
--- a/internal/coordination/forward/crash.go
+++ b/internal/coordination/forward/crash.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strings"
 	"time"
 
 	"github.com/apex/log"
@@ -9,13 +10,15 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
 // A request may crash each upstream that begins to run it, and its caller sends
-// the request again, to any instance. Crashes of upstreams are recorded under the
-// request's fingerprint and sent to other instances. An answer or an event clears
-// the fingerprint, because identical requests of one caller share a fingerprint and
-// connections also break for reasons that have nothing to do with the request.
+// the request again, to any instance. A part of a prompt may do so in all requests
+// that contain it. Crashes of upstreams are recorded under the fingerprints of the
+// request and of its parts, and sent to other instances. An answer clears the request
+// and an event also its parts, because sound requests share fingerprints with these
+// and connections also break for reasons that have nothing to do with the request.
 
 // CodeCrashesUpstreams is the refusal code of a request that crashed three upstreams.
 const CodeCrashesUpstreams = "request_ends_upstreams"
@@ -47,22 +50,28 @@
 	crashBroadcastCount = 2
 )
 
-// fingerprint returns the hash that the request shares with its retries.
-func (r *activeRequest) fingerprint() suspect.Fingerprint {
-	if r.cachedFingerprint == "" {
-		r.cachedFingerprint = suspicion.RequestFingerprint(r.organisation, r.req.Method, r.req.Host, r.req.Path, r.req.Query, r.req.Body)
+// fingerprints returns the hashes under which crashes are recorded for the request:
+// first that of the request, which its retries share, then those of the parts of its
+// prompt, which other requests may share.
+func (r *activeRequest) fingerprints() []suspect.Fingerprint {
+	if len(r.cachedFingerprints) == 0 {
+		r.cachedFingerprints = append(r.cachedFingerprints,
+			suspicion.RequestFingerprint(r.organisation, r.req.Method, r.req.Host, r.req.Path, r.req.Query, r.req.Body))
+		for _, part := range r.req.Work.Parts {
+			r.cachedFingerprints = append(r.cachedFingerprints, suspicion.PartFingerprint(r.service.Name, part.ID))
+		}
 	}
-	return r.cachedFingerprint
+	return r.cachedFingerprints
 }
 
 // crashHistory returns the number of upstream crashes recorded against the request
-// and the time of the last one. The fingerprint is not computed until a first crash
+// and the time of the last one. The fingerprints are not computed until a first crash
 // is known.
 func (r *activeRequest) crashHistory(now time.Time) (crashes int, last time.Time) {
 	if r.m.opts.Suspects.Version() == 0 {
 		return 0, time.Time{}
 	}
-	for _, d := range r.m.opts.Suspects.CountedRows(r.fingerprint(), now).Deaths {
+	for _, d := range r.m.opts.Suspects.CountedRows(r.fingerprints()[0], now).Deaths {
 		crashes++
 		if d.At.After(last) {
 			last = d.At
@@ -71,13 +80,36 @@
 	return crashes, last
 }
 
-// refuseIfCrashing refuses a request that crashed too many upstreams, and reports
-// whether it did.
+// crashingPart returns the first part of the prompt that is taken to crash upstreams.
+func (r *activeRequest) crashingPart(now time.Time) (part PromptPart, found bool) {
+	if len(r.req.Work.Parts) == 0 || r.m.opts.Suspects.Version() == 0 {
+		return PromptPart{}, false
+	}
+	all := r.fingerprints()
+	for i, part := range r.req.Work.Parts {
+		if deaths, _ := r.m.opts.Suspects.CountDeaths(all[i+1], now); deaths < crashRefuseCount {
+			continue
+		}
+		// Sound parts are in requests with the part that crashes upstreams, so they
+		// have some of its crashes. A part whose crashes another one explains may run
+		// where that one is absent; if it is the cause after all, the next crash tells
+		// them apart.
+		if !r.m.opts.Suspects.ExplainedByOthers(all[i+1], all, now) {
+			return part, true
+		}
+	}
+	return PromptPart{}, false
+}
+
+// refuseIfCrashing refuses a request that crashed too many upstreams, or whose prompt
+// has a part that did, and reports whether it did.
 func (r *activeRequest) refuseIfCrashing() bool {
 	now := time.Now()
 	crashes, last := r.crashHistory(now)
 	trial := last.Add(crashTrialDelay)
-	if crashes < crashRefuseCount || (crashes < crashTrialLimit && !now.Before(trial)) {
+	part, crashing := r.crashingPart(now)
+	refusedByHistory := crashes >= crashRefuseCount && (crashes >= crashTrialLimit || now.Before(trial))
+	if !refusedByHistory && !crashing {
 		return false
 	}
 	refusal := &model.Refusal{
@@ -85,20 +117,29 @@
 		Message: "Upstreams ended when they ran this request.",
 		Outcome: model.OutcomeNotRun,
 	}
-	if crashes < crashTrialLimit {
+	if crashing {
+		refusal.Message = "Upstreams ended when they ran requests with a part of this prompt."
+	} else if crashes < crashTrialLimit {
 		refusal.RetryAfter = trial.Sub(now)
 	}
-	r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("fingerprint", string(r.fingerprint())).
-		WithField("deaths", crashes).WithField("last_ms", now.Sub(last).Milliseconds()).Warn("request ends upstreams")
+	r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("fingerprint", string(r.fingerprints()[0])).
+		WithField("deaths", crashes).WithField("last_ms", now.Sub(last).Milliseconds()).WithField("part", part.ID).Warn("request ends upstreams")
 	r.refuse(refusal)
 	return true
 }
 
-// mayRunAgain reports whether the crashes recorded against a request that has
-// already run allow another run.
+// mayRunAgain reports whether the recorded crashes allow another run of a request that
+// has already run. The parts of a prompt on which an engine wrote events are sound.
 func (r *activeRequest) mayRunAgain() bool {
-	crashes, _ := r.crashHistory(time.Now())
-	return crashes < crashRefuseCount
+	now := time.Now()
+	if crashes, _ := r.crashHistory(now); crashes >= crashRefuseCount {
+		return false
+	}
+	if r.stream.accepted > r.req.LastPosition {
+		return true
+	}
+	_, crashing := r.crashingPart(now)
+	return !crashing
 }
 
 // scheduleCrashCheck checks after crashCheckDelay whether the upstream crashed when
@@ -108,8 +149,11 @@
 	if !broken || !sent || a.eventCount > 0 {
 		return
 	}
-	death := suspect.Death{Fingerprint: r.fingerprint(), ID: suspect.DeathID{Upstream: a.upstream.ID}, At: time.Now()}
+	death := suspect.Death{ID: suspect.DeathID{Upstream: a.upstream.ID}, At: time.Now()}
 	if row, known := r.m.opts.Upstreams.Get(a.upstream.ID); known {
+		if row.Report.Health == upstream.HealthLeaving {
+			return // its end is planned
+		}
 		death.ID.Incarnation = row.Report.Incarnation
 	}
 	r.brokenUpstreams = append(r.brokenUpstreams, a.upstream.ID)
@@ -126,25 +170,29 @@
 	}))
 }
 
-// awaitsCrashCheck reports whether a check in progress may bring the request to the
-// number of crashes from which on it is refused.
+// awaitsCrashCheck reports whether the request may run again unless a check in progress
+// finds a crash.
 func (r *activeRequest) awaitsCrashCheck() bool {
 	if r.pendingCrashChecks == 0 {
 		return false
 	}
-	crashes, _ := r.crashHistory(time.Now())
-	return crashes < crashRefuseCount && crashes+r.pendingCrashChecks >= crashRefuseCount
+	now, most := time.Now(), 0
+	for _, fp := range r.fingerprints() {
+		deaths, _ := r.m.opts.Suspects.CountDeaths(fp, now)
+		most = max(most, deaths)
+	}
+	return most+r.pendingCrashChecks >= crashRefuseCount && r.mayRunAgain()
 }
 
-// recordCrash records a crash against the request, unless too many upstreams that
-// did not run the request failed at the same time.
+// recordCrash records a crash against the request and the parts of its prompt, unless
+// too many upstreams that did not run them failed at the same time.
 func (r *activeRequest) recordCrash(death suspect.Death) {
 	now := time.Now()
 	suspected := map[model.UpstreamID]bool{}
 	for _, id := range r.brokenUpstreams {
 		suspected[id] = true
 	}
-	for _, d := range r.m.opts.Suspects.CountedRows(death.Fingerprint, now).Deaths {
+	for _, d := range r.crashEvidence(now).Deaths {
 		suspected[d.ID.Upstream] = true
 	}
 	rows := r.m.opts.Upstreams.Serving(r.service.Name)
@@ -155,29 +203,69 @@
 		}
 	}
 	fields := log.Fields{
-		"request_id": string(r.req.ID), "fingerprint": string(death.Fingerprint), "upstream": string(death.ID.Upstream),
-		"others": others, "of": len(rows),
+		"request_id": string(r.req.ID), "fingerprint": string(r.fingerprints()[0]), "upstream": string(death.ID.Upstream),
+		"parts": partIDs(r.req.Work.Parts), "organisation": string(r.organisation), "others": others, "of": len(rows),
 	}
 	if float64(others) > commonFailureShare*float64(len(rows)) {
 		r.m.opts.Log.WithFields(fields).Info("upstream crash not counted against the request: too many other upstreams failed")
 		return
 	}
-	r.m.opts.Suspects.Merge(suspect.Rows{Deaths: []suspect.Death{death}}, now)
-	evidence := r.m.opts.Suspects.CountedRows(death.Fingerprint, now)
-	r.m.opts.Log.WithFields(fields).WithField("deaths", len(evidence.Deaths)).Warn("upstream ended when it ran a request")
-	r.m.opts.PublishCrashes(evidence, len(evidence.Deaths) >= crashBroadcastCount)
+	var added suspect.Rows
+	for _, fp := range r.fingerprints() {
+		death.Fingerprint = fp
+		added.Deaths = append(added.Deaths, death)
+	}
+	r.m.opts.Suspects.Merge(added, now)
+	crashes, _ := r.crashHistory(now)
+	r.m.opts.Log.WithFields(fields).WithField("deaths", crashes).Warn("upstream ended when it ran a request")
+	// Other instances may run other requests with the same parts, so their crashes add
+	// up only if all instances know them.
+	r.m.opts.PublishCrashes(r.crashEvidence(now), crashes >= crashBroadcastCount || len(r.req.Work.Parts) > 0)
+}
+
+// crashEvidence returns the rows that count for the request and the parts of its prompt.
+func (r *activeRequest) crashEvidence(now time.Time) suspect.Rows {
+	var evidence suspect.Rows
+	for _, fp := range r.fingerprints() {
+		rows := r.m.opts.Suspects.CountedRows(fp, now)
+		evidence.Deaths = append(evidence.Deaths, rows.Deaths...)
+		evidence.Clears = append(evidence.Clears, rows.Clears...)
+	}
+	return evidence
 }
 
 // clearSuspicion removes the crashes recorded against the request after an upstream
-// ran the request and survived.
-func (r *activeRequest) clearSuspicion() {
+// ran the request and survived. wrote means that the upstream wrote a part of its
+// answer, which clears the parts of the prompt too.
+func (r *activeRequest) clearSuspicion(wrote bool) {
+	if r.m.opts.Suspects.Version() == 0 {
+		return
+	}
 	now := time.Now()
-	crashes, _ := r.crashHistory(now)
-	if crashes == 0 {
+	fps := r.fingerprints()
+	if !wrote {
+		fps = fps[:1]
+	}
+	cleared := 0
+	for _, fp := range fps {
+		if deaths, _ := r.m.opts.Suspects.CountDeaths(fp, now); deaths > 0 {
+			r.m.opts.Suspects.RecordProgress(fp, 0, true, now)
+			cleared = max(cleared, deaths)
+		}
+	}
+	if cleared == 0 {
 		return
 	}
-	r.m.opts.Suspects.RecordProgress(r.fingerprint(), 0, true, now)
-	r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("fingerprint", string(r.fingerprint())).
-		WithField("deaths", crashes).Info("cleared the request of causing upstream crashes")
-	r.m.opts.PublishCrashes(r.m.opts.Suspects.CountedRows(r.fingerprint(), now), crashes >= crashBroadcastCount)
+	r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("fingerprint", string(fps[0])).
+		WithField("parts", partIDs(r.req.Work.Parts)).WithField("deaths", cleared).Info("cleared the request of causing upstream crashes")
+	r.m.opts.PublishCrashes(r.crashEvidence(now), cleared >= crashBroadcastCount || len(fps) > 1)
+}
+
+// partIDs returns the IDs of the parts for the log.
+func partIDs(parts []PromptPart) string {
+	ids := make([]string, 0, len(parts))
+	for _, part := range parts {
+		ids = append(ids, part.ID)
+	}
+	return strings.Join(ids, ",")
 }
--- a/internal/coordination/forward/crash_test.go
+++ b/internal/coordination/forward/crash_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/suspicion"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
@@ -190,3 +191,107 @@
 		assert.Equal(t, runs, crashRefuseCount)
 	})
 }
+
+// withParts returns a new request whose prompt has the parts and a last part of its own.
+func (b *harness) withParts(parts ...string) *Request {
+	request := b.request("/log/1")
+	request.Body = []byte(request.ID)
+	for _, id := range append(parts, "last-"+string(request.ID)) {
+		request.Work.Parts = append(request.Work.Parts, PromptPart{ID: id, Tokens: 100})
+	}
+	return request
+}
+
+// serveStream submits a stream and reports whether it was sent and ended.
+func (b *harness) serveStream(request *Request) bool {
+	before := len(b.sends)
+	reply := b.submitRequest(request)
+	if len(b.sends) == before {
+		return false
+	}
+	b.advance(time.Second)
+	b.lastSend().StreamBegan(200, nil)
+	b.lastSend().event(request.LastPosition + 1)
+	b.lastSend().StreamEnded()
+	b.advance(0)
+	return reply.ended
+}
+
+// Guards against requests that differ, but crash upstreams one after the other because
+// their prompts have one part in common.
+func TestPartThatEndsUpstreamsIsRefused(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		runs := 0
+		for range 10 {
+			_, more := b.crashStream(b.withParts("first-"+string(rune('a'+runs)), "deadly"))
+			runs += more
+			b.advance(time.Second)
+		}
+		assert.Assert(t, runs <= 5, "%d upstreams ended", runs)
+		reply := b.submitRequest(b.withParts("other", "deadly"))
+		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
+		assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun)
+		for _, widely := range b.suspectBroadcasts {
+			assert.Assert(t, widely, "a crash was not sent to all instances")
+		}
+	})
+}
+
+// Guards against refusals of sound requests that share all parts but one with requests
+// that crash upstreams.
+func TestSoundRequestsBesideAPartThatEndsUpstreamsAreServed(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		for range 5 {
+			b.crashStream(b.withParts("shared", "deadly"))
+			b.advance(time.Second)
+		}
+		assert.Assert(t, b.serveStream(b.withParts("shared", "other")))
+		assert.Assert(t, b.serveStream(b.withParts("shared")))
+		reply := b.submitRequest(b.withParts("shared", "deadly"))
+		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
+	})
+}
+
+// Guards against a popular part that is refused because upstreams crashed now and then
+// while they ran it.
+func TestPartOnWhichUpstreamsWriteIsNotRefused(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		for range 6 {
+			request := b.withParts("popular")
+			reply := b.submitRequest(request)
+			b.advance(time.Second)
+			b.crashedUpstreams[b.lastSend().Upstream.ID] = true
+			b.lastSend().Lost(continuation.LossReset, "EOF", true)
+			b.advance(crashCheckDelay)
+			clear(b.crashedUpstreams)
+			b.lastSend().event(1)
+			b.lastSend().StreamEnded()
+			b.advance(5 * time.Second)
+			assert.Assert(t, reply.ended)
+		}
+	})
+}
+
+// Guards against a request that waits for an engine while its part is found to crash
+// upstreams, and is then sent.
+func TestWaitingRequestIsRefusedOnceItsPartCrashedUpstreams(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		for _, row := range b.upstreams.Serving("engine") {
+			b.upstreams.Apply(upstream.Report{Upstream: row.Upstream.ID, Incarnation: 1, Health: upstream.HealthDown, At: time.Now()})
+		}
+		reply := b.submitRequest(b.withParts("deadly"))
+		now := time.Now()
+		for n := range uint64(crashRefuseCount + 1) {
+			b.suspects.Merge(suspect.Rows{Deaths: []suspect.Death{{
+				ID:          suspect.DeathID{Upstream: "other", Incarnation: n},
+				Fingerprint: suspicion.PartFingerprint("engine", "deadly"), At: now,
+			}}}, now)
+		}
+		for _, row := range b.upstreams.Serving("engine") {
+			b.upstreams.Apply(upstream.Report{Upstream: row.Upstream.ID, Incarnation: 2, Health: upstream.HealthUp, At: time.Now()})
+		}
+		b.advance(time.Second)
+		assert.Equal(t, len(b.sends), 0)
+		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
+	})
+}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -5,7 +5,8 @@
 // Calls (call.go) have one complete answer. Streams (stream.go) have events with
 // rising positions. A lost stream continues at another upstream by the rules of
 // package continuation, from a copy of the engine's memory where there is one.
-// Requests that crash the upstreams which run them are refused (crash.go).
+// Requests that crash the upstreams which run them, or share a part
+// of their prompts with such requests, are refused (crash.go).
 //
 // All steps of one request are items under one key of the worker pool, so that
 // they never overlap. State that concerns other requests is in the shared tables.
@@ -174,19 +175,19 @@
 	deadline      time.Time // for the answer; zero means none
 	deadlineTimer *worker.Timer
 
-	attemptNumber     int                       // of the newest attempt
-	lastUpstream      model.UpstreamID          // of the newest attempt
-	inFlight          map[int]*attempt          // attempts that have not ended, by number
-	tried             map[model.UpstreamID]bool // upstreams whose attempt failed or is slow
-	executions        int                       // attempts that an upstream may have run
-	lastFailure       Answer                    // an upstream's error answer, delivered if no other attempt succeeds
-	hasLastFailure    bool
-	stream            streamState
-	ended             bool
-	cachedFingerprint suspect.Fingerprint // computed on first use; empty before
-	brokenUpstreams   []model.UpstreamID  // upstreams whose connections broke before an answer
+	attemptNumber  int                       // of the newest attempt
+	lastUpstream   model.UpstreamID          // of the newest attempt
+	inFlight       map[int]*attempt          // attempts that have not ended, by number
+	tried          map[model.UpstreamID]bool // upstreams whose attempt failed or is slow
+	executions     int                       // attempts that an upstream may have run
+	lastFailure    Answer                    // an upstream's error answer, delivered if no other attempt succeeds
+	hasLastFailure bool
+	stream         streamState
+	ended          bool
 
-	pendingCrashChecks int // checks whether one of brokenUpstreams crashed
+	cachedFingerprints []suspect.Fingerprint // computed on first use; empty before
+	brokenUpstreams    []model.UpstreamID    // upstreams whose connections broke before an answer
+	pendingCrashChecks int                   // checks whether one of brokenUpstreams crashed
 
 	held      bool      // counted in Manager.heldCount
 	holdUntil time.Time // end of the hold; zero if there was none
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -68,15 +68,23 @@
 	if r.ended || len(r.inFlight) > 0 {
 		return
 	}
-	if r.stream.resumeCopy != nil {
-		r.resumeFromCopy()
-		return
-	}
 	if r.awaitsCrashCheck() {
 		r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 		return
 	}
-	if r.executions >= max(r.route.MaxAttempts, 1) || (r.executions > 0 && !r.mayRunAgain()) {
+	// Crashes may have become known since the request arrived or was sent.
+	if r.executions == 0 && r.refuseIfCrashing() {
+		return
+	}
+	if r.executions > 0 && !r.mayRunAgain() {
+		r.settleStream()
+		return
+	}
+	if r.stream.resumeCopy != nil {
+		r.resumeFromCopy()
+		return
+	}
+	if r.executions >= max(r.route.MaxAttempts, 1) {
 		r.settleStream()
 		return
 	}
@@ -214,7 +222,7 @@
 	r.m.opts.Commitments.Remove(a.upstream.ID, commitment.Work{PrefillTokens: a.work.PrefillTokens})
 	a.work.PrefillTokens = 0
 	r.m.opts.StateChanged()
-	r.clearSuspicion()
+	r.clearSuspicion(true)
 	r.recordOutcome(a, false, "first event")
 	r.m.metrics.recordFirstEvent(r.service.Name, a.fromCopy, at.Sub(a.started))
 	if r.stream.lostAt.IsZero() {
--- a/internal/coordination/suspicion/fingerprint.go
+++ b/internal/coordination/suspicion/fingerprint.go
@@ -48,6 +48,16 @@
 	return suspect.Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
 }
 
+// PartFingerprint names a part of a prompt that several requests to a service share.
+// Callers choose the IDs of parts.
+func PartFingerprint(service, part string) suspect.Fingerprint {
+	h := sha256.New()
+	for _, text := range []string{"prompt part", service, part} {
+		writeString(h, text)
+	}
+	return suspect.Fingerprint(hex.EncodeToString(h.Sum(nil)[:fingerprintBytes]))
+}
+
 // writeString hashes the length of the string and then the string, so that no
 // two lists of strings give the same hash input.
 func writeString(h hash.Hash, s string) {
--- a/internal/state/suspect/suspect.go
+++ b/internal/state/suspect/suspect.go
@@ -4,6 +4,7 @@
 package suspect
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
@@ -239,6 +240,37 @@
 	return list
 }
 
+// ExplainedByOthers reports whether some fingerprint, other than those given in except,
+// has all deaths that count against fp.
+func (t *Table) ExplainedByOthers(fp Fingerprint, except []Fingerprint, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	counts := func(d Death) bool {
+		return d.At.After(t.clears[d.Fingerprint].At) && now.Sub(d.At) < expiry
+	}
+	deaths := map[DeathID]bool{}
+	for _, id := range t.deathIDs[fp] {
+		if counts(t.deaths[deathKey{fingerprint: fp, id: id}]) {
+			deaths[id] = true
+		}
+	}
+	for other, ids := range t.deathIDs {
+		if slices.Contains(except, other) {
+			continue
+		}
+		common := 0
+		for _, id := range ids {
+			if deaths[id] && counts(t.deaths[deathKey{fingerprint: other, id: id}]) {
+				common++
+			}
+		}
+		if common == len(deaths) {
+			return true
+		}
+	}
+	return false
+}
+
 // RecordProgress clears the fingerprint if it has deaths and the position lies beyond
 // all of their positions. A finished request clears the fingerprint at any
 // position; an unfinished one at another position renews its Host rows.
