--- a/internal/coordination/forward/crash.go
+++ b/internal/coordination/forward/crash.go
@@ -122,8 +122,14 @@
 	} else if crashes < crashTrialLimit {
 		refusal.RetryAfter = trial.Sub(now)
 	}
-	r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("fingerprint", string(r.fingerprints()[0])).
-		WithField("deaths", crashes).WithField("last_ms", now.Sub(last).Milliseconds()).WithField("part", part.ID).Warn("request ends upstreams")
+	fields := log.Fields{"request_id": string(r.req.ID), "fingerprint": string(r.fingerprints()[0]), "deaths": crashes}
+	if crashing {
+		fields["prompt_part"] = part.ID
+	}
+	if crashes > 0 {
+		fields["last_ms"] = now.Sub(last).Milliseconds()
+	}
+	r.m.opts.Log.WithFields(fields).Warn("request ends upstreams")
 	r.refuse(refusal)
 	return true
 }
@@ -204,7 +210,7 @@
 	}
 	fields := log.Fields{
 		"request_id": string(r.req.ID), "fingerprint": string(r.fingerprints()[0]), "upstream": string(death.ID.Upstream),
-		"parts": partIDs(r.req.Work.Parts), "organisation": string(r.organisation), "others": others, "of": len(rows),
+		"prompt_parts": partIDs(r.req.Work.Parts), "organisation": string(r.organisation), "others": others, "of": len(rows),
 	}
 	if float64(others) > commonFailureShare*float64(len(rows)) {
 		r.m.opts.Log.WithFields(fields).Info("upstream crash not counted against the request: too many other upstreams failed")
@@ -257,7 +263,7 @@
 		return
 	}
 	r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("fingerprint", string(fps[0])).
-		WithField("parts", partIDs(r.req.Work.Parts)).WithField("deaths", cleared).Info("cleared the request of causing upstream crashes")
+		WithField("prompt_parts", partIDs(r.req.Work.Parts)).WithField("deaths", cleared).Info("cleared the request of causing upstream crashes")
 	r.m.opts.PublishCrashes(r.crashEvidence(now), cleared >= crashBroadcastCount || len(fps) > 1)
 }
 
