Tell a started instance of the crashes that the others know

Cause: crashes are sent to other instances when they are recorded.

Change: when an instance hears another one for the first time after a start, the two exchange the rows that they know. The started instance asks too, because a message on the connection to its earlier start would be lost; it asks until three have answered, and the others only if they know of crashes. Instances of earlier builds do not answer, which is the state before.

TestStartedEdgeKnowsEarlierCrashes (processes) gets 502 and a crashed worker before the change, 503 and none with it. Tests of exchange and edgelink pass. Not covered: if all instances start at once, the crashes are forgotten.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -204,14 +204,16 @@
 		Locations:   shared.locations,
 		Outcomes:    shared.outcomes,
 		Moves:       shared.moves,
+		Suspects:    shared.suspects,
 		Link:        link,
 		Log:         logger,
 	})
 	options := peerOptions(identity, self)
 	receiver := edgelink.Receiver{
-		States:   e.exchange.Receive,
-		Suspects: func(rows suspect.Rows) { shared.suspects.Merge(rows, time.Now()) },
-		Log:      logger,
+		States:        e.exchange.Receive,
+		Suspects:      func(rows suspect.Rows) { shared.suspects.Merge(rows, time.Now()) },
+		KnownSuspects: func() suspect.Rows { return shared.suspects.Snapshot(time.Now()) },
+		Log:           logger,
 	}
 	options.Datagrams = receiver.Datagram
 	var err error
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -19,6 +19,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
@@ -35,9 +36,12 @@
 	Outcomes    map[model.UpstreamID]outcome.Tally // of upstreams with recent bad outcomes
 }
 
-// Link sends states. Tell does not block; a state may be lost.
+// Link sends states. Its methods do not block; a state may be lost.
 type Link interface {
 	Send(to model.Instance, s State)
+	// ExchangeSuspects sends rows to an instance and calls received with the rows of
+	// that instance, unless it does not answer.
+	ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows))
 }
 
 const (
@@ -61,6 +65,10 @@
 // heartbeatInterval, so that each prompt is in at least one heartbeat.
 const partTTL = 1200 * time.Millisecond
 
+// firstSuspectExchanges is the number of instances that a started instance asks for
+// what they know of crashes. More than one, as some may have just started too.
+const firstSuspectExchanges = 3
+
 const key worker.Key = "exchange"
 
 // Options configure a Manager.
@@ -74,6 +82,7 @@
 	Locations   *location.Table
 	Outcomes    *outcome.Table
 	Moves       *move.Table
+	Suspects    *suspect.Table
 	Link        Link
 	Log         log.Interface
 }
@@ -86,6 +95,7 @@
 	sendScheduled   bool // a state is about to be sent
 	peers           map[model.InstanceID]peerState
 	connectFailures map[model.UpstreamID]time.Time // last connection failure of this instance to each upstream
+	suspectsAnswers int                            // instances that have answered with their suspects
 }
 
 // peerState identifies the newest state received from another instance.
@@ -207,6 +217,9 @@
 		m.opts.Upstreams.RecordFailure(id, at, at.Add(failureTTL))
 	}
 	in, found := m.opts.Instances.Get(s.Instance)
+	if found && (!known || old.incarnation != s.Incarnation) {
+		m.exchangeSuspects(in)
+	}
 	if !found || in.Incarnation != s.Incarnation {
 		return
 	}
@@ -219,6 +232,22 @@
 	}
 }
 
+// exchangeSuspects exchanges what this instance and one that has just been heard know
+// of requests that crash upstreams. Those rows are sent only when they change, so a
+// started instance has missed the earlier ones.
+func (m *Manager) exchangeSuspects(with model.Instance) {
+	rows := m.opts.Suspects.Snapshot(time.Now())
+	if rows.Empty() && m.suspectsAnswers >= firstSuspectExchanges {
+		return
+	}
+	m.opts.Link.ExchangeSuspects(with, rows, func(got suspect.Rows) {
+		m.opts.Pool.Post(key, worker.Func(func() {
+			m.suspectsAnswers++
+			m.opts.Suspects.Merge(got, time.Now())
+		}))
+	})
+}
+
 func isNewer(s State, old peerState) bool {
 	if s.Incarnation != old.incarnation {
 		return s.Incarnation > old.incarnation
--- a/internal/coordination/exchange/exchange_test.go
+++ b/internal/coordination/exchange/exchange_test.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"gotest.tools/v3/assert"
 )
@@ -26,6 +27,7 @@
 	instances    *instance.Table
 	commitments  *commitment.Table
 	upstreams    *upstream.Table
+	suspects     *suspect.Table
 	disconnected atomic.Bool // the states that it sends are lost
 }
 
@@ -39,6 +41,12 @@
 	}
 }
 
+// ExchangeSuspects implements Link.
+func (n network) ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows)) {
+	n[with.ID].suspects.Merge(rows, time.Now())
+	received(n[with.ID].suspects.Snapshot(time.Now()))
+}
+
 // startPair starts two instances that know each other.
 func startPair(t *testing.T) (a, b *member, stop func()) {
 	t.Helper()
@@ -53,6 +61,7 @@
 			instances:   instance.NewTable(),
 			commitments: commitment.NewTable(3 * time.Second),
 			upstreams:   upstream.NewTable(),
+			suspects:    suspect.NewTable(self.ID),
 		}
 		for _, in := range all {
 			m.instances.Merge(in)
@@ -60,7 +69,7 @@
 		m.upstreams.Configure([]model.Upstream{{ID: "u", Serves: "s"}})
 		m.Manager = New(Options{
 			Pool: m.pool, Self: self, Instances: m.instances, Members: m.instances.All, Commitments: m.commitments,
-			Upstreams: m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: move.NewTable(), Link: n, Log: &log.Logger{Handler: discard.Default},
+			Upstreams: m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: move.NewTable(), Suspects: m.suspects, Link: n, Log: &log.Logger{Handler: discard.Default},
 		})
 		n[self.ID] = m
 	}
@@ -162,3 +171,19 @@
 		assert.Assert(t, seen.Requests > 1.5, "%+v", seen)
 	})
 }
+
+// Guards against a restarted instance that does not know of the crashes that the others
+// learned of before its start.
+func TestStartedInstanceLearnsOfEarlierCrashes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, stop := startPair(t)
+		defer stop()
+		time.Sleep(5 * time.Second)
+		now := time.Now()
+		a.suspects.Merge(suspect.Rows{Deaths: []suspect.Death{{ID: suspect.DeathID{Upstream: "u"}, Fingerprint: "f", At: now}}}, now)
+		a.Receive(State{Instance: "b", Incarnation: 2, Sequence: 1})
+		synctest.Wait()
+		deaths, _ := b.suspects.CountDeaths("f", now)
+		assert.Equal(t, deaths, 1)
+	})
+}
--- a/internal/transport/edgelink/edgelink.go
+++ b/internal/transport/edgelink/edgelink.go
@@ -52,6 +52,32 @@
 	}
 }
 
+// ExchangeSuspects implements exchange.Link.
+func (l *Link) ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows)) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), sendTimeout)
+		defer cancel()
+		got, err := l.exchangeSuspects(ctx, with, rows)
+		if err != nil {
+			l.log.WithField("instance", string(with.ID)).WithError(err).Debug("suspects not exchanged")
+			return
+		}
+		received(got)
+	}()
+}
+
+func (l *Link) exchangeSuspects(ctx context.Context, with model.Instance, rows suspect.Rows) (suspect.Rows, error) {
+	m, err := peerwire.EncodeSuspects(rows)
+	if err != nil {
+		return suspect.Rows{}, err
+	}
+	reply, err := l.client.Request(ctx, with.ControlAddress, m)
+	if err != nil {
+		return suspect.Rows{}, err
+	}
+	return peerwire.DecodeSuspects(reply)
+}
+
 // send returns at once. The message may be lost.
 func (l *Link) send(to model.Instance, m peerwire.Message) {
 	go func() {
@@ -67,7 +93,10 @@
 type Receiver struct {
 	States   func(exchange.State)
 	Suspects func(suspect.Rows)
-	Log      log.Interface
+	// KnownSuspects returns the rows with which suspects that arrive on a stream are
+	// answered.
+	KnownSuspects func() suspect.Rows
+	Log           log.Interface
 }
 
 // Datagram decodes a message and passes it on.
@@ -83,10 +112,18 @@
 	}
 }
 
-// ServePeer implements peer.Handler for messages that are too large for a datagram.
-func (r Receiver) ServePeer(_ context.Context, from peer.Peer, m peerwire.Message, _ peer.MessageWriter) error {
+// ServePeer implements peer.Handler for messages that are too large for a datagram,
+// and for exchanges of suspects.
+func (r Receiver) ServePeer(_ context.Context, from peer.Peer, m peerwire.Message, w peer.MessageWriter) error {
 	r.Datagram(from, m)
-	return nil
+	if m.Kind != peerwire.KindSuspects {
+		return nil
+	}
+	reply, err := peerwire.EncodeSuspects(r.KnownSuspects())
+	if err != nil {
+		return err
+	}
+	return w.Write(reply)
 }
 
 // state passes on a state that was sent by the instance that it names.
--- a/internal/transport/edgelink/edgelink_test.go
+++ b/internal/transport/edgelink/edgelink_test.go
@@ -89,3 +89,27 @@
 		t.Fatal("the rows did not arrive")
 	}
 }
+
+// Guards against suspects of an instance that a started one asks for and does not get.
+func TestSuspectsAreExchanged(t *testing.T) {
+	mine := suspect.Rows{Deaths: []suspect.Death{{Fingerprint: "f", At: time.UnixMilli(1_700_000_000_000).UTC()}}}
+	theirs := suspect.Rows{Clears: []suspect.Clear{{Fingerprint: "g", At: time.UnixMilli(1_700_000_001_000).UTC()}}}
+	arrived, received := make(chan suspect.Rows, 1), make(chan suspect.Rows, 1)
+	link, server := connect(t, Receiver{
+		Suspects:      func(rows suspect.Rows) { arrived <- rows },
+		KnownSuspects: func() suspect.Rows { return theirs },
+		Log:           &log.Logger{Handler: discard.Default},
+	})
+	link.ExchangeSuspects(model.Instance{ID: "b", ControlAddress: server.Address()}, mine, func(rows suspect.Rows) { received <- rows })
+	for _, c := range []struct {
+		rows <-chan suspect.Rows
+		want suspect.Rows
+	}{{arrived, mine}, {received, theirs}} {
+		select {
+		case got := <-c.rows:
+			assert.DeepEqual(t, got, c.want)
+		case <-time.After(2 * time.Second):
+			t.Fatal("the rows did not arrive")
+		}
+	}
+}
--- a/tests/e2e/crash_test.go
+++ b/tests/e2e/crash_test.go
@@ -12,29 +12,63 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/fleet"
 )
 
-// Guards against a request that crashes every worker that runs it and is sent
-// again through one instance after the other until no worker is left, and
-// against the refusal of other requests because of it.
-func TestEdgesRefuseARequestThatEndsWorkers(t *testing.T) {
-	t.Parallel()
+// crashes are the times at which workers crashed.
+type crashes struct {
+	mu    sync.Mutex
+	times []time.Time
+}
+
+func (c *crashes) add(at time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.times = append(c.times, at)
+}
+
+// count returns the number of crashes so far.
+func (c *crashes) count() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.times)
+}
+
+// at returns the time of a crash, counted from 0.
+func (c *crashes) at(i int) time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.times[i]
+}
+
+// since returns the number of crashes later than the given time.
+func (c *crashes) since(at time.Time) (n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.times {
+		if t.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// startCrashingEdges starts instances before engines that crash when they run what
+// opts says, and are back after a second.
+func startCrashingEdges(t *testing.T, opts fleet.WorkerOptions) (*edges, *crashes) {
+	t.Helper()
 	e := startEdges(t, 3)
-	const deadly = "/log/deadly"
-	var mu sync.Mutex
-	var deaths []time.Time
+	seen := &crashes{}
+	opts.Service, opts.Slots, opts.Events = "engine", 8, 20
+	opts.Interval, opts.PrefillTime = 30*time.Millisecond, 50*time.Millisecond
 	var add func(i, life int)
 	add = func(i, life int) {
-		_, err := e.fleet.Add(fleet.WorkerOptions{
-			ID: fmt.Sprintf("weak%d.%d", i, life), Service: "engine", Zone: string(rune('a' + i%3)), Slots: 8, Events: 20,
-			Interval: 30 * time.Millisecond, PrefillTime: 50 * time.Millisecond, CrashOn: deadly,
-			OnCrash: func(w *fleet.Worker) {
-				mu.Lock()
-				deaths = append(deaths, time.Now())
-				mu.Unlock()
-				time.Sleep(time.Second)
-				e.fleet.Store.Remove("servers", w.ID())
-				add(i, life+1)
-			},
-		})
+		opts := opts
+		opts.ID, opts.Zone = fmt.Sprintf("weak%d.%d", i, life), string(rune('a'+i%3))
+		opts.OnCrash = func(w *fleet.Worker) {
+			seen.add(time.Now())
+			time.Sleep(time.Second)
+			e.fleet.Store.Remove("servers", w.ID())
+			add(i, life+1)
+		}
+		_, err := e.fleet.Add(opts)
 		assert.Check(t, err)
 	}
 	for i := range 8 {
@@ -48,6 +82,16 @@
 	}
 	e.publishRules()
 	e.awaitReady()
+	return e, seen
+}
+
+// Guards against a request that crashes every worker that runs it and is sent
+// again through one instance after the other until no worker is left, and
+// against the refusal of other requests because of it.
+func TestEdgesRefuseARequestThatEndsWorkers(t *testing.T) {
+	t.Parallel()
+	const deadly = "/log/deadly"
+	e, seen := startCrashingEdges(t, fleet.WorkerOptions{CrashOn: deadly})
 	var statuses []int
 	for try := range 9 {
 		resp, err := http.DefaultClient.Do(e.request(try%3, "POST", deadly))
@@ -56,19 +100,37 @@
 		statuses = append(statuses, resp.StatusCode)
 		time.Sleep(700 * time.Millisecond)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	assert.Assert(t, len(deaths) >= 3, "%d deaths, statuses %v", len(deaths), statuses)
-	lateDeaths := 0
-	for _, at := range deaths {
-		if at.Sub(deaths[2]) > 3*time.Second { // within 3 s all instances must refuse the request
-			lateDeaths++
-		}
-	}
-	assert.Equal(t, lateDeaths, 0, "statuses %v", statuses)
+	assert.Assert(t, seen.count() >= 3, "%d crashes, statuses %v", seen.count(), statuses)
+	// Within 3 s of the third crash all instances must refuse the request.
+	assert.Equal(t, seen.since(seen.at(2).Add(3*time.Second)), 0, "statuses %v", statuses)
 	assert.Equal(t, statuses[len(statuses)-1], http.StatusServiceUnavailable, "%v", statuses)
 	req := e.request(0, "POST", "/log/1")
 	status, body, _ := e.do(req)
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, wantStream(req.Header.Get("X-Attempt-Id"), 20))
 }
+
+// Guards against an instance that was started after workers crashed and lets the
+// request, which the others refuse, crash more of them.
+func TestStartedEdgeKnowsEarlierCrashes(t *testing.T) {
+	t.Parallel()
+	const deadly = "/log/deadly"
+	e, seen := startCrashingEdges(t, fleet.WorkerOptions{CrashOn: deadly})
+	for try := range 3 {
+		resp, err := http.DefaultClient.Do(e.request(try, "POST", deadly))
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		time.Sleep(700 * time.Millisecond)
+	}
+	assert.Assert(t, seen.count() >= 3, "%d crashes", seen.count())
+	e.procs[0].kill()
+	assert.NilError(t, e.procs[0].start())
+	e.awaitReady()
+	time.Sleep(3 * time.Second) // the time after which the platform's bounds hold for a started instance
+	before := seen.count()
+	resp, err := http.DefaultClient.Do(e.request(0, "POST", deadly))
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Equal(t, seen.count(), before)
+}
