Process test for a part of prompts that ends workers

The rule on parts of prompts had a test on the coordination only. The stand-in worker can crash on a part now, as the users describe it: within its first event, with an answer that has no length and ends with its connection.

TestEdgesRefuseAPartThatEndsWorkers sends differing requests through three processes.

--- a/internal/transport/standin/fleet/worker.go
+++ b/internal/transport/standin/fleet/worker.go
@@ -24,10 +24,14 @@
 	// means never.
 	FailEvery int
 	// CrashOn is the path of requests that crash the worker when it begins to
-	// execute them; empty means none. After the crash, Crashed is called in a new
+	// execute them; empty means none. After the crash, OnCrash is called in a new
 	// goroutine.
 	CrashOn string
-	OnCrash func(w *Worker)
+	// CrashOnPart is the ID of a part of prompts that crashes the worker within the
+	// first event of its answer; empty means none. Its connections then end without a
+	// reset.
+	CrashOnPart string
+	OnCrash     func(w *Worker)
 	// Events is the number of events of each stream. 0 makes an application
 	// worker, which does not stream its answers.
 	Events      int
@@ -274,11 +278,38 @@
 		return
 	}
 	defer w.recordRun(Run{Request: id, Tenant: r.Header.Get("X-Tenant-Name"), ResumedAfter: after, FromKVCopy: copied, Prefilled: read, PromptPrefix: prompt, Key: r.Header.Get("Authorization")})()
+	if w.opts.CrashOnPart != "" && hasPart(prompt, w.opts.CrashOnPart) {
+		w.crashInEvent(rw, id)
+		return
+	}
 	w.setHeaders(rw, r)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	w.generate(rw, r, id, after)
 }
 
+// hasPart reports whether a prompt, given as ID:TOKENS entries, has a part.
+func hasPart(prompt, part string) bool {
+	for entry := range strings.SplitSeq(prompt, ",") {
+		if id, _, _ := strings.Cut(entry, ":"); id == part {
+			return true
+		}
+	}
+	return false
+}
+
+// crashInEvent answers without a length, ends the connection within the first event
+// and crashes.
+func (w *Worker) crashInEvent(rw http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(rw).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\nda", id) // the caller notices a truncated answer
+	_ = conn.Close()
+	w.fleet.Crash(w)
+	go w.opts.OnCrash(w)
+}
+
 func (w *Worker) generate(rw http.ResponseWriter, r *http.Request, id string, after int) {
 	control := http.NewResponseController(rw)
 	copyTo, copiedAt := r.Header.Get("X-Kv-Replica"), time.Now()
--- a/tests/e2e/crash_test.go
+++ b/tests/e2e/crash_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -134,3 +136,30 @@
 	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
 	assert.Equal(t, seen.count(), before)
 }
+
+// Guards against requests that differ, come through all instances, and crash workers one
+// after the other because their prompts have one part in common; and against refusals of
+// requests with their other parts.
+func TestEdgesRefuseAPartThatEndsWorkers(t *testing.T) {
+	t.Parallel()
+	e, seen := startCrashingEdges(t, fleet.WorkerOptions{CrashOnPart: "deadly"})
+	post := func(edge int, parts string) int {
+		req := e.request(edge, "POST", "/log/1")
+		req.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%s,own%d:100", parts, e.lastRequest))
+		req.Body = io.NopCloser(strings.NewReader(req.Header.Get("X-Attempt-Id")))
+		req.ContentLength = int64(len(req.Header.Get("X-Attempt-Id")))
+		status, _, _ := e.do(req)
+		return status
+	}
+	var statuses []int
+	for try := range 9 {
+		statuses = append(statuses, post(try%3, "first:200,deadly:300"))
+		time.Sleep(700 * time.Millisecond)
+	}
+	assert.Assert(t, seen.count() >= 3, "%d crashes, statuses %v", seen.count(), statuses)
+	assert.Assert(t, seen.count() <= 5, "%d crashes, statuses %v", seen.count(), statuses)
+	assert.Equal(t, statuses[len(statuses)-1], http.StatusServiceUnavailable, "%v", statuses)
+	for edge := range 3 {
+		assert.Equal(t, post(edge, "first:200"), http.StatusOK)
+	}
+}
