Treat a stream without any event as broken off

Cause: a worker may answer without a length, so that its answer ends with the connection. If it crashes between the head and the first event, that ended like a complete answer, and the caller got an empty stream as a whole one.

Change: a stream that ends before any event counts as broken off, unless its caller already has events.

TestStreamWithoutEventsIsNotComplete fails before the change (the caller's stream is complete) and passes with it.

--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -239,8 +239,14 @@
 		Info("stream resumed")
 }
 
-// handleStreamEnd completes the caller's stream when the attempt's stream has ended.
+// handleStreamEnd completes the caller's stream when the attempt's stream has ended. A
+// stream without any event has been broken off: an answer without a length ends in the
+// same way when its engine crashes.
 func (r *activeRequest) handleStreamEnd(a *attempt) {
+	if r.stream.accepted == 0 {
+		r.handleLoss(a, continuation.LossTruncated, "stream ended before its first event", true)
+		return
+	}
 	r.discardRequestedCopy(a)
 	r.endAttempt(a)
 	if !r.stream.headSent {
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -173,3 +173,32 @@
 		assert.DeepEqual(t, b.discardedHandles, []string{"handle-" + string(b.copyHolders[0])})
 	})
 }
+
+// Guards against a worker that crashes after the head of its answer, where an answer
+// without a length ends like a complete one: the caller would get an empty stream.
+func TestStreamWithoutEventsIsNotComplete(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		reply, _ := b.submit("/log/1")
+		b.lastSend().StreamBegan(200, nil)
+		b.lastSend().StreamEnded()
+		b.advance(time.Second)
+		assert.Assert(t, !reply.ended)
+		assert.Equal(t, len(b.sends), 2)
+		b.lastSend().StreamBegan(200, nil)
+		b.lastSend().event(1)
+		b.lastSend().StreamEnded()
+		b.advance(0)
+		assert.Assert(t, reply.ended)
+	})
+	t.Run("caller has all events", func(t *testing.T) {
+		withHarness(t, func(b *harness) {
+			request := b.request("/log/1")
+			request.LastPosition = 9
+			reply := b.submitRequest(request)
+			b.lastSend().StreamBegan(200, nil)
+			b.lastSend().StreamEnded()
+			b.advance(0)
+			assert.Assert(t, reply.ended)
+		})
+	})
+}
