Send the judge of a version the outcomes of all cells

Since a share is raised only on outcomes, and is larger in little traffic, a judge that takes its cell's traffic for all of it would let the target have several times the requests that it may get.

The name of the judge is the first live instance, as before.

TestJudgeGetsTheMoveCountsOfOtherCells has no counts before the change; TestMoveCountsArrive and the golden message guard the wire.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -206,12 +206,14 @@
 		Outcomes:    shared.outcomes,
 		Moves:       shared.moves,
 		Suspects:    shared.suspects,
+		Judge:       e.registry.RootReader,
 		Link:        link,
 		Log:         logger,
 	})
 	options := peerOptions(identity, self)
 	receiver := edgelink.Receiver{
 		States:        e.exchange.Receive,
+		MoveCounts:    e.exchange.ReceiveMoveCounts,
 		Suspects:      func(rows suspect.Rows) { shared.suspects.Merge(rows, time.Now()) },
 		KnownSuspects: func() suspect.Rows { return shared.suspects.Snapshot(time.Now()) },
 		Log:           logger,
@@ -219,9 +221,10 @@
 	options.Datagrams = receiver.Datagram
 	var err error
 	e.peerLink, err = peer.NewServer(options, peer.Mux{
-		peerwire.KindRegistry: edgelink.ServeNews(e.registry.ServePoll),
-		peerwire.KindState:    receiver,
-		peerwire.KindSuspects: receiver,
+		peerwire.KindRegistry:   edgelink.ServeNews(e.registry.ServePoll),
+		peerwire.KindState:      receiver,
+		peerwire.KindMoveCounts: receiver,
+		peerwire.KindSuspects:   receiver,
 	})
 	return err
 }
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -36,9 +36,17 @@
 	Outcomes    map[model.UpstreamID]outcome.Tally // of upstreams with recent bad outcomes
 }
 
+// MoveCounts are an instance's counts for the open version moves.
+type MoveCounts struct {
+	Instance model.InstanceID
+	Rows     []move.Row
+}
+
 // Link sends states. Its methods do not block; a state may be lost.
 type Link interface {
 	Send(to model.Instance, s State)
+	// SendMoveCounts sends counts, which may be lost.
+	SendMoveCounts(to model.Instance, c MoveCounts)
 	// ExchangeSuspects sends rows to an instance and calls received with the rows of
 	// that instance, unless it does not answer.
 	ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows))
@@ -83,8 +91,11 @@
 	Outcomes    *outcome.Table
 	Moves       *move.Table
 	Suspects    *suspect.Table
-	Link        Link
-	Log         log.Interface
+	// Judge returns the instance that judges version moves, and false if it is not
+	// known.
+	Judge func() (model.Instance, bool)
+	Link  Link
+	Log   log.Interface
 }
 
 // Manager exchanges states. The fields below opts are used only by items under key.
@@ -149,6 +160,7 @@
 // heartbeat.
 func (m *Manager) heartbeat() {
 	m.send()
+	m.sendMoveCounts()
 	m.markSilent(time.Now())
 	m.opts.Pool.After(heartbeatInterval, key, worker.Func(m.heartbeat))
 }
@@ -178,6 +190,27 @@
 	}
 }
 
+// sendMoveCounts sends the counts for open version moves to the judge if that is in
+// another cell: a bad version must be found before all cells together have sent it
+// more requests than it may get.
+func (m *Manager) sendMoveCounts() {
+	rows := m.opts.Moves.LocalRows()
+	judge, known := m.opts.Judge()
+	if len(rows) == 0 || !known || judge.ID == m.opts.Self.ID {
+		return
+	}
+	for _, in := range m.opts.Members() {
+		if in.ID == judge.ID {
+			return // the judge gets them with the state
+		}
+	}
+	m.opts.Link.SendMoveCounts(judge, MoveCounts{Instance: m.opts.Self.ID, Rows: rows})
+}
+
+// ReceiveMoveCounts applies another instance's counts for the open version moves. It
+// may be called from any goroutine.
+func (m *Manager) ReceiveMoveCounts(c MoveCounts) { m.opts.Moves.SetRemote(c.Instance, c.Rows) }
+
 // failureAges returns the ages of the failures that are still to be sent, and
 // drops the others.
 func (m *Manager) failureAges(now time.Time) map[model.UpstreamID]time.Duration {
--- a/internal/coordination/exchange/exchange_test.go
+++ b/internal/coordination/exchange/exchange_test.go
@@ -28,6 +28,8 @@
 	commitments  *commitment.Table
 	upstreams    *upstream.Table
 	suspects     *suspect.Table
+	moves        *move.Table
+	alone        atomic.Bool // the other instance is in another cell
 	disconnected atomic.Bool // the states that it sends are lost
 }
 
@@ -41,6 +43,9 @@
 	}
 }
 
+// SendMoveCounts implements Link.
+func (n network) SendMoveCounts(to model.Instance, c MoveCounts) { n[to.ID].ReceiveMoveCounts(c) }
+
 // ExchangeSuspects implements Link.
 func (n network) ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows)) {
 	n[with.ID].suspects.Merge(rows, time.Now())
@@ -62,14 +67,22 @@
 			commitments: commitment.NewTable(3 * time.Second),
 			upstreams:   upstream.NewTable(),
 			suspects:    suspect.NewTable(self.ID),
+			moves:       move.NewTable(),
 		}
 		for _, in := range all {
 			m.instances.Merge(in)
 		}
 		m.upstreams.Configure([]model.Upstream{{ID: "u", Serves: "s"}})
 		m.Manager = New(Options{
-			Pool: m.pool, Self: self, Instances: m.instances, Members: m.instances.All, Commitments: m.commitments,
-			Upstreams: m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: move.NewTable(), Suspects: m.suspects, Link: n, Log: &log.Logger{Handler: discard.Default},
+			Pool: m.pool, Self: self, Instances: m.instances, Commitments: m.commitments,
+			Members: func() []model.Instance {
+				if m.alone.Load() {
+					return []model.Instance{self}
+				}
+				return m.instances.All()
+			},
+			Judge:     func() (model.Instance, bool) { return all[0], true },
+			Upstreams: m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: m.moves, Suspects: m.suspects, Link: n, Log: &log.Logger{Handler: discard.Default},
 		})
 		n[self.ID] = m
 	}
@@ -187,3 +200,20 @@
 		assert.Equal(t, deaths, 1)
 	})
 }
+
+// Guards against a judge that knows the outcomes of its own cell only: while it waits
+// for evidence, the other cells go on to send requests to a bad version.
+func TestJudgeGetsTheMoveCountsOfOtherCells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, stop := startPair(t)
+		defer stop()
+		for _, m := range []*member{a, b} {
+			m.alone.Store(true)
+			m.moves.Apply(model.VersionMove{VersionOrder: model.VersionOrder{Service: "s", Target: "v2", Revision: 7}, State: model.MoveOpen}, time.Now())
+		}
+		b.moves.Record("s", "v2", "r", true)
+		time.Sleep(heartbeatInterval + time.Millisecond)
+		synctest.Wait()
+		assert.Equal(t, a.moves.Totals("s")["r"].New, move.Counts{Requests: 1, Failures: 1})
+	})
+}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -305,13 +305,17 @@
 
 // IsRootReader reports whether this instance reads the store for all others.
 func (m *Manager) IsRootReader() bool {
-	if !m.readsStore.Load() {
-		return false
-	}
+	root, known := m.RootReader()
+	return m.readsStore.Load() && known && root.ID == m.opts.Self.ID
+}
+
+// RootReader returns the instance that reads the store for all others, and false if no
+// instance is known to live.
+func (m *Manager) RootReader() (model.Instance, bool) {
 	for _, in := range m.opts.Instances.All() {
 		if in.State == model.InstanceLive {
-			return in.ID == m.opts.Self.ID
+			return in, true
 		}
 	}
-	return false
+	return model.Instance{}, false
 }
--- a/internal/protocol/peerwire/peerwire.go
+++ b/internal/protocol/peerwire/peerwire.go
@@ -46,6 +46,7 @@
 	KindSuspectPermit Kind = "suspect.permit"
 	KindSuspects      Kind = "suspects"
 	KindState         Kind = "state"
+	KindMoveCounts    Kind = "move.counts"
 	KindRegistry      Kind = "registry"
 	KindError         Kind = "error"
 )
@@ -55,7 +56,7 @@
 func (k Kind) Label() string {
 	switch k {
 	case KindView, KindReport, KindGossip, KindLogOpen, KindLogAppend, KindLogClose, KindLogFetch, KindLogFollow,
-		KindSuspectPermit, KindSuspects, KindState, KindRegistry, KindError:
+		KindSuspectPermit, KindSuspects, KindState, KindMoveCounts, KindRegistry, KindError:
 		return string(k)
 	}
 	return "other"
--- a/internal/protocol/peerwire/state.go
+++ b/internal/protocol/peerwire/state.go
@@ -75,12 +75,7 @@
 	for id, t := range s.Outcomes {
 		b.Outcomes = append(b.Outcomes, outcomeRow{Upstream: id, Ended: clampCount(int(math.Round(t.Requests / outcomeWeightUnit))), Bad: clampCount(int(math.Round(t.Bad / outcomeWeightUnit)))})
 	}
-	for _, r := range s.MoveCounts {
-		b.Trials = append(b.Trials, moveCountsRow{
-			Service: r.Service, Revision: r.Revision, Route: r.Route,
-			Old: r.Old.Requests, New: r.New.Requests, OldFailures: r.Old.Failures, NewFailures: r.New.Failures,
-		})
-	}
+	b.Trials = moveCountsRows(s.MoveCounts)
 	for id, age := range s.Failed {
 		if b.Failed == nil {
 			b.Failed = make(map[model.UpstreamID]uint32, len(s.Failed))
@@ -113,13 +108,7 @@
 		Failed:      make(map[model.UpstreamID]time.Duration, len(b.Failed)),
 		Outcomes:    make(map[model.UpstreamID]outcome.Tally, len(b.Outcomes)),
 	}
-	for _, r := range b.Trials {
-		s.MoveCounts = append(s.MoveCounts, move.Row{
-			Service: r.Service, Revision: r.Revision, Route: r.Route,
-			Old: move.Counts{Requests: r.Old, Failures: r.OldFailures},
-			New: move.Counts{Requests: r.New, Failures: r.NewFailures},
-		})
-	}
+	s.MoveCounts = moveRows(b.Trials)
 	for _, o := range b.Outcomes {
 		s.Outcomes[o.Upstream] = outcome.Tally{Requests: float64(o.Ended) * outcomeWeightUnit, Bad: float64(o.Bad) * outcomeWeightUnit}
 	}
@@ -136,3 +125,47 @@
 	}
 	return s, nil
 }
+
+// moveCountsBody is the wire form of an exchange.MoveCounts.
+type moveCountsBody struct {
+	Instance model.InstanceID `cbor:"1,keyasint"`
+	Rows     []moveCountsRow  `cbor:"2,keyasint,omitempty"`
+}
+
+// EncodeMoveCounts encodes an instance's counts for the open version moves.
+func EncodeMoveCounts(c exchange.MoveCounts) (Message, error) {
+	return encodeBody(KindMoveCounts, moveCountsBody{Instance: c.Instance, Rows: moveCountsRows(c.Rows)})
+}
+
+// DecodeMoveCounts decodes an instance's counts for the open version moves.
+func DecodeMoveCounts(m Message) (exchange.MoveCounts, error) {
+	b, err := decodeBody[moveCountsBody](KindMoveCounts, m)
+	if err != nil {
+		return exchange.MoveCounts{}, err
+	}
+	if b.Instance == "" {
+		return exchange.MoveCounts{}, trace.BadParameter("counts of version moves name no instance")
+	}
+	return exchange.MoveCounts{Instance: b.Instance, Rows: moveRows(b.Rows)}, nil
+}
+
+func moveCountsRows(rows []move.Row) (wire []moveCountsRow) {
+	for _, r := range rows {
+		wire = append(wire, moveCountsRow{
+			Service: r.Service, Revision: r.Revision, Route: r.Route,
+			Old: r.Old.Requests, New: r.New.Requests, OldFailures: r.Old.Failures, NewFailures: r.New.Failures,
+		})
+	}
+	return wire
+}
+
+func moveRows(wire []moveCountsRow) (rows []move.Row) {
+	for _, r := range wire {
+		rows = append(rows, move.Row{
+			Service: r.Service, Revision: r.Revision, Route: r.Route,
+			Old: move.Counts{Requests: r.Old, Failures: r.OldFailures},
+			New: move.Counts{Requests: r.New, Failures: r.NewFailures},
+		})
+	}
+	return rows
+}
--- a/internal/protocol/peerwire/state_test.go
+++ b/internal/protocol/peerwire/state_test.go
@@ -101,6 +101,10 @@
 			_, err := EncodeSuspects(rows)
 			assert.NilError(t, err)
 		}
+		if c, err := DecodeMoveCounts(Message{Kind: KindMoveCounts, Body: body}); err == nil {
+			_, err := EncodeMoveCounts(c)
+			assert.NilError(t, err)
+		}
 		if ask, err := DecodeNewsAsk(Message{Kind: KindRegistry, Body: body}); err == nil {
 			assert.Assert(t, ask.Wait >= 0)
 		}
--- a/internal/transport/edgelink/edgelink.go
+++ b/internal/transport/edgelink/edgelink.go
@@ -40,6 +40,16 @@
 	l.send(to, m)
 }
 
+// SendMoveCounts implements exchange.Link.
+func (l *Link) SendMoveCounts(to model.Instance, c exchange.MoveCounts) {
+	m, err := peerwire.EncodeMoveCounts(c)
+	if err != nil {
+		l.log.WithError(err).Error("counts of version moves not sent: they cannot be encoded")
+		return
+	}
+	l.send(to, m)
+}
+
 // SendSuspects sends rows about requests that are suspected of ending upstreams.
 func (l *Link) SendSuspects(to []model.Instance, rows suspect.Rows) {
 	m, err := peerwire.EncodeSuspects(rows)
@@ -91,8 +101,9 @@
 
 // Receiver handles the messages of other instances.
 type Receiver struct {
-	States   func(exchange.State)
-	Suspects func(suspect.Rows)
+	States     func(exchange.State)
+	MoveCounts func(exchange.MoveCounts)
+	Suspects   func(suspect.Rows)
 	// KnownSuspects returns the rows with which suspects that arrive on a stream are
 	// answered.
 	KnownSuspects func() suspect.Rows
@@ -104,6 +115,8 @@
 	switch m.Kind {
 	case peerwire.KindState:
 		r.state(from, m)
+	case peerwire.KindMoveCounts:
+		r.moveCounts(from, m)
 	case peerwire.KindSuspects:
 		r.suspects(from, m)
 	default:
@@ -137,6 +150,17 @@
 	r.States(s)
 }
 
+// moveCounts passes on counts that were sent by the instance that they name.
+func (r Receiver) moveCounts(from peer.Peer, m peerwire.Message) {
+	c, err := peerwire.DecodeMoveCounts(m)
+	if err != nil || string(c.Instance) != from.Name {
+		r.Log.WithField("part", "edgelink").WithField("instance", from.Name).WithError(err).
+			Warn("counts of version moves dropped: they are malformed or name another instance")
+		return
+	}
+	r.MoveCounts(c)
+}
+
 func (r Receiver) suspects(from peer.Peer, m peerwire.Message) {
 	rows, err := peerwire.DecodeSuspects(m)
 	if err != nil {
--- a/internal/transport/edgelink/edgelink_test.go
+++ b/internal/transport/edgelink/edgelink_test.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer/devcert"
@@ -29,7 +30,7 @@
 	}
 	o := options("b")
 	o.Datagrams = receive.Datagram
-	server, err := peer.NewServer(o, peer.Mux{peerwire.KindState: receive, peerwire.KindSuspects: receive})
+	server, err := peer.NewServer(o, peer.Mux{peerwire.KindState: receive, peerwire.KindMoveCounts: receive, peerwire.KindSuspects: receive})
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, server.Close()) })
 	client, err := peer.NewClient(options("a"))
@@ -113,3 +114,23 @@
 		}
 	}
 }
+
+// Guards against counts of version moves that do not reach the judge, and against counts
+// that one instance sends in the name of another.
+func TestMoveCountsArrive(t *testing.T) {
+	got := make(chan exchange.MoveCounts, 1)
+	receive := Receiver{MoveCounts: func(c exchange.MoveCounts) { got <- c }, Log: &log.Logger{Handler: discard.Default}}
+	link, server := connect(t, receive)
+	counts := exchange.MoveCounts{Instance: "a", Rows: []move.Row{{Service: "s", Revision: 7, Route: "r", Old: move.Counts{Requests: 9, Failures: 1}, New: move.Counts{Requests: 3, Failures: 2}}}}
+	link.SendMoveCounts(model.Instance{ID: "b", ControlAddress: server.Address()}, counts)
+	select {
+	case received := <-got:
+		assert.DeepEqual(t, received, counts)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the counts did not arrive")
+	}
+	m, err := peerwire.EncodeMoveCounts(counts)
+	assert.NilError(t, err)
+	receive.Datagram(peer.Peer{Name: "c"}, m)
+	assert.Equal(t, len(got), 0)
+}
--- a/tests/golden/messages_test.go
+++ b/tests/golden/messages_test.go
@@ -82,6 +82,7 @@
 		sampleOf("suspect.permit reply", nil, peerwire.EncodePermitReply, peerwire.DecodePermitReply),
 		sampleOf[suspect.Rows]("suspects", nil, peerwire.EncodeSuspects, peerwire.DecodeSuspects),
 		sampleOf[exchange.State]("state", nil, peerwire.EncodeState, peerwire.DecodeState),
+		sampleOf("move.counts", nil, peerwire.EncodeMoveCounts, peerwire.DecodeMoveCounts),
 		sampleOf("registry", nil,
 			func(r registryRequest) (peerwire.Message, error) { return peerwire.EncodeNewsAsk(r.Known, r.Wait) },
 			func(m peerwire.Message) (registryRequest, error) {
