Bound the memory of answers that do not end

Cause: an answer was read up to 16 MiB, and its head up to the 10 MB that net/http allows, for each request. A worker that sends bytes without end takes 11 to 18 MB for each request that it has; the smallest instances have 136 MB, and one that runs out of memory ends the requests of all its callers.

Change: heads of answers have at most 64 KiB, at every client of another program. All answers and events that an instance is reading share 32 MiB beyond the first 64 KiB of each (64 MiB for plain services behind entryd); an answer that finds no room is a broken one, and its connection is closed.

--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -17,6 +17,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -29,7 +30,10 @@
 	dialTimeout = 400 * time.Millisecond
 	// maxAnswerBytes bounds the memory of one whole answer.
 	maxAnswerBytes = 16 << 20
-	maxIdlePerHost = 4
+	// maxBufferedBytes bounds the memory of all answers and events that are being
+	// read, a quarter of that of the smallest instances on the users' platform.
+	maxBufferedBytes = 32 << 20
+	maxIdlePerHost   = 4
 	// idleTimeout is shorter than the idle timeout of common upstreams: they may
 	// close an idle connection while a request is on its way to them.
 	idleTimeout = 2 * time.Second
@@ -42,6 +46,7 @@
 	engine   EngineAPI
 	unpooled *http.Transport // opens a connection for each request
 	pooled   *http.Transport // for requests that may run more than once
+	memory   *answerlimit.Budget
 	tracer   oteltrace.Tracer
 }
 
@@ -52,6 +57,7 @@
 		engine:   engine,
 		unpooled: newTransport(false),
 		pooled:   newTransport(true),
+		memory:   answerlimit.NewBudget(maxBufferedBytes),
 		tracer:   otel.Tracer(tracerName),
 	}
 }
@@ -64,6 +70,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
 	}
 }
 
@@ -140,17 +148,16 @@
 		receiver.Lost(continuation.LossWrongStream, "answer has the ID of another request", true)
 	case s.Stream && in.StatusCode == http.StatusOK:
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
-		readEvents(in.Body, receiver)
+		readEvents(in.Body, c.memory, receiver)
 	default:
 		c.readAnswer(in, verdict, receiver)
 	}
 }
 
 func (c *Client) readAnswer(in *http.Response, verdict forwardwire.Verdict, receiver forward.Receiver) {
-	body, err := io.ReadAll(io.LimitReader(in.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = errAnswerTooLarge
-	}
+	reserved := c.memory.Reserve()
+	defer reserved.Release()
+	body, err := reserved.ReadAll(in.Body, maxAnswerBytes)
 	if err != nil && !verdict.NotRun {
 		receiver.Lost(continuation.LossTruncated, err.Error(), true)
 		return
@@ -165,8 +172,6 @@
 	})
 }
 
-var errAnswerTooLarge = errors.New("answer is larger than 16 MiB")
-
 // lossOf returns the kind of loss: a failed connection attempt, a timeout, or a
 // broken connection.
 func lossOf(err error, sent bool) continuation.Loss {
--- a/internal/transport/backend/events.go
+++ b/internal/transport/backend/events.go
@@ -9,6 +9,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 )
 
 const (
@@ -24,11 +25,13 @@
 
 // readEvents passes the events of a stream to the receiver until the stream
 // ends. Events that are buffered already are passed together.
-func readEvents(body io.Reader, receiver forward.Receiver) {
+func readEvents(body io.Reader, memory *answerlimit.Budget, receiver forward.Receiver) {
 	in := bufio.NewReaderSize(body, readBufferBytes)
+	reserved := memory.Reserve()
+	defer reserved.Release()
 	var batch []forward.Event
 	for {
-		event, err := readEvent(in)
+		event, err := readEvent(in, reserved)
 		if err == nil {
 			batch = append(batch, event)
 			if in.Buffered() > 0 {
@@ -58,10 +61,14 @@
 }
 
 // readEvent reads up to the blank line that closes an event.
-func readEvent(in *bufio.Reader) (forward.Event, error) {
+func readEvent(in *bufio.Reader, reserved *answerlimit.Reservation) (forward.Event, error) {
+	reserved.Release() // of the event before
 	var raw []byte
 	for {
 		line, err := in.ReadSlice('\n')
+		if !reserved.Grow(2 * (len(raw) + len(line))) { // append may double the buffer
+			return forward.Event{}, answerlimit.ErrBudget
+		}
 		raw = append(raw, line...)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
--- a/internal/transport/backend/events_test.go
+++ b/internal/transport/backend/events_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"gotest.tools/v3/assert"
 )
 
@@ -42,10 +43,14 @@
 	}
 	for _, c := range cases {
 		for _, read := range []func(*strings.Reader) *recorder{
-			func(in *strings.Reader) *recorder { r := &recorder{}; readEvents(in, r); return r },
 			func(in *strings.Reader) *recorder {
 				r := &recorder{}
-				readEvents(iotest.OneByteReader(in), r)
+				readEvents(in, answerlimit.NewBudget(maxBufferedBytes), r)
+				return r
+			},
+			func(in *strings.Reader) *recorder {
+				r := &recorder{}
+				readEvents(iotest.OneByteReader(in), answerlimit.NewBudget(maxBufferedBytes), r)
 				return r
 			},
 		} {
@@ -64,7 +69,7 @@
 	f.Add([]byte("id:18446744073709551615\n\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		got := &recorder{}
-		readEvents(bytes.NewReader(stream), got)
+		readEvents(bytes.NewReader(stream), answerlimit.NewBudget(maxBufferedBytes), got)
 		assert.Assert(t, got.ended != (got.loss != ""))
 		var joined []byte
 		for _, e := range got.events {
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -24,6 +24,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel"
@@ -66,6 +67,8 @@
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
 		}},
 		tracer:      otel.Tracer("sequoiavalve/engine"),
 		connections: map[model.StreamID][]*connection{},
--- a/internal/transport/engine/orders.go
+++ b/internal/transport/engine/orders.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/order"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -35,7 +36,7 @@
 // NewOrders returns an Orders.
 func NewOrders() *OrderClient {
 	return &OrderClient{
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: answerlimit.MaxHeadBytes}},
 		tracer: otel.Tracer("sequoiavalve/orders"),
 	}
 }
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -26,6 +26,7 @@
 	oteltrace "go.opentelemetry.io/otel/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
@@ -90,6 +91,8 @@
 			MaxIdleConnsPerHost: maxIdleConns,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/internal/transport/probe/probe.go
+++ b/internal/transport/probe/probe.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 )
 
 const maxHealthBytes = 64 << 10
@@ -24,7 +25,7 @@
 
 // New returns a Prober.
 func New() *Prober {
-	return &Prober{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}}}
+	return &Prober{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: answerlimit.MaxHeadBytes}}}
 }
 
 // Probe asks one upstream. The report has no sequence number.
--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -4,7 +4,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -17,6 +16,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/hop"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -29,6 +29,8 @@
 	// maxResponseBytes limits the memory of one response. A larger response
 	// ends the call with an unknown outcome, since it cannot be passed on in full.
 	maxResponseBytes = 16 << 20
+	// maxBufferedBytes limits the memory of all responses that are being read.
+	maxBufferedBytes = 64 << 20
 	maxIdlePerHost   = 16
 	idleTimeout      = 30 * time.Second
 	tracerName       = "github.com/sequoiavalve/sequoiavalve/internal/transport/service"
@@ -38,6 +40,7 @@
 type Client struct {
 	unpooled *http.Transport // opens a connection for each call; for calls that must not be repeated
 	pooled   *http.Transport // for idempotent calls
+	memory   *answerlimit.Budget
 }
 
 // New returns a client.
@@ -45,6 +48,7 @@
 	return &Client{
 		unpooled: newTransport(false),
 		pooled:   newTransport(true),
+		memory:   answerlimit.NewBudget(maxBufferedBytes),
 	}
 }
 
@@ -56,6 +60,8 @@
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
 	}
 }
 
@@ -109,7 +115,9 @@
 		return call.Response{}, &call.SendError{Sent: sent.Load(), Err: trace.ConnectionProblem(err, "upstream %q", upstream.ID)}
 	}
 	defer func() { _ = in.Body.Close() }() // readBody reports a failed read
-	body, err := readBody(in.Body)
+	reserved := c.memory.Reserve()
+	defer reserved.Release()
+	body, err := reserved.ReadAll(in.Body, maxResponseBytes)
 	if err != nil {
 		return call.Response{}, &call.SendError{Sent: true, Err: trace.ConnectionProblem(err, "response of upstream %q", upstream.ID)}
 	}
@@ -145,16 +153,3 @@
 	tracecontext.ToHeader(ctx, out.Header)
 	return out, nil
 }
-
-var errResponseTooLarge = errors.New("response body is too large")
-
-func readBody(in io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(in, maxResponseBytes+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return body, nil
-}
