--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -102,6 +102,7 @@
 	header          Header
 	cancel          func()
 	eventCount      int  // events that this attempt delivered
+	staleEvents     int  // events of this attempt that the caller had already
 	outcomeRecorded bool // the outcome has been recorded
 }
 
@@ -126,7 +127,7 @@
 	}
 	r.notifyWorkChanged(a)
 	s.Upstream, s.Request, s.Organisation, s.Deadline = a.upstream, r.req, r.organisation, r.deadline
-	a.cancel = r.m.opts.Sender.Start(s, &receiver{r, a.number})
+	a.cancel = r.m.opts.Sender.Start(s, &receiver{r: r, number: a.number})
 }
 
 // endAttempt cancels an attempt and releases its commitments.
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -17,6 +17,9 @@
 	defaultMaxGap = 2 * time.Second
 	// defaultObjective is the latency objective of routes that do not set one.
 	defaultObjective = 5 * time.Second
+	// maxStaleEvents bounds the events of an attempt that the caller has already. An
+	// engine that ignores the position from which to go on repeats a stream once.
+	maxStaleEvents = 4096
 	// replaceInterval is the time between two attempts to find an engine.
 	replaceInterval = 50 * time.Millisecond
 )
@@ -178,6 +181,10 @@
 	from := continuation.Connection{Number: a.number}
 	for _, e := range events {
 		if e.Position <= r.stream.accepted {
+			if a.staleEvents++; a.staleEvents > maxStaleEvents {
+				r.handleLoss(a, continuation.LossGap, "events repeat", true)
+				return
+			}
 			continue
 		}
 		verdict, _ := continuation.Accept(a.continuationState(), int(r.stream.accepted), from, int(e.Position)-1, 1)
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"gotest.tools/v3/assert"
 )
@@ -202,3 +203,41 @@
 		})
 	})
 }
+
+// Guards against an engine that sends the same events without end: the instance would
+// read them until the caller's deadline.
+func TestEngineThatRepeatsItsEventsIsLeft(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		reply, _ := b.submit("/log/1")
+		first := b.lastSend()
+		for range 2 * maxStaleEvents {
+			first.event(1)
+		}
+		assert.Equal(t, len(b.sends), 2)
+		assert.Assert(t, first.cancelled)
+		b.lastSend().event(2)
+		b.lastSend().StreamEnded()
+		b.advance(0)
+		assert.Assert(t, reply.ended)
+		assert.Equal(t, reply.events, "id: 1\n\nid: 2\n\n")
+	})
+}
+
+// Guards against an engine that sends events faster than they are handled: they would
+// wait in memory without a bound.
+func TestEventsThatWaitAreBounded(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.submit("/log/1")
+		first, release := b.lastSend(), make(chan struct{})
+		b.pool.Post("forward/1", worker.Func(func() { <-release }))
+		raw := make([]byte, 64<<10)
+		for p := range Position(10 * maxWaitingEventBytes / len(raw)) {
+			first.EventsArrived([]Event{{Position: p + 1, Raw: raw}})
+		}
+		close(release)
+		b.advance(0)
+		assert.Assert(t, first.cancelled)
+		assert.Equal(t, len(b.sends), 2)
+		assert.Assert(t, int(b.lastSend().LastPosition) <= maxWaitingEventBytes/len(raw)+1)
+	})
+}
