Read the rows around one that cannot be read

Change: responses are split by brackets and strings first (jsonsplit, no recursion), and each row and entry is decoded by itself. What cannot be read is logged and names no upstream.

--- a/internal/protocol/platformapi/entry.go
+++ b/internal/protocol/platformapi/entry.go
@@ -1,6 +1,14 @@
 package platformapi
 
-import "github.com/sequoiavalve/sequoiavalve/internal/state/model"
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+
+	"github.com/gravitational/trace"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/jsonsplit"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+)
 
 // Kinds of entries in the platform's list. Upstreams use the names of
 // model.UpstreamKind.
@@ -43,6 +51,53 @@
 	Entries []Entry `json:"entries"`
 }
 
+// DecodeEntryList decodes the list. Each entry is decoded by itself: others write to the
+// list too, and an entry of theirs that cannot be read must not hide the rest. skipped
+// says why entries were left out.
+func DecodeEntryList(body []byte) (list EntryList, skipped []error, err error) {
+	fields, err := jsonsplit.Object(body)
+	if err != nil {
+		return EntryList{}, nil, err
+	}
+	if raw := string(fields["entries"]); raw == "" || raw == "null" {
+		return EntryList{}, nil, nil
+	}
+	entries, err := jsonsplit.Array(fields["entries"])
+	if err != nil {
+		return EntryList{}, nil, trace.Wrap(err, "entries")
+	}
+	for _, text := range entries {
+		var entry Entry
+		err := json.Unmarshal(text, &entry)
+		if err == nil {
+			err = entry.checkAddresses()
+		}
+		if err != nil {
+			skipped = append(skipped, err)
+			continue
+		}
+		list.Entries = append(list.Entries, entry)
+	}
+	return list, skipped, nil
+}
+
+// checkAddresses returns an error for an address that cannot be connected to.
+func (e Entry) checkAddresses() error {
+	for _, address := range []string{e.Address, e.CallerAddress, e.EntryAddress, e.ControlAddress} {
+		if address == "" {
+			continue
+		}
+		_, port, err := net.SplitHostPort(address)
+		if err == nil {
+			_, err = strconv.ParseUint(port, 10, 16)
+		}
+		if err != nil {
+			return trace.BadParameter("entry %q: address %q is not HOST:PORT", e.ID, address)
+		}
+	}
+	return nil
+}
+
 // InstanceEntry returns the entry of an instance. Of the instance states, an entry
 // publishes only leaving; the others are what other instances suspect.
 func InstanceEntry(instance model.Instance) Entry {
--- a/internal/protocol/platformapi/platformapi_test.go
+++ b/internal/protocol/platformapi/platformapi_test.go
@@ -1,7 +1,9 @@
 package platformapi
 
 import (
+	"encoding/json"
 	"net/url"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -35,3 +37,23 @@
 	assert.DeepEqual(t, entry.Upstream(), upstream)
 	assert.Assert(t, entry.Leaving())
 }
+
+// Guards against one odd entry, which another writer left, that hides the whole list:
+// instances would no longer learn of upstreams that leave.
+func TestOddEntryDoesNotHideOthers(t *testing.T) {
+	deep := strings.Repeat("[", 20_000) + strings.Repeat("]", 20_000)
+	sound := Entry{ID: "u1", Kind: KindEngine, Status: StatusLive, Address: "127.0.0.1:4"}
+	encoded, err := json.Marshal(sound)
+	assert.NilError(t, err)
+	for _, odd := range []string{
+		`{"id":"odd","x":` + deep + `}`, `{"id":7}`, `{"id":"odd","incarnation":1e400}`, `7`,
+		`{"id":"odd","kind":"engine","address":"127.0.0.1:65536"}`, `{"id":"odd","kind":"engine","address":"127.0.0.1"}`,
+	} {
+		list, skipped, err := DecodeEntryList([]byte(`{"entries":[` + odd + `,` + string(encoded) + `]}`))
+		assert.NilError(t, err)
+		assert.Equal(t, len(skipped), 1)
+		assert.DeepEqual(t, list.Entries, []Entry{sound})
+	}
+	_, _, err = DecodeEntryList([]byte(`{"entries":`))
+	assert.Assert(t, err != nil)
+}
--- a/internal/transport/platform/directory.go
+++ b/internal/transport/platform/directory.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/apex/log"
 	"github.com/gravitational/trace"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
@@ -46,10 +47,13 @@
 	if err != nil {
 		return Machines{}, err
 	}
-	var list platformapi.EntryList
-	if err := json.Unmarshal(got.body, &list); err != nil {
+	list, skipped, err := platformapi.DecodeEntryList(got.body)
+	if err != nil {
 		return Machines{}, trace.Wrap(err, "list of instances cannot be decoded")
 	}
+	for _, cause := range skipped {
+		log.WithField("part", "platform").WithError(cause).Warn("unreadable entry of the list is ignored")
+	}
 	machines := Machines{UncompressedBytes: len(got.body)}
 	for _, entry := range list.Entries {
 		switch entry.Kind {
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -419,6 +419,41 @@
 	t.Fatal("no worker ran the stream")
 }
 
+// Guards against instances that end, or stop following the list of upstreams, because
+// another writer left odd entries in it.
+func TestEdgesOutliveOddEntries(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 2)
+	e.publishRules()
+	e.awaitReady()
+	for key, entry := range map[string]string{
+		"nested":   strings.Repeat("[", 50_000) + strings.Repeat("]", 50_000),
+		"overflow": `{"service":"desk","address":"127.0.0.1:80","state":"available","slots":1e400,"sequence":18446744073709551616}`,
+		"slots":    `{"service":"desk","address":"127.0.0.1:1","state":"available","slots":9223372036854775807}`,
+		"port":     `{"service":"desk","address":"127.0.0.1:65536","state":"available","slots":6}`,
+		"a\r\nb":   `{"service":"desk","address":"127.0.0.1:80","state":"available","slots":6}`,
+		"bytes":    "\xff\xfe",
+	} {
+		e.fleet.Store.Put("servers", key, []byte(entry))
+	}
+	time.Sleep(time.Second) // the entries are read each 0.6 s
+	for range 20 {
+		status, _, _ := e.do(e.request(0, "POST", "/book/1"))
+		assert.Equal(t, status, http.StatusOK)
+	}
+	for _, w := range e.fleet.Workers("desk") {
+		e.fleet.Store.Remove("servers", w.ID())
+		e.fleet.Crash(w)
+	}
+	e.add(fleet.WorkerOptions{ID: "new", Service: "desk", Zone: "a", Slots: 6, WorkTime: 20 * time.Millisecond})
+	time.Sleep(2 * time.Second) // the time within which the list must be followed
+	for i := range e.procs {
+		status, _, _ := e.do(e.request(i, "POST", "/book/1"))
+		assert.Equal(t, status, http.StatusOK)
+		assert.Assert(t, e.procs[i].running())
+	}
+}
+
 // Guards against a process that SIGHUP ends while it starts. The start blocks
 // because the settings file is a named pipe that nobody writes to.
 func TestReloadDuringTheStartDoesNotEndTheProcess(t *testing.T) {
