Gossip: do not raise versions past entries that were not sent

The test prints now what each instance knows when a start fails: one control process never learned of one instance that all others knew.

Cause: after a reply to its digest, an instance sends the peer what it is missing, with the versions that the peer has then. If the instance learned of another one between its digest and the reply, its roster differs from the one that the reply's vector refers to, the vector cannot be read, and no entries are collected; the versions were sent all the same, by name. The peer then took the new instance's entries for received, its record among them, and never asked for them again.

Change: the versions are sent only if the peer's vector was read. A receiver does not raise the version of an origin whose record it does not have, for pushes of earlier builds.

--- a/internal/coordination/gossip/exchange.go
+++ b/internal/coordination/gossip/exchange.go
@@ -112,17 +112,21 @@
 		}
 	}
 	c := &collector{store: s, peerRegion: e.Digest.Region}
+	ownRegionMerged := false
 	for _, v := range e.Digest.Vectors {
-		s.mergeVector(sent, v, updated, c, now)
+		merged := s.mergeVector(sent, v, updated, c, now)
+		ownRegionMerged = ownRegionMerged || merged && v.Region == s.self.region
 	}
-	return s.push(e.Digest, c)
+	return s.push(e.Digest, c, ownRegionMerged)
 }
 
 // advanceVector returns the versions that a peer of the same region has after
 // a push. With them heartbeats spread in both directions of an exchange:
-// without them, one in 6,000 pairs of 160 instances was silent for 3 s.
-func (s *Store) advanceVector(d *Digest, c *collector) *VersionVector {
-	if c.peerRegion != s.self.region || c.entries >= maxDeltaEntries {
+// without them, one in 6,000 pairs of 160 instances was silent for 3 s. merged says
+// that the peer's vector was merged, so that the push has what the peer is missing. A
+// vector without names is not if this instance's roster has changed since its digest.
+func (s *Store) advanceVector(d *Digest, c *collector, merged bool) *VersionVector {
+	if !merged || c.peerRegion != s.self.region || c.entries >= maxDeltaEntries {
 		return nil
 	}
 	for _, v := range d.Vectors {
@@ -134,7 +138,8 @@
 	return nil
 }
 
-// mergeAdvance raises the versions of origins to those that a push ends with.
+// mergeAdvance raises the versions of origins to those that a push ends with. An origin
+// without a record has entries to come: a push of an earlier build may leave them out.
 func (s *Store) mergeAdvance(v *VersionVector, now time.Time) {
 	if v == nil || v.Region != s.self.region {
 		return
@@ -145,7 +150,7 @@
 	}
 	s.recordHeartbeats(versions, v.Region, now)
 	for _, o := range s.roster(v.Region).origins {
-		if o != s.self {
+		if o != s.self && o.record != nil {
 			o.version = max(o.version, versions[o.id])
 		}
 	}
@@ -153,11 +158,11 @@
 
 // mergeVector merges one vector of a reply: it raises the versions of origins
 // for which the peer had no entries, and collects the entries that the peer is
-// missing.
-func (s *Store) mergeVector(sent *Digest, v VersionVector, updated map[Origin]bool, c *collector, now time.Time) {
+// missing. It reports false if it cannot tell the origins of the vector.
+func (s *Store) mergeVector(sent *Digest, v VersionVector, updated map[Origin]bool, c *collector, now time.Time) bool {
 	versions, ok := s.resolve(v)
 	if !ok {
-		return
+		return false
 	}
 	sameRoster := !v.Named && sentRoster(sent, v.Region) == v.Roster
 	s.recordHeartbeats(versions, v.Region, now)
@@ -175,6 +180,7 @@
 			o.version = version
 		}
 	}
+	return true
 }
 
 func sentRoster(sent *Digest, region string) uint64 {
@@ -187,9 +193,10 @@
 }
 
 // push returns the delta that answers the digest of a peer's reply, or nil if
-// the peer is missing nothing.
-func (s *Store) push(d *Digest, c *collector) *Delta {
-	delta := &Delta{Updates: c.updates, ResultingVersions: s.advanceVector(d, c)}
+// the peer is missing nothing. ownRegionMerged says that the peer's vector of this
+// region was merged.
+func (s *Store) push(d *Digest, c *collector, ownRegionMerged bool) *Delta {
+	delta := &Delta{Updates: c.updates, ResultingVersions: s.advanceVector(d, c, ownRegionMerged)}
 	s.addSets(delta, d.Sets)
 	delta.Steps, delta.Document = s.history.since(d.Document)
 	if delta.Empty() {
--- a/tests/e2e/cluster_test.go
+++ b/tests/e2e/cluster_test.go
@@ -74,11 +74,12 @@
 	for range 3 { // retry, because another process can take a port between its choice and its use
 		c := &cluster{plan: p, dir: t.TempDir()}
 		t.Cleanup(c.stop)
+		started := time.Now()
 		if err = c.run(t); err == nil {
 			t.Cleanup(func() { c.report(t) })
 			return c
 		}
-		c.report(t)
+		t.Logf("cluster did not start within %v: %v\n%s", time.Since(started).Round(time.Millisecond), err, c.startState())
 		c.stop()
 	}
 	t.Fatal(err)
@@ -241,6 +242,24 @@
 	return nil
 }
 
+// startState describes how far each instance of a cluster got that did not start, with
+// the last log lines of its processes.
+func (c *cluster) startState() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "platform: status %d\n", httpStatus(c.platform+"/stats"))
+	for i, address := range c.callerAddrs {
+		known, err := callerclient.New("", address).Endpoints(context.Background(), address)
+		fmt.Fprintf(&b, "instance %d: readiness %d, %d endpoints, error %v\n", i, httpStatus("http://"+address+"/readyz"), len(known.Endpoints), err)
+	}
+	for _, address := range slices.Concat(c.callerAddrs, c.metricsAddrs) {
+		fmt.Fprintf(&b, "instances at %s: %s\n", address, getText("http://"+address+debugapi.InstancesPath))
+	}
+	for _, p := range c.processes() {
+		fmt.Fprintf(&b, "--- log of %s, running %v ---\n%s\n", p.name, p.running(), p.tail(12))
+	}
+	return b.String()
+}
+
 // converged reports whether each instance is ready and lists all instances as
 // endpoints.
 func (c *cluster) converged() bool {
@@ -282,6 +301,21 @@
 	return resp.StatusCode
 }
 
+// getText returns the body of a GET, or the error.
+func getText(url string) string {
+	client := http.Client{Timeout: time.Second}
+	resp, err := client.Get(url)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(body)
+}
+
 // setFaults sets the faults that a stand-in injects.
 func setFaults(t testing.TB, address, body string) {
 	t.Helper()
