--- a/internal/coordination/versions/decide.go
+++ b/internal/coordination/versions/decide.go
@@ -112,7 +112,7 @@
 	if m.Step > stepOrdered && elapsed >= fractionOf(m.Within, giveUpFraction) && !s.mayRaise() {
 		return s.nextRecord(model.MoveTakenBack, 0, "too few good outcomes in the time for the move"), true
 	}
-	due := false
+	var due bool
 	switch {
 	case m.Step == stepOrdered:
 		due = true
