Poll another member at once after a failed read of the store

Cause, found by reading: after a failed read of its own, an instance waited 1 s before it polled another member, which may have read the store. With a reader that does not answer (0.7 s) and a read that times out (0.8 s) that makes 2.5 s.

Change: the pause is left out if the next source is another instance. The pause between reads of the store itself stays.

TestInstanceWithoutReaderAndStorePollsAnotherMemberAtOnce fails before the change in the first of ten phases and passes with it in all, as does the limit on calls during an outage.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -72,6 +72,9 @@
 			wait = m.retryWait()
 			if m.opts.Peers != nil {
 				m.avoidUntil[m.opts.Self.ID] = time.Now().Add(avoidReaderFor)
+				if m.reader(time.Now()).ID != m.opts.Self.ID {
+					wait = 0 // another instance may have read the store
+				}
 			}
 		default:
 			delete(m.avoidUntil, m.opts.Self.ID)
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -452,3 +452,26 @@
 		})
 	}
 }
+
+// Guards against a pause after a failed read of the store while another member could be
+// polled: together with a reader that does not answer, a leaving upstream would get work
+// for too long.
+func TestInstanceWithoutReaderAndStorePollsAnotherMemberAtOnce(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCell(t, w, "a", "b", "c", "d")
+			defer c.close()
+			time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
+			c["a"].unresponsive.Store(true)
+			c["d"].store.hangs.Store(true)
+			w.change(func() {
+				w.entries["u1"] = entryOf("u1", true, 2)
+				w.revision = 11
+			})
+			time.Sleep(2 * time.Second) // LeaveTimeout
+			row, _ := c["d"].upstreams.Get("u1")
+			assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "phase %d", phase)
+		})
+	}
+}
