Believe an upstream that says in an answer that it leaves

No request that a caller sent later than drainMs after this instance passed on such an answer may reach that worker from this instance, whether the store can be reached or not.

Change: the mark is decoded with the answer and counts before the answer is passed on. It is final for the incarnation of the upstream, streams there go on, and the next start at the address takes requests. The cell gets it with the state for 3 s, by incarnation. A 421 of another upstream at the address, or an answer to another request, does not count. One log line with the request's ID, one counter (forward_upstreams_leaving).

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -156,6 +156,7 @@
 		Policy:           opts.Policy,
 		StateChanged:     e.exchange.StateChanged,
 		SuccessorFound:   e.registry.UpstreamDiscovered,
+		UpstreamLeft:     e.exchange.UpstreamLeft,
 		ConnectionFailed: e.exchange.ConnectionFailed,
 		PublishCrashes: func(rows suspect.Rows, widely bool) {
 			link.SendSuspects(e.livePeers(widely), rows)
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -34,6 +34,7 @@
 	Failed      map[model.UpstreamID]time.Duration // time since the instance failed to connect
 	MoveCounts  []move.Row                         // counts for the open version moves
 	Outcomes    map[model.UpstreamID]outcome.Tally // of upstreams with recent bad outcomes
+	Left        map[model.UpstreamID]uint64        // incarnations of upstreams that said that they leave
 }
 
 // MoveCounts are an instance's counts for the open version moves.
@@ -69,6 +70,9 @@
 // have received the failure or have failed to connect themselves.
 const failureTTL = time.Second
 
+// leftTTL is how long it is sent that an upstream leaves. The store has it by then.
+const leftTTL = 3 * time.Second
+
 // partTTL is how long a placed prompt is sent. It is longer than
 // heartbeatInterval, so that each prompt is in at least one heartbeat.
 const partTTL = 1200 * time.Millisecond
@@ -106,7 +110,8 @@
 	sendScheduled   bool // a state is about to be sent
 	peers           map[model.InstanceID]peerState
 	connectFailures map[model.UpstreamID]time.Time // last connection failure of this instance to each upstream
-	suspectsAnswers int                            // instances that have answered with their suspects
+	leftUpstreams   map[model.UpstreamID]leftUpstream
+	suspectsAnswers int // instances that have answered with their suspects
 }
 
 // peerState identifies the newest state received from another instance.
@@ -117,10 +122,16 @@
 	silent      bool // logged as silent
 }
 
+// leftUpstream is an upstream that said to this instance that it leaves.
+type leftUpstream struct {
+	incarnation uint64
+	at          time.Time
+}
+
 // New returns a Manager; sending begins with Start.
 func New(opts Options) *Manager {
 	opts.Log = opts.Log.WithField("part", "exchange")
-	return &Manager{opts: opts, peers: map[model.InstanceID]peerState{}, connectFailures: map[model.UpstreamID]time.Time{}}
+	return &Manager{opts: opts, peers: map[model.InstanceID]peerState{}, connectFailures: map[model.UpstreamID]time.Time{}, leftUpstreams: map[model.UpstreamID]leftUpstream{}}
 }
 
 // Start begins to send states.
@@ -140,6 +151,15 @@
 	}))
 }
 
+// UpstreamLeft reports that an upstream said to this instance that it leaves.
+func (m *Manager) UpstreamLeft(id model.UpstreamID) {
+	row, _ := m.opts.Upstreams.Get(id)
+	m.opts.Pool.Post(key, worker.Func(func() {
+		m.leftUpstreams[id] = leftUpstream{row.Report.Incarnation, time.Now()}
+		m.sendSoon()
+	}))
+}
+
 func (m *Manager) sendSoon() {
 	if m.sendScheduled {
 		return
@@ -182,6 +202,7 @@
 		Failed:      m.failureAges(time.Now()),
 		Outcomes:    m.opts.Outcomes.LocalReport(time.Now()),
 		MoveCounts:  m.opts.Moves.LocalRows(),
+		Left:        m.recentlyLeft(time.Now()),
 	}
 	for _, in := range m.opts.Members() {
 		if in.ID != m.opts.Self.ID && in.State != model.InstanceDead && in.ControlAddress != "" {
@@ -225,6 +246,20 @@
 	return ages
 }
 
+// recentlyLeft returns the upstreams whose leaving is still to be sent, and drops the
+// others.
+func (m *Manager) recentlyLeft(now time.Time) map[model.UpstreamID]uint64 {
+	left := make(map[model.UpstreamID]uint64, len(m.leftUpstreams))
+	for id, l := range m.leftUpstreams {
+		if now.Sub(l.at) > leftTTL {
+			delete(m.leftUpstreams, id)
+			continue
+		}
+		left[id] = l.incarnation
+	}
+	return left
+}
+
 // Receive applies another instance's state.
 func (m *Manager) Receive(s State) {
 	m.opts.Pool.Post(key, worker.Func(func() { m.receive(s, time.Now()) }))
@@ -245,6 +280,11 @@
 	for part, up := range s.Parts {
 		m.opts.Locations.SetRemote(part, up, now)
 	}
+	for id, incarnation := range s.Left {
+		if row, known := m.opts.Upstreams.Get(id); known && row.Report.Incarnation == incarnation && m.opts.Upstreams.Leave(id) {
+			m.opts.Log.WithField("upstream", string(id)).WithField("source", string(s.Instance)).Info("upstream leaves")
+		}
+	}
 	for id, age := range s.Failed {
 		at := now.Add(-age)
 		m.opts.Upstreams.RecordFailure(id, at, at.Add(failureTTL))
--- a/internal/coordination/exchange/exchange_test.go
+++ b/internal/coordination/exchange/exchange_test.go
@@ -185,6 +185,29 @@
 	})
 }
 
+// Guards against an instance that goes on to send requests to an upstream which told
+// another instance that it leaves, and against a mark that hits its next start.
+func TestLeavingUpstreamsAreShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b, stop := startPair(t)
+		defer stop()
+		for _, m := range []*member{a, b} {
+			m.upstreams.Apply(upstream.Report{Upstream: "u", Incarnation: 4, Health: upstream.HealthUp, At: time.Now()})
+		}
+		a.upstreams.Leave("u")
+		a.UpstreamLeft("u")
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		row, _ := b.upstreams.Get("u")
+		assert.Equal(t, row.Report.Health, upstream.HealthLeaving)
+		b.upstreams.Apply(upstream.Report{Upstream: "u", Incarnation: 5, Health: upstream.HealthUp, At: time.Now()})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		row, _ = b.upstreams.Get("u")
+		assert.Equal(t, row.Report.Health, upstream.HealthUp)
+	})
+}
+
 // Guards against a restarted instance that does not know of the crashes that the others
 // learned of before its start.
 func TestStartedInstanceLearnsOfEarlierCrashes(t *testing.T) {
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -70,6 +70,7 @@
 	mu                sync.Mutex  // guards sends, because several requests may be placed at once
 	sends             []*fakeSend // read without mu, only after synctest.Wait
 	foundUpstreams    []model.Upstream
+	leftUpstreams     []model.UpstreamID // upstreams that said that they leave
 	discardedHandles  []string           // handles of discarded copies
 	copyHolders       []model.UpstreamID // holders of the copies made on request
 	probesFail        bool               // probes get no answer
@@ -158,6 +159,7 @@
 			Policy:           EarliestFinish,
 			StateChanged:     func() {},
 			SuccessorFound:   func(up model.Upstream) { b.foundUpstreams = append(b.foundUpstreams, up) },
+			UpstreamLeft:     func(id model.UpstreamID) { b.leftUpstreams = append(b.leftUpstreams, id) },
 			ConnectionFailed: func(model.UpstreamID, time.Time) {},
 			Log:              &log.Logger{Handler: discard.Default},
 		})
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -116,6 +116,8 @@
 	StateChanged func() // called when the state that this instance sends to the others changed
 	// SuccessorFound is called with an engine that was found at the address of a lost one.
 	SuccessorFound func(model.Upstream)
+	// UpstreamLeft is called when an upstream said in an answer that it leaves.
+	UpstreamLeft func(id model.UpstreamID)
 	// ConnectionFailed is called when the connection to an upstream failed here.
 	ConnectionFailed func(id model.UpstreamID, at time.Time)
 	// PublishCrashes is called with the recorded crashes of a request. widely says that
--- a/internal/coordination/forward/metrics.go
+++ b/internal/coordination/forward/metrics.go
@@ -22,6 +22,7 @@
 	probes        metric.Int64Counter
 	promptQueries metric.Int64Counter
 	badOutcomes   metric.Int64Counter
+	leaving       metric.Int64Counter
 }
 
 // newMetrics returns the instruments. Creating an instrument fails only for an
@@ -38,9 +39,14 @@
 	m.probes, _ = meter.Int64Counter("forward_probes", metric.WithDescription("Questions to engines that were silent before their first event."))
 	m.promptQueries, _ = meter.Int64Counter("forward_kept_queries", metric.WithDescription("Questions to engines for the prompts that they keep, by whether they answered."))
 	m.badOutcomes, _ = meter.Int64Counter("forward_bad_outcomes", metric.WithDescription("Attempts that failed or were late at a live upstream, by service and cause."))
+	m.leaving, _ = meter.Int64Counter("forward_upstreams_leaving", metric.WithDescription("Upstreams that said in an answer that they leave, by service."))
 	return m
 }
 
+func (m *metrics) countLeaving(service string) {
+	m.leaving.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 func (m *metrics) countPromptQuery(answered bool) {
 	m.promptQueries.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("answered", answered)))
 }
--- a/internal/coordination/forward/receiver.go
+++ b/internal/coordination/forward/receiver.go
@@ -29,6 +29,11 @@
 	}))
 }
 
+// UpstreamLeaving implements Receiver.
+func (v *receiver) UpstreamLeaving() {
+	v.post(func(a *attempt) { v.r.handleLeaving(a) })
+}
+
 // Answered implements Receiver.
 func (v *receiver) Answered(answer Answer) {
 	v.post(func(a *attempt) { v.r.handleAnswer(a, answer) })
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -51,6 +51,9 @@
 // Receiver takes the results of one send, in order. The sender calls it from its own
 // goroutines, so implementations must not block and only pass the results on.
 type Receiver interface {
+	// UpstreamLeaving says that the upstream takes no new requests. Its answer or
+	// events follow.
+	UpstreamLeaving()
 	// Answered delivers a complete answer; nothing follows.
 	Answered(a Answer)
 	// StreamBegan delivers the status and the header of a stream.
--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -51,6 +51,7 @@
 	Own       bool // the answer belongs to this request, not to another one
 	NotRun    bool // the upstream did not run the request
 	Elsewhere bool // another upstream has the address now
+	Leaving   bool // the upstream that answered takes no new requests
 	// Answering is the upstream at the address, empty if the answer does not name it.
 	Answering model.UpstreamID
 }
@@ -64,10 +65,17 @@
 		Own:       echoed == string(id) || (echoed == "" && notRun),
 		NotRun:    notRun,
 		Elsewhere: status == http.StatusMisdirectedRequest,
+		Leaving:   isSet(in, n.Leaving),
 		Answering: model.UpstreamID(in.Get(n.Answering)),
 	}
 }
 
+// isSet reports whether a header field that stands for yes or no says yes.
+func isSet(in http.Header, name string) bool {
+	value := in.Get(name)
+	return value != "" && value != "0"
+}
+
 // Answered returns the header fields of an upstream's answer that are passed on to
 // the caller.
 func (n Names) Answered(in http.Header) forward.Header {
--- a/internal/protocol/forwardwire/names.go
+++ b/internal/protocol/forwardwire/names.go
@@ -16,6 +16,7 @@
 	ExpectedUpstream string // ID of the only upstream that may run the request
 	Answering        string // in an answer: ID of the upstream that sent it
 	NotRun           string // in an answer: the upstream did not run the request
+	Leaving          string // in an answer: the upstream takes no new requests
 	CopyTo           string // IP:port of the upstream that receives copies of the stream's memory
 	CopyFrom         string // IP:port/ID of the memory copy to resume from
 
--- a/internal/protocol/forwardwire/names_test.go
+++ b/internal/protocol/forwardwire/names_test.go
@@ -13,7 +13,7 @@
 func testNames() Names {
 	return Names{
 		Request: "X-Req", TimeLeft: "X-Left", CredentialScheme: "Token", LastEvent: "Last-Event-Id", Tokens: "X-Tokens",
-		PromptParts: "X-Parts", Organisation: "X-Org", ExpectedUpstream: "X-Expect", NotRun: "X-Not-Run", Answering: "X-Id", CopyTo: "X-Copy-To",
+		PromptParts: "X-Parts", Organisation: "X-Org", ExpectedUpstream: "X-Expect", NotRun: "X-Not-Run", Leaving: "X-Leaving", Answering: "X-Id", CopyTo: "X-Copy-To",
 		CopyFrom: "Copy-From", SystemOnly: []string{"X-Rank"},
 	}
 }
@@ -80,6 +80,8 @@
 		{"answer to another request", 200, header("X-Req", "r2"), Verdict{}},
 		{"nameless answer", 200, header(), Verdict{}},
 		{"full", 503, header("X-Not-Run", "1"), Verdict{Own: true, NotRun: true}},
+		{"leaving", 200, header("X-Req", "r1", "X-Leaving", "1"), Verdict{Own: true, Leaving: true}},
+		{"not leaving", 200, header("X-Req", "r1", "X-Leaving", "0"), Verdict{Own: true}},
 		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true}},
 		{"address reused", 421, header("X-Id", "u2"), Verdict{Own: true, NotRun: true, Elsewhere: true, Answering: "u2"}},
 	}
--- a/internal/protocol/peerwire/state.go
+++ b/internal/protocol/peerwire/state.go
@@ -24,6 +24,8 @@
 	Parts    map[string]model.UpstreamID `cbor:"7,keyasint,omitempty"`
 	Outcomes []outcomeRow                `cbor:"8,keyasint,omitempty"`
 	Trials   []moveCountsRow             `cbor:"9,keyasint,omitempty"`
+	// Left holds the incarnations of upstreams that leave.
+	Left map[model.UpstreamID]uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // workRow is the wire form of a commitment.Work: one instance's work on one upstream.
@@ -62,7 +64,7 @@
 
 // EncodeState encodes an instance's state.
 func EncodeState(s exchange.State) (Message, error) {
-	b := stateBody{Instance: s.Instance, Incarnation: s.Incarnation, Sequence: s.Sequence, Leaving: s.Leaving, Parts: s.Parts}
+	b := stateBody{Instance: s.Instance, Incarnation: s.Incarnation, Sequence: s.Sequence, Leaving: s.Leaving, Parts: s.Parts, Left: s.Left}
 	for id, w := range s.Work {
 		b.Work = append(b.Work, workRow{
 			Upstream: id,
@@ -104,6 +106,7 @@
 		Sequence:    b.Sequence,
 		Leaving:     b.Leaving,
 		Parts:       b.Parts,
+		Left:        b.Left,
 		Work:        make(map[model.UpstreamID]commitment.Work, len(b.Work)),
 		Failed:      make(map[model.UpstreamID]time.Duration, len(b.Failed)),
 		Outcomes:    make(map[model.UpstreamID]outcome.Tally, len(b.Outcomes)),
--- a/internal/protocol/peerwire/state_test.go
+++ b/internal/protocol/peerwire/state_test.go
@@ -20,6 +20,7 @@
 		Work:       map[model.UpstreamID]commitment.Work{"u": {Requests: 1, PrefillTokens: 2, MemoryTokens: 3, CopyTokens: 4}},
 		Parts:      map[string]model.UpstreamID{"5c1e07a2": "u"},
 		Failed:     map[model.UpstreamID]time.Duration{"v": 250 * time.Millisecond},
+		Left:       map[model.UpstreamID]uint64{"l": 7},
 		MoveCounts: []move.Row{{Service: "s", Revision: 5, Route: "r", Old: move.Counts{Requests: 9, Failures: 1}, New: move.Counts{Requests: 3}}},
 		Outcomes:   map[model.UpstreamID]outcome.Tally{"v": {Requests: 2.5, Bad: 0.25}},
 	}
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -143,6 +143,9 @@
 // receive reads the response and passes it to the receiver.
 func (c *Client) receive(s forward.Send, in *http.Response, receiver forward.Receiver) {
 	verdict := c.names.Judge(s.Request.ID, in.StatusCode, in.Header)
+	if verdict.Leaving && verdict.Own && !verdict.Elsewhere {
+		receiver.UpstreamLeaving()
+	}
 	switch {
 	case !verdict.Own:
 		receiver.Lost(continuation.LossWrongStream, "answer has the ID of another request", true)
--- a/internal/transport/backend/client_test.go
+++ b/internal/transport/backend/client_test.go
@@ -27,6 +27,7 @@
 // outcomeChannel is a forward.Receiver that sends the outcome to a channel.
 type outcomeChannel chan outcome
 
+func (w outcomeChannel) UpstreamLeaving()                {}
 func (w outcomeChannel) Answered(a forward.Answer)       { w <- outcome{answer: &a} }
 func (w outcomeChannel) StreamBegan(int, forward.Header) {}
 func (w outcomeChannel) EventsArrived([]forward.Event)   {}
@@ -137,3 +138,35 @@
 		assert.Equal(t, requests.Load(), int32(1))
 	}
 }
+
+// leavingRecorder is a forward.Receiver that notes whether the upstream said that it
+// leaves before its answer arrived.
+type leavingRecorder struct {
+	outcomeChannel
+	leaving *atomic.Bool
+}
+
+func (r leavingRecorder) UpstreamLeaving() { r.leaving.Store(true) }
+
+// Guards against a leaving mark that is lost, or that is taken for the upstream's own
+// although another upstream at its address has sent it.
+func TestLeavingMarkIsReported(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"HTTP/1.1 200 OK\r\nX-Req: r1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n":                 true,
+		"HTTP/1.1 500 Error\r\nX-Req: r1\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n":              true,
+		"HTTP/1.1 200 OK\r\nX-Req: r1\r\nContent-Length: 0\r\n\r\n":                                 false,
+		"HTTP/1.1 421 Misdirected Request\r\nX-Id: u2\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n": false,
+		"HTTP/1.1 200 OK\r\nX-Req: r2\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n":                 false,
+	} {
+		address, _ := startRawUpstream(t, answer)
+		client := New(forwardwire.Names{Request: "X-Req", NotRun: "X-Not-Run", Answering: "X-Id", Leaving: "X-Leaving"}, EngineAPI{})
+		got := leavingRecorder{make(outcomeChannel, 1), new(atomic.Bool)}
+		client.Start(forward.Send{
+			Upstream: model.Upstream{ID: "u", Address: address},
+			Request:  &forward.Request{ID: "r1", Host: "h", Method: "POST", Path: "/p/", Header: forward.Header{"X-Req": {"r1"}}},
+		}, got)
+		<-got.outcomeChannel
+		assert.Equal(t, got.leaving.Load(), want, answer)
+		client.Close()
+	}
+}
--- a/internal/transport/backend/events_test.go
+++ b/internal/transport/backend/events_test.go
@@ -20,6 +20,7 @@
 	loss   continuation.Loss
 }
 
+func (r *recorder) UpstreamLeaving()                           {}
 func (r *recorder) Answered(forward.Answer)                    {}
 func (r *recorder) StreamBegan(int, forward.Header)            {}
 func (r *recorder) EventsArrived(events []forward.Event)       { r.events = append(r.events, events...) }
--- a/internal/transport/standin/fleet/fleet.go
+++ b/internal/transport/standin/fleet/fleet.go
@@ -99,8 +99,11 @@
 }
 
 // Drain sets the state in the entry of a worker to draining. The worker goes on
-// serving.
-func (f *Fleet) Drain(w *Worker) { w.register("draining") }
+// serving, and says in its answers that it leaves.
+func (f *Fleet) Drain(w *Worker) {
+	w.SetLeaving()
+	w.register("draining")
+}
 
 // storeKVCopy records that the worker at the address holds a copy of a request's
 // KV cache up to the position.
--- a/internal/transport/standin/fleet/worker.go
+++ b/internal/transport/standin/fleet/worker.go
@@ -78,6 +78,7 @@
 	cachedPrompts map[string]int // number of cached tokens by ID of the longest prompt prefix
 	kvCopies      map[string]int // by request: position up to which a KV cache copy reaches
 	full          bool           // the worker rejects all requests
+	leaving       bool           // the worker says in its answers that it leaves
 	stopped       chan struct{}  // closed by a crash, to end the heartbeats
 	sequence      int
 }
@@ -105,6 +106,20 @@
 	return w.running
 }
 
+// SetLeaving makes the worker say in all its answers that it leaves. Its entry in the
+// store stays as it is.
+func (w *Worker) SetLeaving() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = true
+}
+
+func (w *Worker) isLeaving() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.leaving
+}
+
 // SetFull makes the worker reject all requests without executing them.
 func (w *Worker) SetFull(full bool) {
 	w.mu.Lock()
@@ -115,6 +130,9 @@
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	rw.Header().Set("X-Instance-Id", w.opts.ID)
+	if w.isLeaving() {
+		rw.Header().Set("Server-Leaving", "1")
+	}
 	if expected := r.Header.Get("X-Expected-Instance"); expected != "" && expected != w.opts.ID {
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -419,6 +419,31 @@
 	t.Fatal("no worker ran the stream")
 }
 
+// Guards against requests to a worker that says in its answers that it leaves, by an
+// instance that cannot reach the store, and by the others of its cell.
+func TestEdgesBelieveAWorkerThatSaysItLeaves(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 2)
+	e.publishRules()
+	e.awaitReady()
+	call := func(edge int) (leaving bool) {
+		status, _, header := e.do(e.request(edge, "POST", "/book/1"))
+		assert.Equal(t, status, http.StatusOK)
+		return header.Get("Server-Leaving") != ""
+	}
+	e.fleet.Store.SetFault(fleet.FaultUnavailable)
+	worker := e.fleet.Workers("desk")[0]
+	worker.SetLeaving()
+	eventually(t, 10*time.Second, "the leaving worker answers", func() bool { return call(0) })
+	time.Sleep(500 * time.Millisecond) // the other instance gets the state within milliseconds
+	before := len(worker.Runs())
+	for range 30 {
+		call(0)
+		call(1)
+	}
+	assert.Equal(t, len(worker.Runs()), before)
+}
+
 // Guards against instances that end, or stop following the list of upstreams, because
 // another writer left odd entries in it.
 func TestEdgesOutliveOddEntries(t *testing.T) {
