Send a single crash to all instances only if it is not cleared

Cause: each crash under a request with a prompt, and each clearing of one, was sent to all 104 instances at once. A failure domain that goes down there ends some hundred requests; small instances were busy with handshakes and messages.

Change: a single crash goes to the cell as before, and to all instances after 2 s unless it was cleared; from the second crash of a request or part on, to all at once.

--- a/internal/coordination/forward/crash.go
+++ b/internal/coordination/forward/crash.go
@@ -48,6 +48,10 @@
 	// all instances and not only to those of the cell. A single lost connection
 	// has many other possible causes.
 	crashBroadcastCount = 2
+	// crashBroadcastDelay is the time after which the record of a single crash goes to
+	// all instances too, unless it was cleared. Requests that were not the cause are
+	// running elsewhere by then; an outage of many upstreams hits hundreds of them.
+	crashBroadcastDelay = 2 * time.Second
 )
 
 // fingerprints returns the hashes under which crashes are recorded for the request:
@@ -182,12 +186,7 @@
 	if r.pendingCrashChecks == 0 {
 		return false
 	}
-	now, most := time.Now(), 0
-	for _, fp := range r.fingerprints() {
-		deaths, _ := r.m.opts.Suspects.CountDeaths(fp, now)
-		most = max(most, deaths)
-	}
-	return most+r.pendingCrashChecks >= crashRefuseCount && r.mayRunAgain()
+	return r.mostCrashes(time.Now())+r.pendingCrashChecks >= crashRefuseCount && r.mayRunAgain()
 }
 
 // recordCrash records a crash against the request and the parts of its prompt, unless
@@ -222,11 +221,29 @@
 		added.Deaths = append(added.Deaths, death)
 	}
 	r.m.opts.Suspects.Merge(added, now)
-	crashes, _ := r.crashHistory(now)
-	r.m.opts.Log.WithFields(fields).WithField("deaths", crashes).Warn("upstream ended when it ran a request")
-	// Other instances may run other requests with the same parts, so their crashes add
-	// up only if all instances know them.
-	r.m.opts.PublishCrashes(r.crashEvidence(now), crashes >= crashBroadcastCount || len(r.req.Work.Parts) > 0)
+	most := r.mostCrashes(now)
+	r.m.opts.Log.WithFields(fields).WithField("deaths", most).Warn("upstream ended when it ran a request")
+	r.m.opts.PublishCrashes(r.crashEvidence(now), most >= crashBroadcastCount)
+	if most < crashBroadcastCount {
+		r.m.opts.Pool.After(crashBroadcastDelay, r.key, worker.Func(func() {
+			// Other instances may run other requests with the same parts, whose crashes
+			// add up only if all instances know them.
+			if now := time.Now(); r.mostCrashes(now) > 0 {
+				r.m.opts.PublishCrashes(r.crashEvidence(now), true)
+			}
+		}))
+	}
+}
+
+// mostCrashes returns the largest number of crashes that count against the request or
+// one of its parts.
+func (r *activeRequest) mostCrashes(now time.Time) int {
+	most := 0
+	for _, fp := range r.fingerprints() {
+		deaths, _ := r.m.opts.Suspects.CountDeaths(fp, now)
+		most = max(most, deaths)
+	}
+	return most
 }
 
 // crashEvidence returns the rows that count for the request and the parts of its prompt.
@@ -264,7 +281,7 @@
 	}
 	r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("fingerprint", string(fps[0])).
 		WithField("prompt_parts", partIDs(r.req.Work.Parts)).WithField("deaths", cleared).Info("cleared the request of causing upstream crashes")
-	r.m.opts.PublishCrashes(r.crashEvidence(now), cleared >= crashBroadcastCount || len(fps) > 1)
+	r.m.opts.PublishCrashes(r.crashEvidence(now), cleared >= crashBroadcastCount)
 }
 
 // partIDs returns the IDs of the parts for the log.
