Keep to the pauses that upstreams ask for

Change: a paused upstream is no candidate for any placement, further sends, hedges and copies included; streams there go on. After the pause it gets one request, and twice as many with each answer. If only pauses keep a request from its upstreams, it waits for the first one that ends early enough, or is refused at once with 503 (upstreams_paused) and the end of that pause. A value that is no number or negative is ignored, one above 10 minutes cut, both logged once. Log lines for the pause and the return, two counters.

The stand-in worker learned both headers.

Not yet measured: whether the cell should learn of a pause.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -26,7 +26,10 @@
 		r.hold(r.placeCall, refuseNoUpstream(r.service.Name, r.req))
 		return
 	case !ok:
-		r.settleCall()
+		end, paused := r.m.firstPauseEnd(r, time.Now())
+		if !paused || len(r.inFlight) > 0 || !r.waitForPause(end, r.placeCall) {
+			r.settleCall()
+		}
 		return
 	}
 	r.endHold()
@@ -61,7 +64,11 @@
 
 // handleAnswer delivers an upstream's complete answer or retries the request elsewhere.
 func (r *activeRequest) handleAnswer(a *attempt, answer Answer) {
+	r.endReturnSlot(a, !answer.NotRun && answer.Status < 500)
 	r.endAttempt(a)
+	if answer.Pause > 0 && !answer.AddressReassigned {
+		r.handlePause(a, answer.Pause)
+	}
 	switch {
 	case answer.AddressReassigned:
 		r.m.opts.Upstreams.Leave(a.upstream.ID)
@@ -91,7 +98,9 @@
 
 // retryOrSettle tries another upstream, or ends the request if no retry is allowed.
 func (r *activeRequest) retryOrSettle(a *attempt, cause string) {
-	r.tried[a.upstream.ID] = true
+	if row, known := r.m.opts.Upstreams.Get(a.upstream.ID); !known || row.WantsRequests(time.Now()) {
+		r.tried[a.upstream.ID] = true // a paused upstream may take the request after its pause
+	}
 	r.logAttempt(a, cause)
 	if r.route.Stream {
 		r.placeStream()
--- a/internal/coordination/forward/hold.go
+++ b/internal/coordination/forward/hold.go
@@ -33,12 +33,10 @@
 func (r *activeRequest) hold(retry func(), refusal *model.Refusal) {
 	now := time.Now()
 	if r.holdUntil.IsZero() {
-		if r.m.heldCount.Add(1) > maxHeldRequests {
-			r.m.heldCount.Add(-1)
+		if !r.beginHold() {
 			r.refuse(refusal)
 			return
 		}
-		r.held = true
 		r.holdUntil = r.req.Arrived.Add(holdTime(r.req))
 		r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("cause", refusal.Code).
 			WithField("until_ms", r.holdUntil.Sub(now).Milliseconds()).Info("request held")
@@ -54,6 +52,19 @@
 	}))
 }
 
+// beginHold counts the request as held, and reports false if too many are.
+func (r *activeRequest) beginHold() bool {
+	if r.held {
+		return true
+	}
+	if r.m.heldCount.Add(1) > maxHeldRequests {
+		r.m.heldCount.Add(-1)
+		return false
+	}
+	r.held = true
+	return true
+}
+
 // mayReleaseStream reports whether a held stream may be sent now. All instances
 // release their held streams as soon as the first engines are known again, before
 // they learn what the other instances send. The pacing keeps the prompts that all
--- a/internal/coordination/forward/metrics.go
+++ b/internal/coordination/forward/metrics.go
@@ -23,6 +23,8 @@
 	promptQueries metric.Int64Counter
 	badOutcomes   metric.Int64Counter
 	leaving       metric.Int64Counter
+	pauses        metric.Int64Counter
+	pauseRefusals metric.Int64Counter
 }
 
 // newMetrics returns the instruments. Creating an instrument fails only for an
@@ -40,9 +42,19 @@
 	m.promptQueries, _ = meter.Int64Counter("forward_kept_queries", metric.WithDescription("Questions to engines for the prompts that they keep, by whether they answered."))
 	m.badOutcomes, _ = meter.Int64Counter("forward_bad_outcomes", metric.WithDescription("Attempts that failed or were late at a live upstream, by service and cause."))
 	m.leaving, _ = meter.Int64Counter("forward_upstreams_leaving", metric.WithDescription("Upstreams that said in an answer that they leave, by service."))
+	m.pauses, _ = meter.Int64Counter("forward_pauses", metric.WithDescription("Pauses that upstreams asked for, by service."))
+	m.pauseRefusals, _ = meter.Int64Counter("forward_pause_refusals", metric.WithDescription("Requests refused because all upstreams had asked for a pause, by service."))
 	return m
 }
 
+func (m *metrics) countPause(service string) {
+	m.pauses.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
+func (m *metrics) countPauseRefusal(service string) {
+	m.pauseRefusals.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 func (m *metrics) countLeaving(service string) {
 	m.leaving.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
--- a/internal/coordination/forward/outcome.go
+++ b/internal/coordination/forward/outcome.go
@@ -15,6 +15,7 @@
 		return
 	}
 	a.outcomeRecorded = true
+	r.endReturnSlot(a, !bad)
 	tally := r.m.opts.Outcomes.Record(a.upstream.ID, bad, time.Now())
 	r.m.opts.Moves.Record(r.service.Name, a.upstream.Version, r.route.Name, bad)
 	if !bad {
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -48,12 +48,12 @@
 	return splitByFailure(m.filterByVersion(r, rows, now), detectOutages(rows, now), r.tried, now)
 }
 
-// splitByFailure returns the upstreams that are neither tried, leaving nor down, split
-// by whether they are suspected to have failed.
+// splitByFailure returns the upstreams that are neither tried, leaving, down nor paused,
+// split by whether they are suspected to have failed.
 func splitByFailure(rows []upstream.Row, lost outages, tried map[model.UpstreamID]bool, now time.Time) (ready, suspected []upstream.Row) {
 	for _, row := range rows {
 		switch {
-		case tried[row.Upstream.ID], row.Report.Health == upstream.HealthLeaving, row.Report.Health == upstream.HealthDown:
+		case isUnavailable(row, tried), !row.WantsRequests(now):
 		case lost.mayBeLost(row, now):
 			suspected = append(suspected, row)
 		default:
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -17,6 +17,8 @@
 	NotRun bool
 	// AddressReassigned says that the address now belongs to another upstream.
 	AddressReassigned bool
+	// Pause is the time for which the upstream wants no requests.
+	Pause time.Duration
 	// CurrentUpstream is the upstream now at the address, if that upstream gave its ID.
 	CurrentUpstream model.UpstreamID
 }
@@ -107,6 +109,7 @@
 	eventCount      int  // events that this attempt delivered
 	staleEvents     int  // events of this attempt that the caller had already
 	outcomeRecorded bool // the outcome has been recorded
+	returnSlot      bool // counted at an upstream that returns from a pause
 }
 
 // continuationState describes the attempt to the rules of package continuation.
@@ -124,6 +127,7 @@
 	a.lastSeen = a.started
 	r.inFlight[a.number] = a
 	r.m.opts.Upstreams.Acquire(a.upstream.ID, a.started)
+	r.takeReturnSlot(a)
 	r.m.opts.Commitments.Add(a.upstream.ID, a.work)
 	if a.copyHolder.ID != "" {
 		r.m.opts.Commitments.Add(a.copyHolder.ID, a.copyWork)
@@ -140,6 +144,7 @@
 	}
 	delete(r.inFlight, a.number)
 	a.cancel()
+	r.endReturnSlot(a, false)
 	r.m.opts.Upstreams.Release(a.upstream.ID)
 	r.m.opts.Commitments.Remove(a.upstream.ID, a.work)
 	if a.copyHolder.ID != "" {
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -123,7 +123,8 @@
 	source := r.stream.resumeCopy
 	r.stream.resumeCopy = nil
 	row, known := r.m.opts.Upstreams.Get(source.holder.ID)
-	if !known || row.Report.Health == upstream.HealthLeaving || r.m.mayHaveFailed(row, time.Now()) {
+	now := time.Now()
+	if !known || row.Report.Health == upstream.HealthLeaving || !row.WantsRequests(now) || r.m.mayHaveFailed(row, now) {
 		r.placeStream()
 		return
 	}
@@ -315,6 +316,13 @@
 		return
 	}
 	clear(r.tried)
+	now := time.Now()
+	if end, paused := r.m.firstPauseEnd(r, now); paused && len(r.m.usableUpstreams(r, now)) == 0 {
+		if !r.waitForPause(end, r.placeStream) {
+			r.settleStream()
+		}
+		return
+	}
 	r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 }
 
--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -1,6 +1,7 @@
 package forwardwire
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -52,6 +53,10 @@
 	NotRun    bool // the upstream did not run the request
 	Elsewhere bool // another upstream has the address now
 	Leaving   bool // the upstream that answered takes no new requests
+	// Pause is the time for which the upstream that answered wants no requests.
+	Pause time.Duration
+	// BadPause is a malformed value of the field for Pause; empty if there is none.
+	BadPause string
 	// Answering is the upstream at the address, empty if the answer does not name it.
 	Answering model.UpstreamID
 }
@@ -61,7 +66,13 @@
 func (n Names) Judge(id model.RequestID, status int, in http.Header) Verdict {
 	echoed := in.Get(n.Request)
 	notRun := in.Get(n.NotRun) != "" || status == http.StatusMisdirectedRequest
+	pause, badPause := time.Duration(0), ""
+	if status == http.StatusServiceUnavailable {
+		pause, badPause = n.pause(in)
+	}
 	return Verdict{
+		Pause:     pause,
+		BadPause:  badPause,
 		Own:       echoed == string(id) || (echoed == "" && notRun),
 		NotRun:    notRun,
 		Elsewhere: status == http.StatusMisdirectedRequest,
@@ -70,6 +81,26 @@
 	}
 }
 
+// maxPause bounds the pause that an upstream can ask for. A longer one is most likely an
+// error, and would take the upstream away from this instance for good.
+const maxPause = 10 * time.Minute
+
+// pause returns the pause that an answer asks for, or the value that cannot be decoded.
+func (n Names) pause(in http.Header) (pause time.Duration, malformed string) {
+	text := in.Get(n.Pause)
+	if text == "" {
+		return 0, ""
+	}
+	seconds, err := strconv.ParseFloat(text, 64)
+	switch {
+	case err != nil && !math.IsInf(seconds, 1), math.IsNaN(seconds), seconds < 0:
+		return 0, text
+	case seconds > maxPause.Seconds():
+		return maxPause, text
+	}
+	return time.Duration(seconds * float64(time.Second)), ""
+}
+
 // isSet reports whether a header field that stands for yes or no says yes.
 func isSet(in http.Header, name string) bool {
 	value := in.Get(name)
--- a/internal/protocol/forwardwire/names.go
+++ b/internal/protocol/forwardwire/names.go
@@ -17,6 +17,7 @@
 	Answering        string // in an answer: ID of the upstream that sent it
 	NotRun           string // in an answer: the upstream did not run the request
 	Leaving          string // in an answer: the upstream takes no new requests
+	Pause            string // in an answer with status 503: seconds for which the upstream wants no requests
 	CopyTo           string // IP:port of the upstream that receives copies of the stream's memory
 	CopyFrom         string // IP:port/ID of the memory copy to resume from
 
--- a/internal/protocol/forwardwire/names_test.go
+++ b/internal/protocol/forwardwire/names_test.go
@@ -13,7 +13,7 @@
 func testNames() Names {
 	return Names{
 		Request: "X-Req", TimeLeft: "X-Left", CredentialScheme: "Token", LastEvent: "Last-Event-Id", Tokens: "X-Tokens",
-		PromptParts: "X-Parts", Organisation: "X-Org", ExpectedUpstream: "X-Expect", NotRun: "X-Not-Run", Leaving: "X-Leaving", Answering: "X-Id", CopyTo: "X-Copy-To",
+		PromptParts: "X-Parts", Organisation: "X-Org", ExpectedUpstream: "X-Expect", NotRun: "X-Not-Run", Leaving: "X-Leaving", Pause: "Retry-After", Answering: "X-Id", CopyTo: "X-Copy-To",
 		CopyFrom: "Copy-From", SystemOnly: []string{"X-Rank"},
 	}
 }
@@ -82,6 +82,15 @@
 		{"full", 503, header("X-Not-Run", "1"), Verdict{Own: true, NotRun: true}},
 		{"leaving", 200, header("X-Req", "r1", "X-Leaving", "1"), Verdict{Own: true, Leaving: true}},
 		{"not leaving", 200, header("X-Req", "r1", "X-Leaving", "0"), Verdict{Own: true}},
+		{"pause", 503, header("X-Not-Run", "1", "Retry-After", "1.5"), Verdict{Own: true, NotRun: true, Pause: 1500 * time.Millisecond}},
+		{"no pause", 503, header("X-Not-Run", "1", "Retry-After", "0"), Verdict{Own: true, NotRun: true}},
+		{"pause of another status", 429, header("X-Not-Run", "1", "Retry-After", "3"), Verdict{Own: true, NotRun: true}},
+		{"pause without end", 503, header("X-Not-Run", "1", "Retry-After", "1e300"), Verdict{Own: true, NotRun: true, Pause: maxPause, BadPause: "1e300"}},
+		{"pause out of range", 503, header("X-Not-Run", "1", "Retry-After", "1e400"), Verdict{Own: true, NotRun: true, Pause: maxPause, BadPause: "1e400"}},
+		{"infinite pause", 503, header("X-Not-Run", "1", "Retry-After", "Inf"), Verdict{Own: true, NotRun: true, Pause: maxPause, BadPause: "Inf"}},
+		{"negative pause", 503, header("X-Not-Run", "1", "Retry-After", "-3"), Verdict{Own: true, NotRun: true, BadPause: "-3"}},
+		{"pause that is no number", 503, header("X-Not-Run", "1", "Retry-After", "NaN"), Verdict{Own: true, NotRun: true, BadPause: "NaN"}},
+		{"pause in words", 503, header("X-Not-Run", "1", "Retry-After", "soon"), Verdict{Own: true, NotRun: true, BadPause: "soon"}},
 		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true}},
 		{"address reused", 421, header("X-Id", "u2"), Verdict{Own: true, NotRun: true, Elsewhere: true, Answering: "u2"}},
 	}
--- a/internal/protocol/problem/codes.go
+++ b/internal/protocol/problem/codes.go
@@ -31,6 +31,7 @@
 	CodeLeaving                 = "leaving"
 	CodeNoEngine                = "no_engine"
 	CodeNoUpstream              = "no_upstream"
+	CodeUpstreamsPaused         = "upstreams_paused"
 	CodeEndsUpstreams           = "request_ends_upstreams"
 	CodeUpstreamUnreachable     = "upstream_unreachable"
 	CodeClaimsUnavailable       = "claims_unavailable"
@@ -70,6 +71,7 @@
 	CodeLeaving:                 http.StatusServiceUnavailable,
 	CodeNoEngine:                http.StatusServiceUnavailable,
 	CodeNoUpstream:              http.StatusServiceUnavailable,
+	CodeUpstreamsPaused:         http.StatusServiceUnavailable,
 	CodeEndsUpstreams:           http.StatusServiceUnavailable,
 	CodeUpstreamUnreachable:     http.StatusServiceUnavailable,
 	CodeClaimsUnavailable:       http.StatusServiceUnavailable,
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -53,6 +53,12 @@
 	LastOutputAt time.Time // time of the upstream's last output
 	Failures     int       // consecutive connection failures, here or at another instance
 	Version      uint64    // version of the table when Report last changed
+	// PausedUntil is the end of the pause that the upstream asked this instance for.
+	PausedUntil time.Time
+	// Returning means that the upstream has been paused and gets few requests until it
+	// has answered some. ReturnSlots is the number of requests that it may get now.
+	Returning   bool
+	ReturnSlots int
 }
 
 // Load is the part of a row by which placements compare upstreams. Each
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -11,9 +11,11 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
@@ -47,6 +49,7 @@
 	unpooled *http.Transport // opens a connection for each request
 	pooled   *http.Transport // for requests that may run more than once
 	memory   *answerlimit.Budget
+	badPause sync.Once // logs the first malformed pause
 	tracer   oteltrace.Tracer
 }
 
@@ -143,6 +146,12 @@
 // receive reads the response and passes it to the receiver.
 func (c *Client) receive(s forward.Send, in *http.Response, receiver forward.Receiver) {
 	verdict := c.names.Judge(s.Request.ID, in.StatusCode, in.Header)
+	if verdict.BadPause != "" {
+		c.badPause.Do(func() {
+			log.WithField("part", "backend").WithField("upstream", string(s.Upstream.ID)).WithField("value", verdict.BadPause).
+				Warn("an upstream asks for a pause that is malformed or too long; further ones are not logged")
+		})
+	}
 	if verdict.Leaving && verdict.Own && !verdict.Elsewhere {
 		receiver.UpstreamLeaving()
 	}
@@ -171,6 +180,7 @@
 		Body:              body,
 		NotRun:            verdict.NotRun,
 		AddressReassigned: verdict.Elsewhere,
+		Pause:             verdict.Pause,
 		CurrentUpstream:   verdict.Answering,
 	})
 }
--- a/internal/transport/standin/fleet/worker.go
+++ b/internal/transport/standin/fleet/worker.go
@@ -79,7 +79,9 @@
 	kvCopies      map[string]int // by request: position up to which a KV cache copy reaches
 	full          bool           // the worker rejects all requests
 	leaving       bool           // the worker says in its answers that it leaves
-	stopped       chan struct{}  // closed by a crash, to end the heartbeats
+	pausedUntil   time.Time      // until then the worker rejects all requests and asks for a pause
+	rejected      []Rejection
+	stopped       chan struct{} // closed by a crash, to end the heartbeats
 	sequence      int
 }
 
@@ -106,6 +108,44 @@
 	return w.running
 }
 
+// Rejection is a request that a worker turned away with a request for a pause.
+type Rejection struct {
+	Request string
+	At      time.Time
+	Until   time.Time // end of the pause that the worker asked for
+}
+
+// Pause makes the worker reject all requests for the given time and ask for a pause of
+// the time that is left.
+func (w *Worker) Pause(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pausedUntil = time.Now().Add(d)
+}
+
+// Rejections returns the requests that the worker turned away in its pauses.
+func (w *Worker) Rejections() []Rejection {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]Rejection(nil), w.rejected...)
+}
+
+// rejectInPause rejects a request in a pause, and reports whether it did.
+func (w *Worker) rejectInPause(rw http.ResponseWriter, r *http.Request) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	now := time.Now()
+	left := w.pausedUntil.Sub(now)
+	if left <= 0 {
+		return false
+	}
+	w.rejected = append(w.rejected, Rejection{Request: r.Header.Get("X-Attempt-Id"), At: now, Until: w.pausedUntil})
+	rw.Header().Set("X-Not-Executed", "1")
+	rw.Header().Set("Retry-After", strconv.FormatFloat(left.Seconds(), 'f', 3, 64))
+	rw.WriteHeader(http.StatusServiceUnavailable)
+	return true
+}
+
 // SetLeaving makes the worker say in all its answers that it leaves. Its entry in the
 // store stays as it is.
 func (w *Worker) SetLeaving() {
@@ -145,6 +185,9 @@
 		w.listKV(rw)
 		return
 	}
+	if w.rejectInPause(rw, r) {
+		return
+	}
 	if !w.acquireSlot() {
 		rw.Header().Set("X-Not-Executed", "1")
 		rw.WriteHeader(http.StatusServiceUnavailable)
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -444,6 +446,39 @@
 	assert.Equal(t, len(worker.Runs()), before)
 }
 
+// Guards against requests to a worker that asked for a pause, and against requests that
+// are held although no worker takes them in time.
+func TestEdgeKeepsToThePausesOfWorkers(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 1)
+	e.publishRules()
+	e.awaitReady()
+	const pause = 3 * time.Second
+	desks := e.fleet.Workers("desk")
+	near := desks[slices.IndexFunc(desks, func(w *fleet.Worker) bool { return w.ID() == "desk0" })] // in the zone of edge 0
+	near.Pause(pause)
+	began := time.Now()
+	for time.Since(began) < pause-500*time.Millisecond {
+		status, _, _ := e.do(e.request(0, "POST", "/book/1"))
+		assert.Equal(t, status, http.StatusOK)
+	}
+	assert.Equal(t, len(near.Rejections()), 1)
+	for _, w := range desks {
+		w.Pause(20 * time.Second) // longer than the route's time limit
+	}
+	var header http.Header
+	for range len(desks) + 1 {
+		began = time.Now()
+		var status int
+		status, _, header = e.do(e.request(0, "POST", "/book/1"))
+		assert.Equal(t, status, http.StatusServiceUnavailable)
+	}
+	assert.Assert(t, time.Since(began) < time.Second, "held for %v", time.Since(began))
+	wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	assert.NilError(t, err)
+	assert.Assert(t, wait > 10 && wait <= 20, "%v", wait)
+}
+
 // Guards against instances that end, or stop following the list of upstreams, because
 // another writer left odd entries in it.
 func TestEdgesOutliveOddEntries(t *testing.T) {
--- a/tests/e2e/soak_test.go
+++ b/tests/e2e/soak_test.go
@@ -86,6 +86,7 @@
 	link    *proxy
 	drained time.Time // when the store was told that the worker drains; zero if it does not drain
 	stopped bool
+	leaves  bool // the worker says in its answers that it leaves
 }
 
 // appliedFault is a fault with the times at which it began and ended.
@@ -401,7 +402,7 @@
 	prefix := []string{"engine", "desk"}[target%2]
 	var list []*soakWorker
 	for _, w := range s.workers {
-		if strings.HasPrefix(w.ID(), prefix) && !w.stopped && w.drained.IsZero() {
+		if strings.HasPrefix(w.ID(), prefix) && !w.stopped && !w.leaves && w.drained.IsZero() {
 			list = append(list, w)
 		}
 	}
@@ -416,10 +417,9 @@
 func (s *soak) applyWorkerFault(f fault) {
 	s.mu.Lock()
 	w := s.pickWorker(f.target)
-	unavailable := w.stopped || !w.drained.IsZero()
-	if f.kind == faultCrash || f.kind == faultDrain {
-		w.stopped = w.stopped || f.kind == faultCrash
-	}
+	unavailable := w.stopped || w.leaves || !w.drained.IsZero()
+	w.stopped = w.stopped || f.kind == faultCrash
+	w.leaves = w.leaves || f.kind == faultLeave
 	s.mu.Unlock()
 	if unavailable {
 		return
@@ -441,6 +441,15 @@
 		time.Sleep(drainBound + 2*time.Second)
 		s.edges.fleet.Crash(w.Worker)
 		s.edges.fleet.Store.Remove("servers", w.ID())
+	case faultLeave:
+		s.addWorker(service, f.target)
+		w.SetLeaving()
+		time.Sleep(drainBound + 2*time.Second)
+		s.edges.fleet.Crash(w.Worker)
+		s.edges.fleet.Store.Remove("servers", w.ID())
+	case faultPause:
+		w.Pause(f.length)
+		time.Sleep(f.length)
 	case faultFull:
 		w.SetFull(true)
 		time.Sleep(f.length)
--- a/tests/e2e/soakcheck_test.go
+++ b/tests/e2e/soakcheck_test.go
@@ -62,6 +62,8 @@
 		violations = append(violations, s.checkRuns(id, attempts, list)...)
 	}
 	violations = append(violations, s.checkCancelled(attempts, runs)...)
+	violations = append(violations, s.checkLeaving(attempts, runs)...)
+	violations = append(violations, s.checkPauses(attempts)...)
 	return append(violations, s.checkRecovery(attempts)...)
 }
 
--- a/tests/e2e/soakload_test.go
+++ b/tests/e2e/soakload_test.go
@@ -31,6 +31,8 @@
 	connRefused bool   // the connection was refused, so nothing was sent
 	wrong       string // mismatch between the answer and the expected one; empty if there is none
 	lastEvent   int    // position of the last event received
+	leaving     string // worker that said in the answer that it leaves
+	answered    time.Time
 }
 
 // served reports whether the attempt succeeded and its answer is complete.
@@ -163,7 +165,10 @@
 		c.record.add(a)
 		return a
 	}
-	a.status = resp.StatusCode
+	a.status, a.answered = resp.StatusCode, time.Now()
+	if resp.Header.Get("Server-Leaving") != "" {
+		a.leaving = resp.Header.Get("X-Instance-Id")
+	}
 	read(&a, resp)
 	_ = resp.Body.Close() // read has recorded whether the answer is complete
 	c.record.add(a)
--- a/tests/e2e/soakplan_test.go
+++ b/tests/e2e/soakplan_test.go
@@ -26,6 +26,8 @@
 	faultFull      faultKind = "worker full"
 	faultLink      faultKind = "link to worker"
 	faultRules     faultKind = "rules changed"
+	faultLeave     faultKind = "worker says that it leaves" // in its answers only
+	faultPause     faultKind = "worker asks for a pause"
 )
 
 // faultWeights says how often each kind is drawn.
@@ -86,10 +88,31 @@
 		}
 		p.faults = append(p.faults, f)
 	}
+	p.faults = append(p.faults, planNotices(seed, faulty)...)
 	slices.SortFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
 
+// planNotices plans what workers say in answers, for every second seed. It has random
+// numbers of its own, so that the other faults of a seed stay as they were.
+func planNotices(seed uint64, faulty time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 8))
+	if random.IntN(2) == 0 {
+		return nil
+	}
+	var faults []fault
+	for range 1 + random.IntN(4) {
+		faults = append(faults, fault{
+			kind:   []faultKind{faultLeave, faultPause}[random.IntN(2)],
+			at:     time.Second + time.Duration(random.Int64N(int64(faulty-2*time.Second))),
+			length: time.Second + time.Duration(random.Int64N(int64(2*time.Second))),
+			target: random.IntN(1 << 20),
+			times:  1,
+		})
+	}
+	return faults
+}
+
 // drawKinds draws some of the kinds and returns each as often as its weight says.
 // Bounds are checked only after some seconds without faults at the instance and
 // the store, so a soak with all kinds would check few bounds.
