Send crashes to other cells through their first members

Change: they go to the cell and to the first live member of each other cell, which passes on to its cell what is new to it, over connections that exist.

TestSuspectsReachOtherCellsThroughTheirFirstMembers checks who gets what and how often.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -5,7 +5,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -158,10 +157,8 @@
 		SuccessorFound:   e.registry.UpstreamDiscovered,
 		UpstreamLeft:     e.exchange.UpstreamLeft,
 		ConnectionFailed: e.exchange.ConnectionFailed,
-		PublishCrashes: func(rows suspect.Rows, widely bool) {
-			link.SendSuspects(e.livePeers(widely), rows)
-		},
-		Log: logger,
+		PublishCrashes:   e.exchange.PublishSuspects,
+		Log:              logger,
 	})
 	e.ingress = ingress.New(ingress.Options{
 		Address: s.CallerAddress,
@@ -201,6 +198,7 @@
 		Self:        self,
 		Instances:   e.instances,
 		Members:     e.cell.Members,
+		OtherFirsts: e.cell.OtherFirsts,
 		Commitments: shared.commitments,
 		Upstreams:   shared.upstreams,
 		Locations:   shared.locations,
@@ -215,7 +213,7 @@
 	receiver := edgelink.Receiver{
 		States:        e.exchange.Receive,
 		MoveCounts:    e.exchange.ReceiveMoveCounts,
-		Suspects:      func(rows suspect.Rows) { shared.suspects.Merge(rows, time.Now()) },
+		Suspects:      e.exchange.ReceiveSuspects,
 		KnownSuspects: func() suspect.Rows { return shared.suspects.Snapshot(time.Now()) },
 		Log:           logger,
 	}
@@ -267,18 +265,6 @@
 	return client.WireBytesSent + server.WireBytesSent, client.WireBytesReceived + server.WireBytesReceived
 }
 
-// livePeers returns the other instances that are not dead and have a control
-// address: those of this instance's cell, or all.
-func (e *Edge) livePeers(all bool) []model.Instance {
-	list := e.cell.Members()
-	if all {
-		list = e.instances.All()
-	}
-	return slices.DeleteFunc(slices.Clone(list), func(in model.Instance) bool {
-		return in.ID == e.settings.Instance || in.State == model.InstanceDead || in.ControlAddress == ""
-	})
-}
-
 // countLive returns the number of live instances.
 func (e *Edge) countLive() (n int) {
 	for _, in := range e.instances.All() {
--- a/internal/coordination/cell/cell.go
+++ b/internal/coordination/cell/cell.go
@@ -27,9 +27,11 @@
 // Cell is a group of instances that share their work and their reader. Except in
 // a deployment of one cell, all are in one failure domain.
 type Cell struct {
-	Members  []model.Instance // sorted by ID; includes this instance
-	name     string
-	allNames []string // names of all cells
+	Members []model.Instance // sorted by ID; includes this instance
+	// OtherFirsts are the first live members of the other cells.
+	OtherFirsts []model.Instance
+	name        string
+	allNames    []string // names of all cells
 }
 
 // ForInstance returns the cell of the given instance. all must be sorted by ID; every
@@ -51,7 +53,12 @@
 			names = append(names, name)
 			members := instances[i*len(instances)/count : (i+1)*len(instances)/count]
 			if slices.ContainsFunc(members, func(in model.Instance) bool { return in.ID == self }) {
-				result = Cell{Members: members, name: name}
+				result.Members, result.name = members, name
+				continue
+			}
+			first := slices.IndexFunc(members, func(in model.Instance) bool { return in.State == model.InstanceLive })
+			if first >= 0 {
+				result.OtherFirsts = append(result.OtherFirsts, members[first])
 			}
 		}
 	}
--- a/internal/coordination/cell/tracker.go
+++ b/internal/coordination/cell/tracker.go
@@ -31,6 +31,14 @@
 	return t.current.Members
 }
 
+// OtherFirsts returns the first live members of the other cells.
+func (t *Tracker) OtherFirsts() []model.Instance {
+	t.refresh()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current.OtherFirsts
+}
+
 // Prefers reports whether the cell prefers the engine at the address.
 func (t *Tracker) Prefers(address string) bool {
 	t.refresh()
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -48,6 +48,8 @@
 	Send(to model.Instance, s State)
 	// SendMoveCounts sends counts, which may be lost.
 	SendMoveCounts(to model.Instance, c MoveCounts)
+	// SendSuspects sends rows, which may be lost.
+	SendSuspects(to []model.Instance, rows suspect.Rows)
 	// ExchangeSuspects sends rows to an instance and calls received with the rows of
 	// that instance, unless it does not answer.
 	ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows))
@@ -77,10 +79,6 @@
 // heartbeatInterval, so that each prompt is in at least one heartbeat.
 const partTTL = 1200 * time.Millisecond
 
-// firstSuspectExchanges is the number of instances that a started instance asks for
-// what they know of crashes. More than one, as some may have just started too.
-const firstSuspectExchanges = 3
-
 const key worker.Key = "exchange"
 
 // Options configure a Manager.
@@ -89,6 +87,7 @@
 	Self        model.Instance
 	Instances   *instance.Table
 	Members     func() []model.Instance // of this instance's cell
+	OtherFirsts func() []model.Instance // first live members of the other cells
 	Commitments *commitment.Table
 	Upstreams   *upstream.Table
 	Locations   *location.Table
@@ -204,10 +203,8 @@
 		MoveCounts:  m.opts.Moves.LocalRows(),
 		Left:        m.recentlyLeft(time.Now()),
 	}
-	for _, in := range m.opts.Members() {
-		if in.ID != m.opts.Self.ID && in.State != model.InstanceDead && in.ControlAddress != "" {
-			m.opts.Link.Send(in, s)
-		}
+	for _, in := range m.reachable(m.opts.Members()) {
+		m.opts.Link.Send(in, s)
 	}
 }
 
@@ -305,22 +302,6 @@
 	}
 }
 
-// exchangeSuspects exchanges what this instance and one that has just been heard know
-// of requests that crash upstreams. Those rows are sent only when they change, so a
-// started instance has missed the earlier ones.
-func (m *Manager) exchangeSuspects(with model.Instance) {
-	rows := m.opts.Suspects.Snapshot(time.Now())
-	if rows.Empty() && m.suspectsAnswers >= firstSuspectExchanges {
-		return
-	}
-	m.opts.Link.ExchangeSuspects(with, rows, func(got suspect.Rows) {
-		m.opts.Pool.Post(key, worker.Func(func() {
-			m.suspectsAnswers++
-			m.opts.Suspects.Merge(got, time.Now())
-		}))
-	})
-}
-
 func isNewer(s State, old peerState) bool {
 	if s.Incarnation != old.incarnation {
 		return s.Incarnation > old.incarnation
--- a/internal/coordination/exchange/exchange_test.go
+++ b/internal/coordination/exchange/exchange_test.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -29,67 +30,100 @@
 	upstreams    *upstream.Table
 	suspects     *suspect.Table
 	moves        *move.Table
-	alone        atomic.Bool // the other instance is in another cell
-	disconnected atomic.Bool // the states that it sends are lost
+	disconnected atomic.Bool  // the states that it sends are lost
+	rowsReceived atomic.Int32 // messages with suspects
 }
 
-// network delivers states at once.
+// network delivers messages at once.
 type network map[model.InstanceID]*member
 
+// link is one instance's Link.
+type link struct {
+	network
+	self model.InstanceID
+}
+
 // Send implements Link.
-func (n network) Send(to model.Instance, s State) {
-	if !n[s.Instance].disconnected.Load() {
-		n[to.ID].Receive(s)
+func (l link) Send(to model.Instance, s State) {
+	if !l.network[l.self].disconnected.Load() {
+		l.network[to.ID].Receive(s)
 	}
 }
 
 // SendMoveCounts implements Link.
-func (n network) SendMoveCounts(to model.Instance, c MoveCounts) { n[to.ID].ReceiveMoveCounts(c) }
+func (l link) SendMoveCounts(to model.Instance, c MoveCounts) {
+	l.network[to.ID].ReceiveMoveCounts(c)
+}
+
+// SendSuspects implements Link.
+func (l link) SendSuspects(to []model.Instance, rows suspect.Rows) {
+	for _, in := range to {
+		l.network[in.ID].rowsReceived.Add(1)
+		l.network[in.ID].ReceiveSuspects(l.self, rows)
+	}
+}
 
 // ExchangeSuspects implements Link.
-func (n network) ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows)) {
-	n[with.ID].suspects.Merge(rows, time.Now())
-	received(n[with.ID].suspects.Snapshot(time.Now()))
+func (l link) ExchangeSuspects(with model.Instance, rows suspect.Rows, received func(suspect.Rows)) {
+	l.network[with.ID].suspects.Merge(rows, time.Now())
+	received(l.network[with.ID].suspects.Snapshot(time.Now()))
 }
 
-// startPair starts two instances that know each other.
+// startPair starts two instances of one cell that know each other.
 func startPair(t *testing.T) (a, b *member, stop func()) {
 	t.Helper()
-	n := network{}
-	all := []model.Instance{
-		{ID: "a", Incarnation: 1, State: model.InstanceLive, ControlAddress: "a"},
-		{ID: "b", Incarnation: 1, State: model.InstanceLive, ControlAddress: "b"},
+	n, stop := startCells(t, []model.InstanceID{"a", "b"})
+	return n["a"], n["b"], stop
+}
+
+// startCells starts the instances of cells. The first one judges version moves.
+func startCells(t *testing.T, cells ...[]model.InstanceID) (n network, stop func()) {
+	t.Helper()
+	n = network{}
+	record := func(id model.InstanceID) model.Instance {
+		return model.Instance{ID: id, Incarnation: 1, State: model.InstanceLive, ControlAddress: string(id)}
 	}
-	for _, self := range all {
-		m := &member{
-			pool:        worker.NewPool(worker.Options{Workers: 1}),
-			instances:   instance.NewTable(),
-			commitments: commitment.NewTable(3 * time.Second),
-			upstreams:   upstream.NewTable(),
-			suspects:    suspect.NewTable(self.ID),
-			moves:       move.NewTable(),
+	records := func(ids []model.InstanceID) (list []model.Instance) {
+		for _, id := range ids {
+			list = append(list, record(id))
 		}
-		for _, in := range all {
-			m.instances.Merge(in)
+		return list
+	}
+	for i, cell := range cells {
+		var firsts []model.InstanceID
+		for k, other := range cells {
+			if k != i {
+				firsts = append(firsts, other[0])
+			}
+		}
+		for _, id := range cell {
+			m := &member{
+				pool:        worker.NewPool(worker.Options{Workers: 1}),
+				instances:   instance.NewTable(),
+				commitments: commitment.NewTable(3 * time.Second),
+				upstreams:   upstream.NewTable(),
+				suspects:    suspect.NewTable(id),
+				moves:       move.NewTable(),
+			}
+			for _, in := range records(slices.Concat(cells...)) {
+				m.instances.Merge(in)
+			}
+			m.upstreams.Configure([]model.Upstream{{ID: "u", Serves: "s"}})
+			m.Manager = New(Options{
+				Pool: m.pool, Self: record(id), Instances: m.instances, Commitments: m.commitments,
+				Members:     func() []model.Instance { return records(cell) },
+				OtherFirsts: func() []model.Instance { return records(firsts) },
+				Judge:       func() (model.Instance, bool) { return record(cells[0][0]), true },
+				Upstreams:   m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: m.moves, Suspects: m.suspects,
+				Link: link{n, id}, Log: &log.Logger{Handler: discard.Default},
+			})
+			n[id] = m
 		}
-		m.upstreams.Configure([]model.Upstream{{ID: "u", Serves: "s"}})
-		m.Manager = New(Options{
-			Pool: m.pool, Self: self, Instances: m.instances, Commitments: m.commitments,
-			Members: func() []model.Instance {
-				if m.alone.Load() {
-					return []model.Instance{self}
-				}
-				return m.instances.All()
-			},
-			Judge:     func() (model.Instance, bool) { return all[0], true },
-			Upstreams: m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: m.moves, Suspects: m.suspects, Link: n, Log: &log.Logger{Handler: discard.Default},
-		})
-		n[self.ID] = m
 	}
 	for _, m := range n {
 		m.Start()
 	}
-	return n["a"], n["b"], func() {
+	return n, func() {
 		for _, m := range n {
 			m.pool.Close()
 		}
@@ -228,15 +262,44 @@
 // for evidence, the other cells go on to send requests to a bad version.
 func TestJudgeGetsTheMoveCountsOfOtherCells(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a, b, stop := startPair(t)
+		n, stop := startCells(t, []model.InstanceID{"a"}, []model.InstanceID{"b"})
 		defer stop()
-		for _, m := range []*member{a, b} {
-			m.alone.Store(true)
+		for _, m := range n {
 			m.moves.Apply(model.VersionMove{VersionOrder: model.VersionOrder{Service: "s", Target: "v2", Revision: 7}, State: model.MoveOpen}, time.Now())
 		}
-		b.moves.Record("s", "v2", "r", true)
+		n["b"].moves.Record("s", "v2", "r", true)
 		time.Sleep(heartbeatInterval + time.Millisecond)
 		synctest.Wait()
-		assert.Equal(t, a.moves.Totals("s")["r"].New, move.Counts{Requests: 1, Failures: 1})
+		assert.Equal(t, n["a"].moves.Totals("s")["r"].New, move.Counts{Requests: 1, Failures: 1})
+	})
+}
+
+// Guards against crashes that another cell does not learn of, and against a message from
+// one instance to each other one, which needs a connection to each.
+func TestSuspectsReachOtherCellsThroughTheirFirstMembers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n, stop := startCells(t, []model.InstanceID{"a", "b"}, []model.InstanceID{"c", "d", "e"})
+		defer stop()
+		time.Sleep(3 * time.Second)
+		now := time.Now()
+		rows := suspect.Rows{Deaths: []suspect.Death{{ID: suspect.DeathID{Upstream: "u"}, Fingerprint: "f", At: now}}}
+		know := func() (ids []model.InstanceID) {
+			synctest.Wait()
+			for id, m := range n {
+				if deaths, _ := m.suspects.CountDeaths("f", now); deaths > 0 {
+					ids = append(ids, id)
+				}
+			}
+			slices.Sort(ids)
+			return ids
+		}
+		n["a"].suspects.Merge(rows, now)
+		n["a"].PublishSuspects(rows, false)
+		assert.DeepEqual(t, know(), []model.InstanceID{"a", "b"})
+		n["a"].PublishSuspects(rows, true)
+		assert.DeepEqual(t, know(), []model.InstanceID{"a", "b", "c", "d", "e"})
+		assert.Equal(t, n["b"].rowsReceived.Load(), int32(2))
+		assert.Equal(t, n["c"].rowsReceived.Load(), int32(1))
+		assert.Equal(t, n["d"].rowsReceived.Load(), int32(1))
 	})
 }
--- a/internal/transport/edgelink/edgelink.go
+++ b/internal/transport/edgelink/edgelink.go
@@ -103,7 +103,7 @@
 type Receiver struct {
 	States     func(exchange.State)
 	MoveCounts func(exchange.MoveCounts)
-	Suspects   func(suspect.Rows)
+	Suspects   func(from model.InstanceID, rows suspect.Rows)
 	// KnownSuspects returns the rows with which suspects that arrive on a stream are
 	// answered.
 	KnownSuspects func() suspect.Rows
@@ -168,5 +168,5 @@
 			Warn("malformed suspect rows dropped")
 		return
 	}
-	r.Suspects(rows)
+	r.Suspects(model.InstanceID(from.Name), rows)
 }
--- a/internal/transport/edgelink/edgelink_test.go
+++ b/internal/transport/edgelink/edgelink_test.go
@@ -77,7 +77,7 @@
 // Guards against suspect rows that do not arrive at other instances.
 func TestSuspectsArrive(t *testing.T) {
 	got := make(chan suspect.Rows, 1)
-	link, server := connect(t, Receiver{Suspects: func(rows suspect.Rows) { got <- rows }, Log: &log.Logger{Handler: discard.Default}})
+	link, server := connect(t, Receiver{Suspects: func(_ model.InstanceID, rows suspect.Rows) { got <- rows }, Log: &log.Logger{Handler: discard.Default}})
 	rows := suspect.Rows{
 		Deaths: []suspect.Death{{ID: suspect.DeathID{Upstream: "u", Incarnation: 3}, Fingerprint: "f", At: time.UnixMilli(1_700_000_000_000).UTC()}},
 		Clears: []suspect.Clear{{Fingerprint: "g", At: time.UnixMilli(1_700_000_001_000).UTC()}},
@@ -97,7 +97,7 @@
 	theirs := suspect.Rows{Clears: []suspect.Clear{{Fingerprint: "g", At: time.UnixMilli(1_700_000_001_000).UTC()}}}
 	arrived, received := make(chan suspect.Rows, 1), make(chan suspect.Rows, 1)
 	link, server := connect(t, Receiver{
-		Suspects:      func(rows suspect.Rows) { arrived <- rows },
+		Suspects:      func(_ model.InstanceID, rows suspect.Rows) { arrived <- rows },
 		KnownSuspects: func() suspect.Rows { return theirs },
 		Log:           &log.Logger{Handler: discard.Default},
 	})
