--- a/internal/transport/edgelink/edgelink_test.go
+++ b/internal/transport/edgelink/edgelink_test.go
@@ -18,8 +18,17 @@
 	"gotest.tools/v3/assert"
 )
 
-// connect returns a link from instance a and the server of instance b.
+// connect returns a link from instance a and the server of instance b, which passes
+// messages on to receive.
 func connect(t *testing.T, receive Receiver) (*Link, *peer.Server) {
+	t.Helper()
+	handlers := peer.Mux{peerwire.KindState: receive, peerwire.KindMoveCounts: receive, peerwire.KindSuspects: receive}
+	link, _, server := connectTo(t, handlers, receive.Datagram, receive.Log)
+	return link, server
+}
+
+// connectTo returns a link from instance a, its client and the server of instance b.
+func connectTo(t *testing.T, handlers peer.Mux, datagrams func(peer.Peer, peerwire.Message), logger log.Interface) (*Link, *peer.Client, *peer.Server) {
 	t.Helper()
 	ca, err := devcert.New(t.TempDir())
 	assert.NilError(t, err)
@@ -29,14 +38,14 @@
 		return peer.Options{Address: "127.0.0.1:0", CertFile: f.Cert, KeyFile: f.Key, CAFile: f.CA}
 	}
 	o := options("b")
-	o.Datagrams = receive.Datagram
-	server, err := peer.NewServer(o, peer.Mux{peerwire.KindState: receive, peerwire.KindMoveCounts: receive, peerwire.KindSuspects: receive})
+	o.Datagrams = datagrams
+	server, err := peer.NewServer(o, handlers)
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, server.Close()) })
 	client, err := peer.NewClient(options("a"))
 	assert.NilError(t, err)
 	t.Cleanup(func() { assert.NilError(t, client.Close()) })
-	return New(client, receive.Log), server
+	return New(client, logger), client, server
 }
 
 // Guards against the loss of states that are too large for a datagram: other
--- a/internal/transport/edgelink/registry_test.go
+++ b/internal/transport/edgelink/registry_test.go
@@ -13,7 +13,6 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
-	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer/devcert"
 	"gotest.tools/v3/assert"
 )
 
@@ -36,20 +35,7 @@
 		}
 		return delta
 	}
-	ca, err := devcert.New(t.TempDir())
-	assert.NilError(t, err)
-	options := func(name string) peer.Options {
-		f, err := ca.Issue(name)
-		assert.NilError(t, err)
-		return peer.Options{Address: "127.0.0.1:0", CertFile: f.Cert, KeyFile: f.Key, CAFile: f.CA}
-	}
-	server, err := peer.NewServer(options("b"), peer.Mux{peerwire.KindRegistry: ServeNews(news)})
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.NilError(t, server.Close()) })
-	client, err := peer.NewClient(options("a"))
-	assert.NilError(t, err)
-	t.Cleanup(func() { assert.NilError(t, client.Close()) })
-	link := New(client, &log.Logger{Handler: discard.Default})
+	link, client, server := connectTo(t, peer.Mux{peerwire.KindRegistry: ServeNews(news)}, nil, &log.Logger{Handler: discard.Default})
 	reader := model.Instance{ID: "b", ControlAddress: server.Address()}
 
 	delta, err := link.Poll(t.Context(), reader, registry.Cursor{RulesRevision: 1}, base, 0)
