forward: reads of recorded sends in tests hold the harness mutex

The harness records sends and broadcasts of crashes from the workers of its pool; the tests read the slices without a lock, and a timer (the delayed broadcast, the end of a pause) may run after such a read without an event that orders the two. The manager itself isn't involved. Change: tests read through sent and crashBroadcasts, which hold the mutex under which the workers append. No assertion changed.

--- a/internal/coordination/forward/call_test.go
+++ b/internal/coordination/forward/call_test.go
@@ -15,7 +15,7 @@
 		reply, _ := b.submit("/book/1")
 		b.lastSend().Lost(continuation.LossReset, "EOF", true)
 		b.advance(time.Second)
-		assert.Equal(t, len(b.sends), 1)
+		assert.Equal(t, len(b.sent()), 1)
 		assert.Equal(t, reply.refused.Outcome, model.OutcomeUnknown)
 	})
 }
@@ -30,7 +30,7 @@
 		b.advance(0)
 		b.lastSend().Answered(Answer{Status: 200})
 		b.advance(0)
-		assert.Equal(t, len(b.sends), 3)
+		assert.Equal(t, len(b.sent()), 3)
 		assert.Equal(t, reply.answer.Status, 200)
 	})
 }
@@ -51,12 +51,12 @@
 	withHarness(t, func(b *harness) {
 		reply, _ := b.submit("/read/1")
 		b.advance(200 * time.Millisecond)
-		assert.Equal(t, len(b.sends), 2)
+		assert.Equal(t, len(b.sent()), 2)
 		b.lastSend().Answered(Answer{Status: 200})
 		b.advance(time.Second)
 		assert.Equal(t, reply.answer.Status, 200)
-		assert.Assert(t, b.sends[0].cancelled)
-		assert.Equal(t, len(b.sends), 2)
+		assert.Assert(t, b.sent()[0].cancelled)
+		assert.Equal(t, len(b.sent()), 2)
 	})
 }
 
--- a/internal/coordination/forward/crash_test.go
+++ b/internal/coordination/forward/crash_test.go
@@ -16,21 +16,21 @@
 // submitAndCrash submits a call that may be repeated, crashes each upstream that gets
 // the call, and returns the number of sends. Afterwards the upstreams start again.
 func (b *harness) submitAndCrash() (*fakeReply, int) {
-	before := len(b.sends)
+	before := len(b.sent())
 	reply, _ := b.submit("/read/1")
-	for at := before; at < len(b.sends); at++ {
-		b.crashedUpstreams[b.sends[at].Upstream.ID] = true
-		b.sends[at].Lost(continuation.LossReset, "EOF", true)
+	for at := before; at < len(b.sent()); at++ {
+		b.crashedUpstreams[b.sent()[at].Upstream.ID] = true
+		b.sent()[at].Lost(continuation.LossReset, "EOF", true)
 		b.advance(0)
 	}
 	b.advance(crashCheckDelay)
-	for _, send := range b.sends[before:] {
+	for _, send := range b.sent()[before:] {
 		b.crashedUpstreams[send.Upstream.ID] = false
 		b.upstreams.Apply(upstream.Report{
-			Upstream: send.Upstream.ID, Incarnation: uint64(len(b.sends)), Health: upstream.HealthUp, At: time.Now(),
+			Upstream: send.Upstream.ID, Incarnation: uint64(len(b.sent())), Health: upstream.HealthUp, At: time.Now(),
 		})
 	}
-	return reply, len(b.sends) - before
+	return reply, len(b.sent()) - before
 }
 
 // Guards against a request whose caller repeats it until it has crashed all upstreams,
@@ -49,7 +49,7 @@
 		assert.Equal(t, more, 0)
 		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
 		assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun)
-		assert.Assert(t, b.suspectBroadcasts[len(b.suspectBroadcasts)-1], "the crashes were not sent to all instances")
+		assert.Assert(t, b.crashBroadcasts()[len(b.crashBroadcasts())-1], "the crashes were not sent to all instances")
 
 		for range 10 { // one trial run after each delay until the limit is reached, then none
 			b.advance(crashTrialDelay)
@@ -81,13 +81,13 @@
 	t.Run("upstreams live", func(t *testing.T) {
 		withHarness(t, func(b *harness) {
 			for range 5 {
-				before := len(b.sends)
+				before := len(b.sent())
 				b.submit("/read/1")
-				for at := before; at < len(b.sends); at++ {
-					b.sends[at].Lost(continuation.LossReset, "EOF", true)
+				for at := before; at < len(b.sent()); at++ {
+					b.sent()[at].Lost(continuation.LossReset, "EOF", true)
 					b.advance(0)
 				}
-				assert.Equal(t, len(b.sends)-before, 2)
+				assert.Equal(t, len(b.sent())-before, 2)
 				b.advance(5 * time.Second)
 			}
 		})
@@ -101,7 +101,7 @@
 				_, runs := b.submitAndCrash()
 				assert.Assert(t, runs > 0)
 			}
-			assert.Equal(t, len(b.suspectBroadcasts), 0)
+			assert.Equal(t, len(b.crashBroadcasts()), 0)
 		})
 	})
 }
@@ -153,21 +153,21 @@
 // crashStream submits a stream, crashes each upstream that begins to write its first
 // event, and returns the number of sends.
 func (b *harness) crashStream(request *Request) (*fakeReply, int) {
-	before := len(b.sends)
+	before := len(b.sent())
 	reply := b.submitRequest(request)
-	for at := before; at < len(b.sends); at++ {
+	for at := before; at < len(b.sent()); at++ {
 		b.advance(time.Second) // the engine reads the prompt
-		send := b.sends[at]
+		send := b.sent()[at]
 		b.crashedUpstreams[send.Upstream.ID] = true
 		send.StreamBegan(200, nil)
 		send.Lost(continuation.LossTruncated, "stream ended within an event", true)
 		b.advance(crashCheckDelay)
 		b.crashedUpstreams[send.Upstream.ID] = false
 		b.upstreams.Apply(upstream.Report{
-			Upstream: send.Upstream.ID, Incarnation: uint64(len(b.sends)), Health: upstream.HealthUp, At: time.Now().Add(time.Second),
+			Upstream: send.Upstream.ID, Incarnation: uint64(len(b.sent())), Health: upstream.HealthUp, At: time.Now().Add(time.Second),
 		})
 	}
-	return reply, len(b.sends) - before
+	return reply, len(b.sent()) - before
 }
 
 // Guards against a stream that crashes upstreams inside its first event, where the
@@ -205,9 +205,9 @@
 
 // serveStream submits a stream and reports whether it was sent and ended.
 func (b *harness) serveStream(request *Request) bool {
-	before := len(b.sends)
+	before := len(b.sent())
 	reply := b.submitRequest(request)
-	if len(b.sends) == before {
+	if len(b.sent()) == before {
 		return false
 	}
 	b.advance(time.Second)
@@ -232,7 +232,7 @@
 		reply := b.submitRequest(b.withParts("other", "deadly"))
 		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
 		assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun)
-		assert.Assert(t, b.suspectBroadcasts[len(b.suspectBroadcasts)-1], "the crashes were not sent to all instances")
+		assert.Assert(t, b.crashBroadcasts()[len(b.crashBroadcasts())-1], "the crashes were not sent to all instances")
 	})
 }
 
@@ -290,7 +290,7 @@
 			b.upstreams.Apply(upstream.Report{Upstream: row.Upstream.ID, Incarnation: 2, Health: upstream.HealthUp, At: time.Now()})
 		}
 		b.advance(time.Second)
-		assert.Equal(t, len(b.sends), 0)
+		assert.Equal(t, len(b.sent()), 0)
 		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
 	})
 }
@@ -304,14 +304,14 @@
 			b.crashedUpstreams[b.lastSend().Upstream.ID] = true
 			b.lastSend().Lost(continuation.LossReset, "EOF", true)
 			b.advance(crashCheckDelay)
-			assert.DeepEqual(t, b.suspectBroadcasts, []bool{false})
+			assert.DeepEqual(t, b.crashBroadcasts(), []bool{false})
 			if cleared {
 				b.lastSend().StreamBegan(200, nil)
 				b.lastSend().event(1)
 				b.lastSend().StreamEnded()
 			}
 			b.advance(crashBroadcastDelay)
-			widely := slices.Contains(b.suspectBroadcasts, true)
+			widely := slices.Contains(b.crashBroadcasts(), true)
 			assert.Equal(t, widely, !cleared)
 		})
 	}
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -67,8 +67,8 @@
 	moves             *move.Table
 	instances         int
 	submitted         int
-	mu                sync.Mutex  // guards sends, because several requests may be placed at once
-	sends             []*fakeSend // read without mu, only after synctest.Wait
+	mu                sync.Mutex  // guards sends and suspectBroadcasts, which the pool's workers append to
+	sends             []*fakeSend // read through sent
 	foundUpstreams    []model.Upstream
 	leftUpstreams     []model.UpstreamID // upstreams that said that they leave
 	discardedHandles  []string           // handles of discarded copies
@@ -79,7 +79,7 @@
 	promptQueries     int // calls of CachedParts
 	crashedUpstreams  map[model.UpstreamID]bool
 	suspects          *suspect.Table
-	suspectBroadcasts []bool // for each call of PublishCrashes, whether it was for all instances
+	suspectBroadcasts []bool // for each call of PublishCrashes, whether it was for all instances; read through crashBroadcasts
 }
 
 // Start implements Sender.
@@ -91,6 +91,25 @@
 	return func() { send.cancelled = true }
 }
 
+// sent returns what was sent so far.
+func (b *harness) sent() []*fakeSend {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.sends
+}
+
+func (b *harness) publishCrashes(_ suspect.Rows, widely bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.suspectBroadcasts = append(b.suspectBroadcasts, widely)
+}
+
+func (b *harness) crashBroadcasts() []bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.suspectBroadcasts
+}
+
 // Probe implements Sender.
 func (b *harness) Probe(_ model.Upstream, _ time.Duration, answered func(EngineState, error)) {
 	if b.probesFail {
@@ -150,7 +169,7 @@
 			Outcomes:         outcome.NewTable(),
 			Moves:            b.moves,
 			Suspects:         b.suspects,
-			PublishCrashes:   func(_ suspect.Rows, widely bool) { b.suspectBroadcasts = append(b.suspectBroadcasts, widely) },
+			PublishCrashes:   b.publishCrashes,
 			Sender:           b,
 			Budget:           unlimitedBudget{},
 			FailureDomain:    "a",
@@ -236,10 +255,10 @@
 // lastSend returns the newest send.
 func (b *harness) lastSend() *fakeSend {
 	b.t.Helper()
-	if len(b.sends) == 0 {
+	if len(b.sent()) == 0 {
 		b.t.Fatal("nothing was sent")
 	}
-	return b.sends[len(b.sends)-1]
+	return b.sent()[len(b.sent())-1]
 }
 
 // advance moves the bubble's clock forward and waits until all work is done.
--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -19,11 +19,11 @@
 		stream, _ := b.submit("/log/1")
 		call, _ := b.submit("/book/1")
 		b.advance(time.Second)
-		assert.Equal(t, len(b.sends), 0)
+		assert.Equal(t, len(b.sent()), 0)
 		assert.Assert(t, stream.refused == nil && call.refused == nil)
 		table.Apply(testRules())
 		b.advance(2 * holdCheckInterval)
-		assert.Equal(t, len(b.sends), 2)
+		assert.Equal(t, len(b.sent()), 2)
 		assert.Equal(t, b.m.heldCount.Load(), int64(0))
 	})
 }
@@ -38,7 +38,7 @@
 		b.advance(700 * time.Millisecond)
 		b.upstreams.Configure([]model.Upstream{fakeUpstream("engine", "a", 0), fakeUpstream("desk", "a", 0)})
 		b.advance(2 * holdCheckInterval)
-		assert.Equal(t, len(b.sends), 2)
+		assert.Equal(t, len(b.sent()), 2)
 	})
 }
 
@@ -88,16 +88,16 @@
 		first := []model.Upstream{fakeUpstream("engine", "a", 0), fakeUpstream("engine", "b", 0)}
 		b.upstreams.Configure(first)
 		b.advance(time.Second) // two engines read two prompts in this time, for twelve instances
-		assert.Assert(t, len(b.sends) <= 1)
+		assert.Assert(t, len(b.sent()) <= 1)
 		all := first
 		for i := range 34 {
 			all = append(all, fakeUpstream("engine", "c", i))
 		}
 		b.upstreams.Configure(all)
 		b.advance(maxHoldTime)
-		assert.Equal(t, len(b.sends), 10)
+		assert.Equal(t, len(b.sent()), 10)
 		got := map[model.UpstreamID]int{}
-		for _, s := range b.sends {
+		for _, s := range b.sent() {
 			got[s.Upstream.ID]++
 			assert.Assert(t, got[s.Upstream.ID] <= 2, "%v", got)
 		}
--- a/internal/coordination/forward/outcome_test.go
+++ b/internal/coordination/forward/outcome_test.go
@@ -13,9 +13,9 @@
 // to the faulty upstream.
 func (b *harness) serveCalls(n int, path string, faulty model.UpstreamID, fail func(*fakeSend)) (got int) {
 	for range n {
-		before := len(b.sends)
+		before := len(b.sent())
 		b.submit(path)
-		for _, s := range b.sends[before:] {
+		for _, s := range b.sent()[before:] {
 			if s.Upstream.ID == faulty {
 				got++
 				fail(s)
@@ -24,7 +24,7 @@
 			}
 		}
 		b.advance(200 * time.Millisecond)
-		for _, s := range b.sends[before:] { // sends that were added meanwhile, to a second upstream
+		for _, s := range b.sent()[before:] { // sends that were added meanwhile, to a second upstream
 			s.Answered(Answer{Status: 200})
 		}
 		b.advance(0)
--- a/internal/coordination/forward/pause_test.go
+++ b/internal/coordination/forward/pause_test.go
@@ -39,11 +39,11 @@
 		b.advance(0)
 		assert.Equal(t, reply.answer.Status, 200)
 		for time.Since(began) < pause-100*time.Millisecond {
-			before := len(b.sends)
+			before := len(b.sent())
 			b.submit("/read/1")
 			b.advance(200 * time.Millisecond) // hedged after 150 ms
-			assert.Equal(t, len(b.sends)-before, 2)
-			for _, s := range b.sends[before:] {
+			assert.Equal(t, len(b.sent())-before, 2)
+			for _, s := range b.sent()[before:] {
 				assert.Assert(t, s.Upstream.ID != paused)
 				s.Answered(Answer{Status: 200})
 			}
@@ -60,7 +60,7 @@
 			return n
 		}
 		assert.Equal(t, count(), 1)
-		for _, s := range b.sends {
+		for _, s := range b.sent() {
 			if s.Upstream.ID == paused {
 				s.Answered(Answer{Status: 200})
 			}
@@ -76,7 +76,7 @@
 	withHarness(t, func(b *harness) {
 		b.pauseAll(3*time.Second, 3*time.Second)
 		reply, _ := b.submit("/book/1")
-		assert.Equal(t, len(b.sends), 0)
+		assert.Equal(t, len(b.sent()), 0)
 		assert.Equal(t, reply.refused.Code, CodePaused)
 		assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun)
 		assert.Equal(t, reply.refused.RetryAfter, 3*time.Second)
@@ -85,9 +85,9 @@
 		b.pauseAll(3*time.Second, 300*time.Millisecond)
 		reply, _ := b.submit("/book/1")
 		b.advance(250 * time.Millisecond)
-		assert.Equal(t, len(b.sends), 0)
+		assert.Equal(t, len(b.sent()), 0)
 		b.advance(100 * time.Millisecond)
-		assert.Equal(t, len(b.sends), 1)
+		assert.Equal(t, len(b.sent()), 1)
 		b.lastSend().Answered(Answer{Status: 200})
 		b.advance(0)
 		assert.Equal(t, reply.answer.Status, 200)
@@ -125,6 +125,6 @@
 		first.StreamEnded()
 		b.advance(0)
 		assert.Assert(t, reply.ended)
-		assert.Equal(t, len(b.sends), 1)
+		assert.Equal(t, len(b.sent()), 1)
 	})
 }
--- a/internal/coordination/forward/probe_test.go
+++ b/internal/coordination/forward/probe_test.go
@@ -14,7 +14,7 @@
 	withHarness(t, func(b *harness) {
 		reply, _ := b.submit("/log/1")
 		b.advance(4 * time.Second)
-		assert.Equal(t, len(b.sends), 1)
+		assert.Equal(t, len(b.sent()), 1)
 		b.lastSend().StreamBegan(200, nil)
 		b.lastSend().event(1)
 		assert.Assert(t, reply.begun)
@@ -28,9 +28,9 @@
 		b.probesFail = true
 		b.submit("/log/1")
 		b.advance(1600 * time.Millisecond)
-		assert.Equal(t, len(b.sends), 2)
-		assert.Assert(t, b.sends[0].cancelled)
-		assert.Assert(t, b.sends[1].Upstream.ID != b.sends[0].Upstream.ID)
+		assert.Equal(t, len(b.sent()), 2)
+		assert.Assert(t, b.sent()[0].cancelled)
+		assert.Assert(t, b.sent()[1].Upstream.ID != b.sent()[0].Upstream.ID)
 	})
 }
 
@@ -53,7 +53,7 @@
 			b.engineState = test.state
 			b.submit("/log/1")
 			b.advance(1800 * time.Millisecond)
-			assert.Equal(t, len(b.sends), test.sends, test.name)
+			assert.Equal(t, len(b.sent()), test.sends, test.name)
 		})
 	}
 }
@@ -65,7 +65,7 @@
 		b.engineState = EngineState{Reported: true}
 		reply, _ := b.submit("/tell/1")
 		b.advance(1800 * time.Millisecond)
-		assert.Equal(t, len(b.sends), 1)
+		assert.Equal(t, len(b.sent()), 1)
 		assert.Assert(t, reply.refused == nil)
 	})
 }
--- a/internal/coordination/forward/stream_test.go
+++ b/internal/coordination/forward/stream_test.go
@@ -50,7 +50,7 @@
 			b.lastSend().event(p + 1)
 		}
 		b.advance(400 * time.Millisecond)
-		assert.Equal(t, len(b.sends), 2)
+		assert.Equal(t, len(b.sent()), 2)
 	})
 }
 
@@ -184,7 +184,7 @@
 		b.lastSend().StreamEnded()
 		b.advance(time.Second)
 		assert.Assert(t, !reply.ended)
-		assert.Equal(t, len(b.sends), 2)
+		assert.Equal(t, len(b.sent()), 2)
 		b.lastSend().StreamBegan(200, nil)
 		b.lastSend().event(1)
 		b.lastSend().StreamEnded()
@@ -213,7 +213,7 @@
 		for range 2 * maxStaleEvents {
 			first.event(1)
 		}
-		assert.Equal(t, len(b.sends), 2)
+		assert.Equal(t, len(b.sent()), 2)
 		assert.Assert(t, first.cancelled)
 		b.lastSend().event(2)
 		b.lastSend().StreamEnded()
@@ -237,7 +237,7 @@
 		close(release)
 		b.advance(0)
 		assert.Assert(t, first.cancelled)
-		assert.Equal(t, len(b.sends), 2)
+		assert.Equal(t, len(b.sent()), 2)
 		assert.Assert(t, int(b.lastSend().LastPosition) <= maxWaitingEventBytes/len(raw)+1)
 	})
 }
--- a/internal/coordination/forward/version_test.go
+++ b/internal/coordination/forward/version_test.go
@@ -15,9 +15,9 @@
 	b.moves.Apply(m, time.Now())
 	got := map[string]int{}
 	for range n {
-		before := len(b.sends)
+		before := len(b.sent())
 		reply, _ := b.submit("/read/1")
-		if len(b.sends) == before {
+		if len(b.sent()) == before {
 			got["none"]++
 			continue
 		}
