--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/apex/log"
@@ -246,3 +247,18 @@
 		entries:  map[model.UpstreamID]Entry{"u1": entryOf("u1", false, 1), "u2": entryOf("u2", false, 1)},
 	}
 }
+
+// inEachPhase runs the test on cells of the given size, at ten times that are step apart,
+// because what an instance notices depends on the time since its last poll.
+func inEachPhase(t *testing.T, step time.Duration, size int, ids []model.InstanceID, run func(t *testing.T, w *storeContent, c fakePeers, phase int)) {
+	t.Helper()
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCells(t, w, size, ids...)
+			defer c.close()
+			time.Sleep(5*time.Second + time.Duration(phase)*step)
+			run(t, w, c, phase)
+		})
+	}
+}
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -143,25 +143,19 @@
 // Guards against a member that receives a change late because its reader and the
 // members next in line get no answers from the store.
 func TestMembersOfAReaderThatLostTheStoreReadThemselves(t *testing.T) {
-	for phase := range 10 {
-		synctest.Test(t, func(t *testing.T) {
-			w := newStoreContent()
-			c := startCell(t, w, "a", "b", "c", "d")
-			defer c.close()
-			time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
-			for _, id := range []model.InstanceID{"a", "b", "c"} {
-				c[id].store.hangs.Store(true)
-			}
-			w.change(func() {
-				w.rules = &model.RoutingRules{Revision: 2}
-				w.revision = 11
-			})
-			time.Sleep(1900 * time.Millisecond)
-			assert.Equal(t, c["d"].rulesTable.Current().Revision, uint64(2))
-			time.Sleep(4 * time.Second)
-			assert.Equal(t, c["a"].rulesTable.Current().Revision, uint64(2))
+	inEachPhase(t, 100*time.Millisecond, 4, []model.InstanceID{"a", "b", "c", "d"}, func(t *testing.T, w *storeContent, c fakePeers, _ int) {
+		for _, id := range []model.InstanceID{"a", "b", "c"} {
+			c[id].store.hangs.Store(true)
+		}
+		w.change(func() {
+			w.rules = &model.RoutingRules{Revision: 2}
+			w.revision = 11
 		})
-	}
+		time.Sleep(1900 * time.Millisecond)
+		assert.Equal(t, c["d"].rulesTable.Current().Revision, uint64(2))
+		time.Sleep(4 * time.Second)
+		assert.Equal(t, c["a"].rulesTable.Current().Revision, uint64(2))
+	})
 }
 
 // Guards against requests for a crashed upstream whose address another upstream
@@ -414,64 +408,46 @@
 // Guards against a connection that falls silent under the reader's call for the rules,
 // while its other calls are answered: no member looks for another reader then.
 func TestRulesAreInTimeAfterASilentConnection(t *testing.T) {
-	for phase := range 10 {
-		synctest.Test(t, func(t *testing.T) {
-			w := newStoreContent()
-			c := startCell(t, w, "a", "b")
-			defer c.close()
-			time.Sleep(5*time.Second + time.Duration(phase)*200*time.Millisecond)
-			c["a"].store.silentRules.Store(true)
-			w.change(func() {
-				w.rules = &model.RoutingRules{Revision: 2}
-				w.revision = 11
-			})
-			time.Sleep(2 * time.Second) // the time allowed for rules to come into force
-			assert.Equal(t, c["b"].rulesTable.Current().Revision, uint64(2), "phase %d", phase)
+	inEachPhase(t, 200*time.Millisecond, 2, []model.InstanceID{"a", "b"}, func(t *testing.T, w *storeContent, c fakePeers, phase int) {
+		c["a"].store.silentRules.Store(true)
+		w.change(func() {
+			w.rules = &model.RoutingRules{Revision: 2}
+			w.revision = 11
 		})
-	}
+		time.Sleep(2 * time.Second) // the time allowed for rules to come into force
+		assert.Equal(t, c["b"].rulesTable.Current().Revision, uint64(2), "phase %d", phase)
+	})
 }
 
 // Guards against members that keep to a reader whose entries are fresh but which
 // cannot read the rules.
 func TestReaderThatCannotReadTheRulesIsReplaced(t *testing.T) {
-	for phase := range 10 {
-		synctest.Test(t, func(t *testing.T) {
-			w := newStoreContent()
-			c := startCells(t, w, 2, "a", "b", "c", "d") // c is the reader of the second cell
-			defer c.close()
-			time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
-			c["a"].store.rulesHang.Store(true)
-			w.change(func() {
-				w.rules = &model.RoutingRules{Revision: 2}
-				w.revision = 11
-			})
-			time.Sleep(3 * time.Second) // the time allowed for rules to come into force in large fleets
-			for _, id := range []model.InstanceID{"b", "c", "d"} {
-				assert.Equal(t, c[id].rulesTable.Current().Revision, uint64(2), "%s, phase %d", id, phase)
-			}
+	inEachPhase(t, 100*time.Millisecond, 2, []model.InstanceID{"a", "b", "c", "d"}, func(t *testing.T, w *storeContent, c fakePeers, phase int) {
+		c["a"].store.rulesHang.Store(true) // the reader of the first cell; c is that of the second
+		w.change(func() {
+			w.rules = &model.RoutingRules{Revision: 2}
+			w.revision = 11
 		})
-	}
+		time.Sleep(3 * time.Second) // the time allowed for rules to come into force in large fleets
+		for _, id := range []model.InstanceID{"b", "c", "d"} {
+			assert.Equal(t, c[id].rulesTable.Current().Revision, uint64(2), "%s, phase %d", id, phase)
+		}
+	})
 }
 
 // Guards against a pause after a failed read of the store while another member could be
 // polled: together with a reader that does not answer, a leaving upstream would get work
 // for too long.
 func TestInstanceWithoutReaderAndStorePollsAnotherMemberAtOnce(t *testing.T) {
-	for phase := range 10 {
-		synctest.Test(t, func(t *testing.T) {
-			w := newStoreContent()
-			c := startCell(t, w, "a", "b", "c", "d")
-			defer c.close()
-			time.Sleep(5*time.Second + time.Duration(phase)*100*time.Millisecond)
-			c["a"].unresponsive.Store(true)
-			c["d"].store.hangs.Store(true)
-			w.change(func() {
-				w.entries["u1"] = entryOf("u1", true, 2)
-				w.revision = 11
-			})
-			time.Sleep(2 * time.Second) // LeaveTimeout
-			row, _ := c["d"].upstreams.Get("u1")
-			assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "phase %d", phase)
+	inEachPhase(t, 100*time.Millisecond, 4, []model.InstanceID{"a", "b", "c", "d"}, func(t *testing.T, w *storeContent, c fakePeers, phase int) {
+		c["a"].unresponsive.Store(true)
+		c["d"].store.hangs.Store(true)
+		w.change(func() {
+			w.entries["u1"] = entryOf("u1", true, 2)
+			w.revision = 11
 		})
-	}
+		time.Sleep(2 * time.Second) // LeaveTimeout
+		row, _ := c["d"].upstreams.Get("u1")
+		assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "phase %d", phase)
+	})
 }
