e2e: the worker that leaves is the one that its instance prefers

It took the first of the stand-in's workers, which are kept in a map, so that in two of three runs that was a worker of a zone to which instance 0 sends requests only when its own zone is busy. The product isn't involved.

--- a/tests/e2e/notices_test.go
+++ b/tests/e2e/notices_test.go
@@ -11,6 +11,16 @@
 	"gotest.tools/v3/assert"
 )
 
+func (e *edges) worker(id string) *fleet.Worker {
+	e.t.Helper()
+	workers := e.fleet.Workers("")
+	i := slices.IndexFunc(workers, func(w *fleet.Worker) bool { return w.ID() == id })
+	if i < 0 {
+		e.t.Fatalf("no worker has the ID %q", id)
+	}
+	return workers[i]
+}
+
 // Guards against requests to a worker that says in its answers that it leaves, by an
 // instance that cannot reach the store, and by the others of its cell.
 func TestEdgesBelieveAWorkerThatSaysItLeaves(t *testing.T) {
@@ -24,7 +34,7 @@
 		return header.Get("Server-Leaving") != ""
 	}
 	e.fleet.Store.SetFault(fleet.FaultUnavailable)
-	worker := e.fleet.Workers("desk")[0]
+	worker := e.worker("desk0") // in the zone of edge 0, which prefers it
 	worker.SetLeaving()
 	eventually(t, 10*time.Second, "the leaving worker answers", func() bool { return call(0) })
 	time.Sleep(500 * time.Millisecond) // the other instance gets the state within milliseconds
@@ -45,7 +55,7 @@
 	e.awaitReady()
 	const pause = 3 * time.Second
 	desks := e.fleet.Workers("desk")
-	near := desks[slices.IndexFunc(desks, func(w *fleet.Worker) bool { return w.ID() == "desk0" })] // in the zone of edge 0
+	near := e.worker("desk0") // in the zone of edge 0
 	near.Pause(pause)
 	began := time.Now()
 	for time.Since(began) < pause-500*time.Millisecond {
