--- a/internal/protocol/platformapi/entry.go
+++ b/internal/protocol/platformapi/entry.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/gravitational/trace"
@@ -51,34 +52,47 @@
 	Entries []Entry `json:"entries"`
 }
 
-// DecodeEntryList decodes the list. Each entry is decoded by itself: others write to the
-// list too, and an entry of theirs that cannot be read must not hide the rest. skipped
-// says why entries were left out.
+// DecodeEntryList decodes the list. skipped says why entries were left out: others write
+// to the list too, and an entry of theirs that cannot be read must not hide the rest.
 func DecodeEntryList(body []byte) (list EntryList, skipped []error, err error) {
+	if json.Unmarshal(body, &list) != nil {
+		if list.Entries, skipped, err = decodeEachEntry(body); err != nil {
+			return EntryList{}, nil, err
+		}
+	}
+	list.Entries = slices.DeleteFunc(list.Entries, func(e Entry) bool {
+		err := e.checkAddresses()
+		if err != nil {
+			skipped = append(skipped, err)
+		}
+		return err != nil
+	})
+	return list, skipped, nil
+}
+
+// decodeEachEntry decodes each entry of a list by itself, which takes longer than to
+// decode the list as one value.
+func decodeEachEntry(body []byte) (entries []Entry, skipped []error, err error) {
 	fields, err := jsonsplit.Object(body)
 	if err != nil {
-		return EntryList{}, nil, err
+		return nil, nil, err
 	}
 	if raw := string(fields["entries"]); raw == "" || raw == "null" {
-		return EntryList{}, nil, nil
+		return nil, nil, nil
 	}
-	entries, err := jsonsplit.Array(fields["entries"])
+	texts, err := jsonsplit.Array(fields["entries"])
 	if err != nil {
-		return EntryList{}, nil, trace.Wrap(err, "entries")
+		return nil, nil, trace.Wrap(err, "entries")
 	}
-	for _, text := range entries {
+	for _, text := range texts {
 		var entry Entry
-		err := json.Unmarshal(text, &entry)
-		if err == nil {
-			err = entry.checkAddresses()
-		}
-		if err != nil {
+		if err := json.Unmarshal(text, &entry); err != nil {
 			skipped = append(skipped, err)
 			continue
 		}
-		list.Entries = append(list.Entries, entry)
+		entries = append(entries, entry)
 	}
-	return list, skipped, nil
+	return entries, skipped, nil
 }
 
 // checkAddresses returns an error for an address that cannot be connected to.
