Log why a response was cut

A stream that was aborted and a request that was answered 502 both ended with outcome_unknown; a response that was cut at a stop was logged as "caller left", and one cut for a slow caller not at all. Change: the outcome stream_aborted, the newest loss in the last line of a request, a line and a counter for responses that the server cuts, and a counter for aborted streams. No decision changes.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -179,6 +179,7 @@
 }
 
 func (r *activeRequest) logAttempt(a *attempt, cause string) {
+	r.lastLoss = cause
 	r.m.opts.Log.WithField("request_id", string(r.req.ID)).
 		WithField("upstream", string(a.upstream.ID)).
 		WithField("attempt", a.number).
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -182,6 +182,7 @@
 	inFlight       map[int]*attempt          // attempts that have not ended, by number
 	tried          map[model.UpstreamID]bool // upstreams whose attempt failed or is slow
 	executions     int                       // attempts that an upstream may have run
+	lastLoss       string                    // why the newest lost attempt was lost; empty if none was
 	lastFailure    Answer                    // an upstream's error answer, delivered if no other attempt succeeds
 	hasLastFailure bool
 	stream         streamState
@@ -256,6 +257,10 @@
 	r.fail(refuseDeadline())
 }
 
+// outcomeAborted is the outcome of a stream whose caller got a part of the answer and
+// then a closed connection. A request that is refused has the refusal's code.
+const outcomeAborted = "stream_aborted"
+
 // callerLeft ends the request without an answer after its caller disconnected.
 func (r *activeRequest) callerLeft() {
 	if r.ended {
@@ -280,9 +285,11 @@
 	}
 	if r.stream.headSent {
 		r.reply.Abort()
-	} else {
-		r.reply.Refuse(refusal)
+		r.m.metrics.countAbortedStream(r.service.Name, refusal.Code)
+		r.finish(outcomeAborted, 0)
+		return
 	}
+	r.reply.Refuse(refusal)
 	r.finish(refusal.Code, 0)
 }
 
@@ -309,6 +316,9 @@
 		"status":     status,
 		"ms":         took.Milliseconds(),
 	}
+	if r.lastLoss != "" {
+		fields["last_loss"] = r.lastLoss
+	}
 	if r.route.Stream {
 		fields["first_ms"] = r.stream.firstEventDelay.Milliseconds()
 		fields["pause_ms"] = r.stream.longestPause.Milliseconds()
--- a/internal/coordination/forward/metrics.go
+++ b/internal/coordination/forward/metrics.go
@@ -25,6 +25,7 @@
 	leaving       metric.Int64Counter
 	pauses        metric.Int64Counter
 	pauseRefusals metric.Int64Counter
+	aborted       metric.Int64Counter
 }
 
 // newMetrics returns the instruments. Creating an instrument fails only for an
@@ -44,9 +45,14 @@
 	m.leaving, _ = meter.Int64Counter("forward_upstreams_leaving", metric.WithDescription("Upstreams that said in an answer that they leave, by service."))
 	m.pauses, _ = meter.Int64Counter("forward_pauses", metric.WithDescription("Pauses that upstreams asked for, by service."))
 	m.pauseRefusals, _ = meter.Int64Counter("forward_pause_refusals", metric.WithDescription("Requests refused because all upstreams had asked for a pause, by service."))
+	m.aborted, _ = meter.Int64Counter("forward_streams_aborted", metric.WithDescription("Streams that had begun and were aborted, by service and cause."))
 	return m
 }
 
+func (m *metrics) countAbortedStream(service, cause string) {
+	m.aborted.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
+}
+
 func (m *metrics) countPause(service string) {
 	m.pauses.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -10,6 +10,8 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 )
 
 // maxQueuedBytes limits the queue for a caller that reads slowly. Its connection
@@ -21,8 +23,9 @@
 	head    *responseHead
 	raw     []byte
 	refusal *model.Refusal
-	end     bool // this is the last part
-	abort   bool // reset the connection, so that the response does not look complete
+	end     bool   // this is the last part
+	abort   bool   // reset the connection, so that the response does not look complete
+	cause   string // of the abort, if it was decided here
 }
 
 type responseHead struct {
@@ -76,7 +79,7 @@
 	x.parts = append(x.parts, s)
 	x.queuedBytes += len(s.raw)
 	if x.queuedBytes > maxQueuedBytes && !s.end {
-		x.parts = append(x.parts, responsePart{end: true, abort: true})
+		x.parts = append(x.parts, responsePart{end: true, abort: true, cause: "the caller reads too slowly"})
 	}
 	x.mu.Unlock()
 	select {
@@ -106,6 +109,9 @@
 			if !x.write(s) {
 				return false
 			}
+			if s.cause != "" {
+				x.server.logCut(x.id, s.cause)
+			}
 			if s.abort {
 				panic(http.ErrAbortHandler) // resets the connection without the end of the body
 			}
@@ -140,6 +146,13 @@
 	return err == nil
 }
 
+// logCut logs that a caller did not get the whole response, for a cause that package
+// forward does not know of.
+func (s *Server) logCut(id model.RequestID, cause string) {
+	s.cut.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", cause)))
+	s.opts.Log.WithField("request_id", string(id)).WithField("cause", cause).Warn("response cut")
+}
+
 // refuse logs a refusal and sends it to the caller.
 func (s *Server) refuse(w http.ResponseWriter, id model.RequestID, refusal *model.Refusal) {
 	s.opts.Log.WithField("request_id", string(id)).WithField("code", refusal.Code).Info("request refused")
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -22,6 +22,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
 	"go.opentelemetry.io/otel/trace"
 )
 
@@ -49,15 +50,19 @@
 	opts             Options
 	http             *kratos.Server
 	tracer           trace.Tracer
-	closeConnections atomic.Bool // each response closes its connection
-	refuseStreams    atomic.Bool // set by RefuseStreams
-	refuseRequests   atomic.Bool // set by RefuseRequests
+	cut              metric.Int64Counter // responses that were cut
+	closeConnections atomic.Bool         // each response closes its connection
+	refuseStreams    atomic.Bool         // set by RefuseStreams
+	refuseRequests   atomic.Bool         // set by RefuseRequests
+	closing          atomic.Bool         // all connections are being closed
 }
 
 // New returns a Server that does not listen yet.
 func New(opts Options) *Server {
 	opts.Log = opts.Log.WithField("part", "ingress")
 	s := &Server{opts: opts, tracer: otel.Tracer("sequoiavalve/ingress")}
+	// Creating an instrument fails only for an invalid name.
+	s.cut, _ = otel.Meter("sequoiavalve/ingress").Int64Counter("ingress_responses_cut", metric.WithDescription("Responses that were cut by this instance, by cause."))
 	s.http = kratos.NewServer(
 		kratos.Address(opts.Address),
 		kratos.Timeout(0), // streams run for minutes
@@ -90,6 +95,7 @@
 	ctx, cancel := context.WithTimeout(ctx, closeTime)
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil {
+		s.closing.Store(true)
 		s.opts.Log.WithField("running", s.opts.Forward.Running()).Warn("server stops and aborts requests in flight")
 		return s.http.Close()
 	}
@@ -123,6 +129,9 @@
 	x := newExchange(s, w, req.ID)
 	reportDisconnect := s.opts.Forward.Submit(req, x)
 	if !x.run(r.Context()) {
+		if s.closing.Load() {
+			s.logCut(req.ID, "the instance stops")
+		}
 		reportDisconnect()
 	}
 }
