Answer the requests that are left at the end of a planned stop

Callers saw a closed connection at the end of a planned stop, 7.6 s after SIGTERM, also for requests of which nothing had been written yet. Cause: the stop waited for the running requests and then closed their connections. Class: a time limit of our own that ends a request without an answer. Change: EndAll gives each running request its final answer before the listener closes: a refusal that it has not run, where that is true, and an unknown outcome where an upstream has it. Streams that have begun are aborted as before. Requests that arrive later are refused.

--- a/cmd/internal/edge/drain.go
+++ b/cmd/internal/edge/drain.go
@@ -21,7 +21,8 @@
 
 // Drain prepares a planned stop. It withdraws the instance, so that callers turn
 // to others, keeps serving meanwhile, refuses new requests step by step, and
-// waits until the running ones have ended or the time is over.
+// waits until the running ones have ended or the time is over. Those that are left
+// then get a final answer, since closed connections would tell their callers nothing.
 func (e *Edge) Drain(ctx context.Context) error {
 	start := time.Now()
 	end := start.Add(e.settings.StopTimeout - StopMargin)
@@ -40,6 +41,7 @@
 		waitUntil(time.Now().Add(drainInterval))
 	}
 	e.log.WithField("running", e.forward.Running()).Info("drain ends")
+	e.forward.EndAll()
 	return nil
 }
 
--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -18,6 +18,7 @@
 	codeNoUpstream        = "no_upstream"
 	codeUnknownOutcome    = "outcome_unknown"
 	codeDeadline          = "deadline_exceeded"
+	codeLeaving           = "leaving"
 )
 
 // RouteMatch holds the route, service and organisation that the rules assign to a request.
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -131,12 +131,12 @@
 	opts           Options
 	metrics        *metrics
 	requestSerial  atomic.Uint64
-	activeCount    atomic.Int64
 	heldCount      atomic.Int64 // requests that wait for rules or upstreams
 	streamReleases pacer        // of held streams
 	// promptSearches holds the latest search of each service. Only items under
 	// promptSearchKey access it.
 	promptSearches map[string]*promptSearch
+	running        runningRequests
 }
 
 // New returns a Manager.
@@ -145,19 +145,16 @@
 	return &Manager{opts: opts, metrics: newMetrics(), promptSearches: map[string]*promptSearch{}}
 }
 
-// Running returns the number of requests that have no final answer yet.
-func (m *Manager) Running() int { return int(m.activeCount.Load()) }
-
 // Submit starts forwarding a request. The returned function reports that the
 // caller disconnected.
 func (m *Manager) Submit(req *Request, reply Reply) (left func()) {
-	m.activeCount.Add(1)
 	r := &activeRequest{
 		m:     m,
 		req:   req,
 		reply: reply,
 		key:   worker.Key(fmt.Sprintf("forward/%d", m.requestSerial.Add(1))),
 	}
+	m.running.add(r)
 	m.opts.Pool.Post(r.key, worker.Func(r.handleArrival))
 	return func() { m.opts.Pool.Post(r.key, worker.Func(r.callerLeft)) }
 }
@@ -198,6 +195,10 @@
 
 // handleArrival admits the request and starts its first attempt, or holds or refuses it.
 func (r *activeRequest) handleArrival() {
+	if r.m.running.areEnding() {
+		r.refuse(RefuseLeaving())
+		return
+	}
 	current := r.m.opts.Rules.Current()
 	if current == nil {
 		r.hold(r.handleArrival, refuseNotReady(r.req))
@@ -210,7 +211,7 @@
 	}
 	r.route, r.organisation = admitted.Route, admitted.Organisation
 	r.service, r.revision = admitted.Service, current.Revision
-	r.deadline = deadlineOf(r.req, r.route)
+	r.deadline = Deadline(r.req, r.route)
 	r.tried = map[model.UpstreamID]bool{}
 	r.inFlight = map[int]*attempt{}
 	if r.refuseIfCrashing() {
@@ -233,8 +234,9 @@
 	r.placeCall()
 }
 
-// deadlineOf returns the earlier of the caller's deadline and the route's.
-func deadlineOf(req *Request, route model.HostRoute) time.Time {
+// Deadline returns the earlier of the caller's deadline and the route's; zero means that
+// there is none.
+func Deadline(req *Request, route model.HostRoute) time.Time {
 	if route.Timeout == 0 {
 		return req.Deadline
 	}
@@ -302,7 +304,7 @@
 		r.discardRequestedCopy(a)
 		r.endAttempt(a)
 	}
-	r.m.activeCount.Add(-1)
+	r.m.running.remove(r)
 	took := time.Since(r.req.Arrived)
 	r.m.metrics.countRequest(r.route, outcome, took)
 	fields := log.Fields{
