Refuse requests that may outlast a planned stop

Callers saw a closed connection for a call that arrived 4 s after SIGTERM, whose worker was slow and whose route allowed 5 s: accepted although the instance stops to wait at 7.6 s. A worker that is silent for some seconds has the same effect. Cause: from 0.6 s on streams and from 6 s on all requests were refused, whatever time they may take. Class: admission without regard to the deadline. Change: from the end of the life of address answers on (2 s), a request whose deadline lies after the end of the stop is refused as not run; its caller can use another instance at once. The older limits stay.

--- a/cmd/internal/edge/drain.go
+++ b/cmd/internal/edge/drain.go
@@ -35,6 +35,7 @@
 	e.ingress.RefuseStreams()
 	waitUntil(start.Add(membership.NearbyTTL))
 	e.ingress.DisableKeepAlives()
+	e.ingress.RefuseEndingAfter(end)
 	waitUntil(start.Add(3 * membership.NearbyTTL)) // some callers use an answer for three times its TTL
 	e.ingress.RefuseRequests()
 	for e.forward.Running() > 0 && time.Now().Before(end) {
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -50,11 +50,12 @@
 	opts             Options
 	http             *kratos.Server
 	tracer           trace.Tracer
-	cut              metric.Int64Counter // responses that were cut
-	closeConnections atomic.Bool         // each response closes its connection
-	refuseStreams    atomic.Bool         // set by RefuseStreams
-	refuseRequests   atomic.Bool         // set by RefuseRequests
-	closing          atomic.Bool         // all connections are being closed
+	cut              metric.Int64Counter       // responses that were cut
+	closeConnections atomic.Bool               // each response closes its connection
+	refuseStreams    atomic.Bool               // set by RefuseStreams
+	refuseRequests   atomic.Bool               // set by RefuseRequests
+	lastEnd          atomic.Pointer[time.Time] // set by RefuseEndingAfter; nil means no limit
+	closing          atomic.Bool               // all connections are being closed
 }
 
 // New returns a Server that does not listen yet.
@@ -108,6 +109,10 @@
 // RefuseStreams refuses new streams, which would not end before the stop.
 func (s *Server) RefuseStreams() { s.refuseStreams.Store(true) }
 
+// RefuseEndingAfter refuses new requests that may take longer than until the given time,
+// at which the instance stops to wait for them.
+func (s *Server) RefuseEndingAfter(end time.Time) { s.lastEnd.Store(&end) }
+
 // RefuseRequests refuses all new requests, which might not end before the stop.
 func (s *Server) RefuseRequests() { s.refuseRequests.Store(true) }
 
@@ -143,8 +148,8 @@
 	if err != nil {
 		return nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
 	}
-	if s.refuseRequests.Load() || (s.refuseStreams.Load() && s.isStream(r)) {
-		return nil, leavingRefusal()
+	if s.refusesNow(r, req) {
+		return nil, forward.RefuseLeaving()
 	}
 	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyBytes()))
 	if err != nil {
@@ -155,15 +160,26 @@
 	return req, nil
 }
 
-// isStream reports whether the request's route answers with events.
-func (s *Server) isStream(r *http.Request) bool {
+// refusesNow reports whether a stop is so near that the request is refused.
+func (s *Server) refusesNow(r *http.Request, req *forward.Request) bool {
+	if s.refuseRequests.Load() {
+		return true
+	}
+	lastEnd := s.lastEnd.Load()
 	current := s.opts.Rules.Current()
-	if current == nil {
+	if current == nil || (lastEnd == nil && !s.refuseStreams.Load()) {
 		return false
 	}
 	path, _ := targetOf(r)
 	route, ok := forward.MatchRoute(current, hostOf(r), path)
-	return ok && route.Stream
+	if !ok {
+		return false
+	}
+	if s.refuseStreams.Load() && route.Stream {
+		return true
+	}
+	deadline := forward.Deadline(req, route)
+	return lastEnd != nil && (deadline.IsZero() || deadline.After(*lastEnd))
 }
 
 func (s *Server) bodyBytes() int64 {
@@ -199,15 +215,3 @@
 	}
 	return &model.Refusal{Code: problem.CodeInvalidRequest, Message: "The body did not arrive whole.", Outcome: model.OutcomeNotRun}
 }
-
-// leavingRetryAfter is short because callers can use another instance at once.
-const leavingRetryAfter = 10 * time.Millisecond
-
-func leavingRefusal() *model.Refusal {
-	return &model.Refusal{
-		Code:       problem.CodeLeaving,
-		Message:    "This instance stops soon; use another one.",
-		Outcome:    model.OutcomeNotRun,
-		RetryAfter: leavingRetryAfter,
-	}
-}
--- a/internal/transport/ingress/server_test.go
+++ b/internal/transport/ingress/server_test.go
@@ -16,6 +16,36 @@
 	"gotest.tools/v3/assert"
 )
 
+// Guards against requests that are accepted although they may last until the instance
+// stops to wait for them and cuts them.
+func TestRequestsThatMayOutlastTheStopAreRefused(t *testing.T) {
+	table := rules.NewTable()
+	table.Apply(&model.RoutingRules{Revision: 1, Routes: []model.HostRoute{{Host: "h", Prefix: "/short/", Timeout: time.Second}, {Host: "h", Prefix: "/open/"}}})
+	s := New(Options{Address: "127.0.0.1:0", Names: forwardwire.Names{Request: "X-Req", TimeLeft: "X-Left"}, Rules: table, Log: &log.Logger{Handler: discard.Default}})
+	now := time.Now()
+	s.RefuseEndingAfter(now.Add(2 * time.Second))
+	for _, c := range []struct {
+		path, left string
+		after      time.Duration
+		refused    bool
+	}{
+		{"/short/1", "", 900 * time.Millisecond, false},
+		{"/short/1", "", 1100 * time.Millisecond, true},
+		{"/short/1", "500", 1100 * time.Millisecond, false},
+		{"/open/1", "1900", 0, false},
+		{"/open/1", "2100", 0, true},
+		{"/open/1", "", 0, true},
+	} {
+		r := httptest.NewRequest(http.MethodPost, c.path, strings.NewReader(""))
+		r.Host = "h"
+		if c.left != "" {
+			r.Header.Set("X-Left", c.left)
+		}
+		_, refusal := s.decode(httptest.NewRecorder(), r, now.Add(c.after))
+		assert.Equal(t, refusal != nil && refusal.Code == problem.CodeLeaving, c.refused, "%+v", c)
+	}
+}
+
 // Guards against requests that are accepted so late in a planned stop that they
 // are aborted, and against a refusal whose outcome is not not_run.
 func TestLateRequestsAreRefused(t *testing.T) {
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -375,6 +375,35 @@
 	assert.Equal(t, e.procs[0].exitCode(t, 9*time.Second), 0)
 }
 
+// Guards against a planned stop that closes the connection of a request although its
+// worker is only slow: the caller would not know whether to send it again.
+func TestStopAnswersRequestsOfSlowWorkers(t *testing.T) {
+	t.Parallel()
+	f, err := fleet.Start("127.0.0.1:0")
+	assert.NilError(t, err)
+	e := &edges{t: t, fleet: f}
+	t.Cleanup(func() {
+		e.procs[0].kill()
+		assert.Check(t, f.Close())
+	})
+	e.add(fleet.WorkerOptions{ID: "desk0", Service: "desk", Zone: "a", Slots: 6, WorkTime: 4500 * time.Millisecond})
+	e.startEdge(t.TempDir(), 0, f.StoreAddress())
+	e.publishRules()
+	e.awaitReady()
+	e.procs[0].signal(syscall.SIGTERM)
+	// One request that may end in time and one that may not, both allowed 5 s by their route.
+	for after, want := range map[time.Duration]int{1500 * time.Millisecond: http.StatusOK, 4 * time.Second: http.StatusServiceUnavailable} {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			time.Sleep(after)
+			resp, err := http.DefaultClient.Do(e.request(0, "POST", "/book/1"))
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, want)
+			assert.NilError(t, resp.Body.Close())
+		})
+	}
+}
+
 // Guards against a worker that reads a prompt again when the caller resumes its
 // stream after all instances were killed and restarted.
 func TestEdgesFindAPromptAfterAllWereKilled(t *testing.T) {
