Abort a response instead of writing a second head into it

The exchange wrote whatever was queued: an answer or a refusal after the head of a stream put its body into the stream and ended the response as complete, and events without a head got a status of the HTTP server's own. A response now has one head, which comes first; any other sequence of parts resets the connection and is logged with its cause.

--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -28,6 +28,20 @@
 	cause   string // of the abort, if it was decided here
 }
 
+// Causes of aborts that a wrong sequence of parts leads to.
+const (
+	causeSecondHead = "a second head was to be sent"
+	causeNoHead     = "a part was to be sent before the head"
+)
+
+// abortPart returns the part that aborts the response for a cause decided here.
+func abortPart(cause string) responsePart {
+	return responsePart{end: true, abort: true, cause: cause}
+}
+
+// hasHead reports whether the part begins a response.
+func (p responsePart) hasHead() bool { return p.head != nil || p.refusal != nil }
+
 type responseHead struct {
 	status int
 	header forward.Header
@@ -42,6 +56,7 @@
 	w      http.ResponseWriter
 	id     model.RequestID
 	wake   chan struct{} // buffered for one signal: parts are queued
+	begun  bool          // the head was written; used only by run
 
 	mu          sync.Mutex
 	parts       []responsePart
@@ -79,7 +94,7 @@
 	x.parts = append(x.parts, s)
 	x.queuedBytes += len(s.raw)
 	if x.queuedBytes > maxQueuedBytes && !s.end {
-		x.parts = append(x.parts, responsePart{end: true, abort: true, cause: "the caller reads too slowly"})
+		x.parts = append(x.parts, abortPart("the caller reads too slowly"))
 	}
 	x.mu.Unlock()
 	select {
@@ -106,6 +121,7 @@
 			return false
 		}
 		for _, s := range x.take() {
+			s = x.inSequence(s)
 			if !x.write(s) {
 				return false
 			}
@@ -125,6 +141,21 @@
 	}
 }
 
+// inSequence returns the part, or an abort if the part does not continue what was
+// written: a response has one head, which precedes everything else.
+func (x *exchange) inSequence(p responsePart) responsePart {
+	switch {
+	case p.abort:
+		return p
+	case p.hasHead() && x.begun:
+		return abortPart(causeSecondHead)
+	case !p.hasHead() && !x.begun:
+		return abortPart(causeNoHead)
+	}
+	x.begun = true
+	return p
+}
+
 // write writes one part of the response. It reports false if the caller has
 // disconnected.
 func (x *exchange) write(s responsePart) bool {
