Never answer a stream that has begun with a whole answer

A stream broke off and the engine that was to continue it answered with a 4xx, a 2xx other than 200 or a redirect: handleAnswer took that for the answer to the request and wrote its head and body into the stream, and the response then looked complete. Whether the response has begun was known in streamState and checked on some of the paths that end a request.

The new type response is the only way to the caller and knows whether the response has begun; an answer or a refusal aborts one that has. A whole answer to a stream that has begun is a loss of that attempt: the stream is tried elsewhere within the route's attempts, the budget and the deadline, and aborted when nothing else is possible. That holds for a 4xx too, since another engine ran the request. Before the first event whole answers are delivered unchanged, as before.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
@@ -63,6 +64,7 @@
 }
 
 // handleAnswer delivers an upstream's complete answer or retries the request elsewhere.
+// It cannot be delivered to a caller that has a part of a stream.
 func (r *activeRequest) handleAnswer(a *attempt, answer Answer) {
 	r.endReturnSlot(a, !answer.NotRun && answer.Status < 500)
 	r.endAttempt(a)
@@ -77,6 +79,11 @@
 		r.retryNotRun(a, "another upstream has the address")
 	case answer.NotRun:
 		r.retryNotRun(a, "upstream is full")
+	case r.response.begun:
+		// The engine has not continued the stream that another one began. That one ran
+		// the request, so an error does not show that the request itself is at fault.
+		r.clearSuspicion(false)
+		r.handleLoss(a, continuation.LossStatus, "status "+strconv.Itoa(answer.Status)+" in place of events", true)
 	case answer.Status >= 500 && r.route.Repeat != model.RepeatNever:
 		r.clearSuspicion(false)
 		r.recordOutcome(a, true, "status")
@@ -142,13 +149,17 @@
 	case r.executions == 0:
 		r.refuse(refuseBusy(r.service.Name))
 	default:
-		r.fail(refuseUnknown("its connection broke"))
+		r.refuse(refuseUnknown("its connection broke"))
 	}
 }
 
-// deliver passes an upstream's answer to the caller.
+// deliver passes an upstream's answer to the caller. A stream that has begun is aborted
+// instead.
 func (r *activeRequest) deliver(answer Answer) {
-	r.reply.Answer(answer)
+	if !r.response.answer(answer) {
+		r.finishAborted("answer in place of events")
+		return
+	}
 	r.finish("answered", answer.Status)
 }
 
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -36,7 +36,7 @@
 
 // fakeReply records what the caller got.
 type fakeReply struct {
-	begun   bool
+	heads   []Header // of streams that began
 	events  string
 	answer  *Answer
 	refused *model.Refusal
@@ -45,7 +45,7 @@
 }
 
 func (f *fakeReply) Answer(a Answer)         { f.answer = &a }
-func (f *fakeReply) Begin(int, Header)       { f.begun = true }
+func (f *fakeReply) Begin(_ int, h Header)   { f.heads = append(f.heads, h) }
 func (f *fakeReply) Events(raw []byte)       { f.events += string(raw) }
 func (f *fakeReply) End()                    { f.ended = true }
 func (f *fakeReply) Abort()                  { f.broken = true }
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -153,10 +153,10 @@
 func (m *Manager) Submit(req *Request, reply Reply) (left func()) {
 	m.activeCount.Add(1)
 	r := &activeRequest{
-		m:     m,
-		req:   req,
-		reply: reply,
-		key:   worker.Key(fmt.Sprintf("forward/%d", m.requestSerial.Add(1))),
+		m:        m,
+		req:      req,
+		response: response{reply: reply},
+		key:      worker.Key(fmt.Sprintf("forward/%d", m.requestSerial.Add(1))),
 	}
 	m.opts.Pool.Post(r.key, worker.Func(r.handleArrival))
 	return func() { m.opts.Pool.Post(r.key, worker.Func(r.callerLeft)) }
@@ -165,10 +165,10 @@
 // activeRequest is the state of one request from its arrival to its end. Only items
 // under its key access its fields.
 type activeRequest struct {
-	m     *Manager
-	req   *Request
-	reply Reply
-	key   worker.Key
+	m        *Manager
+	req      *Request
+	response response
+	key      worker.Key
 
 	route         model.HostRoute
 	service       model.BackendService
@@ -254,7 +254,7 @@
 		r.refuse(refuseBusy(r.service.Name))
 		return
 	}
-	r.fail(refuseDeadline())
+	r.refuse(refuseDeadline())
 }
 
 // outcomeAborted is the outcome of a stream whose caller got a part of the answer and
@@ -269,30 +269,24 @@
 	r.finish("caller left", 0)
 }
 
-// refuse ends a request that has not run.
+// refuse ends a request with a refusal. A stream that has begun is aborted instead.
 func (r *activeRequest) refuse(refusal *model.Refusal) {
 	if r.ended {
 		return
 	}
-	r.reply.Refuse(refusal)
-	r.finish(refusal.Code, 0)
-}
-
-// fail ends a request that may have run. A stream that has begun is aborted.
-func (r *activeRequest) fail(refusal *model.Refusal) {
-	if r.ended {
+	if !r.response.refuse(refusal) {
+		r.finishAborted(refusal.Code)
 		return
 	}
-	if r.stream.headSent {
-		r.reply.Abort()
-		r.m.metrics.countAbortedStream(r.service.Name, refusal.Code)
-		r.finish(outcomeAborted, 0)
-		return
-	}
-	r.reply.Refuse(refusal)
 	r.finish(refusal.Code, 0)
 }
 
+// finishAborted ends a request whose response had begun and was aborted.
+func (r *activeRequest) finishAborted(cause string) {
+	r.m.metrics.countAbortedStream(r.service.Name, cause)
+	r.finish(outcomeAborted, 0)
+}
+
 // finish ends all attempts and logs the outcome.
 func (r *activeRequest) finish(outcome string, status int) {
 	r.ended = true
--- a/internal/coordination/forward/probe_test.go
+++ b/internal/coordination/forward/probe_test.go
@@ -17,7 +17,7 @@
 		assert.Equal(t, len(b.sent()), 1)
 		b.lastSend().StreamBegan(200, nil)
 		b.lastSend().event(1)
-		assert.Assert(t, reply.begun)
+		assert.Assert(t, len(reply.heads) > 0)
 	})
 }
 
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -26,7 +26,6 @@
 
 // streamState is the progress of a stream.
 type streamState struct {
-	headSent            bool // the caller has the status and the header
 	accepted            Position
 	delivered           Position // last event that the caller has
 	consecutiveFailures int      // attempts in a row that brought no event
@@ -215,11 +214,7 @@
 	r.m.opts.Upstreams.RecordOutput(a.upstream.ID, at)
 	r.stream.accepted, r.stream.delivered = e.Position, e.Position
 	r.stream.consecutiveFailures = 0
-	if !r.stream.headSent {
-		r.stream.headSent = true
-		r.reply.Begin(a.status, a.header)
-	}
-	r.reply.Events(e.Raw)
+	r.response.events(a.status, a.header, e.Raw)
 	if a.eventCount == 1 {
 		r.armSilenceTimer(a)
 	}
@@ -257,11 +252,7 @@
 	}
 	r.discardRequestedCopy(a)
 	r.endAttempt(a)
-	if !r.stream.headSent {
-		r.reply.Begin(a.status, a.header)
-		r.stream.headSent = true
-	}
-	r.reply.End()
+	r.response.end(a.status, a.header)
 	r.finish("answered", a.status)
 }
 
@@ -274,7 +265,7 @@
 	if a.eventCount == 0 {
 		r.stream.consecutiveFailures++
 	}
-	if r.stream.lostAt.IsZero() && r.stream.headSent {
+	if r.stream.lostAt.IsZero() && r.response.begun {
 		r.stream.lostAt = a.lastSeen
 	}
 	r.logAttempt(a, string(kind)+": "+cause)
@@ -329,12 +320,12 @@
 // settleStream ends a stream that cannot continue.
 func (r *activeRequest) settleStream() {
 	switch {
-	case r.hasLastFailure && !r.stream.headSent:
+	case r.hasLastFailure && !r.response.begun:
 		r.deliver(r.lastFailure)
-	case r.executions == 0 && !r.stream.headSent:
+	case r.executions == 0:
 		r.refuse(refuseBusy(r.service.Name))
 	default:
-		r.fail(refuseUnknown("its stream broke"))
+		r.refuse(refuseUnknown("its stream broke"))
 	}
 }
 
