Do not take a closed connection for the end of a resumed stream

An attempt that resumes a stream and ends without a new event ended the caller's stream as complete: an answer without a length ends in the same way when its engine crashes after the head, and an engine that ignores the position may end before it reaches new events. The sender now tells the end of a delimited answer from a closed connection. Without a new event, only a delimited end that is not before the caller's position ends the stream; any other is a loss of the attempt. A closed connection still ends a stream after a new event, as the protocol allows answers without a length.

--- a/internal/coordination/forward/broken_stream_test.go
+++ b/internal/coordination/forward/broken_stream_test.go
@@ -196,3 +196,100 @@
 		assert.Assert(t, reply.ended)
 	})
 }
+
+// streamEnds are the ways in which the answer of an engine ends after whole events.
+var streamEnds = map[string]func(s *fakeSend){
+	"ended":  func(s *fakeSend) { s.StreamEnded() },
+	"closed": func(s *fakeSend) { s.ConnectionClosed() },
+}
+
+// Guards against a broken stream that ends as complete because the engine that was to
+// continue it ended its answer, or crashed, before an event that the caller lacks.
+func TestResumedStreamWithoutNewEventsIsNotComplete(t *testing.T) {
+	cases := []struct {
+		name     string
+		events   []Position
+		end      string
+		complete bool
+	}{
+		{"no event", nil, "closed", false},
+		{"no event, since the caller has all", nil, "ended", true},
+		{"fewer events than the caller has", []Position{1}, "ended", false},
+		{"fewer events than the caller has", []Position{1}, "closed", false},
+		{"events that the caller has", []Position{1, 2}, "closed", false},
+		{"all events, which the caller has", []Position{1, 2}, "ended", true},
+		{"new events", []Position{3, 4}, "closed", true},
+		{"new events after repeated ones", []Position{1, 2, 3}, "closed", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name+", "+c.end, func(t *testing.T) {
+			withHarness(t, func(b *harness) {
+				reply, second := b.breakAfterTwoEvents()
+				second.StreamBegan(200, nil)
+				for _, p := range c.events {
+					second.event(p)
+				}
+				streamEnds[c.end](second)
+				b.advance(time.Second)
+				assert.Equal(t, reply.ended, c.complete)
+				assert.Assert(t, !reply.broken)
+				if c.complete {
+					assert.Equal(t, len(b.sent()), 2)
+					return
+				}
+				third := b.lastSend()
+				assert.Equal(t, len(b.sent()), 3)
+				assert.Assert(t, third.Upstream.ID != second.Upstream.ID)
+				assert.Equal(t, third.LastPosition, Position(2))
+				third.StreamBegan(200, nil)
+				third.event(3)
+				third.ConnectionClosed()
+				b.advance(0)
+				assert.Assert(t, reply.ended)
+				assert.Equal(t, reply.events, "id: 1\n\nid: 2\n\nid: 3\n\n")
+			})
+		})
+	}
+}
+
+// Guards against an empty stream when the engine crashes after the head of its answer,
+// also for a caller that resumes a stream.
+func TestEmptyAnswerToAResumingCallerIsNotComplete(t *testing.T) {
+	for _, c := range []struct {
+		position Position
+		end      string
+		complete bool
+	}{
+		{0, "ended", false},
+		{0, "closed", false},
+		{9, "ended", true},
+		{9, "closed", false},
+	} {
+		t.Run(fmt.Sprintf("%s after %d", c.end, c.position), func(t *testing.T) {
+			withHarness(t, func(b *harness) {
+				request := b.request("/log/1")
+				request.LastPosition = c.position
+				reply := b.submitRequest(request)
+				b.lastSend().StreamBegan(200, nil)
+				streamEnds[c.end](b.lastSend())
+				b.advance(time.Second)
+				assert.Equal(t, reply.ended, c.complete)
+				assert.Equal(t, len(reply.heads) > 0, c.complete)
+				assert.Equal(t, len(b.sent()) == 1, c.complete)
+			})
+		})
+	}
+}
+
+// Guards against a stream that is broken off because its engine does not delimit its
+// answers: a connection that is closed after whole events ends a running stream.
+func TestClosedConnectionEndsARunningStream(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		reply, _ := b.submit("/tell/1")
+		b.lastSend().StreamBegan(200, nil)
+		b.lastSend().event(1)
+		b.lastSend().ConnectionClosed()
+		b.advance(0)
+		assert.Assert(t, reply.ended && !reply.broken)
+	})
+}
--- a/internal/coordination/forward/receiver.go
+++ b/internal/coordination/forward/receiver.go
@@ -71,7 +71,12 @@
 
 // StreamEnded implements Receiver.
 func (v *receiver) StreamEnded() {
-	v.post(func(a *attempt) { v.r.handleStreamEnd(a) })
+	v.post(func(a *attempt) { v.r.handleStreamEnd(a, true) })
+}
+
+// ConnectionClosed implements Receiver.
+func (v *receiver) ConnectionClosed() {
+	v.post(func(a *attempt) { v.r.handleStreamEnd(a, false) })
 }
 
 // Lost implements Receiver.
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -62,8 +62,11 @@
 	StreamBegan(status int, header Header)
 	// EventsArrived delivers events of a stream.
 	EventsArrived(events []Event)
-	// StreamEnded says that the stream is complete; nothing follows.
+	// StreamEnded says that the answer with the stream is complete; nothing follows.
 	StreamEnded()
+	// ConnectionClosed says that the connection was closed after whole events, and that
+	// the answer has no other end: it is complete, or its engine crashed. Nothing follows.
+	ConnectionClosed()
 	// Lost says that the send failed; nothing follows. sent says that a byte
 	// of the request may have reached the upstream.
 	Lost(kind continuation.Loss, cause string, sent bool)
@@ -106,8 +109,9 @@
 	status          int
 	header          Header
 	cancel          func()
-	eventCount      int  // events that this attempt delivered
-	staleEvents     int  // events of this attempt that the caller had already
+	eventCount      int // events that this attempt delivered
+	staleEvents     int // events of this attempt that the caller had already
+	lastStale       Position
 	outcomeRecorded bool // the outcome has been recorded
 	returnSlot      bool // counted at an upstream that returns from a pause
 }
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -181,6 +181,7 @@
 	from := continuation.Connection{Number: a.number}
 	for _, e := range events {
 		if e.Position <= r.stream.accepted {
+			a.lastStale = max(a.lastStale, e.Position)
 			if a.staleEvents++; a.staleEvents > maxStaleEvents {
 				r.handleLoss(a, continuation.LossGap, "events repeat", true)
 				return
@@ -242,12 +243,12 @@
 		Info("stream resumed")
 }
 
-// handleStreamEnd completes the caller's stream when the attempt's stream has ended. A
-// stream without any event has been broken off: an answer without a length ends in the
-// same way when its engine crashes.
-func (r *activeRequest) handleStreamEnd(a *attempt) {
-	if r.stream.accepted == 0 {
-		r.handleLoss(a, continuation.LossTruncated, "stream ended before its first event", true)
+// handleStreamEnd completes the caller's stream when the attempt's answer has ended, or
+// gives up an attempt that ended too early. delimited says that the answer marks its end
+// itself, by a length or a last chunk.
+func (r *activeRequest) handleStreamEnd(a *attempt, delimited bool) {
+	if loss, cause := r.earlyEnd(a, delimited); loss != "" {
+		r.handleLoss(a, loss, cause, true)
 		return
 	}
 	r.discardRequestedCopy(a)
@@ -256,6 +257,24 @@
 	r.finish("answered", a.status)
 }
 
+// earlyEnd returns the kind of loss if the attempt's answer ended before the stream did,
+// and else an empty one. The connection of an answer that is not delimited ends in the
+// same way when its engine crashes, so it ends the stream only after a new event.
+func (r *activeRequest) earlyEnd(a *attempt, delimited bool) (kind continuation.Loss, cause string) {
+	switch {
+	case r.stream.accepted == 0:
+		return continuation.LossTruncated, "stream ended before its first event"
+	case a.eventCount > 0:
+		return "", ""
+	case !delimited:
+		return continuation.LossTruncated, "connection closed before an event that the caller lacks"
+	case a.staleEvents > 0 && a.lastStale < r.stream.accepted:
+		return continuation.LossGap, "stream ended before the events that the caller has"
+	default:
+		return "", "" // the caller has all events
+	}
+}
+
 // handleStreamLoss continues, restarts or ends a stream whose attempt was lost, as the
 // rules of package continuation decide.
 func (r *activeRequest) handleStreamLoss(a *attempt, kind continuation.Loss, cause string, sent bool) {
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -160,12 +160,18 @@
 		receiver.Lost(continuation.LossWrongStream, "answer has the ID of another request", true)
 	case s.Stream && in.StatusCode == http.StatusOK:
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
-		readEvents(in.Body, c.memory, receiver)
+		readEvents(in.Body, isDelimited(in), c.memory, receiver)
 	default:
 		c.readAnswer(in, verdict, receiver)
 	}
 }
 
+// isDelimited reports whether the answer marks its end itself. The transport reports an
+// error if the connection of such an answer closes before its end.
+func isDelimited(in *http.Response) bool {
+	return in.ContentLength >= 0 || len(in.TransferEncoding) > 0
+}
+
 func (c *Client) readAnswer(in *http.Response, verdict forwardwire.Verdict, receiver forward.Receiver) {
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
--- a/internal/transport/backend/client_test.go
+++ b/internal/transport/backend/client_test.go
@@ -32,6 +32,7 @@
 func (w outcomeChannel) StreamBegan(int, forward.Header) {}
 func (w outcomeChannel) EventsArrived([]forward.Event)   {}
 func (w outcomeChannel) StreamEnded()                    { w <- outcome{} }
+func (w outcomeChannel) ConnectionClosed()               { w <- outcome{} }
 func (w outcomeChannel) Lost(k continuation.Loss, _ string, sent bool) {
 	w <- outcome{loss: k, sent: sent}
 }
--- a/internal/transport/backend/events.go
+++ b/internal/transport/backend/events.go
@@ -24,8 +24,9 @@
 )
 
 // readEvents passes the events of a stream to the receiver until the stream
-// ends. Events that are buffered already are passed together.
-func readEvents(body io.Reader, memory *answerlimit.Budget, receiver forward.Receiver) {
+// ends. Events that are buffered already are passed together. delimited says that the
+// end of the body shows the end of the stream.
+func readEvents(body io.Reader, delimited bool, memory *answerlimit.Budget, receiver forward.Receiver) {
 	in := bufio.NewReaderSize(body, readBufferBytes)
 	reserved := memory.Reserve()
 	defer reserved.Release()
@@ -43,14 +44,16 @@
 			batch = nil
 		}
 		if err != nil {
-			reportEnd(err, receiver)
+			reportEnd(err, delimited, receiver)
 			return
 		}
 	}
 }
 
-func reportEnd(err error, receiver forward.Receiver) {
+func reportEnd(err error, delimited bool, receiver forward.Receiver) {
 	switch {
+	case errors.Is(err, io.EOF) && !delimited:
+		receiver.ConnectionClosed()
 	case errors.Is(err, io.EOF):
 		receiver.StreamEnded()
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/transport/backend/events_test.go
+++ b/internal/transport/backend/events_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"gotest.tools/v3/assert"
 )
@@ -17,6 +19,7 @@
 type recorder struct {
 	events []forward.Event
 	ended  bool
+	closed bool
 	loss   continuation.Loss
 }
 
@@ -25,6 +28,7 @@
 func (r *recorder) StreamBegan(int, forward.Header)            {}
 func (r *recorder) EventsArrived(events []forward.Event)       { r.events = append(r.events, events...) }
 func (r *recorder) StreamEnded()                               { r.ended = true }
+func (r *recorder) ConnectionClosed()                          { r.closed = true }
 func (r *recorder) Lost(k continuation.Loss, _ string, _ bool) { r.loss = k }
 
 // Guards against events that are split, joined or changed, and against a stream
@@ -46,12 +50,12 @@
 		for _, read := range []func(*strings.Reader) *recorder{
 			func(in *strings.Reader) *recorder {
 				r := &recorder{}
-				readEvents(in, answerlimit.NewBudget(maxBufferedBytes), r)
+				readEvents(in, true, answerlimit.NewBudget(maxBufferedBytes), r)
 				return r
 			},
 			func(in *strings.Reader) *recorder {
 				r := &recorder{}
-				readEvents(iotest.OneByteReader(in), answerlimit.NewBudget(maxBufferedBytes), r)
+				readEvents(iotest.OneByteReader(in), true, answerlimit.NewBudget(maxBufferedBytes), r)
 				return r
 			},
 		} {
@@ -70,7 +74,7 @@
 	f.Add([]byte("id:18446744073709551615\n\n"))
 	f.Fuzz(func(t *testing.T, stream []byte) {
 		got := &recorder{}
-		readEvents(bytes.NewReader(stream), answerlimit.NewBudget(maxBufferedBytes), got)
+		readEvents(bytes.NewReader(stream), true, answerlimit.NewBudget(maxBufferedBytes), got)
 		assert.Assert(t, got.ended != (got.loss != ""))
 		var joined []byte
 		for _, e := range got.events {
@@ -79,3 +83,38 @@
 		assert.Assert(t, bytes.HasPrefix(stream, joined))
 	})
 }
+
+// Guards against the end of a connection that counts as the end of a stream: an engine
+// that crashes ends an answer without a length in the same way.
+func TestOnlyDelimitedStreamsEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Req: r1\r\nContent-Type: text/event-stream\r\n"
+	const event = "id: 1\ndata: a\n\n"
+	cases := []struct {
+		name, answer string
+		want         recorder
+	}{
+		{"length", head + "Content-Length: 15\r\n\r\n" + event, recorder{ended: true}},
+		{"empty", head + "Content-Length: 0\r\n\r\n", recorder{ended: true}},
+		{"chunks", head + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n0\r\n\r\n", recorder{ended: true}},
+		{"no length", head + "\r\n" + event, recorder{closed: true}},
+		{"no length, empty", head + "\r\n", recorder{closed: true}},
+		{"no length, HTTP/1.0", strings.Replace(head, "1.1", "1.0", 1) + "\r\n" + event, recorder{closed: true}},
+		{"cut length", head + "Content-Length: 99\r\n\r\n" + event, recorder{loss: continuation.LossTruncated}},
+		{"cut chunks", head + "Transfer-Encoding: chunked\r\n\r\nf\r\n" + event + "\r\n", recorder{loss: continuation.LossTruncated}},
+		{"cut event", head + "\r\n" + event + "id: 2\n", recorder{loss: continuation.LossTruncated}},
+	}
+	for _, c := range cases {
+		address, _ := startRawUpstream(t, c.answer)
+		client := New(forwardwire.Names{Request: "X-Req"}, EngineAPI{})
+		got := &recorder{}
+		client.run(t.Context(), forward.Send{
+			Upstream: model.Upstream{ID: "u", Address: address},
+			Request:  &forward.Request{ID: "r1", Host: "h", Method: "POST", Path: "/p/", Header: forward.Header{"X-Req": {"r1"}}},
+			Stream:   true,
+		}, got)
+		client.Close()
+		assert.Equal(t, got.ended, c.want.ended, c.name)
+		assert.Equal(t, got.closed, c.want.closed, c.name)
+		assert.Equal(t, got.loss, c.want.loss, c.name)
+	}
+}
