Test broken streams through edged

The stand-in workers can break off the stream of a request and answer its resumed streams with a given status, body and framing.

--- a/internal/transport/standin/fleet/fleet.go
+++ b/internal/transport/standin/fleet/fleet.go
@@ -15,14 +15,16 @@
 // heartbeatInterval is the time between two writes of a worker's entry.
 const heartbeatInterval = 400 * time.Millisecond
 
-// Fleet runs a store and workers on loopback addresses. mu guards workers.
+// Fleet runs a store and workers on loopback addresses. mu guards the fields below it.
 type Fleet struct {
 	Store *Store
 
 	address string
 	server  *http.Server
-	mu      sync.Mutex
-	workers map[string]*Worker // by address
+
+	mu           sync.Mutex
+	workers      map[string]*Worker     // by address
+	streamFaults map[string]StreamFault // by request
 }
 
 // Start serves a store on a loopback address; port 0 chooses a free port.
@@ -31,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Store: NewStore(), address: listener.Addr().String(), workers: map[string]*Worker{}}
+	f := &Fleet{Store: NewStore(), address: listener.Addr().String(), workers: map[string]*Worker{}, streamFaults: map[string]StreamFault{}}
 	f.server = serve(listener, f.Store)
 	return f, nil
 }
--- a/internal/transport/standin/fleet/worker.go
+++ b/internal/transport/standin/fleet/worker.go
@@ -323,6 +323,12 @@
 func (w *Worker) stream(rw http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Attempt-Id")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if after > 0 {
+		if answer, ok := w.fleet.takeResumeAnswer(id); ok {
+			w.answerResume(rw, r, answer)
+			return
+		}
+	}
 	copied := false
 	if from := r.Header.Get("Kv-From"); from != "" {
 		_, name, _ := strings.Cut(from, "/")
@@ -374,7 +380,11 @@
 func (w *Worker) generate(rw http.ResponseWriter, r *http.Request, id string, after int) {
 	control := http.NewResponseController(rw)
 	copyTo, copiedAt := r.Header.Get("X-Kv-Replica"), time.Now()
+	breakAfter := w.fleet.breakAfter(id)
 	for position := after + 1; position <= w.opts.Events; position++ {
+		if after == 0 && breakAfter > 0 && position > breakAfter {
+			panic(http.ErrAbortHandler)
+		}
 		if !pause(r, w.opts.Interval) {
 			return
 		}
