Read a 200 without events as a whole answer to a stream request

Any 200 to a stream request was read as events. One with another content type was lost as "stream ended early" and the request ran again elsewhere, until the caller got a 502 in place of its answer. An answer without a content type is still read as events.

--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -158,7 +159,7 @@
 	switch {
 	case !verdict.Own:
 		receiver.Lost(continuation.LossWrongStream, "answer has the ID of another request", true)
-	case s.Stream && in.StatusCode == http.StatusOK:
+	case s.Stream && in.StatusCode == http.StatusOK && mayHaveEvents(in.Header):
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
 		readEvents(in.Body, isDelimited(in), c.memory, receiver)
 	default:
@@ -166,6 +167,14 @@
 	}
 }
 
+// mayHaveEvents reports whether the header is that of an event stream. An answer without
+// a content type is taken for one.
+func mayHaveEvents(in http.Header) bool {
+	mediaType, _, _ := strings.Cut(in.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+}
+
 // isDelimited reports whether the answer marks its end itself. The transport reports an
 // error if the connection of such an answer closes before its end.
 func isDelimited(in *http.Response) bool {
--- a/internal/transport/backend/client_test.go
+++ b/internal/transport/backend/client_test.go
@@ -86,6 +86,36 @@
 	}
 }
 
+// Guards against an answer to a stream request that is not an event stream and is read as
+// one: the caller would not get it, and the request would run again elsewhere.
+func TestAnswerThatIsNotAnEventStreamIsRead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Req: r1\r\n"
+	for answer, body := range map[string]string{
+		head + "Content-Type: application/json\r\nContent-Length: 2\r\n\r\n{}":                          "{}",
+		head + "Content-Type: application/json\r\n\r\n{}":                                               "{}",
+		head + "Content-Type: text/event-stream\r\nContent-Length: 7\r\n\r\nid: 1\n\n":                  "",
+		head + "Content-Type: Text/Event-Stream; charset=utf-8\r\nContent-Length: 7\r\n\r\nid: 1\n\n":   "",
+		head + "Content-Length: 7\r\n\r\nid: 1\n\n":                                                     "",
+		"HTTP/1.1 206 Partial Content\r\nX-Req: r1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n\n": "id: 1\n\n",
+	} {
+		address, _ := startRawUpstream(t, answer)
+		client := New(forwardwire.Names{Request: "X-Req"}, EngineAPI{})
+		got := make(outcomeChannel, 1)
+		client.run(t.Context(), forward.Send{
+			Upstream: model.Upstream{ID: "u", Address: address},
+			Request:  &forward.Request{ID: "r1", Host: "h", Method: "POST", Path: "/p/", Header: forward.Header{"X-Req": {"r1"}}},
+			Stream:   true,
+		}, got)
+		client.Close()
+		o := <-got
+		assert.Equal(t, o.loss, continuation.Loss(""), answer)
+		assert.Equal(t, o.answer != nil, body != "", answer)
+		if o.answer != nil {
+			assert.Equal(t, string(o.answer.Body), body)
+		}
+	}
+}
+
 // Guards against incomplete answers of faulty upstreams that reach the caller as
 // complete ones, and against a failure that counts as not run although the
 // upstream may have run the request.
