Abort responses to callers that close their sending side

Cause: the ingress returned from its handler when the request's context ended, and net/http then completed the response. A caller that had only closed its sending side got status 200 with an empty body, or a stream that ended as complete before its last event.

Change: the handler aborts the connection instead.

Measured: before the change, TestHalfClosedConnectionGetsNoEmptyAnswer failed with "the answer has status 200 and length 0", and TestEdgeDoesNotCompleteHalfClosedStreams (e2e) with "the stream of 60 events ends as complete after 1". Both pass with it, one run each.

--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -133,6 +133,9 @@
 			s.logCut(req.ID, "the instance stops")
 		}
 		reportDisconnect()
+		// net/http would complete the response: a caller that only closed its sending
+		// side would get an empty or short body that looks whole.
+		panic(http.ErrAbortHandler)
 	}
 }
 
