Count no refusal without an ID on a kept connection

Cause: an answer that says that the request has not run counted as the request's own also without its ID. On a kept connection it may be an earlier refusal that a faulty upstream has sent again: the request then counted as not run while the upstream ran it, a repeated 421 removed a sound upstream, and the connection, whose answers came one request late from then on, stayed in use. Answers to requests without an ID could be those of an earlier request too. Requests that must not run twice were not affected, since they use a connection of their own.

Change: on a connection that has carried another request, an answer must have the ID of the request, and several ID fields must agree. An answer that does not belong to the request closes its connection. Requests without an ID do not share connections.

--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -62,9 +63,9 @@
 }
 
 // Judge derives a Verdict from an answer's status and header. id is the ID of the
-// request that was sent. A refusal may lack the ID.
-func (n Names) Judge(id model.RequestID, status int, in http.Header) Verdict {
-	echoed := in.Get(n.Request)
+// request that was sent, and kept says that its connection has carried another request
+// before.
+func (n Names) Judge(id model.RequestID, kept bool, status int, in http.Header) Verdict {
 	notRun := in.Get(n.NotRun) != "" || status == http.StatusMisdirectedRequest
 	pause, badPause := time.Duration(0), ""
 	if status == http.StatusServiceUnavailable {
@@ -73,7 +74,7 @@
 	return Verdict{
 		Pause:     pause,
 		BadPause:  badPause,
-		Own:       echoed == string(id) || (echoed == "" && notRun),
+		Own:       isOwn(id, kept, notRun, in.Values(n.Request)),
 		NotRun:    notRun,
 		Elsewhere: status == http.StatusMisdirectedRequest,
 		Leaving:   isSet(in, n.Leaving),
@@ -81,6 +82,16 @@
 	}
 }
 
+// isOwn reports whether an answer that echoes the given IDs belongs to the request. A
+// refusal may lack the ID. On a kept connection it may then be one of an earlier request,
+// which a faulty upstream has sent again.
+func isOwn(id model.RequestID, kept, notRun bool, echoed []string) bool {
+	if len(echoed) == 0 {
+		return !kept && (notRun || id == "")
+	}
+	return !slices.ContainsFunc(echoed, func(e string) bool { return e != string(id) })
+}
+
 // maxPause bounds the pause that an upstream can ask for. A longer one is most likely an
 // error, and would take the upstream away from this instance for good.
 const maxPause = 10 * time.Minute
--- a/internal/protocol/forwardwire/names_test.go
+++ b/internal/protocol/forwardwire/names_test.go
@@ -95,10 +95,33 @@
 		{"address reused", 421, header("X-Id", "u2"), Verdict{Own: true, NotRun: true, Elsewhere: true, Answering: "u2"}},
 	}
 	for _, c := range cases {
-		assert.Equal(t, testNames().Judge("r1", c.status, c.header), c.want, c.name)
+		assert.Equal(t, testNames().Judge("r1", false, c.status, c.header), c.want, c.name)
 	}
 }
 
+// Guards against an answer on a kept connection that counts as the request's own although
+// it may be a repeated one to an earlier request.
+func TestAnswersOnKeptConnectionsMustNameTheRequest(t *testing.T) {
+	for _, c := range []struct {
+		id     model.RequestID
+		status int
+		header http.Header
+		own    bool
+	}{
+		{"r1", 503, header("X-Not-Run", "1"), false},
+		{"r1", 421, header("X-Id", "u2"), false},
+		{"r1", 503, header("X-Not-Run", "1", "X-Req", "r2"), false},
+		{"r1", 503, header("X-Not-Run", "1", "X-Req", "r1", "X-Req", "r2"), false},
+		{"r1", 503, header("X-Not-Run", "1", "X-Req", "r1"), true},
+		{"r1", 421, header("X-Id", "u2", "X-Req", "r1"), true},
+		{"", 200, header(), false},
+		{"", 503, header("X-Not-Run", "1"), false},
+	} {
+		assert.Equal(t, testNames().Judge(c.id, true, c.status, c.header).Own, c.own, "%q: %d %v", c.id, c.status, c.header)
+	}
+	assert.Assert(t, testNames().Judge("", false, 200, header()).Own)
+}
+
 // Guards against a caller's fields that crash the decoder, or that decode to a request
 // whose header cannot be encoded.
 func FuzzDecodeRequest(f *testing.F) {
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -9,10 +9,8 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -66,9 +64,9 @@
 }
 
 func newTransport(reuse bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &dialer{net.Dialer{Timeout: dialTimeout}}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         dialer.dial,
 		DisableKeepAlives:   !reuse,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerHost,
@@ -100,23 +98,20 @@
 			attribute.String("upstream", string(s.Upstream.ID)),
 		))
 	defer span.End()
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// The transport writes only after this hook, so an error without it
-		// means that no byte was sent.
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-	in, err := c.transport(s).RoundTrip(c.request(ctx, s))
+	tracker := &connTracker{}
+	in, err := c.transport(s).RoundTrip(c.request(tracker.watch(ctx), s))
 	if err != nil {
-		receiver.Lost(lossOf(err, sent.Load()), err.Error(), sent.Load())
+		receiver.Lost(lossOf(err, tracker.sent()), err.Error(), tracker.sent())
 		return
 	}
 	defer func() { _ = in.Body.Close() }() // a failed read is reported where it happens
-	c.receive(s, in, receiver)
+	c.receive(s, in, tracker, receiver)
 }
 
+// transport returns the transport for a send. Without an ID, an answer to the request
+// cannot be told from a late answer to another request on the same connection.
 func (c *Client) transport(s forward.Send) *http.Transport {
-	if s.ReuseConnection {
+	if s.ReuseConnection && s.Request.ID != "" {
 		return c.pooled
 	}
 	return c.unpooled
@@ -144,8 +139,8 @@
 }
 
 // receive reads the response and passes it to the receiver.
-func (c *Client) receive(s forward.Send, in *http.Response, receiver forward.Receiver) {
-	verdict := c.names.Judge(s.Request.ID, in.StatusCode, in.Header)
+func (c *Client) receive(s forward.Send, in *http.Response, tracker *connTracker, receiver forward.Receiver) {
+	verdict := c.names.Judge(s.Request.ID, tracker.kept.Load(), in.StatusCode, in.Header)
 	if verdict.BadPause != "" {
 		c.badPause.Do(func() {
 			log.WithField("part", "backend").WithField("upstream", string(s.Upstream.ID)).WithField("value", verdict.BadPause).
@@ -157,7 +152,8 @@
 	}
 	switch {
 	case !verdict.Own:
-		receiver.Lost(continuation.LossWrongStream, "answer has the ID of another request", true)
+		tracker.discard()
+		receiver.Lost(continuation.LossWrongStream, "answer does not have the ID of the request", true)
 	case s.Stream && in.StatusCode == http.StatusOK:
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
 		readEvents(in.Body, c.memory, receiver)
--- /dev/null
+++ b/internal/transport/backend/kept_test.go
@@ -0,0 +1,147 @@
+package backend
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"gotest.tools/v3/assert"
+)
+
+// keptUpstream keeps its connections and answers their requests from a script.
+type keptUpstream struct {
+	answers     []string // to the requests of each connection, in their order
+	connections atomic.Int32
+}
+
+func (u *keptUpstream) start(t *testing.T) (address string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			u.connections.Add(1)
+			go u.serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (u *keptUpstream) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for _, answer := range u.answers {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+	_, _ = in.Peek(1) // the client closes the connection
+}
+
+func callTo(address, id string) forward.Send {
+	header := forward.Header{}
+	if id != "" {
+		header["X-Req"] = []string{id}
+	}
+	return forward.Send{
+		Upstream:        model.Upstream{ID: "u", Address: address},
+		Request:         &forward.Request{ID: model.RequestID(id), Host: "h", Method: "POST", Path: "/p/", Header: header, Body: []byte("body")},
+		ReuseConnection: true,
+	}
+}
+
+// send makes one send and returns its outcome.
+func send(client *Client, s forward.Send) outcome {
+	got := make(outcomeChannel, 1)
+	s.Deadline = time.Now().Add(5 * time.Second)
+	cancel := client.Start(s, got)
+	select {
+	case o := <-got:
+		return o
+	case <-time.After(5 * time.Second):
+		cancel()
+		return outcome{loss: "no outcome within 5 s"}
+	}
+}
+
+func keptClient() *Client {
+	return New(forwardwire.Names{Request: "X-Req", NotRun: "X-Not-Run", Answering: "X-Id"}, EngineAPI{})
+}
+
+// Guards against an earlier refusal that an upstream writes again on a kept connection
+// and that counts as the refusal of a request that the upstream runs, and against
+// further use of that connection.
+func TestRepeatedRefusalIsNotThatOfALaterRequest(t *testing.T) {
+	const first = "HTTP/1.1 200 OK\r\nX-Req: r1\r\nContent-Length: 2\r\n\r\nok"
+	for name, refusal := range map[string]string{
+		"without ID":              "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull",
+		"without ID and body":     "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"of another upstream":     "HTTP/1.1 421 Misdirected Request\r\nX-Id: u2\r\nContent-Length: 0\r\n\r\n",
+		"with an earlier ID":      "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Req: r1\r\nContent-Length: 4\r\n\r\nfull",
+		"with an earlier ID only": "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Req: r1\r\nContent-Length: 0\r\n\r\n",
+		"with two IDs":            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Req: r2\r\nX-Req: r1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			upstream := &keptUpstream{answers: []string{first, refusal}}
+			address := upstream.start(t)
+			client := keptClient()
+			defer client.Close()
+			got := send(client, callTo(address, "r1"))
+			assert.Assert(t, got.answer != nil && got.answer.Status == 200, "%+v", got)
+			got = send(client, callTo(address, "r2"))
+			assert.Equal(t, got.loss, continuation.LossWrongStream, "%+v", got.answer)
+			assert.Assert(t, got.sent)
+			time.Sleep(20 * time.Millisecond) // net/http notices the end of an idle connection in its own goroutine
+			got = send(client, callTo(address, "r1"))
+			assert.Assert(t, got.answer != nil && got.answer.Status == 200, "%+v", got)
+			assert.Equal(t, upstream.connections.Load(), int32(2))
+		})
+	}
+}
+
+// Guards against refusals without an ID that no longer count on a new connection, where
+// they can belong to no other request.
+func TestRefusalWithoutIDOnANewConnectionCounts(t *testing.T) {
+	for _, reuse := range []bool{false, true} {
+		address, _ := startRawUpstream(t, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull")
+		got := sendTo(t, address, reuse)
+		assert.Assert(t, got.answer != nil && got.answer.NotRun, "%+v", got)
+	}
+}
+
+// Guards against an answer to an earlier request that counts as the answer to a request
+// without an ID, which no answer can name.
+func TestRequestsWithoutIDShareNoConnection(t *testing.T) {
+	upstream := &keptUpstream{answers: []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
+	}}
+	address := upstream.start(t)
+	client := keptClient()
+	defer client.Close()
+	for range 2 {
+		got := send(client, callTo(address, ""))
+		assert.Assert(t, got.answer != nil && got.answer.Status == 200, "%+v", got)
+	}
+	assert.Equal(t, upstream.connections.Load(), int32(2))
+}
