Reject answers that contradict themselves or have no final status

Cause: only the mark that a request has not run decided over a repeat, so that an answer with a status of success and this mark sent the request to another upstream, or was passed on as a stream. Statuses such as 101, 042 and 999 were passed on to the caller; net/http's server panics on those below 100 and switches protocols on 101.

Change: such answers are losses after which the request may have run, and close their connection.

--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -1,6 +1,7 @@
 package forwardwire
 
 import (
+	"fmt"
 	"math"
 	"net/http"
 	"slices"
@@ -50,7 +51,9 @@
 
 // Verdict is what an upstream's answer says about the request that was sent.
 type Verdict struct {
-	Own       bool // the answer belongs to this request, not to another one
+	Own bool // the answer belongs to this request, not to another one
+	// Invalid says why the answer is none that an upstream may send; empty if it is one.
+	Invalid   string
 	NotRun    bool // the upstream did not run the request
 	Elsewhere bool // another upstream has the address now
 	Leaving   bool // the upstream that answered takes no new requests
@@ -75,6 +78,7 @@
 		Pause:     pause,
 		BadPause:  badPause,
 		Own:       isOwn(id, kept, notRun, in.Values(n.Request)),
+		Invalid:   invalidity(status, notRun),
 		NotRun:    notRun,
 		Elsewhere: status == http.StatusMisdirectedRequest,
 		Leaving:   isSet(in, n.Leaving),
@@ -92,6 +96,19 @@
 	return !slices.ContainsFunc(echoed, func(e string) bool { return e != string(id) })
 }
 
+// invalidity returns why no upstream may answer with the status; empty if one may.
+func invalidity(status int, notRun bool) string {
+	switch {
+	case status < http.StatusOK || status > maxStatus:
+		return fmt.Sprintf("status %d is not that of an answer", status)
+	case notRun && status < http.StatusBadRequest:
+		return fmt.Sprintf("status %d of a request that has not run", status)
+	}
+	return ""
+}
+
+const maxStatus = 599
+
 // maxPause bounds the pause that an upstream can ask for. A longer one is most likely an
 // error, and would take the upstream away from this instance for good.
 const maxPause = 10 * time.Minute
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -154,6 +154,9 @@
 	case !verdict.Own:
 		tracker.discard()
 		receiver.Lost(continuation.LossWrongStream, "answer does not have the ID of the request", true)
+	case verdict.Invalid != "":
+		tracker.discard()
+		receiver.Lost(continuation.LossStatus, verdict.Invalid, true)
 	case s.Stream && in.StatusCode == http.StatusOK:
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
 		readEvents(in.Body, c.memory, receiver)
--- a/internal/transport/backend/kept_test.go
+++ b/internal/transport/backend/kept_test.go
@@ -145,3 +145,31 @@
 	}
 	assert.Equal(t, upstream.connections.Load(), int32(2))
 }
+
+// Guards against answers that contradict themselves or have no final status: a caller
+// would get a success for a request that has not run, a refusal for one that has, or bytes
+// that are no answer.
+func TestContradictoryAnswersAreLosses(t *testing.T) {
+	for name, answer := range map[string]string{
+		"success that has not run":     "HTTP/1.1 200 OK\r\nX-Req: r1\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nok",
+		"redirection that has not run": "HTTP/1.1 302 Found\r\nX-Req: r1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"two IDs":                      "HTTP/1.1 200 OK\r\nX-Req: r1\r\nX-Req: r2\r\nContent-Length: 2\r\n\r\nok",
+		"two IDs in one field":         "HTTP/1.1 200 OK\r\nX-Req: r1, r2\r\nContent-Length: 2\r\n\r\nok",
+		"switching protocols":          "HTTP/1.1 101 Switching Protocols\r\nX-Req: r1\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\nbytes",
+		"status below 100":             "HTTP/1.1 042 Odd\r\nX-Req: r1\r\nContent-Length: 2\r\n\r\nok",
+		"status above 599":             "HTTP/1.1 999 Odd\r\nX-Req: r1\r\nContent-Length: 2\r\n\r\nok",
+		"interim answers only":         "HTTP/1.1 102 Processing\r\nX-Req: r1\r\nX-Not-Run: 1\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n",
+	} {
+		for _, stream := range []bool{false, true} {
+			for _, reuse := range []bool{false, true} {
+				address, _ := startRawUpstream(t, answer)
+				client := keptClient()
+				s := callTo(address, "r1")
+				s.Stream, s.ReuseConnection = stream, reuse
+				got := send(client, s)
+				assert.Check(t, got.loss != "" && got.sent, "%s, stream: %t, kept: %t: %+v", name, stream, reuse, got)
+				client.Close()
+			}
+		}
+	}
+}
