Pass no refusal on without the mark that the request has not run

Cause: an upstream's answer with status 408, 429 or 503 was passed on unchanged also without this mark. Upstreams say with the mark alone that a request has not run, while callers take these statuses as a promise of it, and repeat a request that may have run.

Change: such an answer counts as a loss after which the request may have run: 502 for requests that must not run twice, another upstream for others. The expectation for "503 of a run" changes with it: the answer is the request's own, as before, and invalid now.

--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -52,7 +52,8 @@
 // Verdict is what an upstream's answer says about the request that was sent.
 type Verdict struct {
 	Own bool // the answer belongs to this request, not to another one
-	// Invalid says why the answer is none that an upstream may send; empty if it is one.
+	// Invalid says why the answer must not be used, after which the request may have run;
+	// empty if it may be used.
 	Invalid   string
 	NotRun    bool // the upstream did not run the request
 	Elsewhere bool // another upstream has the address now
@@ -96,19 +97,31 @@
 	return !slices.ContainsFunc(echoed, func(e string) bool { return e != string(id) })
 }
 
-// invalidity returns why no upstream may answer with the status; empty if one may.
+// invalidity returns why an answer with the status must not be used; empty if it may be.
 func invalidity(status int, notRun bool) string {
 	switch {
 	case status < http.StatusOK || status > maxStatus:
 		return fmt.Sprintf("status %d is not that of an answer", status)
 	case notRun && status < http.StatusBadRequest:
 		return fmt.Sprintf("status %d of a request that has not run", status)
+	case !notRun && promisesNotRun(status):
+		return fmt.Sprintf("status %d without the mark that the request has not run", status)
 	}
 	return ""
 }
 
 const maxStatus = 599
 
+// promisesNotRun reports whether callers take the status as a promise that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // maxPause bounds the pause that an upstream can ask for. A longer one is most likely an
 // error, and would take the upstream away from this instance for good.
 const maxPause = 10 * time.Minute
--- a/internal/protocol/forwardwire/names_test.go
+++ b/internal/protocol/forwardwire/names_test.go
@@ -91,7 +91,12 @@
 		{"negative pause", 503, header("X-Not-Run", "1", "Retry-After", "-3"), Verdict{Own: true, NotRun: true, BadPause: "-3"}},
 		{"pause that is no number", 503, header("X-Not-Run", "1", "Retry-After", "NaN"), Verdict{Own: true, NotRun: true, BadPause: "NaN"}},
 		{"pause in words", 503, header("X-Not-Run", "1", "Retry-After", "soon"), Verdict{Own: true, NotRun: true, BadPause: "soon"}},
-		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true}},
+		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 503 without the mark that the request has not run"}},
+		{"429 of a run", 429, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 429 without the mark that the request has not run"}},
+		{"408 of a run", 408, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 408 without the mark that the request has not run"}},
+		{"500 of a run", 500, header("X-Req", "r1"), Verdict{Own: true}},
+		{"success that has not run", 200, header("X-Req", "r1", "X-Not-Run", "1"), Verdict{Own: true, NotRun: true, Invalid: "status 200 of a request that has not run"}},
+		{"status out of range", 999, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 999 is not that of an answer"}},
 		{"address reused", 421, header("X-Id", "u2"), Verdict{Own: true, NotRun: true, Elsewhere: true, Answering: "u2"}},
 	}
 	for _, c := range cases {
--- a/internal/transport/backend/kept_test.go
+++ b/internal/transport/backend/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -173,3 +174,19 @@
 		}
 	}
 }
+
+// Guards against a refusal for a request that an upstream has run: to callers these
+// statuses promise that a request has not run, while upstreams say it with the mark.
+func TestRefusalsWithoutTheMarkAreNotPassedOn(t *testing.T) {
+	for _, status := range []int{408, 429, 503} {
+		for _, stream := range []bool{false, true} {
+			address, _ := startRawUpstream(t, fmt.Sprintf("HTTP/1.1 %d Refused\r\nX-Req: r1\r\nContent-Length: 4\r\n\r\nbusy", status))
+			client := keptClient()
+			s := callTo(address, "r1")
+			s.Stream, s.ReuseConnection = stream, false
+			got := send(client, s)
+			assert.Check(t, got.loss == continuation.LossStatus && got.sent, "%d, stream: %t: %+v", status, stream, got)
+			client.Close()
+		}
+	}
+}
