--- a/internal/protocol/forwardwire/encode.go
+++ b/internal/protocol/forwardwire/encode.go
@@ -1,8 +1,10 @@
 package forwardwire
 
 import (
+	"fmt"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -49,7 +51,10 @@
 
 // Verdict is what an upstream's answer says about the request that was sent.
 type Verdict struct {
-	Own       bool // the answer belongs to this request, not to another one
+	Own bool // the answer belongs to this request, not to another one
+	// Invalid says why the answer must not be used, after which the request may have run;
+	// empty if it may be used.
+	Invalid   string
 	NotRun    bool // the upstream did not run the request
 	Elsewhere bool // another upstream has the address now
 	Leaving   bool // the upstream that answered takes no new requests
@@ -62,9 +67,9 @@
 }
 
 // Judge derives a Verdict from an answer's status and header. id is the ID of the
-// request that was sent. A refusal may lack the ID.
-func (n Names) Judge(id model.RequestID, status int, in http.Header) Verdict {
-	echoed := in.Get(n.Request)
+// request that was sent, and kept says that its connection has carried another request
+// before.
+func (n Names) Judge(id model.RequestID, kept bool, status int, in http.Header) Verdict {
 	notRun := in.Get(n.NotRun) != "" || status == http.StatusMisdirectedRequest
 	pause, badPause := time.Duration(0), ""
 	if status == http.StatusServiceUnavailable {
@@ -73,7 +78,8 @@
 	return Verdict{
 		Pause:     pause,
 		BadPause:  badPause,
-		Own:       echoed == string(id) || (echoed == "" && notRun),
+		Own:       isOwn(id, kept, notRun, in.Values(n.Request)),
+		Invalid:   invalidity(status, notRun),
 		NotRun:    notRun,
 		Elsewhere: status == http.StatusMisdirectedRequest,
 		Leaving:   isSet(in, n.Leaving),
@@ -81,6 +87,41 @@
 	}
 }
 
+// isOwn reports whether an answer that echoes the given IDs belongs to the request. A
+// refusal may lack the ID. On a kept connection it may then be one of an earlier request,
+// which a faulty upstream has sent again.
+func isOwn(id model.RequestID, kept, notRun bool, echoed []string) bool {
+	if len(echoed) == 0 {
+		return !kept && (notRun || id == "")
+	}
+	return !slices.ContainsFunc(echoed, func(e string) bool { return e != string(id) })
+}
+
+// invalidity returns why an answer with the status must not be used; empty if it may be.
+func invalidity(status int, notRun bool) string {
+	switch {
+	case status < http.StatusOK || status > maxStatus:
+		return fmt.Sprintf("status %d is not that of an answer", status)
+	case notRun && status < http.StatusBadRequest:
+		return fmt.Sprintf("status %d of a request that has not run", status)
+	case !notRun && promisesNotRun(status):
+		return fmt.Sprintf("status %d without the mark that the request has not run", status)
+	}
+	return ""
+}
+
+const maxStatus = 599
+
+// promisesNotRun reports whether callers take the status as a promise that the request has
+// not run and never will.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // maxPause bounds the pause that an upstream can ask for. A longer one is most likely an
 // error, and would take the upstream away from this instance for good.
 const maxPause = 10 * time.Minute
--- a/internal/protocol/forwardwire/names_test.go
+++ b/internal/protocol/forwardwire/names_test.go
@@ -91,14 +91,42 @@
 		{"negative pause", 503, header("X-Not-Run", "1", "Retry-After", "-3"), Verdict{Own: true, NotRun: true, BadPause: "-3"}},
 		{"pause that is no number", 503, header("X-Not-Run", "1", "Retry-After", "NaN"), Verdict{Own: true, NotRun: true, BadPause: "NaN"}},
 		{"pause in words", 503, header("X-Not-Run", "1", "Retry-After", "soon"), Verdict{Own: true, NotRun: true, BadPause: "soon"}},
-		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true}},
+		{"503 of a run", 503, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 503 without the mark that the request has not run"}},
+		{"429 of a run", 429, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 429 without the mark that the request has not run"}},
+		{"408 of a run", 408, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 408 without the mark that the request has not run"}},
+		{"500 of a run", 500, header("X-Req", "r1"), Verdict{Own: true}},
+		{"success that has not run", 200, header("X-Req", "r1", "X-Not-Run", "1"), Verdict{Own: true, NotRun: true, Invalid: "status 200 of a request that has not run"}},
+		{"status out of range", 999, header("X-Req", "r1"), Verdict{Own: true, Invalid: "status 999 is not that of an answer"}},
 		{"address reused", 421, header("X-Id", "u2"), Verdict{Own: true, NotRun: true, Elsewhere: true, Answering: "u2"}},
 	}
 	for _, c := range cases {
-		assert.Equal(t, testNames().Judge("r1", c.status, c.header), c.want, c.name)
+		assert.Equal(t, testNames().Judge("r1", false, c.status, c.header), c.want, c.name)
 	}
 }
 
+// Guards against an answer on a kept connection that counts as the request's own although
+// it may be a repeated one to an earlier request.
+func TestAnswersOnKeptConnectionsMustNameTheRequest(t *testing.T) {
+	for _, c := range []struct {
+		id     model.RequestID
+		status int
+		header http.Header
+		own    bool
+	}{
+		{"r1", 503, header("X-Not-Run", "1"), false},
+		{"r1", 421, header("X-Id", "u2"), false},
+		{"r1", 503, header("X-Not-Run", "1", "X-Req", "r2"), false},
+		{"r1", 503, header("X-Not-Run", "1", "X-Req", "r1", "X-Req", "r2"), false},
+		{"r1", 503, header("X-Not-Run", "1", "X-Req", "r1"), true},
+		{"r1", 421, header("X-Id", "u2", "X-Req", "r1"), true},
+		{"", 200, header(), false},
+		{"", 503, header("X-Not-Run", "1"), false},
+	} {
+		assert.Equal(t, testNames().Judge(c.id, true, c.status, c.header).Own, c.own, "%q: %d %v", c.id, c.status, c.header)
+	}
+	assert.Assert(t, testNames().Judge("", false, 200, header()).Own)
+}
+
 // Guards against a caller's fields that crash the decoder, or that decode to a request
 // whose header cannot be encoded.
 func FuzzDecodeRequest(f *testing.F) {
--- a/internal/transport/backend/endless_test.go
+++ b/internal/transport/backend/endless_test.go
@@ -105,7 +105,7 @@
 			defer client.Close()
 			// The endless answers keep the processors busy, so that a connection can
 			// take longer than dialTimeout; the request would not get an answer at all.
-			client.unpooled.DialContext = (&net.Dialer{Timeout: 5 * time.Second}).DialContext
+			client.unpooled.DialContext = (&dialer{net.Dialer{Timeout: 5 * time.Second}}).dial
 			const requests = 16
 			used := peakHeap(func() {
 				var ended sync.WaitGroup
