--- a/internal/transport/standin/fleet/worker.go
+++ b/internal/transport/standin/fleet/worker.go
@@ -170,6 +170,9 @@
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	rw.Header().Set("X-Instance-Id", w.opts.ID)
+	if id := r.Header.Get("X-Attempt-Id"); id != "" {
+		rw.Header().Set("X-Attempt-Id", id) // in refusals too
+	}
 	if w.isLeaving() {
 		rw.Header().Set("Server-Leaving", "1")
 	}
@@ -279,8 +282,7 @@
 	}
 }
 
-func (w *Worker) setHeaders(rw http.ResponseWriter, r *http.Request) {
-	rw.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+func (w *Worker) sign(rw http.ResponseWriter) {
 	rw.Header().Set("X-Server-Signature", "signed-"+w.opts.ID)
 }
 
@@ -289,7 +291,7 @@
 	if !pause(r, w.opts.WorkTime) {
 		return
 	}
-	w.setHeaders(rw, r)
+	w.sign(rw)
 	if w.failsNow() {
 		rw.WriteHeader(http.StatusInternalServerError)
 		return
@@ -343,7 +345,7 @@
 		w.crashInEvent(rw, id)
 		return
 	}
-	w.setHeaders(rw, r)
+	w.sign(rw)
 	rw.Header().Set("Content-Type", "text/event-stream")
 	w.generate(rw, r, id, after)
 }
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -300,6 +300,56 @@
 	assert.Assert(t, header.Get("Retry-After") != "")
 }
 
+// Guards against a refusal for a request that a worker runs, after a worker has sent an
+// earlier refusal again on a kept connection.
+func TestEdgeDoesNotBelieveARepeatedRefusal(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 1)
+	for _, w := range e.fleet.Workers("desk") {
+		e.fleet.Crash(w)
+		e.fleet.Store.Remove("servers", w.ID())
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, listener.Close()) }()
+	go serveRepeatedRefusals(listener)
+	e.add(fleet.WorkerOptions{ID: "faulty", Service: "desk", Zone: "a", Slots: 6, Advertise: func(string) string { return listener.Addr().String() }})
+	e.publishRules()
+	e.awaitReady()
+	status, _, _ := e.do(e.request(0, "GET", "/read/1"))
+	assert.Equal(t, status, http.StatusOK)
+	status, body, _ := e.do(e.request(0, "GET", "/read/1"))
+	assert.Equal(t, status, http.StatusBadGateway, body)
+}
+
+// serveRepeatedRefusals answers the first request of each connection, and runs each later
+// one after it has sent a refusal without an ID.
+func serveRepeatedRefusals(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer func() { _ = conn.Close() }()
+			in := bufio.NewReader(conn)
+			for first := true; ; first = false {
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				if _, err := io.Copy(io.Discard, req.Body); err != nil {
+					return
+				}
+				if !first {
+					_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Signature: s\r\nContent-Length: 2\r\n\r\nok", req.Header.Get("X-Attempt-Id"))
+			}
+		}()
+	}
+}
+
 // Guards against new work for a worker that leaves, and against rules that
 // arrive late or only at one instance.
 func TestEdgesFollowTheStore(t *testing.T) {
