Continue a generation elsewhere when one engine rejects its continuation

A generation had begun and lost its engine; the next one answered the continuation with a 4xx. continuation.Next gave the generation up, and the caller's stream ended with an error event that quoted the engine's message. The first engine ran the request, so the rejection is now a failed attempt like others. The engine's message goes to the caller only if no engine has brought tokens.

--- a/internal/coordination/continuation/continuation_test.go
+++ b/internal/coordination/continuation/continuation_test.go
@@ -45,6 +45,24 @@
 	assert.Equal(t, AcceptEnd(attempt, 5, Connection{0, "s"}, 5), Stale)
 }
 
+// Guards against an answer that is given up because one engine rejects its continuation,
+// and against retries of a request that no engine has accepted.
+func TestNextAfterARejection(t *testing.T) {
+	cases := []struct {
+		situation Situation
+		want      Action
+	}{
+		{Situation{AlternativeReady: true}, GiveUp},
+		{Situation{Tokens: 3, Shown: 3, AlternativeReady: true}, Continue},
+		{Situation{Tokens: 3, Shown: 3}, Wait},
+		{Situation{Tokens: 3, Shown: 3, AlternativeReady: true, Failures: MaxFailures}, GiveUp},
+	}
+	for _, c := range cases {
+		c.situation.Loss = LossRejected
+		assert.Equal(t, Next(c.situation), c.want, "%+v", c.situation)
+	}
+}
+
 // Guards against an answer that mixes two versions: once the caller has seen a
 // token, no loss may lead to a restart.
 func TestNextNeverRestartsAShownAnswer(t *testing.T) {
--- a/internal/coordination/continuation/decide.go
+++ b/internal/coordination/continuation/decide.go
@@ -75,10 +75,11 @@
 
 // Next returns the action to take after a loss. Once the caller has seen a token,
 // only an engine of the same version may continue the answer, and from exactly the
-// accepted tokens.
+// accepted tokens. A rejection by one engine is final only while no engine has run the
+// request: one that has brought tokens is valid.
 func Next(s Situation) Action {
 	switch {
-	case s.Loss == LossRejected, s.Failures >= MaxFailures:
+	case s.Loss == LossRejected && s.Tokens == 0, s.Failures >= MaxFailures:
 		return GiveUp
 	case s.Loss == LossLeaving && !s.AlternativeReady:
 		return KeepAttempt
--- a/internal/coordination/relay/fake_test.go
+++ b/internal/coordination/relay/fake_test.go
@@ -40,6 +40,7 @@
 type fakeEngine struct {
 	dead, frozen bool
 	failStatus   bool
+	rejects      bool // requests to continue an answer
 	streams      map[model.StreamID]*fakeStream
 }
 
@@ -82,6 +83,12 @@
 		return
 	}
 	n := len(req.Continue)
+	if e.rejects && n > 0 {
+		f.deliverLater(func() {
+			events.Lost(continuation.LossRejected, continuation.Detail{Cause: "status 400", EngineMessage: "the engine's text"})
+		})
+		return
+	}
 	s := &fakeStream{first: n, next: n, max: req.Spec.Sampling.MaxTokens, events: events}
 	e.streams[req.Stream] = s
 	f.wg.Go(func() { f.produce(e, s, up, req.Stream) })
@@ -217,7 +224,7 @@
 		f.cutConnections(e, continuation.LossReset)
 		e.streams = map[model.StreamID]*fakeStream{}
 	case "revive":
-		e.dead, e.frozen, e.failStatus = false, false, false
+		e.dead, e.frozen, e.failStatus, e.rejects = false, false, false, false
 	case "freeze":
 		e.frozen = true
 	case "cut":
@@ -226,6 +233,8 @@
 		f.sendLoss(e, continuation.LossLeaving)
 	case "fail":
 		e.failStatus = true
+	case "reject":
+		e.rejects = true
 	default:
 		for _, s := range e.streams {
 			s.misbehave = kind
--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -146,8 +146,11 @@
 	}
 }
 
+// lossRefusal returns the refusal after the last loss. The engine's message is an answer
+// to the request only if no other engine has answered with tokens, which the caller may
+// have.
 func lossRefusal(r generation.Record, kind continuation.Loss, detail continuation.Detail) *model.Refusal {
-	if kind == continuation.LossRejected {
+	if kind == continuation.LossRejected && len(r.Tokens) == 0 {
 		return &model.Refusal{
 			Code:    "rejected_by_engine",
 			Message: fmt.Sprintf("The engine rejected the request: %s.", cmp.Or(detail.EngineMessage, detail.Cause)),
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -206,6 +206,38 @@
 	})
 }
 
+// Guards against the loss of an answer that has begun, and against an engine's error text
+// in it, when an engine rejects the request to continue it.
+func TestRejectedContinuationGoesElsewhere(t *testing.T) {
+	for rejecting, code := range map[int]string{1: "", 2: "continuation_unavailable"} {
+		t.Run(fmt.Sprint(rejecting), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestbed(3, "v1")
+				defer b.close()
+				b.manager.Submit(spec("r", 50))
+				_, err := b.table.NewCursor("r", 0).Next(t.Context())
+				assert.NilError(t, err)
+				r, _ := b.table.Get("r")
+				for i := range 3 {
+					if id := model.UpstreamID(fmt.Sprintf("e%d", i)); id != r.Attempt.Upstream && rejecting > 0 {
+						b.fake.fault(id, "reject")
+						rejecting--
+					}
+				}
+				b.fake.fault(r.Attempt.Upstream, "kill")
+				got := b.read(t.Fatalf, "r")
+				got.check(t.Fatalf, "r", 50)
+				if code == "" {
+					assert.Assert(t, got.end.Refusal == nil, "%+v", got.end.Refusal)
+					return
+				}
+				assert.Equal(t, got.end.Refusal.Code, code)
+				assert.Assert(t, !strings.Contains(got.end.Refusal.Message, "the engine's text"))
+			})
+		})
+	}
+}
+
 // Guards against a refusal of an answer that could restart on another version
 // because the caller has seen none of its tokens.
 func TestUnshownAnswerRestarts(t *testing.T) {
