Count only client errors of an engine as rejections

A 2xx other than 200 or a 3xx counted as the engine's rejection of the request, which ended the generation without another attempt. It is an error of the engine now. TestOnlyClientErrorsReject failed before for 201, and passes.

--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -276,7 +276,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return continuation.LossBusy, detail
 	}
-	if resp.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError {
 		return continuation.LossRejected, detail
 	}
 	return continuation.LossStatus, detail
