--- a/internal/coordination/forward/broken_stream_test.go
+++ b/internal/coordination/forward/broken_stream_test.go
@@ -46,6 +46,7 @@
 		t.Run(fmt.Sprint(answer.Status), func(t *testing.T) {
 			withHarness(t, func(b *harness) {
 				reply, second := b.breakAfterTwoEvents()
+				assert.Assert(t, second.ResumeFrom != nil)
 				second.Answered(answer)
 				b.advance(0)
 				assert.Assert(t, reply.answer == nil && reply.refused == nil && !reply.ended, "%+v", reply)
