--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -276,7 +276,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return continuation.LossBusy, detail
 	}
-	if resp.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError {
 		return continuation.LossRejected, detail
 	}
 	return continuation.LossStatus, detail
@@ -297,7 +297,7 @@
 			continue
 		}
 		if strings.TrimSpace(event.Data) == engineapi.EndOfStream {
-			return "", continuation.Detail{}
+			break
 		}
 		done, err := deliverChunk(event.Data, events)
 		if err != nil {
