Check in the soak that planned work loses no request

Rules now vary in services, splits, time limits, routes, limits and keys, with random numbers of their own, so that the other faults of a seed stay as they were. TestSoakPlannedWork runs planned work only, because other faults excuse most requests. Half of the callers keep to an address until it fails.

--- a/tests/e2e/soak_test.go
+++ b/tests/e2e/soak_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"strings"
@@ -61,10 +62,25 @@
 	}
 }
 
-func soakSeed(t *testing.T, seed uint64) {
+// Guards against requests that end without an answer beside planned work: a run has
+// no other faults, which would excuse the loss of most requests in its time.
+func TestSoakPlannedWork(t *testing.T) {
+	first, seeds := uint64(1), 2
+	if *soakFirst > 0 {
+		first, seeds = *soakFirst, *soakSeeds
+	}
+	for seed := first; seed < first+uint64(seeds); seed++ {
+		runSoak(t, planPlannedWork(seed, *soakTime, *soakScale))
+	}
+}
+
+func soakSeed(t *testing.T, seed uint64) { runSoak(t, planSoak(seed, *soakTime, *soakScale)) }
+
+func runSoak(t *testing.T, plan soakPlan) {
+	seed, test := plan.seed, t.Name()
 	t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 		t.Parallel()
-		s := newSoak(t, planSoak(seed, *soakTime, *soakScale))
+		s := newSoak(t, plan)
 		s.run()
 		violations := s.violations()
 		if *soakPlot != "" {
@@ -75,7 +91,7 @@
 			t.Error(line)
 		}
 		if len(violations) > 0 {
-			t.Logf("repeat: go test -count=1 -tags lockcheck ./tests/e2e -run TestSoak -soak.first %d\n%s", seed, s.history())
+			t.Logf("repeat: go test -count=1 -tags lockcheck ./tests/e2e -run '^%s$' -soak.first %d\n%s", test, seed, s.history())
 		}
 	})
 }
@@ -123,7 +139,11 @@
 	unexpectedExits []string
 }
 
-const spareKey = "spare"
+const (
+	spareKey = "spare"
+	// secondWorkers is the number of workers of each second service.
+	secondWorkers = 3
+)
 
 func newSoak(t *testing.T, plan soakPlan) *soak {
 	t.Helper()
@@ -155,13 +175,17 @@
 	for i := range plan.desks {
 		s.addWorker("desk", i)
 	}
+	for i := range secondWorkers {
+		s.addWorker(secondPrefix+"engine", i)
+		s.addWorker(secondPrefix+"desk", i)
+	}
 	for i := range plan.instances {
 		link, err := startProxy(f.StoreAddress())
 		assert.NilError(t, err)
 		s.storeProxies = append(s.storeProxies, link)
 		s.edges.startEdge(s.dir, i, link.address())
 	}
-	s.changeRules(false)
+	s.changeRules(false, nil)
 	s.edges.awaitReady()
 	return s
 }
@@ -173,7 +197,7 @@
 	id := fmt.Sprintf("%s-%d", service, s.lastWorker)
 	s.mu.Unlock()
 	opts := fleet.WorkerOptions{ID: id, Service: service, Zone: string(rune('a' + zone%3)), Slots: 64, WorkTime: 80 * time.Millisecond}
-	if service == "engine" {
+	if strings.HasSuffix(service, "engine") {
 		opts.Events, opts.Interval, opts.PrefillTime, opts.KVCopyInterval = soakEvents, 25*time.Millisecond, 150*time.Millisecond, 100*time.Millisecond
 	}
 	w := &soakWorker{}
@@ -197,19 +221,6 @@
 	s.workers = append(s.workers, w)
 }
 
-// changeRules publishes the next version, with or without the spare key.
-func (s *soak) changeRules(spare bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	text := fmt.Sprintf(fleet.Rules, s.version)
-	if spare {
-		text = strings.ReplaceAll(text, `["key"]`, `["key","`+spareKey+`"]`)
-	}
-	s.edges.fleet.Store.Put("op", "config", []byte(text))
-	s.keyChanges = append(s.keyChanges, keyChange{time.Now(), spare})
-}
-
 // run runs the load and the faults to their end.
 func (s *soak) run() {
 	s.began = time.Now()
@@ -220,7 +231,9 @@
 	}
 	var all sync.WaitGroup
 	for i := range s.plan.callers {
-		all.Go(func() { newSoakCaller(&s.record, s.plan.seed+uint64(i)<<32, directory).run(context.Background(), end) })
+		caller := newSoakCaller(&s.record, s.plan.seed+uint64(i)<<32, directory)
+		caller.staysAtAddress = i%2 == 1
+		all.Go(func() { caller.run(context.Background(), end) })
 	}
 	all.Go(func() { s.probeKey(newSoakCaller(&s.record, s.plan.seed^1, directory), end) })
 	all.Go(func() { s.watchExits(end) })
@@ -318,7 +331,11 @@
 		defer s.recordFault(f.kind, instanceScope(i))()
 		s.applyLinkFault(s.storeProxies[i], f)
 	case faultRules:
-		s.changeRules(f.target%2 == 0)
+		defer s.recordFault(f.kind, "rules")()
+		s.changeRules(f.target%2 == 0, nil)
+	case faultVariedRules:
+		defer s.recordFault(f.kind, "rules")()
+		s.changeRules(f.target%2 == 0, rand.New(rand.NewPCG(uint64(f.target), 10)))
 	default:
 		s.applyWorkerFault(f)
 	}
--- a/tests/e2e/soakcheck_test.go
+++ b/tests/e2e/soakcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -27,6 +28,9 @@
 	cancelBound = 500 * time.Millisecond
 	// maxLateCancels is the number of later ends that are allowed in a run.
 	maxLateCancels = 3
+	// lossSlack is the platform's bound on the time in which an instance may close the
+	// connection of a request that it has not read.
+	lossSlack = 200 * time.Millisecond
 	// recoveredShare is the share of attempts that must be served after recovery.
 	recoveredShare = 0.95
 )
@@ -87,18 +91,27 @@
 	if a.served() && len(runs) == 0 {
 		report("answered, but ran nowhere")
 	}
-	if a.status == 404 || (a.status == 401 && a.key == soakKey) {
-		report("refused with %d although route and key were always in the rules", a.status)
+	if s.refusedThoughAllowed(a) {
+		report("refused with %d although all rules allow it", a.status)
 	}
 	if why := s.staleRules(a); why != "" {
 		report("%s", why)
 	}
-	if a.cut && !a.cancelled && len(runs) > 0 && s.onlyPlannedStop(a) {
-		report("was cut at %s in a planned stop", s.offset(a.ended))
+	if s.readWhole(a, len(runs) > 0) && a.cut && s.onlyPlannedWork(a) {
+		report("ended at %s without a complete answer, status %d, runs %d", s.offset(a.ended), a.status, len(runs))
 	}
 	return violations
 }
 
+// refusedThoughAllowed reports whether the instance refused the attempt for what it is,
+// although all versions of the rules allow it.
+func (s *soak) refusedThoughAllowed(a soakAttempt) bool {
+	if promisesNotRun(a.status) || (a.status == http.StatusUnauthorized && a.key != soakKey) {
+		return false
+	}
+	return a.status >= 400 && a.status < 500
+}
+
 // staleRules describes the change of the spare key that the instance had not
 // applied in time; it returns "" if there is none.
 func (s *soak) staleRules(a soakAttempt) string {
@@ -152,18 +165,29 @@
 	return f.from.Before(to) && (f.to.IsZero() || f.to.After(from))
 }
 
-// onlyPlannedStop reports whether the instance was stopped as planned during the
-// attempt, and there were no other faults anywhere but planned stops and reloads.
-func (s *soak) onlyPlannedStop(a soakAttempt) bool {
-	scope, stopped := s.instanceScopeOf(a.address), false
-	for _, f := range s.appliedFaults {
-		planned := f.kind == faultStop && f.scope == scope
-		stopped = stopped || (planned && f.overlaps(a.sent, a.ended))
-		if !planned && f.kind != faultStop && f.kind != faultReload && f.overlaps(a.sent.Add(-settleTime), a.ended) {
-			return false
-		}
+// readWhole reports whether an instance has certainly read the whole request: it ran at a
+// worker, or its connection stayed open for longer than lossSlack after it was sent. An
+// instance may close a kept connection while a request is on its way.
+func (s *soak) readWhole(a soakAttempt, ran bool) bool {
+	return ran || (!a.written.IsZero() && a.ended.Sub(a.written) > lossSlack+s.slack())
+}
+
+// onlyPlannedWork reports whether the attempt was not cancelled, and nothing but changes
+// of the rules, reloads and planned stops overlapped it and the settleTime before it.
+func (s *soak) onlyPlannedWork(a soakAttempt) bool {
+	return !a.cancelled && !slices.ContainsFunc(s.appliedFaults, func(f appliedFault) bool {
+		return !f.planned() && f.overlaps(a.sent.Add(-settleTime), a.ended)
+	})
+}
+
+// planned reports whether the fault is planned work.
+func (f appliedFault) planned() bool {
+	switch f.kind {
+	case faultRules, faultVariedRules, faultReload, faultStop:
+		return true
+	default:
+		return false
 	}
-	return stopped
 }
 
 // checkRuns checks the runs of one attempt at workers.
--- a/tests/e2e/soakload_test.go
+++ b/tests/e2e/soakload_test.go
@@ -10,7 +10,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -33,6 +35,7 @@
 	lastEvent   int    // position of the last event received
 	leaving     string // worker that said in the answer that it leaves
 	answered    time.Time
+	written     time.Time // when the whole request had been written; zero if that failed
 }
 
 // served reports whether the attempt succeeded and its answer is complete.
@@ -75,6 +78,10 @@
 	addresses  []string
 	resolvedAt time.Time // time of the last successful resolution
 	http       *http.Client
+	// staysAtAddress makes the caller use an address until it fails, also when it is no
+	// longer among the resolved ones.
+	staysAtAddress bool
+	lastAddress    string // of the newest attempt; empty if it failed
 }
 
 const (
@@ -95,13 +102,17 @@
 // address picks one of the resolved addresses at random and resolves them again
 // when they are older than soakAddressTTL.
 func (c *soakCaller) address(ctx context.Context) string {
+	if c.staysAtAddress && c.lastAddress != "" {
+		return c.lastAddress
+	}
 	if time.Since(c.resolvedAt) > soakAddressTTL {
 		c.resolve(ctx)
 	}
 	if len(c.addresses) == 0 {
 		return ""
 	}
-	return c.addresses[c.random.IntN(len(c.addresses))]
+	c.lastAddress = c.addresses[c.random.IntN(len(c.addresses))]
+	return c.lastAddress
 }
 
 func (c *soakCaller) resolve(ctx context.Context) {
@@ -157,7 +168,16 @@
 	if err != nil {
 		panic(err)
 	}
+	var written atomic.Int64
+	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteRequest: func(info httptrace.WroteRequestInfo) {
+		if info.Err == nil {
+			written.Store(time.Now().UnixNano())
+		}
+	}}))
 	resp, err := c.http.Do(req)
+	if at := written.Load(); at > 0 {
+		a.written = time.Unix(0, at)
+	}
 	if err != nil {
 		a.connRefused = errors.Is(err, syscall.ECONNREFUSED)
 		a.cut = !a.connRefused
@@ -177,6 +197,7 @@
 
 // dropAddress removes an address that failed from the resolved ones.
 func (c *soakCaller) dropAddress(address string) {
+	c.lastAddress = ""
 	var kept []string
 	for _, other := range c.addresses {
 		if other != address {
--- a/tests/e2e/soakplan_test.go
+++ b/tests/e2e/soakplan_test.go
@@ -25,9 +25,11 @@
 	faultDrain     faultKind = "worker drained"
 	faultFull      faultKind = "worker full"
 	faultLink      faultKind = "link to worker"
-	faultRules     faultKind = "rules changed"
+	faultRules     faultKind = "rules changed"              // back to those of the beginning, but for the spare key
 	faultLeave     faultKind = "worker says that it leaves" // in its answers only
 	faultPause     faultKind = "worker asks for a pause"
+	// faultVariedRules changes the rules in all their parts.
+	faultVariedRules faultKind = "rules varied"
 )
 
 // faultWeights says how often each kind is drawn.
@@ -89,6 +91,7 @@
 		p.faults = append(p.faults, f)
 	}
 	p.faults = append(p.faults, planNotices(seed, faulty)...)
+	p.faults = append(p.faults, planVariedRules(seed, faulty)...)
 	slices.SortFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
@@ -113,6 +116,55 @@
 	return faults
 }
 
+// planVariedRules plans series of varied rules, for every second seed, with random numbers
+// of its own as planNotices has.
+func planVariedRules(seed uint64, faulty time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 9))
+	if random.IntN(2) == 0 {
+		return nil
+	}
+	var faults []fault
+	for range 1 + random.IntN(3) {
+		faults = append(faults, drawSeries(random, faultVariedRules, faulty))
+	}
+	return faults
+}
+
+// planPlannedWork returns a plan with no faults but changes of the rules, reloads and
+// planned stops, which overlap.
+func planPlannedWork(seed uint64, faulty time.Duration, scale int) soakPlan {
+	random := rand.New(rand.NewPCG(seed, 12))
+	p := soakPlan{
+		seed:      seed,
+		instances: (2 + random.IntN(4)) * scale,
+		engines:   (4 + random.IntN(5)) * scale,
+		desks:     (2 + random.IntN(3)) * scale,
+		callers:   (14 + random.IntN(11)) * scale,
+		load:      faulty + soakRecovery,
+	}
+	kinds := []faultKind{faultVariedRules, faultVariedRules, faultRules, faultReload, faultStop, faultStop}
+	for range 4 + random.IntN(6) {
+		p.faults = append(p.faults, drawSeries(random, kinds[random.IntN(len(kinds))], faulty))
+	}
+	slices.SortFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
+	return p
+}
+
+// drawSeries draws a series of up to eight faults of one kind.
+func drawSeries(random *rand.Rand, kind faultKind, faulty time.Duration) fault {
+	f := fault{
+		kind:   kind,
+		at:     time.Second + time.Duration(random.Int64N(int64(faulty-2*time.Second))),
+		target: random.IntN(1 << 20),
+		times:  1 + random.IntN(8),
+		gap:    time.Duration(20+random.IntN(500)) * time.Millisecond,
+	}
+	if kind == faultStop {
+		f.times = 1 + random.IntN(2)
+	}
+	return f
+}
+
 // drawKinds draws some of the kinds and returns each as often as its weight says.
 // Bounds are checked only after some seconds without faults at the instance and
 // the store, so a soak with all kinds would check few bounds.
