Cut the response of a caller that closed its sending direction

Cause: the server takes the end of the caller's bytes for a caller that left. The handler then returned, so that the HTTP server completed the response: a stream looked complete after any event, and a response that had not begun became an empty 200 that no worker gave. Change: the handler aborts the connection once the request is given up.

--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -133,6 +133,9 @@
 			s.logCut(req.ID, "the instance stops")
 		}
 		reportDisconnect()
+		// A caller that closed only its sending direction still reads. Returning would
+		// complete the response, as an empty success if it has not begun.
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -157,6 +158,45 @@
 	return resp.StatusCode
 }
 
+// sendAndCloseWrite sends a request to the first instance, closes the sending direction of
+// the connection once first has arrived, and returns all that the instance sends.
+func (e *edges) sendAndCloseWrite(path, first string) string {
+	e.t.Helper()
+	conn, err := net.Dial("tcp", fmt.Sprintf("127.0.0.1:%d", e.ports[0].callers))
+	assert.NilError(e.t, err)
+	defer func() { _ = conn.Close() }()
+	assert.NilError(e.t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	assert.NilError(e.t, e.request(0, "POST", path).Write(conn))
+	var got bytes.Buffer
+	for buffer := make([]byte, 1); !strings.Contains(got.String(), first); {
+		n, err := conn.Read(buffer)
+		assert.NilError(e.t, err)
+		got.Write(buffer[:n])
+	}
+	assert.NilError(e.t, conn.(*net.TCPConn).CloseWrite())
+	_, _ = io.Copy(&got, conn) // a reset ends the answer as a close does
+	return got.String()
+}
+
+// Guards against an answer that looks complete, and against a success that no worker
+// gave, where the caller closes its sending direction before the answer is complete.
+func TestEdgeCutsTheAnswerToACallerThatLeft(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 1)
+	e.publishRules()
+	e.awaitReady()
+	for path, first := range map[string]string{"/log/1": "id: 2", "/book/1": ""} {
+		got := e.sendAndCloseWrite(path, first)
+		resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(got)), nil)
+		if err != nil {
+			continue // no head
+		}
+		_, err = io.ReadAll(resp.Body)
+		_ = resp.Body.Close() // fails where the body is cut
+		assert.Assert(t, err != nil, "%s: complete answer of status %d: %q", path, resp.StatusCode, got)
+	}
+}
+
 // wantStream returns the body that a caller must receive for a stream of a
 // stand-in worker.
 func wantStream(id string, events int) string {
