Refuse a stream in time when all its engines leave

Cause: a stream was held and refused only where no engine of its service was known and it had not been sent. Where all known engines leave, or the last one's address went to another upstream (421), it was placed again each 50 ms until its deadline of 25 s, and its caller, which waits 18 s, got neither an answer nor a refusal. Change: a stream that has not run is held for at most 2.5 s and then refused where no engine takes new work again.

--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -103,3 +103,30 @@
 		}
 	})
 }
+
+// Guards against a stream that gets neither an answer nor a refusal until its caller
+// leaves, because all engines leave or another upstream has the address of the last one.
+func TestStreamWithoutEngineIsRefusedInTime(t *testing.T) {
+	for name, loseEngines := range map[string]func(*harness){
+		"all leave": func(b *harness) {
+			for _, up := range engines(b) {
+				b.upstreams.Leave(up.ID)
+			}
+		},
+		"all addresses are reassigned": func(*harness) {},
+	} {
+		withHarness(t, func(b *harness) {
+			loseEngines(b)
+			reply, _ := b.submit("/log/1")
+			for range engines(b) {
+				if len(b.sent()) > 0 {
+					b.lastSend().Answered(Answer{Status: 421, NotRun: true, AddressReassigned: true})
+					b.advance(replaceInterval)
+				}
+			}
+			b.advance(maxHoldTime + holdCheckInterval)
+			assert.Assert(t, reply.refused != nil, name)
+			assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun, name)
+		})
+	}
+}
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -68,6 +69,13 @@
 	return len(m.opts.Upstreams.Serving(service)) == 0
 }
 
+// allLeave reports whether no upstream that the request may go to takes new work again:
+// none is known, or all of them leave.
+func (m *Manager) allLeave(r *activeRequest, now time.Time) bool {
+	rows := m.filterByVersion(r, m.opts.Upstreams.Serving(r.service.Name), now)
+	return !slices.ContainsFunc(rows, func(row upstream.Row) bool { return row.Report.Health != upstream.HealthLeaving })
+}
+
 // mayHaveFailed reports whether the upstream is suspected to have failed and has
 // shown no sign of recovery.
 func (m *Manager) mayHaveFailed(row upstream.Row, now time.Time) bool {
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -311,12 +311,12 @@
 // waitForEngine tries to place the stream again after replaceInterval, also at
 // engines that were tried before, which may have restarted by then.
 func (r *activeRequest) waitForEngine() {
-	if r.attemptNumber == 0 && r.m.hasNoUpstream(r.service.Name) {
+	now := time.Now()
+	if r.executions == 0 && r.m.allLeave(r, now) {
 		r.hold(r.placeStream, refuseNoUpstream(r.service.Name, r.req))
 		return
 	}
 	clear(r.tried)
-	now := time.Now()
 	if end, paused := r.m.firstPauseEnd(r, now); paused && len(r.m.usableUpstreams(r, now)) == 0 {
 		if !r.waitForPause(end, r.placeStream) {
 			r.settleStream()
