Use an upstream again whose entry comes back while it has work

Cause: an upstream whose entry was removed while it had requests in flight was marked as leaving, which is final for its start. When its entry came back, as after a cut between the worker and the store, this instance never sent it a request again, and a service whose workers were all busy had none left. Change: the table keeps the health from before, and restores it when the entry comes back. An upstream that said itself that it leaves stays leaving. Result: TestUpstreamWithWorkMayComeBack got leaving for the same start before; it passes.

--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -59,6 +59,10 @@
 	// has answered some. ReturnSlots is the number of requests that it may get now.
 	Returning   bool
 	ReturnSlots int
+	// absent means that the upstream was dropped from the document while it had work in
+	// flight. healthBefore is its health without that.
+	absent       bool
+	healthBefore Health
 }
 
 // Load is the part of a row by which placements compare upstreams. Each
@@ -78,7 +82,7 @@
 // fields.
 //
 // Invariants: a leaving upstream stays leaving until a higher incarnation is
-// reported; InFlight equals the number of Acquire calls less Release calls;
+// reported, unless it was only absent from the document; InFlight equals the number of Acquire calls less Release calls;
 // Sent equals the number of the row's send times, all later than Report.At.
 type Table struct {
 	mu        lock.Mutex
@@ -100,7 +104,8 @@
 // Configure makes the rows match the document's upstreams. Upstreams that are
 // still in the document keep their state. An upstream that was dropped from the
 // document while it has work in flight is marked as leaving and removed by the
-// first call of Configure after its work has ended.
+// first call of Configure after its work has ended. If it comes back before, it has
+// the health that it had.
 func (t *Table) Configure(upstreams []model.Upstream) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -109,6 +114,9 @@
 		configured[u.ID] = true
 		if row, ok := t.rows[u.ID]; ok {
 			row.Upstream = u
+			if row.absent {
+				row.absent, row.Report.Health = false, row.healthBefore
+			}
 			continue
 		}
 		t.rows[u.ID] = &Row{Upstream: u, Report: Report{Upstream: u.ID, Health: HealthUnknown}}
@@ -122,7 +130,10 @@
 			delete(t.sendTimes, id)
 			continue
 		}
-		row.Report.Health = HealthLeaving
+		if !row.absent {
+			row.absent, row.healthBefore = true, row.Report.Health
+			row.Report.Health = HealthLeaving
+		}
 	}
 	t.rebuildIndex()
 }
@@ -166,6 +177,9 @@
 		r = r.withLoad(old)
 	}
 	t.setReport(row, r)
+	if r.Incarnation > old.Incarnation {
+		row.absent = false
+	}
 	t.setSendTimes(row, t.sendTimes[r.Upstream].after(r.At))
 	if r.Health == HealthUp && r.Incarnation > old.Incarnation {
 		row.DownUntil = time.Time{}
@@ -179,15 +193,24 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[id]
-	if !ok || row.Report.Health == HealthLeaving {
+	if !ok || row.health() == HealthLeaving {
 		return false
 	}
+	row.healthBefore = HealthLeaving // also where the upstream is absent, so that it stays leaving
 	r := row.Report
 	r.Health = HealthLeaving
 	t.setReport(row, r)
 	return true
 }
 
+// health returns the upstream's health, whether it is in the document or not.
+func (r *Row) health() Health {
+	if r.absent {
+		return r.healthBefore
+	}
+	return r.Report.Health
+}
+
 // setReport stores a report under a new version. The caller holds mu.
 func (t *Table) setReport(row *Row, r Report) {
 	t.version++
--- a/internal/state/upstream/upstream_test.go
+++ b/internal/state/upstream/upstream_test.go
@@ -70,3 +70,36 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, up.Address, "127.0.0.1:1")
 }
+
+// Guards against an upstream that stays out of use for good because its entry lapsed and
+// came back while it had work in flight, and against one that is used again although it
+// said that it leaves.
+func TestUpstreamWithWorkMayComeBack(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	all := []model.Upstream{{ID: "a", Serves: "m"}}
+	for name, test := range map[string]struct {
+		whileAway func(*Table)
+		reported  Health
+		want      Health
+	}{
+		"same start":              {func(*Table) {}, HealthUp, HealthUp},
+		"entry says that it ends": {func(*Table) {}, HealthLeaving, HealthLeaving},
+		"answer says that it ends": {func(table *Table) {
+			assert.Assert(t, table.Leave("a"))
+			assert.Assert(t, !table.Leave("a"))
+		}, HealthUp, HealthLeaving},
+	} {
+		table := NewTable()
+		table.Configure(all)
+		table.Apply(Report{Upstream: "a", Incarnation: 1, Sequence: 1, Health: HealthUp})
+		table.Acquire("a", now)
+		table.Configure(nil)
+		row, _ := table.Get("a")
+		assert.Equal(t, row.Report.Health, HealthLeaving, name)
+		test.whileAway(table)
+		table.Configure(all)
+		table.Apply(Report{Upstream: "a", Incarnation: 1, Sequence: 2, Health: test.reported})
+		row, _ = table.Get("a")
+		assert.Equal(t, row.Report.Health, test.want, name)
+	}
+}
