Reject answers that arrive before their request is sent

Cause: net/http closes an idle connection on which bytes arrive, but a request can take the connection before that, and then gets these bytes as its answer. An upstream that sends an answer twice, right behind each other, so answered later calls of others; answers of plain services, of the platform and of its store carry no ID by which to notice.

Change: the package keptconn wraps the transports that keep connections. It compares when an answer began to arrive with when its request was written, rejects an answer that began earlier on a kept connection, and closes the connection. A repeated answer that arrives after the first byte of the next request is still not noticed where answers have no ID.

--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -44,8 +45,8 @@
 type Client struct {
 	names    forwardwire.Names
 	engine   EngineAPI
-	unpooled *http.Transport // opens a connection for each request
-	pooled   *http.Transport // for requests that may run more than once
+	unpooled *keptconn.Transport // opens a connection for each request
+	pooled   *keptconn.Transport // for requests that may run more than once
 	memory   *answerlimit.Budget
 	badPause sync.Once // logs the first malformed pause
 	tracer   oteltrace.Tracer
@@ -63,17 +64,17 @@
 	}
 }
 
-func newTransport(reuse bool) *http.Transport {
-	dialer := &dialer{net.Dialer{Timeout: dialTimeout}}
-	return &http.Transport{
-		DialContext:         dialer.dial,
+func newTransport(reuse bool) *keptconn.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return keptconn.New(&http.Transport{
+		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   !reuse,
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: maxIdlePerHost,
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
-	}
+	})
 }
 
 // Close closes the idle connections.
@@ -98,19 +99,18 @@
 			attribute.String("upstream", string(s.Upstream.ID)),
 		))
 	defer span.End()
-	tracker := &connTracker{}
-	in, err := c.transport(s).RoundTrip(c.request(tracker.watch(ctx), s))
+	in, use, err := c.transport(s).Exchange(c.request(ctx, s))
 	if err != nil {
-		receiver.Lost(lossOf(err, tracker.sent()), err.Error(), tracker.sent())
+		receiver.Lost(lossOf(err, use.Sent()), err.Error(), use.Sent())
 		return
 	}
 	defer func() { _ = in.Body.Close() }() // a failed read is reported where it happens
-	c.receive(s, in, tracker, receiver)
+	c.receive(s, in, use, receiver)
 }
 
 // transport returns the transport for a send. Without an ID, an answer to the request
 // cannot be told from a late answer to another request on the same connection.
-func (c *Client) transport(s forward.Send) *http.Transport {
+func (c *Client) transport(s forward.Send) *keptconn.Transport {
 	if s.ReuseConnection && s.Request.ID != "" {
 		return c.pooled
 	}
@@ -139,8 +139,8 @@
 }
 
 // receive reads the response and passes it to the receiver.
-func (c *Client) receive(s forward.Send, in *http.Response, tracker *connTracker, receiver forward.Receiver) {
-	verdict := c.names.Judge(s.Request.ID, tracker.kept.Load(), in.StatusCode, in.Header)
+func (c *Client) receive(s forward.Send, in *http.Response, use *keptconn.Use, receiver forward.Receiver) {
+	verdict := c.names.Judge(s.Request.ID, use.Kept(), in.StatusCode, in.Header)
 	if verdict.BadPause != "" {
 		c.badPause.Do(func() {
 			log.WithField("part", "backend").WithField("upstream", string(s.Upstream.ID)).WithField("value", verdict.BadPause).
@@ -152,10 +152,10 @@
 	}
 	switch {
 	case !verdict.Own:
-		tracker.discard()
+		use.Discard()
 		receiver.Lost(continuation.LossWrongStream, "answer does not have the ID of the request", true)
 	case verdict.Invalid != "":
-		tracker.discard()
+		use.Discard()
 		receiver.Lost(continuation.LossStatus, verdict.Invalid, true)
 	case s.Stream && in.StatusCode == http.StatusOK:
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
@@ -184,13 +184,15 @@
 	})
 }
 
-// lossOf returns the kind of loss: a failed connection attempt, a timeout, or a
-// broken connection.
+// lossOf returns the kind of loss: a failed connection attempt, an answer to another
+// request, a timeout, or a broken connection.
 func lossOf(err error, sent bool) continuation.Loss {
 	var timeout net.Error
 	switch {
 	case !sent:
 		return continuation.LossDial
+	case errors.Is(err, keptconn.ErrEarlyAnswer):
+		return continuation.LossWrongStream
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return continuation.LossSilence
 	default:
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -25,6 +25,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel"
@@ -63,13 +64,13 @@
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: keptconn.New(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
-		}},
+		})},
 		tracer:      otel.Tracer("sequoiavalve/engine"),
 		connections: map[model.StreamID][]*connection{},
 	}
--- a/internal/transport/engine/orders.go
+++ b/internal/transport/engine/orders.go
@@ -16,6 +16,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/trace"
@@ -36,7 +37,7 @@
 // NewOrders returns an Orders.
 func NewOrders() *OrderClient {
 	return &OrderClient{
-		http:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: answerlimit.MaxHeadBytes}},
+		http:   &http.Client{Transport: keptconn.New(&http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: answerlimit.MaxHeadBytes})},
 		tracer: otel.Tracer("sequoiavalve/orders"),
 	}
 }
--- /dev/null
+++ b/internal/transport/keptconn/keptconn_test.go
@@ -0,0 +1,115 @@
+package keptconn
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// repeater answers each request, and sends one answer again when repeat is called.
+type repeater struct {
+	address     string
+	connections atomic.Int32
+	last        atomic.Pointer[net.Conn]
+}
+
+func startRepeater(t *testing.T) *repeater {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	r := &repeater{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			r.connections.Add(1)
+			r.last.Store(&conn)
+			go r.serve(conn)
+		}
+	}()
+	return r
+}
+
+func (r *repeater) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, answer); err != nil {
+			return
+		}
+	}
+}
+
+// repeat sends an answer on the newest connection and waits until the client has it.
+func (r *repeater) repeat(t *testing.T) {
+	_, err := io.WriteString(*r.last.Load(), answer)
+	assert.Check(t, err)
+	time.Sleep(50 * time.Millisecond)
+}
+
+// post sends a request and reads its answer. It calls start when the transport has chosen
+// a connection and has not written to it.
+func post(t *testing.T, transport *Transport, r *repeater, start func()) error {
+	t.Helper()
+	var once sync.Once
+	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
+		WroteHeaderField: func(string, []string) { once.Do(start) }, // into the buffer
+	})
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address+"/", strings.NewReader("body"))
+	assert.NilError(t, err)
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return errors.Join(err, resp.Body.Close())
+}
+
+// Guards against an answer to an earlier request that counts as the answer to a request
+// that has taken the connection but is not written yet, and against further use of that
+// connection.
+func TestAnswerBeforeTheRequestIsRejected(t *testing.T) {
+	r := startRepeater(t)
+	transport := New(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	assert.NilError(t, post(t, transport, r, func() {}))
+	assert.ErrorIs(t, post(t, transport, r, func() { r.repeat(t) }), ErrEarlyAnswer)
+	assert.NilError(t, post(t, transport, r, func() {}))
+	assert.Equal(t, r.connections.Load(), int32(2))
+}
+
+// Guards against rejected answers of a sound server: many requests on one connection, and
+// answers on a new connection, where they can belong to no other request.
+func TestAnswersOfSoundServersAreAccepted(t *testing.T) {
+	r := startRepeater(t)
+	transport := New(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	for range 200 {
+		assert.NilError(t, post(t, transport, r, func() {}))
+	}
+	assert.Equal(t, r.connections.Load(), int32(1))
+	transport.CloseIdleConnections()
+	assert.NilError(t, post(t, transport, r, func() { r.repeat(t) }))
+}
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -27,6 +27,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/platformapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 )
 
@@ -83,7 +84,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: keptconn.New(&http.Transport{
 			DialContext:         dial.dial,
 			DialTLSContext:      dial.dialTLS,
 			Protocols:           protocols,
@@ -93,7 +94,7 @@
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/internal/transport/platform/conn.go
+++ b/internal/transport/platform/conn.go
@@ -7,6 +7,8 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 )
 
 // countingConn counts the bytes that were handed to a connection. It counts
@@ -68,6 +70,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent = s.sentLocked()
+	if kept, ok := conn.(*keptconn.Conn); ok {
+		conn = kept.Conn
+	}
 	counting, ok := conn.(*countingConn)
 	if !ok {
 		s.sent = true // bytes are not counted on this connection
--- a/internal/transport/probe/probe.go
+++ b/internal/transport/probe/probe.go
@@ -14,6 +14,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 )
 
 const maxHealthBytes = 64 << 10
@@ -25,7 +26,7 @@
 
 // New returns a Prober.
 func New() *Prober {
-	return &Prober{http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: answerlimit.MaxHeadBytes}}}
+	return &Prober{http: &http.Client{Transport: keptconn.New(&http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, MaxResponseHeaderBytes: answerlimit.MaxHeadBytes})}}
 }
 
 // Probe asks one upstream. The report has no sequence number.
--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -7,9 +7,7 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,6 +15,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/hop"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -38,8 +37,8 @@
 
 // Client implements call.Sender over HTTP/1.1.
 type Client struct {
-	unpooled *http.Transport // opens a connection for each call; for calls that must not be repeated
-	pooled   *http.Transport // for idempotent calls
+	unpooled *keptconn.Transport // opens a connection for each call; for calls that must not be repeated
+	pooled   *keptconn.Transport // for idempotent calls
 	memory   *answerlimit.Budget
 }
 
@@ -52,9 +51,9 @@
 	}
 }
 
-func newTransport(reuse bool) *http.Transport {
+func newTransport(reuse bool) *keptconn.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return keptconn.New(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   !reuse,
 		DisableCompression:  true,
@@ -62,7 +61,7 @@
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
-	}
+	})
 }
 
 // Close closes the idle connections.
@@ -100,19 +99,13 @@
 }
 
 func (c *Client) send(ctx context.Context, upstream model.Upstream, req call.Request) (call.Response, error) {
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// The transport writes to the connection only after this hook, so an
-		// error without it means that no byte was sent.
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
 	out, err := newRequest(ctx, upstream, req)
 	if err != nil {
 		return call.Response{}, &call.SendError{Err: err}
 	}
-	in, err := c.transport(req).RoundTrip(out)
+	in, use, err := c.transport(req).Exchange(out)
 	if err != nil {
-		return call.Response{}, &call.SendError{Sent: sent.Load(), Err: trace.ConnectionProblem(err, "upstream %q", upstream.ID)}
+		return call.Response{}, &call.SendError{Sent: use.Sent(), Err: trace.ConnectionProblem(err, "upstream %q", upstream.ID)}
 	}
 	defer func() { _ = in.Body.Close() }() // readBody reports a failed read
 	reserved := c.memory.Reserve()
@@ -124,7 +117,7 @@
 	return call.Response{Status: in.StatusCode, Header: hop.EndToEnd(in.Header), Body: body, Upstream: upstream.ID}, nil
 }
 
-func (c *Client) transport(req call.Request) *http.Transport {
+func (c *Client) transport(req call.Request) *keptconn.Transport {
 	if req.Route.Idempotent {
 		return c.pooled
 	}
