Reject odd statuses of plain services

Cause: an answer with status 101 ended the caller's exchange in another protocol, and net/http's server panics on a status below 100.

Change: statuses outside 200 to 599 are not answers; the call may have run.

--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -31,6 +31,7 @@
 	// maxBufferedBytes limits the memory of all responses that are being read.
 	maxBufferedBytes = 64 << 20
 	maxIdlePerHost   = 16
+	maxStatus        = 599
 	idleTimeout      = 30 * time.Second
 	tracerName       = "github.com/sequoiavalve/sequoiavalve/internal/transport/service"
 )
@@ -108,6 +109,10 @@
 		return call.Response{}, &call.SendError{Sent: use.Sent(), Err: trace.ConnectionProblem(err, "upstream %q", upstream.ID)}
 	}
 	defer func() { _ = in.Body.Close() }() // readBody reports a failed read
+	if in.StatusCode < http.StatusOK || in.StatusCode > maxStatus {
+		use.Discard()
+		return call.Response{}, &call.SendError{Sent: true, Err: trace.ConnectionProblem(nil, "upstream %q: status %d is not that of an answer", upstream.ID, in.StatusCode)}
+	}
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
 	body, err := reserved.ReadAll(in.Body, maxResponseBytes)
--- a/internal/transport/service/stale_test.go
+++ b/internal/transport/service/stale_test.go
@@ -44,3 +44,21 @@
 	assert.NilError(t, err)
 	assert.Equal(t, got.Status, http.StatusOK)
 }
+
+// Guards against statuses that are passed on although they end no answer, or although
+// net/http's server panics on them.
+func TestOddStatusesAreNotAnswers(t *testing.T) {
+	for _, answer := range []string{
+		"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+		"HTTP/1.1 042 Odd\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n",
+	} {
+		s := startServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
+			_, _ = io.WriteString(conn, answer)
+			return false
+		})
+		got, err := New().Send(t.Context(), s.upstream(), stampCall())
+		var sendErr *call.SendError
+		assert.Assert(t, errors.As(err, &sendErr) && sendErr.Sent, "%q: %v, status %d", answer, err, got.Status)
+	}
+}
