Silence moves a stream and never ends it

Cause: a stream was given up after 0.28 to 0.35 s without an event, and each time took one of the route's sends. When they were used up, or for a route that must not be repeated, the stream was aborted although its engine was sound: sound workers pause for a second or so and go on.

Change: continuation.Silence decides whether a silent engine is left. A stream moves at once to the engine with its copy, because the answer is late after a longer pause. Without a copy it moves once probes have had no answer for 1.5 s, as reading the prompt again takes longer than a sound engine's pause; before the first event after one unanswered probe, as before. The last send is kept for a broken connection, and used for silence only after 1.5 s without an answer. Without a send in the route and the budget, or without another usable engine, the attempt stays open until its connection breaks or its time is over. The resend is taken from the budget before the attempt ends.

Measured: TestStreamsOfPausingEnginesComplete, engines silent for 1 s after each 10 events, failed before: a resumable stream of 80 events was aborted after its sixth send with 60 events, one that must not be repeated after 10 events. Both complete now, whether probes are answered or not. TestSilenceOfARunningStreamIsNoticedInTime passes unchanged.

--- a/internal/coordination/continuation/silence.go
+++ b/internal/coordination/continuation/silence.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// MaxSoundPause bounds the pauses of sound engines, which may be silent for about a
+// second, answer nothing in that time, and then go on.
+const MaxSoundPause = 1500 * time.Millisecond
+
 // Limits limit how long a stream may be silent before it counts as lost. The
 // factors are multiplied by a measured or estimated time; the other fields bound
 // the product.
@@ -58,3 +62,36 @@
 	}
 	return old + time.Duration(intervalSmoothing*float64(latest-old))
 }
+
+// Silence is the situation of an attempt that has been silent for longer than its limit.
+type Silence struct {
+	PromptRead       bool          // the engine has the prompt in memory, as it sent a position or resumed from a copy
+	CopyReady        bool          // another usable engine holds a copy of the memory
+	SendsLeft        int           // further sends that the request may use
+	AlternativeReady bool          // another usable engine exists
+	Unanswered       time.Duration // time since the first of the last probes that got no answer; zero means none
+	Lost             bool          // the engine answers probes, but no longer runs the stream or makes no progress
+}
+
+// MayLeave reports whether another engine may take over from a silent one. Silence is no
+// proof of a failure, so it never ends a request: without a further send or another
+// engine the attempt stays open until its connection breaks or its time is over.
+//
+// An engine with the prompt in memory is left at once for one with a copy, because the
+// answer would be late after a longer pause. Without a copy the prompt would be read
+// again, which takes longer than the pause of a sound engine. The last send is kept for
+// a broken connection unless the engine is silent for longer than sound engines are.
+func (s Silence) MayLeave() bool {
+	switch {
+	case s.SendsLeft < 1 || !s.AlternativeReady:
+		return false
+	case s.Lost, s.Unanswered >= MaxSoundPause:
+		return true
+	case s.SendsLeft == 1:
+		return false
+	case s.PromptRead:
+		return s.CopyReady
+	default:
+		return s.Unanswered > 0
+	}
+}
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,11 +52,11 @@
 func (f *fakeReply) Abort()                  { f.broken = true }
 func (f *fakeReply) Refuse(r *model.Refusal) { f.refused = r }
 
-// unlimitedBudget allows all sends.
-type unlimitedBudget struct{}
+// fakeBudget allows all sends until it is used up.
+type fakeBudget struct{ usedUp atomic.Bool }
 
-func (unlimitedBudget) CountRequest(string)    {}
-func (unlimitedBudget) TakeResend(string) bool { return true }
+func (*fakeBudget) CountRequest(string)      {}
+func (f *fakeBudget) TakeResend(string) bool { return !f.usedUp.Load() }
 
 // harness is a manager over a fake sender and a pool of its own. All of its methods
 // run in a synctest bubble.
@@ -67,13 +68,16 @@
 	moves             *move.Table
 	instances         int
 	submitted         int
-	mu                sync.Mutex  // guards sends and suspectBroadcasts, which the pool's workers append to
+	mu                sync.Mutex  // guards sends, their cancelled, failedConnections, copyHolders and suspectBroadcasts, which the pool's workers append to
 	sends             []*fakeSend // read through sent
 	foundUpstreams    []model.Upstream
 	leftUpstreams     []model.UpstreamID // upstreams that said that they leave
 	discardedHandles  []string           // handles of discarded copies
 	copyHolders       []model.UpstreamID // holders of the copies made on request
+	budget            fakeBudget
+	failedConnections []model.UpstreamID // upstreams whose connection failures were published; read through connectionFailures
 	probesFail        bool               // probes get no answer
+	probeTime         time.Duration      // until a probe is answered
 	engineState       EngineState        // what probed engines report
 	cachedParts       map[model.UpstreamID][]CachedPart
 	promptQueries     int // calls of CachedParts
@@ -88,7 +92,18 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.sends = append(b.sends, send)
-	return func() { send.cancelled = true }
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		send.cancelled = true
+	}
+}
+
+// isCancelled reports whether the send was cancelled, also while others are at work.
+func (b *harness) isCancelled(s *fakeSend) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return s.cancelled
 }
 
 // sent returns what was sent so far.
@@ -98,6 +113,18 @@
 	return b.sends
 }
 
+func (b *harness) connectionFailed(id model.UpstreamID, _ time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failedConnections = append(b.failedConnections, id)
+}
+
+func (b *harness) connectionFailures() []model.UpstreamID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.failedConnections
+}
+
 func (b *harness) publishCrashes(_ suspect.Rows, widely bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -111,9 +138,13 @@
 }
 
 // Probe implements Sender.
-func (b *harness) Probe(_ model.Upstream, _ time.Duration, answered func(EngineState, error)) {
+func (b *harness) Probe(_ model.Upstream, timeout time.Duration, answered func(EngineState, error)) {
 	if b.probesFail {
-		answered(EngineState{}, errors.New("no answer"))
+		time.AfterFunc(timeout, func() { answered(EngineState{}, errors.New("no answer")) })
+		return
+	}
+	if b.probeTime > 0 {
+		time.AfterFunc(b.probeTime, func() { answered(b.engineState, nil) })
 		return
 	}
 	answered(b.engineState, nil)
@@ -132,7 +163,9 @@
 
 // RequestCopy implements Sender.
 func (b *harness) RequestCopy(_ model.Upstream, _ model.RequestID, to model.Upstream, _ time.Duration, copied func(string, error)) {
+	b.mu.Lock()
 	b.copyHolders = append(b.copyHolders, to.ID)
+	b.mu.Unlock()
 	copied("handle-"+string(to.ID), nil)
 }
 
@@ -171,7 +204,7 @@
 			Suspects:         b.suspects,
 			PublishCrashes:   b.publishCrashes,
 			Sender:           b,
-			Budget:           unlimitedBudget{},
+			Budget:           &b.budget,
 			FailureDomain:    "a",
 			PrefersEngine:    func(string) bool { return true },
 			Instances:        func() int { return b.instances },
@@ -179,7 +212,7 @@
 			StateChanged:     func() {},
 			SuccessorFound:   func(up model.Upstream) { b.foundUpstreams = append(b.foundUpstreams, up) },
 			UpstreamLeft:     func(id model.UpstreamID) { b.leftUpstreams = append(b.leftUpstreams, id) },
-			ConnectionFailed: func(model.UpstreamID, time.Time) {},
+			ConnectionFailed: b.connectionFailed,
 			Log:              &log.Logger{Handler: discard.Default},
 		})
 		run(b)
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -185,6 +185,7 @@
 	lastLoss       string                    // why the newest lost attempt was lost; empty if none was
 	lastFailure    Answer                    // an upstream's error answer, delivered if no other attempt succeeds
 	hasLastFailure bool
+	resendReserved bool // the budget has been charged for the next send
 	stream         streamState
 	ended          bool
 
--- a/internal/coordination/forward/probe.go
+++ b/internal/coordination/forward/probe.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -15,9 +14,14 @@
 	probeTimeout = 250 * time.Millisecond
 	// probeInterval is the time between two probes of a live engine.
 	probeInterval = 700 * time.Millisecond
-	// maxFirstEventWait is the longest wait for the first event of a live engine, as a
-	// multiple of the latency objective. After that the engine is considered stuck.
-	maxFirstEventWait = 1.5
+	// unansweredProbeInterval is the time from an unanswered probe to the next one.
+	unansweredProbeInterval = 250 * time.Millisecond
+	// boundProbeInterval is the time between two probes for a stream that cannot move.
+	// The answers only show other streams whether the engine is alive.
+	boundProbeInterval = 3 * time.Second
+	// maxEventWait is the longest wait for an event of a live engine, as a multiple of
+	// the latency objective. After that the engine is considered stuck.
+	maxEventWait = 1.5
 	// maxStateAge bounds the age of the state that an engine reports.
 	maxStateAge = time.Second
 )
@@ -36,41 +40,44 @@
 	return !s.Reported || s.Waiting > 0 || s.Active > len(s.Decoding) || slices.Contains(s.Decoding, id)
 }
 
-// probe asks the engine of an attempt without events whether the engine is alive and
-// has the request. If so, the attempt goes on: the engine is reading other prompts
-// first, and another engine would have to read this prompt from its beginning.
+// probe asks the engine of a silent attempt whether the engine is alive and has the
+// request. If so, the attempt goes on: the engine may be reading other prompts first, and
+// another engine would have to read this prompt from its beginning.
 func (r *activeRequest) probe(a *attempt) {
-	stuck := time.Duration(maxFirstEventWait * float64(r.route.Objective))
-	if waited := time.Since(a.started); stuck > 0 && waited > stuck {
-		r.handleLoss(a, continuation.LossSilence, "no first event for "+waited.String(), true)
-		return
-	}
+	at, seen := time.Now(), a.lastSeen
+	a.probed = true
 	r.m.metrics.countProbe(r.service.Name)
 	r.m.opts.Sender.Probe(a.upstream, probeTimeout, func(state EngineState, err error) {
 		r.m.opts.Pool.Post(r.key, worker.Func(func() {
-			if !r.ended && r.inFlight[a.number] == a && a.eventCount == 0 {
-				r.handleProbeResult(a, state, err)
+			if !r.ended && r.inFlight[a.number] == a && a.lastSeen.Equal(seen) {
+				r.handleProbeResult(a, at, state, err)
 			}
 		}))
 	})
 }
 
-// handleProbeResult gives up the attempt if its engine did not answer the probe or
-// no longer has the request, and otherwise schedules the next probe.
-func (r *activeRequest) handleProbeResult(a *attempt, state EngineState, err error) {
+// handleProbeResult leaves the engine if it did not answer the probe or no longer has
+// the request, and another engine may go on. Otherwise it schedules the next check.
+func (r *activeRequest) handleProbeResult(a *attempt, probedAt time.Time, state EngineState, err error) {
+	next := probeInterval
 	if err != nil {
-		r.handleLoss(a, continuation.LossSilence, "engine did not answer a probe: "+err.Error(), true)
-		return
+		if a.unansweredSince.IsZero() {
+			a.unansweredSince = probedAt
+		}
+		if r.leaveSilent(a, "engine did not answer a probe: "+err.Error()) {
+			return
+		}
+		next = unansweredProbeInterval
+	} else {
+		a.unansweredSince = time.Time{}
+		r.m.opts.Upstreams.RecordOutput(a.upstream.ID, time.Now())
+		a.forgotten = time.Since(a.started) > maxStateAge && !state.mayContain(r.req.ID)
+		if a.forgotten && r.leaveSilent(a, "engine no longer has the request") {
+			return
+		}
 	}
-	r.m.opts.Upstreams.RecordOutput(a.upstream.ID, time.Now())
-	forgotten := time.Since(a.started) > maxStateAge && !state.mayContain(r.req.ID)
-	if forgotten && r.route.Repeat == model.RepeatResume {
-		r.handleLoss(a, continuation.LossNoStream, "engine no longer has the request", true)
-		return
+	if r.sendsLeft() < 1 {
+		next = boundProbeInterval
 	}
-	r.m.opts.Pool.After(probeInterval, r.key, worker.Func(func() {
-		if !r.ended && r.inFlight[a.number] == a && a.eventCount == 0 {
-			r.probe(a)
-		}
-	}))
+	r.scheduleSilenceCheck(a, next)
 }
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -110,6 +111,10 @@
 	staleEvents     int  // events of this attempt that the caller had already
 	outcomeRecorded bool // the outcome has been recorded
 	returnSlot      bool // counted at an upstream that returns from a pause
+	silenceTimer    *worker.Timer
+	probed          bool      // probed since the last event
+	unansweredSince time.Time // first of the last probes that got no answer; zero means none
+	forgotten       bool      // the engine reports that it no longer has the request
 }
 
 // continuationState describes the attempt to the rules of package continuation.
--- /dev/null
+++ b/internal/coordination/forward/silence.go
@@ -0,0 +1,160 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+)
+
+// A sound engine may be silent for a second or so and then go on. A silent stream may
+// move to another engine, by the rules of continuation.Silence, but silence alone ends
+// neither a stream nor a call.
+
+// silenceLimits derives the limits on silence from the route. A loss must be detected
+// early enough to resume from a copy within the longest allowed pause. Before the
+// first event the engine may be reading the prompts of other requests, so exceeding
+// that limit only causes a probe of the engine.
+func silenceLimits(route model.HostRoute) continuation.Limits {
+	gap, objective := route.MaxGap, route.Objective
+	if gap == 0 {
+		gap = defaultMaxGap
+	}
+	if objective == 0 {
+		objective = defaultObjective
+	}
+	return continuation.Limits{
+		Factor:          6,
+		Min:             gap * 4 / 10,
+		Max:             gap / 2,
+		FirstFactor:     1.2,
+		MinFirst:        objective * 3 / 10,
+		MaxFirst:        objective * 6 / 10,
+		MaxFirstResumed: gap * 4 / 10,
+	}
+}
+
+// silenceLimit returns how long the attempt may bring no event before its silence is
+// checked.
+func (r *activeRequest) silenceLimit(a *attempt) time.Duration {
+	return silenceLimits(r.route).Timeout(a.pace, a.eventCount > 0, a.fromCopy)
+}
+
+// scheduleSilenceCheck runs checkSilence after the delay, in place of the check that was
+// scheduled before.
+func (r *activeRequest) scheduleSilenceCheck(a *attempt, delay time.Duration) {
+	a.silenceTimer.Stop()
+	a.silenceTimer = r.m.opts.Pool.After(delay, r.key, worker.Func(func() {
+		if !r.ended && r.inFlight[a.number] == a {
+			r.checkSilence(a)
+		}
+	}))
+}
+
+// endSilence notes that the attempt has brought an event.
+func (r *activeRequest) endSilence(a *attempt) {
+	a.unansweredSince, a.forgotten = time.Time{}, false
+	if a.eventCount == 1 || a.probed { // the next check is scheduled too late
+		a.probed = false
+		r.scheduleSilenceCheck(a, r.silenceLimit(a))
+	}
+}
+
+// checkSilence leaves or probes the engine of an attempt that has brought no event for
+// the allowed time.
+func (r *activeRequest) checkSilence(a *attempt) {
+	limit, silent := r.silenceLimit(a), time.Since(a.lastSeen)
+	if silent < limit {
+		r.scheduleSilenceCheck(a, limit-silent)
+		return
+	}
+	if !r.leaveSilent(a, "no event for "+silent.String()) {
+		r.probe(a)
+	}
+}
+
+// leaveSilent moves the stream of a silent attempt to another engine if that is allowed,
+// and reports whether it did. A resend is taken from the budget before the attempt ends,
+// so that a stream never waits for the budget without an engine.
+func (r *activeRequest) leaveSilent(a *attempt, cause string) bool {
+	if !r.silence(a).MayLeave() || !r.reserveResend() {
+		return false
+	}
+	kind := continuation.LossSilence
+	if a.forgotten {
+		kind = continuation.LossNoStream
+	}
+	r.handleLoss(a, kind, cause, true)
+	return true
+}
+
+// silence describes a silent attempt to the rules of package continuation.
+func (r *activeRequest) silence(a *attempt) continuation.Silence {
+	s := continuation.Silence{
+		PromptRead:       a.eventCount > 0 || a.fromCopy,
+		SendsLeft:        r.sendsLeft(),
+		AlternativeReady: r.hasAlternative(a),
+		Lost:             a.forgotten || r.isStuck(a),
+	}
+	if source := r.copyForResume(a); source != nil {
+		_, s.CopyReady = r.m.usableHolder(source.holder.ID)
+	}
+	if !a.unansweredSince.IsZero() {
+		s.Unanswered = time.Since(a.unansweredSince)
+	}
+	return s
+}
+
+// sendsLeft returns the number of further sends that the route and the recorded crashes
+// allow now.
+func (r *activeRequest) sendsLeft() int {
+	if r.route.Repeat == model.RepeatNever || r.pendingCrashChecks > 0 || !r.mayRunAgain() {
+		return 0
+	}
+	return max(r.route.MaxAttempts, 1) - r.executions
+}
+
+// hasAlternative reports whether another engine that is not suspected to have failed may
+// take over from the attempt's.
+func (r *activeRequest) hasAlternative(a *attempt) bool {
+	ready, _ := r.m.eligibleUpstreams(r, time.Now())
+	for _, row := range ready {
+		if row.Upstream.ID != a.upstream.ID {
+			return r.stream.consecutiveFailures+1 < continuation.MaxFailures
+		}
+	}
+	return false
+}
+
+// isStuck reports whether the attempt has been silent for longer than a live engine may be.
+func (r *activeRequest) isStuck(a *attempt) bool {
+	stuck := time.Duration(maxEventWait * float64(r.route.Objective))
+	return stuck > 0 && time.Since(a.lastSeen) > stuck
+}
+
+// usableHolder returns the row of the engine that holds a copy, and whether a stream may
+// resume there.
+func (m *Manager) usableHolder(id model.UpstreamID) (row upstream.Row, usable bool) {
+	row, known := m.opts.Upstreams.Get(id)
+	now := time.Now()
+	return row, known && row.Report.Health != upstream.HealthLeaving && row.WantsRequests(now) && !m.mayHaveFailed(row, now)
+}
+
+// reserveResend takes a resend from the budget for the next send. It returns false if
+// the budget is used up.
+func (r *activeRequest) reserveResend() bool {
+	r.resendReserved = r.resendReserved || r.m.opts.Budget.TakeResend(r.service.Name)
+	return r.resendReserved
+}
+
+// takeResend uses the reserved resend or takes one from the budget. It returns false if
+// the budget is used up.
+func (r *activeRequest) takeResend() bool {
+	if r.resendReserved {
+		r.resendReserved = false
+		return true
+	}
+	return r.m.opts.Budget.TakeResend(r.service.Name)
+}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -8,7 +8,6 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
-	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
 const (
@@ -43,29 +42,6 @@
 	source CopySource
 }
 
-// silenceLimits derives the limits on silence from the route. A loss must be detected
-// early enough to resume from a copy within the longest allowed pause. Before the
-// first event the engine may be reading the prompts of other requests, so exceeding
-// that limit only causes a probe of the engine.
-func silenceLimits(route model.HostRoute) continuation.Limits {
-	gap, objective := route.MaxGap, route.Objective
-	if gap == 0 {
-		gap = defaultMaxGap
-	}
-	if objective == 0 {
-		objective = defaultObjective
-	}
-	return continuation.Limits{
-		Factor:          6,
-		Min:             gap * 4 / 10,
-		Max:             gap / 2,
-		FirstFactor:     1.2,
-		MinFirst:        objective * 3 / 10,
-		MaxFirst:        objective * 6 / 10,
-		MaxFirstResumed: gap * 4 / 10,
-	}
-}
-
 // placeStream starts the next attempt of a stream.
 func (r *activeRequest) placeStream() {
 	if r.ended || len(r.inFlight) > 0 {
@@ -102,7 +78,7 @@
 		return
 	}
 	r.endHold()
-	if r.attemptNumber > 0 && !r.m.opts.Budget.TakeResend(r.service.Name) {
+	if r.attemptNumber > 0 && !r.takeResend() {
 		r.m.metrics.countResend(r.service.Name, "held back")
 		r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 		return
@@ -122,16 +98,15 @@
 func (r *activeRequest) resumeFromCopy() {
 	source := r.stream.resumeCopy
 	r.stream.resumeCopy = nil
-	row, known := r.m.opts.Upstreams.Get(source.holder.ID)
-	now := time.Now()
-	if !known || row.Report.Health == upstream.HealthLeaving || !row.WantsRequests(now) || r.m.mayHaveFailed(row, now) {
+	row, usable := r.m.usableHolder(source.holder.ID)
+	if !usable {
 		r.placeStream()
 		return
 	}
 	demand := r.demand()
 	demand.prefillTokens = 0
 	// The copy expires soon, so the resend is charged to the budget but never delayed by it.
-	r.m.opts.Budget.TakeResend(r.service.Name)
+	r.takeResend()
 	r.startStream(row.Upstream, demand, 0, &source.source)
 }
 
@@ -155,7 +130,7 @@
 	r.m.opts.Locations.SetLocal(affinityKey(r.req), up.ID, time.Now())
 	r.startAttempt(a, s)
 	r.logPlaced(a, expected)
-	r.armSilenceTimer(a)
+	r.scheduleSilenceCheck(a, r.silenceLimit(a))
 	if from == nil {
 		r.watchSlowFirstEvent(a, expected)
 	}
@@ -220,9 +195,7 @@
 		r.reply.Begin(a.status, a.header)
 	}
 	r.reply.Events(e.Raw)
-	if a.eventCount == 1 {
-		r.armSilenceTimer(a)
-	}
+	r.endSilence(a)
 }
 
 // handleFirstEvent records that the engine has read the prompt.
@@ -338,28 +311,6 @@
 	}
 }
 
-// armSilenceTimer checks the attempt once it has brought no event for the allowed
-// time. A running or resumed stream is then considered lost; one without a first
-// event is probed.
-func (r *activeRequest) armSilenceTimer(a *attempt) {
-	started := a.eventCount > 0
-	due := a.lastSeen.Add(silenceLimits(r.route).Timeout(a.pace, started, a.fromCopy))
-	r.m.opts.Pool.After(time.Until(due), r.key, worker.Func(func() {
-		if r.ended || r.inFlight[a.number] != a || started != (a.eventCount > 0) {
-			return
-		}
-		limit := silenceLimits(r.route).Timeout(a.pace, started, a.fromCopy)
-		switch {
-		case time.Since(a.lastSeen) < limit:
-			r.armSilenceTimer(a)
-		case started || a.fromCopy:
-			r.handleLoss(a, continuation.LossSilence, "no event for "+limit.String(), true)
-		default:
-			r.probe(a)
-		}
-	}))
-}
-
 func (r *activeRequest) logPlaced(a *attempt, expected time.Duration) {
 	r.m.opts.Log.WithField("request_id", string(r.req.ID)).
 		WithField("upstream", string(a.upstream.ID)).
