A silent stream is no connection failure of its engine

Cause: each stream that was left for its silence counted as a connection failure of the whole engine, which the other instances heard of, so that their streams avoided a sound engine for up to 4 s, and two of them put a failure domain in doubt.

Change: the instance keeps new work from such an engine, unless another of its streams has had an event meanwhile, and asks the engine. An answer or an event ends that at once; only an unanswered probe is a connection failure that others hear of. The instance's own doubt of a dark domain begins when it did before.

Measured: TestSilenceCountsAsAFailureOnlyWithoutAnAnswer and TestEngineWithOutputIsNotAvoided fail on the commit before.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -156,12 +156,15 @@
 // sent says that a byte of the request may have reached the upstream.
 func (r *activeRequest) handleLoss(a *attempt, kind continuation.Loss, cause string, sent bool) {
 	r.endAttempt(a)
-	if continuation.ConcernsEngine(kind) {
+	switch {
+	case kind == continuation.LossSilence && r.route.Stream:
+		r.recordSilence(a)
+	case continuation.ConcernsEngine(kind):
 		now := time.Now()
 		r.m.opts.Upstreams.RecordFailure(a.upstream.ID, now, now.Add(failedAvoidTime))
 		r.m.opts.ConnectionFailed(a.upstream.ID, now)
 		r.recordConnectionFailure(a)
-	} else {
+	default:
 		r.recordOutcome(a, true, string(kind))
 	}
 	r.m.metrics.countLoss(r.service.Name, kind)
--- a/internal/coordination/forward/probe.go
+++ b/internal/coordination/forward/probe.go
@@ -64,6 +64,7 @@
 		if a.unansweredSince.IsZero() {
 			a.unansweredSince = probedAt
 		}
+		r.recordUnansweredProbe(a)
 		if r.leaveSilent(a, "engine did not answer a probe: "+err.Error()) {
 			return
 		}
--- a/internal/coordination/forward/silence.go
+++ b/internal/coordination/forward/silence.go
@@ -11,7 +11,8 @@
 
 // A sound engine may be silent for a second or so and then go on. A silent stream may
 // move to another engine, by the rules of continuation.Silence, but silence alone ends
-// neither a stream nor a call.
+// neither a stream nor a call, and one silent stream does not count as a failure of its
+// engine.
 
 // silenceLimits derives the limits on silence from the route. A loss must be detected
 // early enough to resume from a copy within the longest allowed pause. Before the
@@ -158,3 +159,41 @@
 	}
 	return r.m.opts.Budget.TakeResend(r.service.Name)
 }
+
+// recordSilence keeps new work away from an engine that a stream left for its silence,
+// until the engine answers a probe or sends output to any stream. Only an unanswered
+// probe counts as a connection failure of the engine, of which other instances hear.
+func (r *activeRequest) recordSilence(a *attempt) {
+	if !a.unansweredSince.IsZero() { // the failure has been recorded
+		r.recordConnectionFailure(a)
+		return
+	}
+	r.recordOutcome(a, true, string(continuation.LossSilence))
+	now := time.Now()
+	row, known := r.m.opts.Upstreams.Get(a.upstream.ID)
+	if !known || now.Sub(row.LastOutputAt) < silenceLimits(r.route).Min {
+		return // other streams have output from the engine
+	}
+	r.m.opts.Upstreams.RecordFailure(a.upstream.ID, now, now.Add(failedAvoidTime))
+	r.m.metrics.countProbe(r.service.Name)
+	r.m.opts.Sender.Probe(a.upstream, probeTimeout, func(_ EngineState, err error) {
+		r.m.opts.Pool.Post(r.key, worker.Func(func() {
+			if err != nil {
+				r.recordUnansweredProbe(a)
+				return
+			}
+			r.m.opts.Upstreams.RecordOutput(a.upstream.ID, time.Now())
+		}))
+	})
+}
+
+// recordUnansweredProbe records a connection failure of the attempt's engine, unless a
+// stream here has had output from it since the probe began.
+func (r *activeRequest) recordUnansweredProbe(a *attempt) {
+	now := time.Now()
+	if row, known := r.m.opts.Upstreams.Get(a.upstream.ID); !known || now.Sub(row.LastOutputAt) < probeTimeout {
+		return
+	}
+	r.m.opts.Upstreams.RecordFailure(a.upstream.ID, now, now.Add(failedAvoidTime))
+	r.m.opts.ConnectionFailed(a.upstream.ID, now)
+}
--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -160,6 +160,40 @@
 	})
 }
 
+// Guards against an engine that all instances avoid because one of its streams paused,
+// and against one that is not avoided when it is dark.
+func TestSilenceCountsAsAFailureOnlyWithoutAnAnswer(t *testing.T) {
+	for _, dark := range []bool{false, true} {
+		withHarness(t, func(b *harness) {
+			b.probesFail, b.probeTime = dark, time.Millisecond
+			b.startStreams(1)
+			left := b.lastSend().Upstream.ID
+			b.advance(300 * time.Millisecond)
+			assert.Equal(t, len(b.sent()), 2)
+			row, _ := b.upstreams.Get(left)
+			assert.Equal(t, b.m.mayHaveFailed(row, time.Now()), dark)
+			b.advance(probeTimeout)
+			assert.Equal(t, len(b.connectionFailures()) > 0, dark)
+		})
+	}
+}
+
+// Guards against an engine that is avoided because one of its streams is silent, while
+// its other streams get events.
+func TestEngineWithOutputIsNotAvoided(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.probesFail = true
+		b.startStreams(1)
+		left := b.lastSend().Upstream.ID
+		b.advance(200 * time.Millisecond)
+		b.upstreams.RecordOutput(left, time.Now())
+		b.advance(150 * time.Millisecond)
+		assert.Equal(t, len(b.sent()), 2)
+		row, _ := b.upstreams.Get(left)
+		assert.Assert(t, !b.m.mayHaveFailed(row, time.Now()))
+	})
+}
+
 // Guards against streams of a dark failure domain that move too late to go on within the
 // longest allowed pause, 700 ms, or that move to another engine of the domain.
 func TestStreamsOfADarkDomainMoveInTime(t *testing.T) {
