--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -58,15 +58,15 @@
 	return &Client{
 		names:    names,
 		engine:   engine,
-		unpooled: newTransport(false),
-		pooled:   newTransport(true),
+		unpooled: newTransport(false, dialTimeout),
+		pooled:   newTransport(true, dialTimeout),
 		memory:   answerlimit.NewBudget(maxBufferedBytes),
 		tracer:   otel.Tracer(tracerName),
 	}
 }
 
-func newTransport(reuse bool) *keptconn.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newTransport(reuse bool, dialLimit time.Duration) *keptconn.Transport {
+	dialer := &net.Dialer{Timeout: dialLimit}
 	return keptconn.New(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   !reuse,
