Abort completions of callers that close their sending side

Cause: as at the ingress, the callers' server returned from its handler when the request's context ended, and net/http completed the response.

Change: the handler aborts the connection instead.

Measured: TestCallers/group/half-closed_caller failed before the change ("status 200 and 5675 bytes count as complete" for a stream, and 0 bytes for a completion) and passes with it, two runs.

--- a/internal/transport/callerserver/generate.go
+++ b/internal/transport/callerserver/generate.go
@@ -131,7 +131,7 @@
 func (s *Server) writeCompletion(x *exchange, format openai.Format) {
 	record, err := s.opts.Frontend.Await(x.r.Context(), x.id)
 	if err != nil || record.End == nil {
-		return // the caller has disconnected
+		abort() // the caller has disconnected
 	}
 	if record.End.Refusal != nil {
 		s.refuse(x, record.End.Refusal)
--- a/internal/transport/callerserver/stream.go
+++ b/internal/transport/callerserver/stream.go
@@ -29,7 +29,7 @@
 	for {
 		batch, refusal := reader.Next(x.r.Context())
 		if x.r.Context().Err() != nil {
-			return
+			abort()
 		}
 		if refusal == nil && batch.End != nil {
 			refusal = batch.End.Refusal
@@ -40,7 +40,7 @@
 		}
 		if err := out.writeBatch(batch); err != nil {
 			s.opts.Log.WithField("request_id", string(x.id)).Debug("caller disconnected from the stream")
-			return
+			abort()
 		}
 		if batch.End != nil {
 			return
@@ -48,6 +48,10 @@
 	}
 }
 
+// abort ends a response before its end, so that it does not look complete. net/http would
+// complete it, also for a caller that has only closed its sending side.
+func abort() { panic(http.ErrAbortHandler) }
+
 func (s *Server) endWithRefusal(out *eventStream, refusal *model.Refusal) {
 	if !out.started {
 		s.refuse(out.x, refusal)
--- a/tests/e2e/callers_test.go
+++ b/tests/e2e/callers_test.go
@@ -1,12 +1,16 @@
 package e2e
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
@@ -29,6 +33,7 @@
 			"official client completions": testCompletionsClient,
 			"reconnect":                   testReconnect,
 			"refusals":                    testRefusals,
+			"half-closed caller":          testHalfClosedCaller,
 		} {
 			t.Run(name, func(t *testing.T) { t.Parallel(); test(t, c) })
 		}
@@ -204,3 +209,26 @@
 		})
 	}
 }
+
+// Guards against a completion without text, or a stream that ends as complete before its
+// last event, for a caller that closed its sending side, which net/http takes for a
+// disconnect.
+func testHalfClosedCaller(t *testing.T, c *cluster) {
+	for _, body := range []string{fmt.Sprintf(streamBody, 200), strings.ReplaceAll(fmt.Sprintf(streamBody, 200), `"stream":true`, `"stream":false`)} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+c.callerAddrs[0]+"/v1/completions", strings.NewReader(body))
+		assert.NilError(t, err)
+		conn, err := net.Dial("tcp", c.callerAddrs[0])
+		assert.NilError(t, err)
+		assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+		assert.NilError(t, req.Write(conn))
+		time.Sleep(300 * time.Millisecond) // the generation has begun and takes 2 s
+		assert.NilError(t, conn.(*net.TCPConn).CloseWrite())
+		resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+		if err == nil {
+			var text []byte
+			text, err = io.ReadAll(resp.Body)
+			assert.Check(t, err != nil, "%s: status %d and %d bytes count as complete", body, resp.StatusCode, len(text))
+		}
+		assert.Check(t, conn.Close())
+	}
+}
