--- a/internal/transport/backend/kept_test.go
+++ b/internal/transport/backend/kept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -190,3 +191,56 @@
 		}
 	}
 }
+
+// Guards against a later request on a connection on which the rest of a body is due: an
+// upstream may answer before it has read a long body, and read on.
+func TestEarlyAnswerEndsItsConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = listener.Close() }()
+	type received struct {
+		id    string
+		bytes []byte // after the head
+	}
+	connections := make(chan received, 2)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				in := bufio.NewReader(conn)
+				req, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				id := req.Header.Get("X-Req")
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Req: %s\r\nContent-Length: 2\r\n\r\nok", id)
+				time.Sleep(200 * time.Millisecond) // the client sends the next request
+				rest, _ := io.ReadAll(in)
+				connections <- received{id, rest}
+			}()
+		}
+	}()
+	client := keptClient()
+	body := bytes.Repeat([]byte("a"), 32<<20) // more than the buffers of the connection take
+	for _, id := range []string{"r1", "r2"} {
+		s := callTo(listener.Addr().String(), id)
+		if id == "r1" {
+			s.Request.Body = body
+		}
+		got := send(client, s)
+		assert.Assert(t, got.answer != nil && got.answer.Status == 200, "%s: %+v", id, got)
+	}
+	client.Close()
+	for range 2 {
+		got := <-connections
+		if got.id == "r1" {
+			assert.Assert(t, bytes.HasPrefix(body, got.bytes), "other bytes follow the body")
+		} else {
+			assert.Equal(t, string(got.bytes), "body")
+		}
+	}
+}
