Refuse a stream that no engine accepts before its caller leaves

Cause: a stream that all engines rejected, or for which no resends were left, was tried again each 50 ms until its deadline of 25 s. Change: a stream that has not run is refused as not run after twice its latency objective, or half of its caller's time limit if that is less. Result: TestStreamThatNoEngineAcceptsIsRefused got 504 after 25 s before.

--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -130,3 +130,32 @@
 		})
 	}
 }
+
+// exhaustedBudget allows no resends.
+type exhaustedBudget struct{ unlimitedBudget }
+
+func (exhaustedBudget) TakeResend(string) bool { return false }
+
+// Guards against a stream that gets neither an answer nor a refusal until its caller
+// leaves, because all engines reject it or it may not be sent again.
+func TestStreamThatNoEngineAcceptsIsRefused(t *testing.T) {
+	for name, budget := range map[string]Budget{"all engines are full": unlimitedBudget{}, "no resends are left": exhaustedBudget{}} {
+		withHarness(t, func(b *harness) {
+			b.m.opts.Budget = budget
+			arrived := time.Now()
+			reply, _ := b.submit("/log/1")
+			answered := 0
+			for reply.refused == nil && time.Since(arrived) < time.Minute {
+				if all := b.sent(); len(all) > answered {
+					answered = len(all)
+					all[answered-1].Answered(Answer{Status: 503, NotRun: true})
+				}
+				b.advance(10 * time.Millisecond)
+			}
+			assert.Assert(t, reply.refused != nil, name)
+			assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun, name)
+			objective := b.m.opts.Rules.Current().Routes[0].Objective
+			assert.Assert(t, objective > 0 && time.Since(arrived) > objective && time.Since(arrived) < 4*objective, "%s: after %v", name, time.Since(arrived))
+		})
+	}
+}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -22,6 +22,12 @@
 	maxStaleEvents = 4096
 	// replaceInterval is the time between two attempts to find an engine.
 	replaceInterval = 50 * time.Millisecond
+	// maxPlacementWait is how long a stream that has not run waits for an engine that
+	// accepts it, as a multiple of the latency objective, and maxPlacementShare is the
+	// share of the caller's time limit that it waits at most. Callers leave after four
+	// times the objective; a refusal before that lets them try elsewhere.
+	maxPlacementWait  = 2
+	maxPlacementShare = 0.5
 )
 
 // streamState is the progress of a stream.
@@ -103,6 +109,9 @@
 	}
 	r.endHold()
 	if r.attemptNumber > 0 && !r.m.opts.Budget.TakeResend(r.service.Name) {
+		if r.refuseUnplaced(time.Now()) {
+			return
+		}
 		r.m.metrics.countResend(r.service.Name, "held back")
 		r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 		return
@@ -316,6 +325,9 @@
 		r.hold(r.placeStream, refuseNoUpstream(r.service.Name, r.req))
 		return
 	}
+	if r.refuseUnplaced(now) {
+		return
+	}
 	clear(r.tried)
 	if end, paused := r.m.firstPauseEnd(r, now); paused && len(r.m.usableUpstreams(r, now)) == 0 {
 		if !r.waitForPause(end, r.placeStream) {
@@ -326,6 +338,24 @@
 	r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 }
 
+// refuseUnplaced refuses a stream that has not run and has waited for an engine for as
+// long as it may, and reports whether it did.
+func (r *activeRequest) refuseUnplaced(now time.Time) bool {
+	objective := r.route.Objective
+	if objective == 0 {
+		objective = defaultObjective
+	}
+	limit := maxPlacementWait * objective
+	if !r.req.Deadline.IsZero() {
+		limit = min(limit, time.Duration(maxPlacementShare*float64(r.req.Deadline.Sub(r.req.Arrived))))
+	}
+	if r.executions > 0 || r.stream.headSent || now.Sub(r.req.Arrived) < limit {
+		return false
+	}
+	r.refuse(refuseBusy(r.service.Name))
+	return true
+}
+
 // settleStream ends a stream that cannot continue.
 func (r *activeRequest) settleStream() {
 	switch {
