TestStopAnswersRequestsOfSlowWorkers: send in time after the signal

Cause: parallel subtests wait for a free slot of the test runner, so that with other parallel tests they began after the process had ended. The requests are now sent by goroutines of the test itself; what is checked is the same. The merged tests of streams without an engine use the budget of the other fakes.

--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -131,17 +131,12 @@
 	}
 }
 
-// exhaustedBudget allows no resends.
-type exhaustedBudget struct{ unlimitedBudget }
-
-func (exhaustedBudget) TakeResend(string) bool { return false }
-
 // Guards against a stream that gets neither an answer nor a refusal until its caller
 // leaves, because all engines reject it or it may not be sent again.
 func TestStreamThatNoEngineAcceptsIsRefused(t *testing.T) {
-	for name, budget := range map[string]Budget{"all engines are full": unlimitedBudget{}, "no resends are left": exhaustedBudget{}} {
+	for name, usedUp := range map[string]bool{"all engines are full": false, "no resends are left": true} {
 		withHarness(t, func(b *harness) {
-			b.m.opts.Budget = budget
+			b.budget.usedUp.Store(usedUp)
 			arrived := time.Now()
 			reply, _ := b.submit("/log/1")
 			answered := 0
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -482,16 +482,19 @@
 	e.awaitReady()
 	e.procs[0].signal(syscall.SIGTERM)
 	// One request that may end in time and one that may not, both allowed 5 s by their route.
+	var all sync.WaitGroup
 	for after, want := range map[time.Duration]int{1500 * time.Millisecond: http.StatusOK, 4 * time.Second: http.StatusServiceUnavailable} {
-		t.Run(after.String(), func(t *testing.T) {
-			t.Parallel()
+		req := e.request(0, "POST", "/book/1")
+		all.Go(func() {
 			time.Sleep(after)
-			resp, err := http.DefaultClient.Do(e.request(0, "POST", "/book/1"))
-			assert.NilError(t, err)
-			assert.Equal(t, resp.StatusCode, want)
-			assert.NilError(t, resp.Body.Close())
+			resp, err := http.DefaultClient.Do(req)
+			if assert.Check(t, err, "sent after %v", after) {
+				assert.Check(t, resp.StatusCode == want, "sent after %v: %d", after, resp.StatusCode)
+				assert.Check(t, resp.Body.Close())
+			}
 		})
 	}
+	all.Wait()
 }
 
 // Guards against a worker that reads a prompt again when the caller resumes its
