--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -109,11 +109,11 @@
 	status          int
 	header          Header
 	cancel          func()
-	eventCount      int // events that this attempt delivered
-	staleEvents     int // events of this attempt that the caller had already
-	lastStale       Position
-	outcomeRecorded bool // the outcome has been recorded
-	returnSlot      bool // counted at an upstream that returns from a pause
+	eventCount      int      // events that this attempt delivered
+	staleEvents     int      // events of this attempt that the caller had already
+	lastStale       Position // highest position among them
+	outcomeRecorded bool     // the outcome has been recorded
+	returnSlot      bool     // counted at an upstream that returns from a pause
 }
 
 // continuationState describes the attempt to the rules of package continuation.
