--- a/cmd/internal/edge/drain.go
+++ b/cmd/internal/edge/drain.go
@@ -21,7 +21,8 @@
 
 // Drain prepares a planned stop. It withdraws the instance, so that callers turn
 // to others, keeps serving meanwhile, refuses new requests step by step, and
-// waits until the running ones have ended or the time is over.
+// waits until the running ones have ended or the time is over. Those that are left
+// then get a final answer, since closed connections would tell their callers nothing.
 func (e *Edge) Drain(ctx context.Context) error {
 	start := time.Now()
 	end := start.Add(e.settings.StopTimeout - StopMargin)
@@ -34,12 +35,14 @@
 	e.ingress.RefuseStreams()
 	waitUntil(start.Add(membership.NearbyTTL))
 	e.ingress.DisableKeepAlives()
+	e.ingress.RefuseEndingAfter(end)
 	waitUntil(start.Add(3 * membership.NearbyTTL)) // some callers use an answer for three times its TTL
 	e.ingress.RefuseRequests()
 	for e.forward.Running() > 0 && time.Now().Before(end) {
 		waitUntil(time.Now().Add(drainInterval))
 	}
 	e.log.WithField("running", e.forward.Running()).Info("drain ends")
+	e.forward.EndAll()
 	return nil
 }
 
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -131,12 +131,12 @@
 	opts           Options
 	metrics        *metrics
 	requestSerial  atomic.Uint64
-	activeCount    atomic.Int64
 	heldCount      atomic.Int64 // requests that wait for rules or upstreams
 	streamReleases pacer        // of held streams
 	// promptSearches holds the latest search of each service. Only items under
 	// promptSearchKey access it.
 	promptSearches map[string]*promptSearch
+	running        runningRequests
 }
 
 // New returns a Manager.
@@ -145,19 +145,16 @@
 	return &Manager{opts: opts, metrics: newMetrics(), promptSearches: map[string]*promptSearch{}}
 }
 
-// Running returns the number of requests that have no final answer yet.
-func (m *Manager) Running() int { return int(m.activeCount.Load()) }
-
 // Submit starts forwarding a request. The returned function reports that the
 // caller disconnected.
 func (m *Manager) Submit(req *Request, reply Reply) (left func()) {
-	m.activeCount.Add(1)
 	r := &activeRequest{
-		m:     m,
-		req:   req,
-		reply: reply,
-		key:   worker.Key(fmt.Sprintf("forward/%d", m.requestSerial.Add(1))),
+		m:        m,
+		req:      req,
+		response: response{reply: reply},
+		key:      worker.Key(fmt.Sprintf("forward/%d", m.requestSerial.Add(1))),
 	}
+	m.running.add(r)
 	m.opts.Pool.Post(r.key, worker.Func(r.handleArrival))
 	return func() { m.opts.Pool.Post(r.key, worker.Func(r.callerLeft)) }
 }
@@ -165,10 +162,10 @@
 // activeRequest is the state of one request from its arrival to its end. Only items
 // under its key access its fields.
 type activeRequest struct {
-	m     *Manager
-	req   *Request
-	reply Reply
-	key   worker.Key
+	m        *Manager
+	req      *Request
+	response response
+	key      worker.Key
 
 	route         model.HostRoute
 	service       model.BackendService
@@ -185,6 +182,7 @@
 	lastLoss       string                    // why the newest lost attempt was lost; empty if none was
 	lastFailure    Answer                    // an upstream's error answer, delivered if no other attempt succeeds
 	hasLastFailure bool
+	resendReserved bool // the budget has been charged for the next send
 	stream         streamState
 	ended          bool
 
@@ -198,6 +196,10 @@
 
 // handleArrival admits the request and starts its first attempt, or holds or refuses it.
 func (r *activeRequest) handleArrival() {
+	if r.m.running.areEnding() {
+		r.refuse(RefuseLeaving())
+		return
+	}
 	current := r.m.opts.Rules.Current()
 	if current == nil {
 		r.hold(r.handleArrival, refuseNotReady(r.req))
@@ -210,7 +212,7 @@
 	}
 	r.route, r.organisation = admitted.Route, admitted.Organisation
 	r.service, r.revision = admitted.Service, current.Revision
-	r.deadline = deadlineOf(r.req, r.route)
+	r.deadline = Deadline(r.req, r.route)
 	r.tried = map[model.UpstreamID]bool{}
 	r.inFlight = map[int]*attempt{}
 	if r.refuseIfCrashing() {
@@ -233,8 +235,9 @@
 	r.placeCall()
 }
 
-// deadlineOf returns the earlier of the caller's deadline and the route's.
-func deadlineOf(req *Request, route model.HostRoute) time.Time {
+// Deadline returns the earlier of the caller's deadline and the route's; zero means that
+// there is none.
+func Deadline(req *Request, route model.HostRoute) time.Time {
 	if route.Timeout == 0 {
 		return req.Deadline
 	}
@@ -254,7 +257,7 @@
 		r.refuse(refuseBusy(r.service.Name))
 		return
 	}
-	r.fail(refuseDeadline())
+	r.refuse(refuseDeadline())
 }
 
 // outcomeAborted is the outcome of a stream whose caller got a part of the answer and
@@ -269,30 +272,24 @@
 	r.finish("caller left", 0)
 }
 
-// refuse ends a request that has not run.
+// refuse ends a request with a refusal. A stream that has begun is aborted instead.
 func (r *activeRequest) refuse(refusal *model.Refusal) {
 	if r.ended {
 		return
 	}
-	r.reply.Refuse(refusal)
-	r.finish(refusal.Code, 0)
-}
-
-// fail ends a request that may have run. A stream that has begun is aborted.
-func (r *activeRequest) fail(refusal *model.Refusal) {
-	if r.ended {
-		return
-	}
-	if r.stream.headSent {
-		r.reply.Abort()
-		r.m.metrics.countAbortedStream(r.service.Name, refusal.Code)
-		r.finish(outcomeAborted, 0)
+	if !r.response.refuse(refusal) {
+		r.finishAborted(refusal.Code)
 		return
 	}
-	r.reply.Refuse(refusal)
 	r.finish(refusal.Code, 0)
 }
 
+// finishAborted ends a request whose response had begun and was aborted.
+func (r *activeRequest) finishAborted(cause string) {
+	r.m.metrics.countAbortedStream(r.service.Name, cause)
+	r.finish(outcomeAborted, 0)
+}
+
 // finish ends all attempts and logs the outcome.
 func (r *activeRequest) finish(outcome string, status int) {
 	r.ended = true
@@ -302,7 +299,7 @@
 		r.discardRequestedCopy(a)
 		r.endAttempt(a)
 	}
-	r.m.activeCount.Add(-1)
+	r.m.running.remove(r)
 	took := time.Since(r.req.Arrived)
 	r.m.metrics.countRequest(r.route, outcome, took)
 	fields := log.Fields{
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
@@ -62,8 +63,11 @@
 	StreamBegan(status int, header Header)
 	// EventsArrived delivers events of a stream.
 	EventsArrived(events []Event)
-	// StreamEnded says that the stream is complete; nothing follows.
+	// StreamEnded says that the answer with the stream is complete; nothing follows.
 	StreamEnded()
+	// ConnectionClosed says that the connection was closed after whole events, and that
+	// the answer has no other end: it is complete, or its engine crashed. Nothing follows.
+	ConnectionClosed()
 	// Lost says that the send failed; nothing follows. sent says that a byte
 	// of the request may have reached the upstream.
 	Lost(kind continuation.Loss, cause string, sent bool)
@@ -106,10 +110,15 @@
 	status          int
 	header          Header
 	cancel          func()
-	eventCount      int  // events that this attempt delivered
-	staleEvents     int  // events of this attempt that the caller had already
+	eventCount      int // events that this attempt delivered
+	staleEvents     int // events of this attempt that the caller had already
+	lastStale       Position
 	outcomeRecorded bool // the outcome has been recorded
 	returnSlot      bool // counted at an upstream that returns from a pause
+	silenceTimer    *worker.Timer
+	probed          bool      // probed since the last event
+	unansweredSince time.Time // first of the last probes that got no answer; zero means none
+	forgotten       bool      // the engine reports that it no longer has the request
 }
 
 // continuationState describes the attempt to the rules of package continuation.
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -8,7 +8,6 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
-	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 )
 
 const (
@@ -32,7 +31,6 @@
 
 // streamState is the progress of a stream.
 type streamState struct {
-	headSent            bool // the caller has the status and the header
 	accepted            Position
 	delivered           Position // last event that the caller has
 	consecutiveFailures int      // attempts in a row that brought no event
@@ -49,29 +47,6 @@
 	source CopySource
 }
 
-// silenceLimits derives the limits on silence from the route. A loss must be detected
-// early enough to resume from a copy within the longest allowed pause. Before the
-// first event the engine may be reading the prompts of other requests, so exceeding
-// that limit only causes a probe of the engine.
-func silenceLimits(route model.HostRoute) continuation.Limits {
-	gap, objective := route.MaxGap, route.Objective
-	if gap == 0 {
-		gap = defaultMaxGap
-	}
-	if objective == 0 {
-		objective = defaultObjective
-	}
-	return continuation.Limits{
-		Factor:          6,
-		Min:             gap * 4 / 10,
-		Max:             gap / 2,
-		FirstFactor:     1.2,
-		MinFirst:        objective * 3 / 10,
-		MaxFirst:        objective * 6 / 10,
-		MaxFirstResumed: gap * 4 / 10,
-	}
-}
-
 // placeStream starts the next attempt of a stream.
 func (r *activeRequest) placeStream() {
 	if r.ended || len(r.inFlight) > 0 {
@@ -108,7 +83,7 @@
 		return
 	}
 	r.endHold()
-	if r.attemptNumber > 0 && !r.m.opts.Budget.TakeResend(r.service.Name) {
+	if r.attemptNumber > 0 && !r.takeResend() {
 		if r.refuseUnplaced(time.Now()) {
 			return
 		}
@@ -131,16 +106,15 @@
 func (r *activeRequest) resumeFromCopy() {
 	source := r.stream.resumeCopy
 	r.stream.resumeCopy = nil
-	row, known := r.m.opts.Upstreams.Get(source.holder.ID)
-	now := time.Now()
-	if !known || row.Report.Health == upstream.HealthLeaving || !row.WantsRequests(now) || r.m.mayHaveFailed(row, now) {
+	row, usable := r.m.usableHolder(source.holder.ID)
+	if !usable {
 		r.placeStream()
 		return
 	}
 	demand := r.demand()
 	demand.prefillTokens = 0
 	// The copy expires soon, so the resend is charged to the budget but never delayed by it.
-	r.m.opts.Budget.TakeResend(r.service.Name)
+	r.takeResend()
 	r.startStream(row.Upstream, demand, 0, &source.source)
 }
 
@@ -164,7 +138,7 @@
 	r.m.opts.Locations.SetLocal(affinityKey(r.req), up.ID, time.Now())
 	r.startAttempt(a, s)
 	r.logPlaced(a, expected)
-	r.armSilenceTimer(a)
+	r.scheduleSilenceCheck(a, r.silenceLimit(a))
 	if from == nil {
 		r.watchSlowFirstEvent(a, expected)
 	}
@@ -191,6 +165,7 @@
 	from := continuation.Connection{Number: a.number}
 	for _, e := range events {
 		if e.Position <= r.stream.accepted {
+			a.lastStale = max(a.lastStale, e.Position)
 			if a.staleEvents++; a.staleEvents > maxStaleEvents {
 				r.handleLoss(a, continuation.LossGap, "events repeat", true)
 				return
@@ -224,14 +199,8 @@
 	r.m.opts.Upstreams.RecordOutput(a.upstream.ID, at)
 	r.stream.accepted, r.stream.delivered = e.Position, e.Position
 	r.stream.consecutiveFailures = 0
-	if !r.stream.headSent {
-		r.stream.headSent = true
-		r.reply.Begin(a.status, a.header)
-	}
-	r.reply.Events(e.Raw)
-	if a.eventCount == 1 {
-		r.armSilenceTimer(a)
-	}
+	r.response.events(a.status, a.header, e.Raw)
+	r.endSilence(a)
 }
 
 // handleFirstEvent records that the engine has read the prompt.
@@ -256,24 +225,38 @@
 		Info("stream resumed")
 }
 
-// handleStreamEnd completes the caller's stream when the attempt's stream has ended. A
-// stream without any event has been broken off: an answer without a length ends in the
-// same way when its engine crashes.
-func (r *activeRequest) handleStreamEnd(a *attempt) {
-	if r.stream.accepted == 0 {
-		r.handleLoss(a, continuation.LossTruncated, "stream ended before its first event", true)
+// handleStreamEnd completes the caller's stream when the attempt's answer has ended, or
+// gives up an attempt that ended too early. delimited says that the answer marks its end
+// itself, by a length or a last chunk.
+func (r *activeRequest) handleStreamEnd(a *attempt, delimited bool) {
+	if loss, cause := r.earlyEnd(a, delimited); loss != "" {
+		r.handleLoss(a, loss, cause, true)
 		return
 	}
 	r.discardRequestedCopy(a)
 	r.endAttempt(a)
-	if !r.stream.headSent {
-		r.reply.Begin(a.status, a.header)
-		r.stream.headSent = true
-	}
-	r.reply.End()
+	r.response.end(a.status, a.header)
 	r.finish("answered", a.status)
 }
 
+// earlyEnd returns the kind of loss if the attempt's answer ended before the stream did,
+// and else an empty one. The connection of an answer that is not delimited ends in the
+// same way when its engine crashes, so it ends the stream only after a new event.
+func (r *activeRequest) earlyEnd(a *attempt, delimited bool) (kind continuation.Loss, cause string) {
+	switch {
+	case r.stream.accepted == 0:
+		return continuation.LossTruncated, "stream ended before its first event"
+	case a.eventCount > 0:
+		return "", ""
+	case !delimited:
+		return continuation.LossTruncated, "connection closed before an event that the caller lacks"
+	case a.staleEvents > 0 && a.lastStale < r.stream.accepted:
+		return continuation.LossGap, "stream ended before the events that the caller has"
+	default:
+		return "", "" // the caller has all events
+	}
+}
+
 // handleStreamLoss continues, restarts or ends a stream whose attempt was lost, as the
 // rules of package continuation decide.
 func (r *activeRequest) handleStreamLoss(a *attempt, kind continuation.Loss, cause string, sent bool) {
@@ -283,7 +266,7 @@
 	if a.eventCount == 0 {
 		r.stream.consecutiveFailures++
 	}
-	if r.stream.lostAt.IsZero() && r.stream.headSent {
+	if r.stream.lostAt.IsZero() && r.response.begun {
 		r.stream.lostAt = a.lastSeen
 	}
 	r.logAttempt(a, string(kind)+": "+cause)
@@ -349,7 +332,7 @@
 	if !r.req.Deadline.IsZero() {
 		limit = min(limit, time.Duration(maxPlacementShare*float64(r.req.Deadline.Sub(r.req.Arrived))))
 	}
-	if r.executions > 0 || r.stream.headSent || now.Sub(r.req.Arrived) < limit {
+	if r.executions > 0 || r.response.begun || now.Sub(r.req.Arrived) < limit {
 		return false
 	}
 	r.refuse(refuseBusy(r.service.Name))
@@ -359,37 +342,15 @@
 // settleStream ends a stream that cannot continue.
 func (r *activeRequest) settleStream() {
 	switch {
-	case r.hasLastFailure && !r.stream.headSent:
+	case r.hasLastFailure && !r.response.begun:
 		r.deliver(r.lastFailure)
-	case r.executions == 0 && !r.stream.headSent:
+	case r.executions == 0:
 		r.refuse(refuseBusy(r.service.Name))
 	default:
-		r.fail(refuseUnknown("its stream broke"))
+		r.refuse(refuseUnknown("its stream broke"))
 	}
 }
 
-// armSilenceTimer checks the attempt once it has brought no event for the allowed
-// time. A running or resumed stream is then considered lost; one without a first
-// event is probed.
-func (r *activeRequest) armSilenceTimer(a *attempt) {
-	started := a.eventCount > 0
-	due := a.lastSeen.Add(silenceLimits(r.route).Timeout(a.pace, started, a.fromCopy))
-	r.m.opts.Pool.After(time.Until(due), r.key, worker.Func(func() {
-		if r.ended || r.inFlight[a.number] != a || started != (a.eventCount > 0) {
-			return
-		}
-		limit := silenceLimits(r.route).Timeout(a.pace, started, a.fromCopy)
-		switch {
-		case time.Since(a.lastSeen) < limit:
-			r.armSilenceTimer(a)
-		case started || a.fromCopy:
-			r.handleLoss(a, continuation.LossSilence, "no event for "+limit.String(), true)
-		default:
-			r.probe(a)
-		}
-	}))
-}
-
 func (r *activeRequest) logPlaced(a *attempt, expected time.Duration) {
 	r.m.opts.Log.WithField("request_id", string(r.req.ID)).
 		WithField("upstream", string(a.upstream.ID)).
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -9,10 +9,9 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -20,6 +19,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -46,8 +46,8 @@
 type Client struct {
 	names    forwardwire.Names
 	engine   EngineAPI
-	unpooled *http.Transport // opens a connection for each request
-	pooled   *http.Transport // for requests that may run more than once
+	unpooled *keptconn.Transport // opens a connection for each request
+	pooled   *keptconn.Transport // for requests that may run more than once
 	memory   *answerlimit.Budget
 	badPause sync.Once // logs the first malformed pause
 	tracer   oteltrace.Tracer
@@ -58,16 +58,16 @@
 	return &Client{
 		names:    names,
 		engine:   engine,
-		unpooled: newTransport(false),
-		pooled:   newTransport(true),
+		unpooled: newTransport(false, dialTimeout),
+		pooled:   newTransport(true, dialTimeout),
 		memory:   answerlimit.NewBudget(maxBufferedBytes),
 		tracer:   otel.Tracer(tracerName),
 	}
 }
 
-func newTransport(reuse bool) *http.Transport {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+func newTransport(reuse bool, dialLimit time.Duration) *keptconn.Transport {
+	dialer := &net.Dialer{Timeout: dialLimit}
+	return keptconn.New(&http.Transport{
 		DialContext:         dialer.DialContext,
 		DisableKeepAlives:   !reuse,
 		DisableCompression:  true,
@@ -75,7 +75,7 @@
 		IdleConnTimeout:     idleTimeout,
 
 		MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
-	}
+	})
 }
 
 // Close closes the idle connections.
@@ -100,23 +100,19 @@
 			attribute.String("upstream", string(s.Upstream.ID)),
 		))
 	defer span.End()
-	var sent atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		// The transport writes only after this hook, so an error without it
-		// means that no byte was sent.
-		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
-	})
-	in, err := c.transport(s).RoundTrip(c.request(ctx, s))
+	in, use, err := c.transport(s).Exchange(c.request(ctx, s))
 	if err != nil {
-		receiver.Lost(lossOf(err, sent.Load()), err.Error(), sent.Load())
+		receiver.Lost(lossOf(err, use.Sent()), err.Error(), use.Sent())
 		return
 	}
 	defer func() { _ = in.Body.Close() }() // a failed read is reported where it happens
-	c.receive(s, in, receiver)
+	c.receive(s, in, use, receiver)
 }
 
-func (c *Client) transport(s forward.Send) *http.Transport {
-	if s.ReuseConnection {
+// transport returns the transport for a send. Without an ID, an answer to the request
+// cannot be told from a late answer to another request on the same connection.
+func (c *Client) transport(s forward.Send) *keptconn.Transport {
+	if s.ReuseConnection && s.Request.ID != "" {
 		return c.pooled
 	}
 	return c.unpooled
@@ -144,8 +140,8 @@
 }
 
 // receive reads the response and passes it to the receiver.
-func (c *Client) receive(s forward.Send, in *http.Response, receiver forward.Receiver) {
-	verdict := c.names.Judge(s.Request.ID, in.StatusCode, in.Header)
+func (c *Client) receive(s forward.Send, in *http.Response, use *keptconn.Use, receiver forward.Receiver) {
+	verdict := c.names.Judge(s.Request.ID, use.Kept(), in.StatusCode, in.Header)
 	if verdict.BadPause != "" {
 		c.badPause.Do(func() {
 			log.WithField("part", "backend").WithField("upstream", string(s.Upstream.ID)).WithField("value", verdict.BadPause).
@@ -157,15 +153,33 @@
 	}
 	switch {
 	case !verdict.Own:
-		receiver.Lost(continuation.LossWrongStream, "answer has the ID of another request", true)
-	case s.Stream && in.StatusCode == http.StatusOK:
+		use.Discard()
+		receiver.Lost(continuation.LossWrongStream, "answer does not have the ID of the request", true)
+	case verdict.Invalid != "":
+		use.Discard()
+		receiver.Lost(continuation.LossStatus, verdict.Invalid, true)
+	case s.Stream && in.StatusCode == http.StatusOK && mayHaveEvents(in.Header):
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
-		readEvents(in.Body, c.memory, receiver)
+		readEvents(in.Body, isDelimited(in), c.memory, receiver)
 	default:
 		c.readAnswer(in, verdict, receiver)
 	}
 }
 
+// mayHaveEvents reports whether the header is that of an event stream. An answer without
+// a content type is taken for one.
+func mayHaveEvents(in http.Header) bool {
+	mediaType, _, _ := strings.Cut(in.Get("Content-Type"), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
+}
+
+// isDelimited reports whether the answer marks its end itself. The transport reports an
+// error if the connection of such an answer closes before its end.
+func isDelimited(in *http.Response) bool {
+	return in.ContentLength >= 0 || len(in.TransferEncoding) > 0
+}
+
 func (c *Client) readAnswer(in *http.Response, verdict forwardwire.Verdict, receiver forward.Receiver) {
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
@@ -185,13 +199,15 @@
 	})
 }
 
-// lossOf returns the kind of loss: a failed connection attempt, a timeout, or a
-// broken connection.
+// lossOf returns the kind of loss: a failed connection attempt, an answer to another
+// request, a timeout, or a broken connection.
 func lossOf(err error, sent bool) continuation.Loss {
 	var timeout net.Error
 	switch {
 	case !sent:
 		return continuation.LossDial
+	case errors.Is(err, keptconn.ErrEarlyAnswer):
+		return continuation.LossWrongStream
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return continuation.LossSilence
 	default:
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -25,6 +25,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"github.com/tmaxmax/go-sse"
 	"go.opentelemetry.io/otel"
@@ -63,13 +64,13 @@
 func New() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
-		http: &http.Client{Transport: &http.Transport{
+		http: &http.Client{Transport: keptconn.New(&http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdlePerUpstream,
 			DisableCompression:  true,
 
 			MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
-		}},
+		})},
 		tracer:      otel.Tracer("sequoiavalve/engine"),
 		connections: map[model.StreamID][]*connection{},
 	}
@@ -276,7 +277,7 @@
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
 		return continuation.LossBusy, detail
 	}
-	if resp.StatusCode < http.StatusInternalServerError {
+	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError {
 		return continuation.LossRejected, detail
 	}
 	return continuation.LossStatus, detail
@@ -297,7 +298,7 @@
 			continue
 		}
 		if strings.TrimSpace(event.Data) == engineapi.EndOfStream {
-			return "", continuation.Detail{}
+			break
 		}
 		done, err := deliverChunk(event.Data, events)
 		if err != nil {
