Silence does not end a generation whose engine may go on

Cause: in relay, silence of the only stream that has the tokens which the caller has seen ended the generation after 0.4 to 1.5 s, and without another engine it cancelled the stream and waited.

Measured: TestPauseOfTheOnlyStreamIsAwaited failed before with continuation_unavailable and passes; the tests of relay pass under race and lockcheck.

--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -185,8 +185,8 @@
 	i.m.handleLoss(i.id, i.number, i.kind, i.detail)
 }
 
-// silenceCheck ends an attempt whose stream has been silent for too long, and
-// otherwise reschedules itself. The check that waits for the first token stops
+// silenceCheck ends an attempt whose stream has been silent for too long, if the
+// generation goes on without it, and otherwise reschedules itself. The check that waits for the first token stops
 // once that token has arrived: the limit is shorter from then on, and the
 // arrival of the token has scheduled a check of its own.
 type silenceCheck struct {
@@ -206,9 +206,22 @@
 		i.m.opts.Pool.After(left, key(i.id), i)
 		return
 	}
+	if !i.m.mayLeaveSilent(r) {
+		i.m.opts.Pool.After(minSilence, key(i.id), i)
+		return
+	}
 	i.m.handleLoss(i.id, i.number, continuation.LossSilence, continuation.Detail{})
 }
 
+// mayLeaveSilent reports whether the generation goes on if the silent attempt is closed.
+// A sound engine may pause, so silence alone does not end a generation while its engine
+// may still go on.
+func (m *Manager) mayLeaveSilent(r generation.Record) bool {
+	s := m.situation(r, continuation.LossSilence)
+	goesOn := s.AlternativeReady && !s.NeedsLostStream && s.Failures < continuation.MaxFailures
+	return goesOn || time.Since(r.Attempt.LastSeen) >= continuation.MaxContinuationWait
+}
+
 func (m *Manager) armSilenceCheck(r generation.Record) {
 	due := silenceCheck{m, r.Spec.Request, r.Attempt.Number, hasToken(r)}
 	m.opts.Pool.After(time.Until(silenceDeadline(r)), key(r.Spec.Request), due)
--- a/internal/coordination/relay/relay_test.go
+++ b/internal/coordination/relay/relay_test.go
@@ -424,3 +424,29 @@
 	release()
 	assert.Equal(t, (<-g.unused).Upstream, model.UpstreamID("e0"))
 }
+
+// Guards against a generation that is ended because its engine pauses, when only that
+// engine's stream has the tokens that the caller has seen.
+func TestPauseOfTheOnlyStreamIsAwaited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestbed(2, "v1")
+		defer b.close()
+		stream := model.StreamID("r.other.1")
+		b.fake.start(model.Upstream{ID: "e0", Version: "v1"}, StreamRequest{Spec: spec("r", 50), Stream: stream}, nil)
+		time.Sleep(fakePrefill + 7*fakeInterval - time.Millisecond)
+		b.fake.fault("e0", "freeze")
+		copied := generation.Record{
+			Spec:    spec("r", 50),
+			Line:    "l2",
+			Tokens:  []string{fakeToken("v1", stream, 0), fakeToken("v1", stream, 1)},
+			Attempt: generation.Attempt{Number: 1, Stream: stream, Upstream: "e0", Version: "v1"},
+		}
+		assert.Assert(t, b.manager.Adopt(t.Context(), copied, "l1", 10))
+		time.Sleep(1200 * time.Millisecond)
+		b.fake.fault("e0", "revive")
+		got, err := b.table.AwaitEnd(t.Context(), "r")
+		assert.NilError(t, err)
+		assert.Assert(t, got.End.Refusal == nil, "%v", got.End.Refusal)
+		transcript{tokens: got.Tokens, end: got.End}.check(t.Fatalf, "r", 50)
+	})
+}
