--- a/tests/e2e/soaklost_test.go
+++ b/tests/e2e/soaklost_test.go
@@ -36,6 +36,7 @@
 		"cut while it runs, beside a change of the rules":              {short, true, rules, true},
 		"cut while it runs, beside a reload":                           {short, true, fault(faultReload, instanceScope(0), sent, sent), true},
 		"cut while it runs, in a planned stop":                         {short, true, fault(faultStop, instanceScope(0), sent-100, sent+100), true},
+		"cut while its worker is silent":                               {short, true, fault(faultSilent, "desk-1", sent-100, sent+900), true},
 		"cut while it runs, beside nothing":                            {short, true, nil, true},
 		"crosses the close of its connection":                          {short, false, rules, false},
 		"could not be sent":                                            {unwritten, false, rules, false},
