--- a/tests/e2e/soakplan_test.go
+++ b/tests/e2e/soakplan_test.go
@@ -28,6 +28,7 @@
 	faultRules     faultKind = "rules changed"              // back to those of the beginning, but for the spare key
 	faultLeave     faultKind = "worker says that it leaves" // in its answers only
 	faultPause     faultKind = "worker asks for a pause"
+	faultSilent    faultKind = "worker silent" // for a time that sound workers may be
 	// faultVariedRules changes the rules in all their parts.
 	faultVariedRules faultKind = "rules varied"
 )
@@ -91,6 +92,7 @@
 		p.faults = append(p.faults, f)
 	}
 	p.faults = append(p.faults, planNotices(seed, faulty)...)
+	p.faults = append(p.faults, planSilences(seed, faulty)...)
 	p.faults = append(p.faults, planVariedRules(seed, faulty)...)
 	slices.SortFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
@@ -119,7 +121,7 @@
 // planVariedRules plans series of varied rules, for every second seed, with random numbers
 // of its own as planNotices has.
 func planVariedRules(seed uint64, faulty time.Duration) []fault {
-	random := rand.New(rand.NewPCG(seed, 9))
+	random := rand.New(rand.NewPCG(seed, 13))
 	if random.IntN(2) == 0 {
 		return nil
 	}
@@ -131,7 +133,7 @@
 }
 
 // planPlannedWork returns a plan with no faults but changes of the rules, reloads and
-// planned stops, which overlap.
+// planned stops, which overlap, and silences of sound workers beside them.
 func planPlannedWork(seed uint64, faulty time.Duration, scale int) soakPlan {
 	random := rand.New(rand.NewPCG(seed, 12))
 	p := soakPlan{
@@ -146,6 +148,7 @@
 	for range 4 + random.IntN(6) {
 		p.faults = append(p.faults, drawSeries(random, kinds[random.IntN(len(kinds))], faulty))
 	}
+	p.faults = append(p.faults, planSilences(seed, faulty)...)
 	slices.SortFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
