--- a/internal/coordination/forward/silence.go
+++ b/internal/coordination/forward/silence.go
@@ -71,9 +71,13 @@
 		r.scheduleSilenceCheck(a, limit-silent)
 		return
 	}
-	if !r.leaveSilent(a, "no event for "+silent.String()) {
-		r.probe(a)
+	if r.leaveSilent(a, "no event for "+silent.String()) {
+		return
+	}
+	if !a.probed && (a.eventCount > 0 || a.fromCopy) {
+		r.logStay(a, silent)
 	}
+	r.probe(a)
 }
 
 // leaveSilent moves the stream of a silent attempt to another engine if that is allowed,
@@ -197,3 +201,13 @@
 	r.m.opts.Upstreams.RecordFailure(a.upstream.ID, now, now.Add(failedAvoidTime))
 	r.m.opts.ConnectionFailed(a.upstream.ID, now)
 }
+
+func (r *activeRequest) logStay(a *attempt, silent time.Duration) {
+	r.m.opts.Log.WithField("request_id", string(r.req.ID)).
+		WithField("upstream", string(a.upstream.ID)).
+		WithField("attempt", a.number).
+		WithField("position", uint64(r.stream.accepted)).
+		WithField("silent_ms", silent.Milliseconds()).
+		WithField("sends_left", r.sendsLeft()).
+		Info("stream stays at its silent engine")
+}
