Answer a stream in time that lost its engine before the first event

Callers of a resumable stream whose engine broke before the first event got no answer until the deadline of 25 s if no other engine took the stream. An engine's error answer was replaced by a 504 in the same way.

Cause: the bound on the wait for an engine applied only to streams that had not run. The waits for an engine and for a resend had no bound of their own afterwards.

The bound now applies to each stream without an event. At its end the caller gets the engine's error answer if there is one, a refusal if the stream has not run, and else an answer that promises nothing.

--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"gotest.tools/v3/assert"
@@ -153,3 +154,49 @@
 		})
 	}
 }
+
+// Guards against a stream that gets no answer until its caller leaves, because its engine
+// was lost or failed before the first event and no other engine takes it.
+func TestStreamThatLostItsOnlyEngineIsAnswered(t *testing.T) {
+	allLeave := func(b *harness) {
+		for _, up := range engines(b) {
+			b.upstreams.Leave(up.ID)
+		}
+	}
+	useUpBudget := func(b *harness) { b.budget.usedUp.Store(true) }
+	lose := func(s *fakeSend) { s.Lost(continuation.LossReset, "EOF", true) }
+	for name, test := range map[string]struct {
+		prevent  func(*harness) // prevents a second send
+		end      func(*fakeSend)
+		answered int // status of the engine's answer; 0 means a refusal
+	}{
+		"all leave":                 {prevent: allLeave, end: lose},
+		"no resends are left":       {prevent: useUpBudget, end: lose},
+		"failed, and all leave":     {prevent: allLeave, end: func(s *fakeSend) { s.Answered(Answer{Status: 500}) }, answered: 500},
+		"failed, no resends left":   {prevent: useUpBudget, end: func(s *fakeSend) { s.Answered(Answer{Status: 500}) }, answered: 500},
+		"refused by all the others": {prevent: func(*harness) {}, end: lose},
+	} {
+		withHarness(t, func(b *harness) {
+			arrived := time.Now()
+			reply, _ := b.submit("/log/1")
+			test.prevent(b)
+			test.end(b.lastSend())
+			b.advance(0)
+			objective := b.m.opts.Rules.Current().Routes[0].Objective
+			assert.Assert(t, objective > 0)
+			for seen := 1; time.Since(arrived) < 4*objective; b.advance(10 * time.Millisecond) {
+				if all := b.sent(); len(all) > seen {
+					seen = len(all)
+					all[seen-1].Answered(Answer{Status: 503, NotRun: true})
+				}
+			}
+			if test.answered != 0 {
+				assert.Assert(t, reply.answer != nil, name)
+				assert.Equal(t, reply.answer.Status, test.answered, name)
+				return
+			}
+			assert.Assert(t, reply.refused != nil, name)
+			assert.Equal(t, reply.refused.Outcome, model.OutcomeUnknown, name)
+		})
+	}
+}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -21,10 +21,10 @@
 	maxStaleEvents = 4096
 	// replaceInterval is the time between two attempts to find an engine.
 	replaceInterval = 50 * time.Millisecond
-	// maxPlacementWait is how long a stream that has not run waits for an engine that
+	// maxPlacementWait is how long a stream without an event waits for an engine that
 	// accepts it, as a multiple of the latency objective, and maxPlacementShare is the
 	// share of the caller's time limit that it waits at most. Callers leave after four
-	// times the objective; a refusal before that lets them try elsewhere.
+	// times the objective; an answer before that lets them try elsewhere.
 	maxPlacementWait  = 2
 	maxPlacementShare = 0.5
 )
@@ -84,7 +84,7 @@
 	}
 	r.endHold()
 	if r.attemptNumber > 0 && !r.takeResend() {
-		if r.refuseUnplaced(time.Now()) {
+		if r.endUnplaced(time.Now()) {
 			return
 		}
 		r.m.metrics.countResend(r.service.Name, "held back")
@@ -308,7 +308,7 @@
 		r.hold(r.placeStream, refuseNoUpstream(r.service.Name, r.req))
 		return
 	}
-	if r.refuseUnplaced(now) {
+	if r.endUnplaced(now) {
 		return
 	}
 	clear(r.tried)
@@ -321,9 +321,9 @@
 	r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 }
 
-// refuseUnplaced refuses a stream that has not run and has waited for an engine for as
+// endUnplaced ends a stream that has neither an event nor an engine and has waited for as
 // long as it may, and reports whether it did.
-func (r *activeRequest) refuseUnplaced(now time.Time) bool {
+func (r *activeRequest) endUnplaced(now time.Time) bool {
 	objective := r.route.Objective
 	if objective == 0 {
 		objective = defaultObjective
@@ -332,10 +332,10 @@
 	if !r.req.Deadline.IsZero() {
 		limit = min(limit, time.Duration(maxPlacementShare*float64(r.req.Deadline.Sub(r.req.Arrived))))
 	}
-	if r.executions > 0 || r.response.begun || now.Sub(r.req.Arrived) < limit {
+	if r.response.begun || now.Sub(r.req.Arrived) < limit {
 		return false
 	}
-	r.refuse(refuseBusy(r.service.Name))
+	r.settleStream()
 	return true
 }
 
