Refuse a late request only after its body

In a planned stop, callers that sent a body in parts, with Connection: close or with more than 256 kB, got a broken pipe or a reset while they wrote. Callers that give up at such an error do not read the refusal.

Cause: the refusal was written before the body was read, and net/http closed the connection with unread bytes, on which the kernel resets it.

Evidence: TestRefusalFollowsTheWholeBody fails on with 'broken pipe' in three of four cases.

The body is read first, as for requests that are admitted, so that the caller can send all of it. The check then also sees a stop that began meanwhile.

--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -151,13 +151,15 @@
 	if err != nil {
 		return nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
 	}
-	if s.refusesNow(r, req) {
-		return nil, forward.RefuseLeaving()
-	}
 	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyBytes()))
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
+	// A connection that closes before the whole body is read is reset, and its caller may
+	// not get the refusal.
+	if s.refusesNow(r, req) {
+		return nil, forward.RefuseLeaving()
+	}
 	req.Host, req.Method = hostOf(r), r.Method
 	req.Path, req.Query = targetOf(r)
 	return req, nil
