Cut off a caller that does not read its stream

The stream of a caller that left its connection open without reading it stayed in memory and kept its engine at work until the deadline, and the server wrote to that caller for as long as the connection was open.

Cause: the abort was queued behind the write that waited for the caller, and events were queued after it.

Evidence: TestCallerThatDoesNotReadIsCutOff fails on: the response is still being written after 5 s.

The overflow now ends that write by its deadline and drops what follows, so that run ends, the connection is reset and the request is cancelled.

--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
@@ -34,6 +35,8 @@
 	causeNoHead     = "a part was to be sent before the head"
 )
 
+const causeSlowCaller = "the caller reads too slowly"
+
 // abortPart returns the part that aborts the response for a cause decided here.
 func abortPart(cause string) responsePart {
 	return responsePart{end: true, abort: true, cause: cause}
@@ -49,7 +52,7 @@
 }
 
 // exchange queues the response to one request and writes it to the caller. It
-// implements forward.Reply. mu guards parts and queuedBytes; it is a leaf lock:
+// implements forward.Reply. mu guards parts, queuedBytes and overflowed; it is a leaf lock:
 // nothing is called while it is held.
 type exchange struct {
 	server *Server
@@ -60,7 +63,8 @@
 
 	mu          sync.Mutex
 	parts       []responsePart
-	queuedBytes int // bytes of raw in parts
+	queuedBytes int  // bytes of raw in parts
+	overflowed  bool // the queue exceeded maxQueuedBytes; further parts are dropped
 }
 
 func newExchange(s *Server, w http.ResponseWriter, id model.RequestID) *exchange {
@@ -91,12 +95,23 @@
 
 func (x *exchange) push(s responsePart) {
 	x.mu.Lock()
+	if x.overflowed {
+		x.mu.Unlock()
+		return
+	}
 	x.parts = append(x.parts, s)
 	x.queuedBytes += len(s.raw)
-	if x.queuedBytes > maxQueuedBytes && !s.end {
-		x.parts = append(x.parts, abortPart("the caller reads too slowly"))
+	overflows := x.queuedBytes > maxQueuedBytes && !s.end
+	if overflows {
+		x.overflowed = true
+		x.parts = append(x.parts, abortPart(causeSlowCaller))
 	}
 	x.mu.Unlock()
+	if overflows {
+		// Ends a write that waits for the caller. Without support for deadlines, run
+		// aborts the response after that write.
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now())
+	}
 	select {
 	case x.wake <- struct{}{}:
 	default:
@@ -123,6 +138,7 @@
 		for _, s := range x.take() {
 			s = x.inSequence(s)
 			if !x.write(s) {
+				x.logOverflow()
 				return false
 			}
 			if s.cause != "" {
@@ -136,11 +152,22 @@
 			}
 		}
 		if err := http.NewResponseController(x.w).Flush(); err != nil {
+			x.logOverflow()
 			return false
 		}
 	}
 }
 
+// logOverflow logs the cut after a failed write, if the overflow of the queue ended it.
+func (x *exchange) logOverflow() {
+	x.mu.Lock()
+	overflowed := x.overflowed
+	x.mu.Unlock()
+	if overflowed {
+		x.server.logCut(x.id, causeSlowCaller)
+	}
+}
+
 // inSequence returns the part, or an abort if the part does not continue what was
 // written: a response has one head, which precedes everything else.
 func (x *exchange) inSequence(p responsePart) responsePart {
