--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -79,7 +79,7 @@
 	copyHolders       []model.UpstreamID // holders of the copies made on request
 	budget            fakeBudget
 	failedConnections []model.UpstreamID // upstreams whose connection failures were published; read through connectionFailures
-	probesFail        bool               // probes get no answer
+	probesFail        atomic.Bool        // probes get no answer
 	probeTime         time.Duration      // until a probe is answered
 	engineState       EngineState        // what probed engines report
 	cachedParts       map[model.UpstreamID][]CachedPart
@@ -142,7 +142,7 @@
 
 // Probe implements Sender.
 func (b *harness) Probe(_ model.Upstream, timeout time.Duration, answered func(EngineState, error)) {
-	if b.probesFail {
+	if b.probesFail.Load() {
 		time.AfterFunc(timeout, func() { answered(EngineState{}, errors.New("no answer")) })
 		return
 	}
--- a/internal/coordination/forward/probe_test.go
+++ b/internal/coordination/forward/probe_test.go
@@ -25,7 +25,7 @@
 // detected so late that no time is left for another engine.
 func TestLostEngineIsNoticedBeforeTheFirstEvent(t *testing.T) {
 	withHarness(t, func(b *harness) {
-		b.probesFail = true
+		b.probesFail.Store(true)
 		b.submit("/log/1")
 		b.advance(1600 * time.Millisecond)
 		assert.Equal(t, len(b.sent()), 2)
--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -82,7 +82,7 @@
 	for _, path := range []string{"/log/1", "/tell/1"} {
 		for _, probesFail := range []bool{false, true} {
 			withHarness(t, func(b *harness) {
-				b.probesFail = probesFail
+				b.probesFail.Store(probesFail)
 				reply, _ := b.submit(path)
 				engines := &pausingEngines{b: b, events: 80, burst: 10, pause: time.Second}
 				engines.run(20 * time.Second)
@@ -125,7 +125,7 @@
 // it, and against one that stays there when the engine is dark and the budget has one.
 func TestSilentStreamWaitsForTheBudgetAtItsEngine(t *testing.T) {
 	withHarness(t, func(b *harness) {
-		b.probesFail = true
+		b.probesFail.Store(true)
 		b.budget.usedUp.Store(true)
 		reply := b.startStreams(1)[0]
 		b.advance(5 * time.Second)
@@ -140,7 +140,7 @@
 // Guards against a stream that keeps its last send although its engine is dark.
 func TestLastSendIsUsedToLeaveADarkEngine(t *testing.T) {
 	withHarness(t, func(b *harness) {
-		b.probesFail = true
+		b.probesFail.Store(true)
 		b.submit("/log/1")
 		for n := range 4 {
 			assert.Equal(t, len(b.sent()), n+1)
@@ -165,7 +165,8 @@
 func TestSilenceCountsAsAFailureOnlyWithoutAnAnswer(t *testing.T) {
 	for _, dark := range []bool{false, true} {
 		withHarness(t, func(b *harness) {
-			b.probesFail, b.probeTime = dark, time.Millisecond
+			b.probesFail.Store(dark)
+			b.probeTime = time.Millisecond
 			b.startStreams(1)
 			left := b.lastSend().Upstream.ID
 			b.advance(300 * time.Millisecond)
@@ -182,7 +183,7 @@
 // its other streams get events.
 func TestEngineWithOutputIsNotAvoided(t *testing.T) {
 	withHarness(t, func(b *harness) {
-		b.probesFail = true
+		b.probesFail.Store(true)
 		b.startStreams(1)
 		left := b.lastSend().Upstream.ID
 		b.advance(200 * time.Millisecond)
@@ -198,7 +199,7 @@
 // longest allowed pause, 700 ms, or that move to another engine of the domain.
 func TestStreamsOfADarkDomainMoveInTime(t *testing.T) {
 	withHarness(t, func(b *harness) {
-		b.probesFail = true
+		b.probesFail.Store(true)
 		replies := b.startStreams(12)
 		engines := &pausingEngines{b: b, events: 1 << 20, burst: 1 << 20}
 		for _, s := range b.sent() {
