Keep no row of a stopped instance in the store

Callers got the address of an instance that had stopped, if it stopped during its announcement or if the store did not answer its withdrawal. Nothing removes the row of an instance that is gone.

Cause: the announcement was repeated after the withdrawal, or took effect after it, and the withdrawal was sent once. Since SIGTERM during the start stops gracefully, a stop can overlap the announcement.

A withdrawn instance does not announce itself, withdraws again when an announcement that was on its way has returned, and repeats a failed withdrawal until it ends. The fake store now removes withdrawn rows.

--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -36,7 +36,10 @@
 	// changeTransferTime is how long one change takes to arrive, in nanoseconds. A
 	// read from a revision receives each change since then.
 	changeTransferTime atomic.Int64
-	writesHang         atomic.Bool // writes get no answer
+	writesHang         atomic.Bool // announcements get no answer
+	// announceTime is how long an announcement is queued until it takes effect, in
+	// nanoseconds.
+	announceTime atomic.Int64
 }
 
 // storeContent is the content of the store, which all fakeStores share. mu guards
@@ -138,6 +141,7 @@
 		wait.Sleep(ctx, time.Hour)
 		return 0, ctx.Err()
 	}
+	wait.Sleep(ctx, time.Duration(s.announceTime.Load()))
 	s.content.mu.Lock()
 	defer s.content.mu.Unlock()
 	for i, row := range s.content.instances {
@@ -150,7 +154,16 @@
 	s.content.instances = append(s.content.instances, in)
 	return in.Incarnation, nil
 }
-func (s *fakeStore) Withdraw(context.Context, model.Instance) error { return nil }
+
+func (s *fakeStore) Withdraw(_ context.Context, self model.Instance) error {
+	if s.unreachable.Load() {
+		return errDown
+	}
+	s.content.change(func() {
+		s.content.instances = slices.DeleteFunc(s.content.instances, func(in model.Instance) bool { return in.ID == self.ID })
+	})
+	return nil
+}
 
 // member is one instance of a cell.
 type member struct {
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -110,10 +111,14 @@
 }
 
 func (m *Manager) announce() {
+	if m.list.withdrawn {
+		return
+	}
 	self, row := m.self(), m.list.rowRevision
 	call := func(ctx context.Context) (uint64, error) { return m.opts.Store.Announce(ctx, self, row) }
 	worker.Call(m.opts.Pool, keyInstances, announceTimeout, call, func(incarnation uint64, err error) {
 		m.list.record(err)
+		m.withdrawAfterAnnouncement()
 		if err != nil {
 			m.opts.Pool.After(m.announceBackoff(), keyInstances, worker.Func(m.announce))
 			return
@@ -278,6 +283,7 @@
 	call := func(ctx context.Context) (uint64, error) { return m.opts.Store.Announce(ctx, self, 0) }
 	worker.Call(m.opts.Pool, keyInstances, announceTimeout, call, func(incarnation uint64, err error) {
 		m.list.record(err)
+		m.withdrawAfterAnnouncement()
 		if err != nil {
 			m.opts.Pool.After(m.announceBackoff(), keyInstances, worker.Func(m.reannounce))
 			return
@@ -293,15 +299,32 @@
 func (m *Manager) Withdraw() {
 	m.opts.Pool.Post(keyInstances, worker.Func(func() {
 		m.list.withdrawn = true
-		call := func(ctx context.Context) (uint64, error) {
-			self := m.self()
-			return self.Incarnation, m.opts.Store.Withdraw(ctx, self)
-		}
-		worker.Call(m.opts.Pool, keyInstances, callTimeout, call, func(incarnation uint64, err error) {
-			m.list.record(err)
-			if err == nil {
-				m.opts.Log.WithField("incarnation", incarnation).Info("instance withdrawn")
-			}
-		})
+		m.withdraw()
 	}))
 }
+
+// withdraw removes the row, and tries again until it is gone: callers would get the
+// address of a stopped instance from it.
+func (m *Manager) withdraw() {
+	call := func(ctx context.Context) (uint64, error) {
+		self := m.self()
+		return self.Incarnation, m.opts.Store.Withdraw(ctx, self)
+	}
+	worker.Call(m.opts.Pool, keyInstances, callTimeout, call, func(incarnation uint64, err error) {
+		m.list.record(err)
+		switch {
+		case err == nil:
+			m.opts.Log.WithField("incarnation", incarnation).Info("instance withdrawn")
+		case !trace.IsCompareFailed(err): // otherwise another start of the instance has the row
+			m.opts.Pool.After(m.retryWait(), keyInstances, worker.Func(m.withdraw))
+		}
+	})
+}
+
+// withdrawAfterAnnouncement withdraws again if this instance was withdrawn during an
+// announcement, which may have taken effect later than the withdrawal.
+func (m *Manager) withdrawAfterAnnouncement() {
+	if m.list.withdrawn {
+		m.withdraw()
+	}
+}
--- a/internal/coordination/registry/instances_test.go
+++ b/internal/coordination/registry/instances_test.go
@@ -126,3 +126,51 @@
 		assert.Assert(t, w.instances[0].Incarnation >= 9, "%+v", w.instances)
 	})
 }
+
+// listed reports whether the store has a row of the instance.
+func (w *storeContent) listed(id model.InstanceID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.instances, func(in model.Instance) bool { return in.ID == id })
+}
+
+// Guards against callers that get the address of a stopped instance, because its
+// announcement took effect after its withdrawal or the withdrawal failed.
+func TestStoppedInstanceHasNoRow(t *testing.T) {
+	for name, stop := range map[string]func(m *member){
+		"stops during its announcement": func(m *member) { m.Withdraw() },
+		"stops while its announcement is repeated": func(m *member) {
+			m.store.unreachable.Store(true)
+			m.store.writesHang.Store(true)
+			time.Sleep(announceTimeout)
+			m.Withdraw()
+			time.Sleep(time.Second)
+			m.store.unreachable.Store(false)
+			m.store.writesHang.Store(false)
+		},
+		"the store is out of reach for a second": func(m *member) {
+			time.Sleep(2 * time.Second)
+			m.store.unreachable.Store(true)
+			m.Withdraw()
+			time.Sleep(time.Second)
+			m.store.unreachable.Store(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newStoreContent()
+				c := startCell(t, w, "a")
+				defer c.close()
+				joining := newMember(w, c, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+				defer joining.pool.Close()
+				joining.store.announceTime.Store(int64(time.Second))
+				joining.Start()
+				time.Sleep(300 * time.Millisecond)
+				stop(joining)
+				time.Sleep(5 * time.Second) // the rest of a planned stop
+				synctest.Wait()
+				assert.Assert(t, !w.listed("b"))
+			})
+		})
+	}
+}
