--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -41,10 +41,11 @@
 	events  string
 	answer  *Answer
 	refused *model.Refusal
-	ended   bool
-	broken  bool
-
+	// refusedAt is the time of the refusal. A test that waits for it must not read refused
+	// meanwhile: the bubble's clock does not order that read before the write.
 	refusedAt time.Time
+	ended     bool
+	broken    bool
 }
 
 func (f *fakeReply) Answer(a Answer)         { f.answer = &a }
@@ -78,7 +79,7 @@
 	copyHolders       []model.UpstreamID // holders of the copies made on request
 	budget            fakeBudget
 	failedConnections []model.UpstreamID // upstreams whose connection failures were published; read through connectionFailures
-	probesFail        bool               // probes get no answer
+	probesFail        atomic.Bool        // probes get no answer
 	probeTime         time.Duration      // until a probe is answered
 	engineState       EngineState        // what probed engines report
 	cachedParts       map[model.UpstreamID][]CachedPart
@@ -141,7 +142,7 @@
 
 // Probe implements Sender.
 func (b *harness) Probe(_ model.Upstream, timeout time.Duration, answered func(EngineState, error)) {
-	if b.probesFail {
+	if b.probesFail.Load() {
 		time.AfterFunc(timeout, func() { answered(EngineState{}, errors.New("no answer")) })
 		return
 	}
