--- a/internal/transport/standin/fleet/fault.go
+++ b/internal/transport/standin/fleet/fault.go
@@ -59,7 +59,7 @@
 }
 
 // answerResume sends an answer that does not continue a resumed stream.
-func (w *Worker) answerResume(rw http.ResponseWriter, r *http.Request, answer ResumeAnswer) {
+func (w *Worker) answerResume(rw http.ResponseWriter, answer ResumeAnswer) {
 	w.sign(rw)
 	rw.Header().Set("Content-Type", answer.Type)
 	if !answer.NoLength {
--- a/internal/transport/standin/fleet/worker.go
+++ b/internal/transport/standin/fleet/worker.go
@@ -355,7 +355,7 @@
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
 	if after > 0 {
 		if answer, ok := w.fleet.takeResumeAnswer(id); ok {
-			w.answerResume(rw, r, answer)
+			w.answerResume(rw, answer)
 			return
 		}
 	}
