TestStreamThatNoEngineAcceptsIsRefused: wait for the request without a data race

Cause: the test polled a field of its fake reply, which an item of the pool writes. The race detector reported it; the package had run without it. Change: the test polls the number of running requests, which is atomic and falls after the reply was written.

--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -140,7 +140,7 @@
 			arrived := time.Now()
 			reply, _ := b.submit("/log/1")
 			answered := 0
-			for reply.refused == nil && time.Since(arrived) < time.Minute {
+			for b.m.Running() > 0 {
 				if all := b.sent(); len(all) > answered {
 					answered = len(all)
 					all[answered-1].Answered(Answer{Status: 503, NotRun: true})
