Hold calls while the entries of all upstreams have lapsed

A call to a service whose entries had all lapsed was refused at once if one of its upstreams had work in flight, and held until the entries came back if none had.

Cause: such an upstream stays in the table, marked as leaving, and calls were held only if the table had no upstream. Streams already treat 'all leave' like 'none is known'.

Evidence: TestRequestsWaitForLapsedUpstreams, which now also has work in flight, fails on: the call is refused. The wait of the test is 600 ms and not 700 ms, since it now also checks that the call is not refused, and its route ends at 800 ms.

Calls use the same condition as streams.

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -23,7 +23,7 @@
 func (r *activeRequest) placeCall() {
 	up, ok := r.m.pickCallUpstream(r)
 	switch {
-	case !ok && r.attemptNumber == 0 && r.m.hasNoUpstream(r.service.Name):
+	case !ok && r.attemptNumber == 0 && r.m.allLeave(r, time.Now()):
 		r.hold(r.placeCall, refuseNoUpstream(r.service.Name, r.req))
 		return
 	case !ok:
--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -30,17 +30,27 @@
 }
 
 // Guards against requests that are refused because the entries of all upstreams of
-// their service expired. The entries are registered again within 2 s.
+// their service expired, with work in flight or without. The entries are registered
+// again within 2 s.
 func TestRequestsWaitForLapsedUpstreams(t *testing.T) {
-	withHarness(t, func(b *harness) {
-		b.upstreams.Configure(nil)
-		b.submit("/log/1")
-		b.submit("/book/1")
-		b.advance(700 * time.Millisecond)
-		b.upstreams.Configure([]model.Upstream{fakeUpstream("engine", "a", 0), fakeUpstream("desk", "a", 0)})
-		b.advance(2 * holdCheckInterval)
-		assert.Equal(t, len(b.sent()), 2)
-	})
+	back := []model.Upstream{fakeUpstream("engine", "a", 0), fakeUpstream("desk", "a", 0)}
+	for _, inFlight := range []int{0, 2} {
+		withHarness(t, func(b *harness) {
+			b.upstreams.Configure(back)
+			if inFlight > 0 {
+				b.submit("/log/0")
+				b.submit("/book/0")
+			}
+			b.upstreams.Configure(nil)
+			stream, _ := b.submit("/log/1")
+			call, _ := b.submit("/book/1")
+			b.advance(600 * time.Millisecond)
+			b.upstreams.Configure(back)
+			b.advance(2 * holdCheckInterval)
+			assert.Equal(t, len(b.sent()), inFlight+2)
+			assert.Assert(t, stream.refused == nil && call.refused == nil)
+		})
+	}
 }
 
 // Guards against a hold that leaves the caller no time to try elsewhere, and against
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -64,13 +64,9 @@
 	return ready, suspected
 }
 
-// hasNoUpstream reports whether no upstream of the service is known.
-func (m *Manager) hasNoUpstream(service string) bool {
-	return len(m.opts.Upstreams.Serving(service)) == 0
-}
-
 // allLeave reports whether no upstream that the request may go to takes new work again:
-// none is known, or all of them leave.
+// none is known, or all of them leave. An upstream whose entry lapsed while it had work
+// counts as leaving until the entry is back.
 func (m *Manager) allLeave(r *activeRequest, now time.Time) bool {
 	rows := m.filterByVersion(r, m.opts.Upstreams.Serving(r.service.Name), now)
 	return !slices.ContainsFunc(rows, func(row upstream.Row) bool { return row.Report.Health != upstream.HealthLeaving })
