--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -110,11 +110,11 @@
 	status          int
 	header          Header
 	cancel          func()
-	eventCount      int // events that this attempt delivered
-	staleEvents     int // events of this attempt that the caller had already
-	lastStale       Position
-	outcomeRecorded bool // the outcome has been recorded
-	returnSlot      bool // counted at an upstream that returns from a pause
+	eventCount      int      // events that this attempt delivered
+	staleEvents     int      // events of this attempt that the caller had already
+	lastStale       Position // highest position among them
+	outcomeRecorded bool     // the outcome has been recorded
+	returnSlot      bool     // counted at an upstream that returns from a pause
 	silenceTimer    *worker.Timer
 	probed          bool      // probed since the last event
 	unansweredSince time.Time // first of the last probes that got no answer; zero means none
--- a/tests/e2e/soakcheck_test.go
+++ b/tests/e2e/soakcheck_test.go
@@ -68,6 +68,7 @@
 	violations = append(violations, s.checkCancelled(attempts, runs)...)
 	violations = append(violations, s.checkLeaving(attempts, runs)...)
 	violations = append(violations, s.checkPauses(attempts)...)
+	violations = append(violations, s.checkSilences(attempts, runs)...)
 	return append(violations, s.checkRecovery(attempts)...)
 }
 
@@ -85,7 +86,7 @@
 	if promisesNotRun(a.status) && len(runs) > 0 && a.path != "/read/1" {
 		report("refused with %d, but ran at %s", a.status, runs[0].worker.ID())
 	}
-	if a.path == "/book/1" && len(runs) > 1 {
+	if (a.path == "/book/1" || a.path == "/tell/1") && len(runs) > 1 {
 		report("ran %d times", len(runs))
 	}
 	if a.served() && len(runs) == 0 {
@@ -172,21 +173,21 @@
 	return ran || (!a.written.IsZero() && a.ended.Sub(a.written) > lossSlack+s.slack())
 }
 
-// onlyPlannedWork reports whether the attempt was not cancelled, and nothing but changes
-// of the rules, reloads and planned stops overlapped it and the settleTime before it.
+// onlyPlannedWork reports whether the attempt was not cancelled, and nothing but planned
+// work and silences of sound workers overlapped it and the settleTime before it.
 func (s *soak) onlyPlannedWork(a soakAttempt) bool {
 	return !a.cancelled && !slices.ContainsFunc(s.appliedFaults, func(f appliedFault) bool {
-		return !f.planned() && f.overlaps(a.sent.Add(-settleTime), a.ended)
+		return f.excusesLoss() && f.overlaps(a.sent.Add(-settleTime), a.ended)
 	})
 }
 
-// planned reports whether the fault is planned work.
-func (f appliedFault) planned() bool {
+// excusesLoss reports whether a request may end without an answer beside the fault.
+func (f appliedFault) excusesLoss() bool {
 	switch f.kind {
-	case faultRules, faultVariedRules, faultReload, faultStop:
-		return true
-	default:
+	case faultRules, faultVariedRules, faultReload, faultStop, faultSilent:
 		return false
+	default:
+		return true
 	}
 }
 
