Deliver an engine's error at the end of a stop or a deadline

A request that waited for another engine after an error answer got a 502 of this instance at a planned stop, and a 504 at its deadline, in place of that answer.

Cause: both ends looked only at whether the request may have run.

Evidence: TestStopDeliversTheErrorOfAnEngine fails before this change: the caller gets outcome_unknown.

Both now end the request in the same way: with the upstream's error unless another attempt still runs, else with a refusal that is true of it.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -253,11 +253,23 @@
 	if r.ended {
 		return
 	}
-	if r.executions == 0 && len(r.inFlight) == 0 {
-		r.refuse(refuseBusy(r.service.Name))
-		return
+	r.endUnanswered(refuseBusy(r.service.Name), refuseDeadline())
+}
+
+// endUnanswered ends a request that gets no more time. An upstream's error answer is
+// delivered unless another attempt still runs. Otherwise the request is refused, with
+// notRun if no upstream can have run it, and with unknown if one may have.
+func (r *activeRequest) endUnanswered(notRun, unknown *model.Refusal) {
+	switch {
+	case len(r.inFlight) > 0 || r.response.begun:
+		r.refuse(unknown)
+	case r.hasLastFailure:
+		r.deliver(r.lastFailure)
+	case r.executions == 0:
+		r.refuse(notRun)
+	default:
+		r.refuse(unknown)
 	}
-	r.refuse(refuseDeadline())
 }
 
 // outcomeAborted is the outcome of a stream whose caller got a part of the answer and
--- a/internal/coordination/forward/stop.go
+++ b/internal/coordination/forward/stop.go
@@ -69,11 +69,10 @@
 
 // handleStop ends a request that the stop of the instance would cut.
 func (r *activeRequest) handleStop() {
-	if r.executions == 0 && len(r.inFlight) == 0 && !r.response.begun {
-		r.refuse(RefuseLeaving())
+	if r.ended {
 		return
 	}
-	r.refuse(refuseUnknown("this instance stops before its answer"))
+	r.endUnanswered(RefuseLeaving(), refuseUnknown("this instance stops before its answer"))
 }
 
 // leavingRetryAfter is short because callers can use another instance at once.
--- a/internal/coordination/forward/stop_test.go
+++ b/internal/coordination/forward/stop_test.go
@@ -40,3 +40,21 @@
 		}
 	})
 }
+
+// Guards against an engine's error answer that a failure of this instance replaces at a
+// stop, while the request waits for another engine.
+func TestStopDeliversTheErrorOfAnEngine(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		reply, _ := b.submit("/log/1")
+		for _, up := range engines(b) {
+			b.upstreams.Leave(up.ID)
+		}
+		b.lastSend().Answered(Answer{Status: 500})
+		b.advance(time.Second)
+		b.m.EndAll()
+		b.advance(0)
+		assert.Assert(t, reply.answer != nil && reply.refused == nil)
+		assert.Equal(t, reply.answer.Status, 500)
+		assert.Equal(t, b.m.Running(), 0)
+	})
+}
