keptconn: the test waits until its server has accepted the connection

Trace: the client uses a new connection before the test's server has accepted it, so that the server repeats its answer on the connection before. The test now waits for the connection with the number that it means; what it checks is the same.

--- a/internal/transport/keptconn/keptconn_test.go
+++ b/internal/transport/keptconn/keptconn_test.go
@@ -37,8 +37,8 @@
 			if err != nil {
 				return
 			}
-			r.connections.Add(1)
 			r.last.Store(&conn)
+			r.connections.Add(1)
 			go r.serve(conn)
 		}
 	}()
@@ -62,8 +62,12 @@
 	}
 }
 
-// repeat sends an answer on the newest connection and waits until the client has it.
-func (r *repeater) repeat(t *testing.T) {
+// repeat sends an answer on the connection with the given number, the newest one, and
+// waits until the client has it. A client may use a connection before it is accepted.
+func (r *repeater) repeat(t *testing.T, connection int32) {
+	for r.connections.Load() < connection && t.Context().Err() == nil {
+		time.Sleep(time.Millisecond)
+	}
 	_, err := io.WriteString(*r.last.Load(), answer)
 	assert.Check(t, err)
 	time.Sleep(50 * time.Millisecond)
@@ -95,7 +99,7 @@
 	transport := New(&http.Transport{})
 	defer transport.CloseIdleConnections()
 	assert.NilError(t, post(t, transport, r, func() {}))
-	assert.ErrorIs(t, post(t, transport, r, func() { r.repeat(t) }), ErrEarlyAnswer)
+	assert.ErrorIs(t, post(t, transport, r, func() { r.repeat(t, 1) }), ErrEarlyAnswer)
 	assert.NilError(t, post(t, transport, r, func() {}))
 	assert.Equal(t, r.connections.Load(), int32(2))
 }
@@ -111,5 +115,5 @@
 	}
 	assert.Equal(t, r.connections.Load(), int32(1))
 	transport.CloseIdleConnections()
-	assert.NilError(t, post(t, transport, r, func() { r.repeat(t) }))
+	assert.NilError(t, post(t, transport, r, func() { r.repeat(t, 2) }))
 }
