Wait for the final answers at the end of a planned stop

Cause (review): the final answers of the requests that are left had to be written within the 100 ms in which the listener closes, although 400 ms are kept for the end of a stop; a busy machine could still cut them. Change: the stop waits until they have ended, for 200 ms at most. No test of its own.

--- a/cmd/internal/edge/drain.go
+++ b/cmd/internal/edge/drain.go
@@ -15,6 +15,9 @@
 	// longStreamTime is how long a long stream takes. New streams are refused when
 	// less time is left before the stop.
 	longStreamTime = 7 * time.Second
+	// answerTime bounds the wait for the final answers of the requests that are left. It
+	// and the time to close connections fit in StopMargin.
+	answerTime = 200 * time.Millisecond
 	// drainInterval is the time between checks whether requests still run.
 	drainInterval = 50 * time.Millisecond
 )
@@ -43,6 +46,9 @@
 	}
 	e.log.WithField("running", e.forward.Running()).Info("drain ends")
 	e.forward.EndAll()
+	for answered := time.Now().Add(answerTime); e.forward.Running() > 0 && time.Now().Before(answered); {
+		waitUntil(time.Now().Add(drainInterval))
+	}
 	return nil
 }
 
