forward: names for moves of silent streams

MayMove, moveSilent and unmovableProbeInterval replace them. A comment says why a resume from a copy is not bounded by the route's limit of sends.

--- a/internal/coordination/continuation/silence.go
+++ b/internal/coordination/continuation/silence.go
@@ -73,7 +73,7 @@
 	Lost             bool          // the engine answers probes, but no longer runs the stream or makes no progress
 }
 
-// MayLeave reports whether another engine may take over from a silent one. Silence is no
+// MayMove reports whether another engine may take over from a silent one. Silence is no
 // proof of a failure, so it never ends a request: without a further send or another
 // engine the attempt stays open until its connection breaks or its time is over.
 //
@@ -81,7 +81,7 @@
 // answer would be late after a longer pause. Without a copy the prompt would be read
 // again, which takes longer than the pause of a sound engine. The last send is kept for
 // a broken connection unless the engine is silent for longer than sound engines are.
-func (s Silence) MayLeave() bool {
+func (s Silence) MayMove() bool {
 	switch {
 	case s.SendsLeft < 1 || !s.AlternativeReady:
 		return false
--- a/internal/coordination/continuation/silence_test.go
+++ b/internal/coordination/continuation/silence_test.go
@@ -28,6 +28,6 @@
 		{"no other engine", Silence{PromptRead: true, CopyReady: true, SendsLeft: 3, Unanswered: dark, Lost: true}, false},
 	}
 	for _, test := range tests {
-		assert.Check(t, test.s.MayLeave() == test.want, test.name)
+		assert.Check(t, test.s.MayMove() == test.want, test.name)
 	}
 }
--- a/internal/coordination/forward/probe.go
+++ b/internal/coordination/forward/probe.go
@@ -16,9 +16,9 @@
 	probeInterval = 700 * time.Millisecond
 	// unansweredProbeInterval is the time from an unanswered probe to the next one.
 	unansweredProbeInterval = 250 * time.Millisecond
-	// boundProbeInterval is the time between two probes for a stream that cannot move.
+	// unmovableProbeInterval is the time between two probes for a stream that cannot move.
 	// The answers only show other streams whether the engine is alive.
-	boundProbeInterval = 3 * time.Second
+	unmovableProbeInterval = 3 * time.Second
 	// maxEventWait is the longest wait for an event of a live engine, as a multiple of
 	// the latency objective. After that the engine is considered stuck.
 	maxEventWait = 1.5
@@ -65,7 +65,7 @@
 			a.unansweredSince = probedAt
 		}
 		r.recordUnansweredProbe(a)
-		if r.leaveSilent(a, "engine did not answer a probe: "+err.Error()) {
+		if r.moveSilent(a, "engine did not answer a probe: "+err.Error()) {
 			return
 		}
 		next = unansweredProbeInterval
@@ -73,12 +73,12 @@
 		a.unansweredSince = time.Time{}
 		r.m.opts.Upstreams.RecordOutput(a.upstream.ID, time.Now())
 		a.forgotten = time.Since(a.started) > maxStateAge && !state.mayContain(r.req.ID)
-		if a.forgotten && r.leaveSilent(a, "engine no longer has the request") {
+		if a.forgotten && r.moveSilent(a, "engine no longer has the request") {
 			return
 		}
 	}
 	if r.sendsLeft() < 1 {
-		next = boundProbeInterval
+		next = unmovableProbeInterval
 	}
 	r.scheduleSilenceCheck(a, next)
 }
--- a/internal/coordination/forward/silence.go
+++ b/internal/coordination/forward/silence.go
@@ -71,7 +71,7 @@
 		r.scheduleSilenceCheck(a, limit-silent)
 		return
 	}
-	if r.leaveSilent(a, "no event for "+silent.String()) {
+	if r.moveSilent(a, "no event for "+silent.String()) {
 		return
 	}
 	if !a.probed && (a.eventCount > 0 || a.fromCopy) {
@@ -80,11 +80,11 @@
 	r.probe(a)
 }
 
-// leaveSilent moves the stream of a silent attempt to another engine if that is allowed,
+// moveSilent moves the stream of a silent attempt to another engine if that is allowed,
 // and reports whether it did. A resend is taken from the budget before the attempt ends,
 // so that a stream never waits for the budget without an engine.
-func (r *activeRequest) leaveSilent(a *attempt, cause string) bool {
-	if !r.silence(a).MayLeave() || !r.reserveResend() {
+func (r *activeRequest) moveSilent(a *attempt, cause string) bool {
+	if !r.silence(a).MayMove() || !r.reserveResend() {
 		return false
 	}
 	kind := continuation.LossSilence
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -113,6 +113,7 @@
 	}
 	demand := r.demand()
 	demand.prefillTokens = 0
+	// A resume from a copy is the same run, so the route's limit of sends does not bound it.
 	// The copy expires soon, so the resend is charged to the budget but never delayed by it.
 	r.takeResend()
 	r.startStream(row.Upstream, demand, 0, &source.source)
