One raw HTTP server for the tests of clients

The tests of backend, service, platform and keptconn each had a server of their own that reads requests and writes raw answers. They share the stand-in rawhttp now; what they check is the same.

--- a/internal/transport/backend/client_test.go
+++ b/internal/transport/backend/client_test.go
@@ -1,11 +1,7 @@
 package backend
 
 import (
-	"bufio"
-	"fmt"
-	"io"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -14,6 +10,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
 	"gotest.tools/v3/assert"
 )
 
@@ -37,33 +34,13 @@
 	w <- outcome{loss: k, sent: sent}
 }
 
-// startRawUpstream starts an upstream that answers each request with the given
-// bytes and closes the connection.
-func startRawUpstream(t *testing.T, answer string) (address string, requests *atomic.Int32) {
+// startUpstream starts an upstream whose answers the function writes.
+func startUpstream(t *testing.T, answer rawhttp.Answer) *rawhttp.Server {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := rawhttp.Start(answer)
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	requests = new(atomic.Int32)
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			req, err := http.ReadRequest(bufio.NewReader(conn))
-			if err == nil {
-				// A connection that is closed with unread bytes is reset.
-				_, err = io.Copy(io.Discard, req.Body)
-			}
-			if err == nil {
-				requests.Add(1)
-				_, _ = fmt.Fprint(conn, answer)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String(), requests
+	t.Cleanup(func() { _ = s.Close() })
+	return s
 }
 
 func sendTo(t *testing.T, address string, reuse bool) outcome {
@@ -98,7 +75,7 @@
 		head + "Content-Length: 7\r\n\r\nid: 1\n\n":                                                     "",
 		"HTTP/1.1 206 Partial Content\r\nX-Req: r1\r\nContent-Type: text/event-stream\r\n\r\nid: 1\n\n": "id: 1\n\n",
 	} {
-		address, _ := startRawUpstream(t, answer)
+		address := startUpstream(t, rawhttp.Text(answer)).Address()
 		client := New(forwardwire.Names{Request: "X-Req"}, EngineAPI{})
 		got := make(outcomeChannel, 1)
 		client.run(t.Context(), forward.Send{
@@ -136,7 +113,7 @@
 		{"broken chunk", "HTTP/1.1 200 OK\r\nX-Req: r1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz", continuation.LossTruncated, 0, ""},
 	}
 	for _, c := range cases {
-		address, _ := startRawUpstream(t, c.answer)
+		address := startUpstream(t, rawhttp.Text(c.answer)).Address()
 		got := sendTo(t, address, false)
 		assert.Equal(t, got.loss, c.loss, c.name)
 		if c.loss != "" {
@@ -163,10 +140,10 @@
 // Guards against net/http sending a request again on its own.
 func TestRequestIsSentOnce(t *testing.T) {
 	for _, reuse := range []bool{false, true} {
-		address, requests := startRawUpstream(t, "")
-		sendTo(t, address, reuse)
+		upstream := startUpstream(t, rawhttp.Text(""))
+		sendTo(t, upstream.Address(), reuse)
 		time.Sleep(50 * time.Millisecond)
-		assert.Equal(t, requests.Load(), int32(1))
+		assert.Equal(t, upstream.Requests(), int32(1))
 	}
 }
 
@@ -189,7 +166,7 @@
 		"HTTP/1.1 421 Misdirected Request\r\nX-Id: u2\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n": false,
 		"HTTP/1.1 200 OK\r\nX-Req: r2\r\nX-Leaving: 1\r\nContent-Length: 0\r\n\r\n":                 false,
 	} {
-		address, _ := startRawUpstream(t, answer)
+		address := startUpstream(t, rawhttp.Text(answer)).Address()
 		client := New(forwardwire.Names{Request: "X-Req", NotRun: "X-Not-Run", Answering: "X-Id", Leaving: "X-Leaving"}, EngineAPI{})
 		got := leavingRecorder{make(outcomeChannel, 1), new(atomic.Bool)}
 		client.Start(forward.Send{
--- a/internal/transport/backend/cut_test.go
+++ b/internal/transport/backend/cut_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -14,58 +13,26 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
 	"gotest.tools/v3/assert"
 )
 
-// cutUpstream answers each request with the bytes that its path selects and then ends
-// the connection: /fin/N/ and /reset/N/ send the first N bytes.
-type cutUpstream struct {
-	answer string
-}
-
-// start returns the upstream's address.
-func (u cutUpstream) start(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go u.serve(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func (u cutUpstream) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
+// cutAnswer answers each request with the bytes that its path selects and then ends the
+// connection: /fin/N/ and /reset/N/ send the first N bytes.
+func cutAnswer(whole string) rawhttp.Answer {
+	return func(_ int, conn net.Conn, req *http.Request) bool {
 		var end string
 		var size int
 		if _, err := fmt.Sscanf(strings.ReplaceAll(req.URL.Path, "/", " "), "%s %d", &end, &size); err != nil {
-			return
+			return false
 		}
-		_, _ = io.WriteString(conn, u.answer[:size])
-		switch {
-		case end == "reset":
+		_, _ = io.WriteString(conn, whole[:size])
+		if end == "reset" {
 			time.Sleep(5 * time.Millisecond) // otherwise the reset overtakes the bytes
 			_ = conn.(*net.TCPConn).SetLinger(0)
-			return
-		case size < len(u.answer) || end == "fin":
-			return
+			return false
 		}
+		return size == len(whole) && end != "fin"
 	}
 }
 
@@ -95,7 +62,7 @@
 	for _, answer := range answers {
 		t.Run(answer.name, func(t *testing.T) {
 			whole := answer.head + answer.body
-			address := cutUpstream{whole}.start(t)
+			address := startUpstream(t, cutAnswer(whole)).Address()
 			client := New(forwardwire.Names{Request: "X-Req", NotRun: "X-Not-Run"}, EngineAPI{})
 			defer client.Close()
 			var sends sync.WaitGroup
--- a/internal/transport/backend/events_test.go
+++ b/internal/transport/backend/events_test.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
 	"gotest.tools/v3/assert"
 )
 
@@ -104,7 +105,7 @@
 		{"cut event", head + "\r\n" + event + "id: 2\n", recorder{loss: continuation.LossTruncated}},
 	}
 	for _, c := range cases {
-		address, _ := startRawUpstream(t, c.answer)
+		address := startUpstream(t, rawhttp.Text(c.answer)).Address()
 		client := New(forwardwire.Names{Request: "X-Req"}, EngineAPI{})
 		got := &recorder{}
 		client.run(t.Context(), forward.Send{
--- a/internal/transport/backend/kept_test.go
+++ b/internal/transport/backend/kept_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,49 +14,20 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
 	"gotest.tools/v3/assert"
 )
 
-// keptUpstream keeps its connections and answers their requests from a script.
-type keptUpstream struct {
-	answers     []string // to the requests of each connection, in their order
-	connections atomic.Int32
-}
-
-func (u *keptUpstream) start(t *testing.T) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			u.connections.Add(1)
-			go u.serve(conn)
-		}
-	}()
-	return listener.Addr().String()
-}
-
-func (u *keptUpstream) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	in := bufio.NewReader(conn)
-	for _, answer := range u.answers {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		if _, err := io.WriteString(conn, answer); err != nil {
-			return
+// script answers the requests of each connection with the texts, in their order, and
+// closes the connection at the request after them.
+func script(answers ...string) rawhttp.Answer {
+	return func(n int, conn net.Conn, _ *http.Request) bool {
+		if n > len(answers) {
+			return false
 		}
+		_, err := io.WriteString(conn, answers[n-1])
+		return err == nil
 	}
-	_, _ = in.Peek(1) // the client closes the connection
 }
 
 func callTo(address, id string) forward.Send {
@@ -104,8 +74,8 @@
 		"with two IDs":            "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Req: r2\r\nX-Req: r1\r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
-			upstream := &keptUpstream{answers: []string{first, refusal}}
-			address := upstream.start(t)
+			upstream := startUpstream(t, script(first, refusal))
+			address := upstream.Address()
 			client := keptClient()
 			defer client.Close()
 			got := send(client, callTo(address, "r1"))
@@ -116,7 +86,7 @@
 			time.Sleep(20 * time.Millisecond) // net/http notices the end of an idle connection in its own goroutine
 			got = send(client, callTo(address, "r1"))
 			assert.Assert(t, got.answer != nil && got.answer.Status == 200, "%+v", got)
-			assert.Equal(t, upstream.connections.Load(), int32(2))
+			assert.Equal(t, upstream.Connections(), int32(2))
 		})
 	}
 }
@@ -125,7 +95,7 @@
 // they can belong to no other request.
 func TestRefusalWithoutIDOnANewConnectionCounts(t *testing.T) {
 	for _, reuse := range []bool{false, true} {
-		address, _ := startRawUpstream(t, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull")
+		address := startUpstream(t, rawhttp.Text("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 4\r\n\r\nfull")).Address()
 		got := sendTo(t, address, reuse)
 		assert.Assert(t, got.answer != nil && got.answer.NotRun, "%+v", got)
 	}
@@ -134,18 +104,16 @@
 // Guards against an answer to an earlier request that counts as the answer to a request
 // without an ID, which no answer can name.
 func TestRequestsWithoutIDShareNoConnection(t *testing.T) {
-	upstream := &keptUpstream{answers: []string{
-		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
-		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst",
-	}}
-	address := upstream.start(t)
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+	upstream := startUpstream(t, script(answer, answer))
+	address := upstream.Address()
 	client := keptClient()
 	defer client.Close()
 	for range 2 {
 		got := send(client, callTo(address, ""))
 		assert.Assert(t, got.answer != nil && got.answer.Status == 200, "%+v", got)
 	}
-	assert.Equal(t, upstream.connections.Load(), int32(2))
+	assert.Equal(t, upstream.Connections(), int32(2))
 }
 
 // Guards against answers that contradict themselves or have no final status: a caller
@@ -164,7 +132,7 @@
 	} {
 		for _, stream := range []bool{false, true} {
 			for _, reuse := range []bool{false, true} {
-				address, _ := startRawUpstream(t, answer)
+				address := startUpstream(t, rawhttp.Text(answer)).Address()
 				client := keptClient()
 				s := callTo(address, "r1")
 				s.Stream, s.ReuseConnection = stream, reuse
@@ -181,7 +149,7 @@
 func TestRefusalsWithoutTheMarkAreNotPassedOn(t *testing.T) {
 	for _, status := range []int{408, 429, 503} {
 		for _, stream := range []bool{false, true} {
-			address, _ := startRawUpstream(t, fmt.Sprintf("HTTP/1.1 %d Refused\r\nX-Req: r1\r\nContent-Length: 4\r\n\r\nbusy", status))
+			address := startUpstream(t, rawhttp.Text(fmt.Sprintf("HTTP/1.1 %d Refused\r\nX-Req: r1\r\nContent-Length: 4\r\n\r\nbusy", status))).Address()
 			client := keptClient()
 			s := callTo(address, "r1")
 			s.Stream, s.ReuseConnection = stream, false
--- a/internal/transport/keptconn/keptconn_test.go
+++ b/internal/transport/keptconn/keptconn_test.go
@@ -1,7 +1,6 @@
 package keptconn
 
 import (
-	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -9,79 +8,49 @@
 	"net/http/httptrace"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
 	"gotest.tools/v3/assert"
 )
 
 const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 // repeater answers each request, and sends one answer again when repeat is called.
-type repeater struct {
-	address     string
-	connections atomic.Int32
-	last        atomic.Pointer[net.Conn]
-}
+type repeater struct{ *rawhttp.Server }
 
-func startRepeater(t *testing.T) *repeater {
+func startRepeater(t *testing.T) repeater {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := rawhttp.Start(func(_ int, conn net.Conn, _ *http.Request) bool {
+		_, err := io.WriteString(conn, answer)
+		return err == nil
+	})
 	assert.NilError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	r := &repeater{address: listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			r.last.Store(&conn)
-			r.connections.Add(1)
-			go r.serve(conn)
-		}
-	}()
-	return r
-}
-
-func (r *repeater) serve(conn net.Conn) {
-	defer func() { _ = conn.Close() }()
-	in := bufio.NewReader(conn)
-	for {
-		req, err := http.ReadRequest(in)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		if _, err := io.WriteString(conn, answer); err != nil {
-			return
-		}
-	}
+	t.Cleanup(func() { _ = s.Close() })
+	return repeater{s}
 }
 
 // repeat sends an answer on the connection with the given number, the newest one, and
 // waits until the client has it. A client may use a connection before it is accepted.
-func (r *repeater) repeat(t *testing.T, connection int32) {
-	for r.connections.Load() < connection && t.Context().Err() == nil {
+func (r repeater) repeat(t *testing.T, connection int32) {
+	for r.Connections() < connection && t.Context().Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
-	_, err := io.WriteString(*r.last.Load(), answer)
+	_, err := io.WriteString(r.Newest(), answer)
 	assert.Check(t, err)
 	time.Sleep(50 * time.Millisecond)
 }
 
 // post sends a request and reads its answer. It calls start when the transport has chosen
 // a connection and has not written to it.
-func post(t *testing.T, transport *Transport, r *repeater, start func()) error {
+func post(t *testing.T, transport *Transport, r repeater, start func()) error {
 	t.Helper()
 	var once sync.Once
 	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
 		WroteHeaderField: func(string, []string) { once.Do(start) }, // into the buffer
 	})
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.address+"/", strings.NewReader("body"))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.Address()+"/", strings.NewReader("body"))
 	assert.NilError(t, err)
 	resp, err := transport.RoundTrip(req)
 	if err != nil {
@@ -101,7 +70,7 @@
 	assert.NilError(t, post(t, transport, r, func() {}))
 	assert.ErrorIs(t, post(t, transport, r, func() { r.repeat(t, 1) }), ErrEarlyAnswer)
 	assert.NilError(t, post(t, transport, r, func() {}))
-	assert.Equal(t, r.connections.Load(), int32(2))
+	assert.Equal(t, r.Connections(), int32(2))
 }
 
 // Guards against rejected answers of a sound server: many requests on one connection, and
@@ -113,7 +82,7 @@
 	for range 200 {
 		assert.NilError(t, post(t, transport, r, func() {}))
 	}
-	assert.Equal(t, r.connections.Load(), int32(1))
+	assert.Equal(t, r.Connections(), int32(1))
 	transport.CloseIdleConnections()
 	assert.NilError(t, post(t, transport, r, func() { r.repeat(t, 2) }))
 }
--- a/internal/transport/service/client_test.go
+++ b/internal/transport/service/client_test.go
@@ -1,65 +1,29 @@
 package service
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
 	"gotest.tools/v3/assert"
 )
 
-// server counts requests and passes each one to answer, with its number on the
-// connection, counted from 1.
-type server struct {
-	listener net.Listener
-	requests atomic.Int32
-	answer   func(n int, conn net.Conn, req *http.Request) bool // false closes the connection
-}
+type server struct{ *rawhttp.Server }
 
-func startServer(t *testing.T, answer func(int, net.Conn, *http.Request) bool) *server {
+func startServer(t *testing.T, answer rawhttp.Answer) server {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s, err := rawhttp.Start(answer)
 	assert.NilError(t, err)
-	s := &server{listener: l, answer: answer}
-	go s.accept()
-	t.Cleanup(func() { _ = l.Close() })
-	return s
-}
-
-func (s *server) accept() {
-	for {
-		conn, err := s.listener.Accept()
-		if err != nil {
-			return
-		}
-		go s.serve(conn)
-	}
-}
-
-func (s *server) serve(conn net.Conn) {
-	defer conn.Close()
-	r := bufio.NewReader(conn)
-	for n := 1; ; n++ {
-		req, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		body, _ := io.ReadAll(req.Body)
-		req.Body = io.NopCloser(bytes.NewReader(body))
-		s.requests.Add(1)
-		if !s.answer(n, conn, req) {
-			return
-		}
-	}
+	t.Cleanup(func() { _ = s.Close() })
+	return server{s}
 }
 
 func ok(conn net.Conn) {
@@ -83,8 +47,8 @@
 	}
 }
 
-func (s *server) upstream() model.Upstream {
-	return model.Upstream{ID: "s1", Address: s.listener.Addr().String()}
+func (s server) upstream() model.Upstream {
+	return model.Upstream{ID: "s1", Address: s.Address()}
 }
 
 // Guards against a resend by net/http: its default client sends a keyed POST
@@ -101,7 +65,7 @@
 		_, _ = io.Copy(io.Discard, resp.Body)
 		assert.NilError(t, resp.Body.Close())
 	}
-	assert.Equal(t, s.requests.Load(), int32(3), "the default client resends")
+	assert.Equal(t, s.Requests(), int32(3), "the default client resends")
 	client.CloseIdleConnections()
 
 	s = startServer(t, dropSecond)
@@ -110,7 +74,7 @@
 		_, err := c.Send(t.Context(), s.upstream(), stampCall())
 		assert.NilError(t, err)
 	}
-	assert.Equal(t, s.requests.Load(), int32(2), "this client does not resend")
+	assert.Equal(t, s.Requests(), int32(2), "this client does not resend")
 }
 
 // Guards against a request that is sent again, or reported as not sent, when the
@@ -119,14 +83,14 @@
 func TestDroppedConnectionCountsAsSent(t *testing.T) {
 	s := startServer(t, func(int, net.Conn, *http.Request) bool { return false })
 	for _, body := range [][]byte{[]byte("permit 7"), nil} {
-		s.requests.Store(0)
+		before := s.Requests()
 		req := stampCall()
 		req.Body = body
 		_, err := New().Send(t.Context(), s.upstream(), req)
 		var sendErr *call.SendError
 		assert.Assert(t, errors.As(err, &sendErr))
 		assert.Assert(t, sendErr.Sent)
-		assert.Equal(t, s.requests.Load(), int32(1))
+		assert.Equal(t, s.Requests()-before, int32(1))
 	}
 }
 
@@ -149,7 +113,7 @@
 		assert.Assert(t, errors.As(err, &sendErr))
 		assert.Assert(t, !sendErr.Sent, "%v", err)
 	}
-	assert.Equal(t, live.requests.Load(), int32(0))
+	assert.Equal(t, live.Requests(), int32(0))
 }
 
 // Guards against a followed redirect, a lost trace context, and connection
@@ -172,5 +136,5 @@
 	assert.Equal(t, h.Get("traceparent"), parent)
 	assert.Equal(t, h.Get("X-Kept"), "2")
 	assert.Equal(t, h.Get("X-Hop")+h.Get("Expect"), "")
-	assert.Equal(t, s.requests.Load(), int32(1))
+	assert.Equal(t, s.Requests(), int32(1))
 }
--- a/internal/transport/service/stale_test.go
+++ b/internal/transport/service/stale_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,9 +17,7 @@
 // Guards against an earlier answer that a faulty upstream sends again and that counts as
 // the answer to a call that is not written yet.
 func TestRepeatedAnswerIsNotThatOfALaterCall(t *testing.T) {
-	var last atomic.Pointer[net.Conn]
 	s := startServer(t, func(_ int, conn net.Conn, _ *http.Request) bool {
-		last.Store(&conn)
 		ok(conn)
 		return true
 	})
@@ -32,7 +29,7 @@
 	ctx := httptrace.WithClientTrace(t.Context(), &httptrace.ClientTrace{
 		WroteHeaderField: func(name string, _ []string) {
 			if name == "Host" { // written to a buffer; the connection is chosen
-				_, _ = io.WriteString(*last.Load(), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+				_, _ = io.WriteString(s.Newest(), "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
 				time.Sleep(50 * time.Millisecond)
 			}
 		},
