--- a/tests/e2e/soakplan_test.go
+++ b/tests/e2e/soakplan_test.go
@@ -65,9 +65,9 @@
 // system must recover.
 const soakRecovery = 9 * time.Second
 
-func planSoak(seed uint64, faulty time.Duration, scale int) soakPlan {
-	random := rand.New(rand.NewPCG(seed, 7))
-	p := soakPlan{
+// newSoakPlan returns a plan without faults whose size is random.
+func newSoakPlan(random *rand.Rand, seed uint64, faulty time.Duration, scale int) soakPlan {
+	return soakPlan{
 		seed:      seed,
 		instances: (2 + random.IntN(4)) * scale,
 		engines:   (4 + random.IntN(5)) * scale,
@@ -75,6 +75,11 @@
 		callers:   (14 + random.IntN(11)) * scale,
 		load:      faulty + soakRecovery,
 	}
+}
+
+func planSoak(seed uint64, faulty time.Duration, scale int) soakPlan {
+	random := rand.New(rand.NewPCG(seed, 7))
+	p := newSoakPlan(random, seed, faulty, scale)
 	drawn := drawKinds(random)
 	modes := []proxyMode{modeDelay, modeSilent, modeOneWay, modeReset}
 	for range int(faulty/time.Second)/2 + random.IntN(2*int(faulty/time.Second)) {
@@ -136,14 +141,7 @@
 // planned stops, which overlap, and silences of sound workers beside them.
 func planPlannedWork(seed uint64, faulty time.Duration, scale int) soakPlan {
 	random := rand.New(rand.NewPCG(seed, 12))
-	p := soakPlan{
-		seed:      seed,
-		instances: (2 + random.IntN(4)) * scale,
-		engines:   (4 + random.IntN(5)) * scale,
-		desks:     (2 + random.IntN(3)) * scale,
-		callers:   (14 + random.IntN(11)) * scale,
-		load:      faulty + soakRecovery,
-	}
+	p := newSoakPlan(random, seed, faulty, scale)
 	kinds := []faultKind{faultVariedRules, faultVariedRules, faultRules, faultReload, faultStop, faultStop}
 	for range 4 + random.IntN(6) {
 		p.faults = append(p.faults, drawSeries(random, kinds[random.IntN(len(kinds))], faulty))
