Move silent streams whose engine does not run them

An engine that restarted behind a dark connection answers probes, and its report only counts the requests that wait. If any do, it might still have the stream, which therefore stayed there until the engine counted as stuck. A copy request for the stream is answered with 404 in this case; the stream now leaves the engine on that answer.

--- a/internal/coordination/forward/copy.go
+++ b/internal/coordination/forward/copy.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
@@ -113,6 +114,9 @@
 			}
 			if err != nil {
 				r.m.opts.Log.WithField("request_id", string(r.req.ID)).WithField("holder", string(holder.ID)).WithError(err).Warn("copying the stream's memory failed")
+				if errors.Is(err, ErrStreamUnknown) && r.leaveUnknown(a) {
+					return
+				}
 				r.scheduleCopyCheck(a, copyCheckInterval)
 				return
 			}
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -74,6 +74,7 @@
 	leftUpstreams     []model.UpstreamID // upstreams that said that they leave
 	discardedHandles  []string           // handles of discarded copies
 	copyHolders       []model.UpstreamID // holders of the copies made on request
+	copyError         error              // the result of copy requests; nil means that they succeed
 	budget            fakeBudget
 	failedConnections []model.UpstreamID // upstreams whose connection failures were published; read through connectionFailures
 	probesFail        bool               // probes get no answer
@@ -166,6 +167,10 @@
 	b.mu.Lock()
 	b.copyHolders = append(b.copyHolders, to.ID)
 	b.mu.Unlock()
+	if b.copyError != nil {
+		copied("", b.copyError)
+		return
+	}
 	copied("handle-"+string(to.ID), nil)
 }
 
--- a/internal/coordination/forward/probe_test.go
+++ b/internal/coordination/forward/probe_test.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -69,3 +70,37 @@
 		assert.Assert(t, reply.refused == nil)
 	})
 }
+
+// Guards against a stream that stays at an engine that restarted behind a dark connection
+// and is busy with other requests: its report only counts those that wait.
+func TestStreamUnknownToABusyEngineMoves(t *testing.T) {
+	for _, unknown := range []bool{false, true} {
+		withHarness(t, func(b *harness) {
+			b.engineState = EngineState{Reported: true, Waiting: 3, Active: 8}
+			b.copyError = errors.New("no room")
+			if unknown {
+				b.copyError = ErrStreamUnknown
+			}
+			first := b.startStreamWithLostHolder()
+			assert.Equal(t, len(b.sent()), 1)
+			b.advance(700 * time.Millisecond)
+			assert.Equal(t, b.isCancelled(first), unknown)
+			assert.Equal(t, len(b.sent()) > 1, unknown)
+		})
+	}
+}
+
+// Guards against a stream that is cut off from its last events, which are on their way
+// when its engine no longer runs it.
+func TestStreamWithEventsUnknownToItsEngineStays(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.copyError = ErrStreamUnknown
+		first := b.startStreamWithLostHolder()
+		for p := Position(3); p < 20; p++ {
+			first.event(p)
+			b.advance(100 * time.Millisecond)
+		}
+		assert.Assert(t, len(b.copyHolders) > 1)
+		assert.Equal(t, len(b.sent()), 1)
+	})
+}
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"errors"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
@@ -73,6 +74,9 @@
 	Lost(kind continuation.Loss, cause string, sent bool)
 }
 
+// ErrStreamUnknown says that an engine does not run the stream that it is asked about.
+var ErrStreamUnknown = errors.New("the engine does not run the stream")
+
 // Sender sends requests to upstreams. Start returns at once; cancel closes the
 // send's connection, after which nothing more is delivered.
 type Sender interface {
@@ -84,7 +88,8 @@
 	// that cannot be reached is not reported as stopped.
 	CheckStopped(up model.Upstream, timeout time.Duration, answered func(stopped bool))
 	// RequestCopy asks the engine that runs a stream to copy its memory to another one,
-	// and reports the handle of the copy once it is complete.
+	// and reports the handle of the copy once it is complete. The error is
+	// ErrStreamUnknown if the engine does not run the stream.
 	RequestCopy(from model.Upstream, request model.RequestID, to model.Upstream, timeout time.Duration, copied func(handle string, err error))
 	// CachedParts asks an engine which parts of prompts it has in its cache.
 	CachedParts(up model.Upstream, timeout time.Duration, answered func(parts []CachedPart, err error))
--- a/internal/coordination/forward/silence.go
+++ b/internal/coordination/forward/silence.go
@@ -91,6 +91,17 @@
 	return true
 }
 
+// leaveUnknown moves the stream of a silent attempt whose engine answered that it does
+// not run the stream, if that is allowed, and reports whether it did. An attempt that is
+// not silent goes on, as its last events may be on their way.
+func (r *activeRequest) leaveUnknown(a *attempt) bool {
+	if time.Since(a.lastSeen) < r.silenceLimit(a) {
+		return false
+	}
+	a.forgotten = true
+	return r.leaveSilent(a, "engine no longer has the request")
+}
+
 // silence describes a silent attempt to the rules of package continuation.
 func (r *activeRequest) silence(a *attempt) continuation.Silence {
 	s := continuation.Silence{
--- a/internal/transport/backend/client_test.go
+++ b/internal/transport/backend/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -201,3 +202,21 @@
 		client.Close()
 	}
 }
+
+// Guards against an engine that no longer runs a stream and is taken for one that cannot
+// copy it at the moment: the stream would wait for events that never come.
+func TestUnknownStreamIsReported(t *testing.T) {
+	for status, want := range map[int]bool{404: true, 409: false, 421: false, 503: false} {
+		address, _ := startRawUpstream(t, fmt.Sprintf("HTTP/1.1 %d Status\r\nContent-Length: 0\r\n\r\n", status))
+		client := New(forwardwire.Names{}, EngineAPI{
+			CopyPath:   "/copy",
+			EncodeCopy: func(model.RequestID, string) ([]byte, error) { return []byte("{}"), nil },
+		})
+		result := make(chan error, 1)
+		client.RequestCopy(model.Upstream{ID: "u", Address: address}, "r1", model.Upstream{ID: "v"}, time.Second, func(_ string, err error) { result <- err })
+		err := <-result
+		assert.Assert(t, err != nil)
+		assert.Equal(t, errors.Is(err, forward.ErrStreamUnknown), want, "%d: %v", status, err)
+		client.Close()
+	}
+}
--- a/internal/transport/backend/engine.go
+++ b/internal/transport/backend/engine.go
@@ -101,6 +101,9 @@
 		return "", err
 	}
 	answer, err := c.callEngine(ctx, http.MethodPost, from, c.engine.CopyPath, body)
+	if trace.IsNotFound(err) {
+		return "", forward.ErrStreamUnknown
+	}
 	if err != nil {
 		return "", err
 	}
@@ -140,6 +143,9 @@
 	if err := trace.NewAggregate(err, in.Body.Close()); err != nil {
 		return nil, err
 	}
+	if in.StatusCode == http.StatusNotFound {
+		return nil, trace.NotFound("%s %s at %q was answered with status 404", method, path, up.ID)
+	}
 	if in.StatusCode/100 != http.StatusOK/100 {
 		return nil, trace.ConnectionProblem(nil, "%s %s at %q was answered with status %d", method, path, up.ID, in.StatusCode)
 	}
