--- a/internal/coordination/relay/events.go
+++ b/internal/coordination/relay/events.go
@@ -186,9 +186,10 @@
 }
 
 // silenceCheck ends an attempt whose stream has been silent for too long, if the
-// generation goes on without it, and otherwise reschedules itself. The check that waits for the first token stops
-// once that token has arrived: the limit is shorter from then on, and the
-// arrival of the token has scheduled a check of its own.
+// generation goes on without it, and otherwise reschedules itself. The check that
+// waits for the first token stops once that token has arrived: the limit is
+// shorter from then on, and the arrival of the token has scheduled a check of its
+// own.
 type silenceCheck struct {
 	m          *Manager
 	id         model.RequestID
@@ -206,17 +207,17 @@
 		i.m.opts.Pool.After(left, key(i.id), i)
 		return
 	}
-	if !i.m.mayLeaveSilent(r) {
+	if !i.m.mayMoveSilent(r) {
 		i.m.opts.Pool.After(minSilence, key(i.id), i)
 		return
 	}
 	i.m.handleLoss(i.id, i.number, continuation.LossSilence, continuation.Detail{})
 }
 
-// mayLeaveSilent reports whether the generation goes on if the silent attempt is closed.
+// mayMoveSilent reports whether the generation goes on if the silent attempt is closed.
 // A sound engine may pause, so silence alone does not end a generation while its engine
 // may still go on.
-func (m *Manager) mayLeaveSilent(r generation.Record) bool {
+func (m *Manager) mayMoveSilent(r generation.Record) bool {
 	s := m.situation(r, continuation.LossSilence)
 	goesOn := s.AlternativeReady && !s.NeedsLostStream && s.Failures < continuation.MaxFailures
 	return goesOn || time.Since(r.Attempt.LastSeen) >= continuation.MaxContinuationWait
--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -31,9 +31,10 @@
 	// maxBufferedBytes limits the memory of all responses that are being read.
 	maxBufferedBytes = 64 << 20
 	maxIdlePerHost   = 16
-	maxStatus        = 599
 	idleTimeout      = 30 * time.Second
-	tracerName       = "github.com/sequoiavalve/sequoiavalve/internal/transport/service"
+	// maxStatus is the highest status of an answer. net/http's client accepts others.
+	maxStatus  = 599
+	tracerName = "github.com/sequoiavalve/sequoiavalve/internal/transport/service"
 )
 
 // Client implements call.Sender over HTTP/1.1.
