--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -83,7 +83,8 @@
 //
 // Invariants: a leaving upstream stays leaving until a higher incarnation is
 // reported, unless it was only absent from the document; InFlight equals the
-// number of Acquire calls less Release calls; Sent equals the number of the row's send times, all later than Report.At.
+// number of Acquire calls less Release calls; Sent equals the number of the row's
+// send times, all later than Report.At.
 type Table struct {
 	mu        lock.Mutex
 	rows      map[model.UpstreamID]*Row
