--- a/internal/transport/keptconn/keptconn.go
+++ b/internal/transport/keptconn/keptconn.go
@@ -69,7 +69,10 @@
 	return &Transport{t}
 }
 
-func wrap(dial func(ctx context.Context, network, address string) (net.Conn, error)) func(ctx context.Context, network, address string) (net.Conn, error) {
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// wrap returns a function whose connections are of type Conn.
+func wrap(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
