TestRequestsWaitForLapsedUpstreams: wait 700 ms again

Cause: shortened the wait before the entries come back from 700 to 600 ms, so that a hold that ends in between would pass. Change: the wait is 700 ms again, and the check that nothing was refused stays. The requests must be sent within one interval of the hold, not two, because the route of the call ends at 800 ms.

--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -44,9 +44,9 @@
 			b.upstreams.Configure(nil)
 			stream, _ := b.submit("/log/1")
 			call, _ := b.submit("/book/1")
-			b.advance(600 * time.Millisecond)
+			b.advance(700 * time.Millisecond)
 			b.upstreams.Configure(back)
-			b.advance(2 * holdCheckInterval)
+			b.advance(holdCheckInterval + time.Millisecond) // the route of the call ends at 800 ms
 			assert.Equal(t, len(b.sent()), inFlight+2)
 			assert.Assert(t, stream.refused == nil && call.refused == nil)
 		})
