registry: derive the allowed age of reads from the bound, replace a lost reader by one member

Cause: entries are read each 0.3 of the bound for leaving upstreams, but a reader counted as lost when its last read was 1.2 s old.

The allowed age grows with each instance between the data and the store, so that an instance replaces its source before its own pollers look for another one. A lost reader is replaced by the next member, which the others poll; they read the store themselves only if that one is lost too. Lost readers are checked beside the current source instead of by interrupting it. Deltas carry the ages of entries and rules apart (field 13, additive; earlier builds keep AgeMs).

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -48,6 +48,7 @@
 // store itself, reads the entries there and schedules the next read.
 func (m *Manager) readEntries() {
 	started := time.Now()
+	m.checkLostReaders(started)
 	reader := m.reader(started)
 	m.readsStore.Store(reader.ID == m.opts.Self.ID)
 	if !m.readsStore.Load() {
@@ -62,7 +63,7 @@
 	call := func(ctx context.Context) (Entries, error) { return m.opts.Store.Entries(ctx, after) }
 	worker.Call(m.opts.Pool, keyEntries, callTimeout, call, func(got Entries, err error) {
 		m.entries.recordOutcome(err)
-		wait := time.Duration(entryReadFraction*float64(m.opts.LeaveTimeout)) - time.Since(started)
+		wait := m.limits.entryReadInterval() - time.Since(started)
 		switch {
 		case errors.Is(err, ErrHistoryGone):
 			m.entries.readAll = true
@@ -71,13 +72,13 @@
 			m.entries.readAll = true
 			wait = m.retryWait()
 			if m.opts.Peers != nil {
-				m.avoidUntil[m.opts.Self.ID] = time.Now().Add(avoidReaderFor)
+				m.storeLostUntil = time.Now().Add(avoidStoreFor)
 				if m.reader(time.Now()).ID != m.opts.Self.ID {
 					wait = 0 // another instance may have read the store
 				}
 			}
 		default:
-			delete(m.avoidUntil, m.opts.Self.ID)
+			m.storeLostUntil = time.Time{}
 			m.applyEntries(got)
 		}
 		m.opts.Pool.After(max(wait, 0), keyEntries, worker.Func(m.readEntries))
@@ -105,7 +106,7 @@
 		return
 	}
 	s.after, s.readAll = got.Revision, false
-	m.recordRead(time.Now(), m.opts.Self.ID)
+	m.recordRead(time.Now(), m.opts.Self.ID, 0)
 	m.applyChanges(got, s.removalTime)
 	for id := range s.discovered {
 		s.removalDue[id] = s.readAt.Add(outageGrace)
@@ -206,7 +207,7 @@
 func (m *Manager) UpstreamDiscovered(up model.Upstream) {
 	m.opts.Pool.Post(keyEntries, worker.Func(func() {
 		s := &m.entries
-		if _, known := s.byID[up.ID]; known || time.Since(s.readAt) < maxReadAge {
+		if _, known := s.byID[up.ID]; known || time.Since(s.readAt) < m.limits.maxEntriesAge(0) {
 			return
 		}
 		s.discovered[up.ID] = true
--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -196,12 +196,18 @@
 // startCells starts instances in cells of the given size.
 func startCells(t *testing.T, w *storeContent, size int, ids ...model.InstanceID) fakePeers {
 	t.Helper()
+	return startCellsWithin(w, size, defaultLeaveTimeout, ids...)
+}
+
+// startCellsWithin starts instances in cells of the given size that have the given bound
+// for leaving upstreams.
+func startCellsWithin(w *storeContent, size int, leaveTimeout time.Duration, ids ...model.InstanceID) fakePeers {
 	c := fakePeers{}
 	for i, id := range ids {
 		w.instances = append(w.instances, model.Instance{ID: id, Incarnation: uint64(i + 1), State: model.InstanceLive})
 	}
 	for _, self := range w.instances {
-		c[self.ID] = newMember(w, c, size, self)
+		c[self.ID] = newMemberWithin(w, c, size, leaveTimeout, self)
 	}
 	for _, m := range c {
 		m.Start()
@@ -209,8 +215,15 @@
 	return c
 }
 
+// defaultLeaveTimeout is the bound for leaving upstreams in most tests.
+const defaultLeaveTimeout = 2 * time.Second
+
 // newMember returns an instance that has not been started.
 func newMember(w *storeContent, c fakePeers, size int, self model.Instance) *member {
+	return newMemberWithin(w, c, size, defaultLeaveTimeout, self)
+}
+
+func newMemberWithin(w *storeContent, c fakePeers, size int, leaveTimeout time.Duration, self model.Instance) *member {
 	m := &member{
 		store:      &fakeStore{content: w},
 		rulesTable: rules.NewTable(),
@@ -236,7 +249,7 @@
 			}
 			return nil
 		},
-		LeaveTimeout:    2 * time.Second,
+		LeaveTimeout:    leaveTimeout,
 		OnInstanceCount: func(int) {},
 		Log:             &log.Logger{Handler: discard.Default},
 	})
@@ -264,11 +277,17 @@
 // inEachPhase runs the test on cells of the given size, at ten times that are step apart,
 // because what an instance notices depends on the time since its last poll.
 func inEachPhase(t *testing.T, step time.Duration, size int, ids []model.InstanceID, run func(t *testing.T, w *storeContent, c fakePeers, phase int)) {
+	t.Helper()
+	inEachPhaseWithin(t, defaultLeaveTimeout, step, size, ids, run)
+}
+
+// inEachPhaseWithin is inEachPhase with the given bound for leaving upstreams.
+func inEachPhaseWithin(t *testing.T, leaveTimeout, step time.Duration, size int, ids []model.InstanceID, run func(t *testing.T, w *storeContent, c fakePeers, phase int)) {
 	t.Helper()
 	for phase := range 10 {
 		synctest.Test(t, func(t *testing.T) {
 			w := newStoreContent()
-			c := startCells(t, w, size, ids...)
+			c := startCellsWithin(w, size, leaveTimeout, ids...)
 			defer c.close()
 			time.Sleep(5*time.Second + time.Duration(phase)*step)
 			run(t, w, c, phase)
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -184,7 +184,7 @@
 
 // readInstances reads the changes in the list from the store and schedules the
 // next read. It skips the read while this instance has a reader, and for
-// avoidReaderFor after that, so that a brief loss of the reader causes no read. It
+// avoidStoreFor after that, so that a brief loss of the reader causes no read. It
 // always reads if the list has not been read yet, or if the reader has not
 // delivered an instance that was encountered.
 func (m *Manager) readInstances() {
@@ -196,7 +196,7 @@
 	switch {
 	case overdue || !m.InstancesKnown():
 		wait = 0
-	case time.Since(m.list.readerUsedAt) < avoidReaderFor:
+	case time.Since(m.list.readerUsedAt) < avoidStoreFor:
 		m.opts.Pool.After(readerCheckInterval, keyInstances, worker.Func(m.readInstances))
 		return
 	}
--- a/internal/coordination/registry/outage_test.go
+++ b/internal/coordination/registry/outage_test.go
@@ -55,8 +55,8 @@
 			c[self.ID] = newMember(w, c, 2, self)
 		}
 		defer c.close()
-		c["a"].recordRead(time.Now(), "b")
-		c["a"].recordRulesFresh(time.Now())
+		c["a"].recordRead(time.Now(), "b", 1)
+		c["a"].recordRulesFresh(time.Now(), 1)
 		c["b"].opts.Instances.Merge(w.instances[0])
 		c["b"].Start()
 		time.Sleep(700 * time.Millisecond)
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -98,10 +98,6 @@
 }
 
 const (
-	// entryReadFraction is the interval between two reads of the entries, as a
-	// fraction of LeaveTimeout. The rest of LeaveTimeout lets an instance detect that its
-	// reader has lost the store, and read the entries itself.
-	entryReadFraction = 0.3
 	// rulesPollTime is how long a read of the rules waits for a change. If the
 	// connection falls silent, changes go unseen for rulesPollTime + callTimeout, which
 	// must be less than the 2 s within which rules must be in force.
@@ -148,12 +144,14 @@
 // whose names start with share, and is a leaf: no other lock is taken under it.
 type Manager struct {
 	opts             Options
+	limits           limits
 	rulesOutage      outageTracker
 	rulesReadTimeout time.Duration // of a read of all rules; used only by items under keyRules
 	instancesKnown   atomic.Bool
 	readsStore       atomic.Bool                    // this instance reads the store itself
 	cursor           Cursor                         // used only by items under keyEntries
-	avoidUntil       map[model.InstanceID]time.Time // until when a reader is passed over; used as cursor is
+	lostReaders      map[model.InstanceID]time.Time // readers that are passed over, and when to check them; used as cursor is
+	storeLostUntil   time.Time                      // until when others are polled after a failed read of the store; used as cursor is
 
 	shareMu            sync.Mutex
 	shareVersion       uint64
@@ -162,7 +160,9 @@
 	sharedMovesVersion uint64    // share version of the last change of a version move
 	sharedReadAt       time.Time // last read of the entries, by sharedReadBy
 	sharedReadBy       model.InstanceID
+	sharedHops         int           // instances between this one and the store at that read
 	sharedRulesFreshAt time.Time     // until when the rules are known to have been the newest
+	sharedRulesHops    int           // instances between this one and the store at the read that showed it
 	shareChanged       chan struct{} // closed at the next change
 
 	list    listState  // used only by items under keyInstances
@@ -174,7 +174,8 @@
 	opts.Log = opts.Log.WithField("part", "registry")
 	m := &Manager{
 		opts:            opts,
-		avoidUntil:      map[model.InstanceID]time.Time{},
+		limits:          limits{opts.LeaveTimeout},
+		lostReaders:     map[model.InstanceID]time.Time{},
 		sharedEntries:   map[model.UpstreamID]entryChange{},
 		sharedInstances: map[model.InstanceID]instanceChange{},
 		shareChanged:    make(chan struct{}),
@@ -259,7 +260,7 @@
 		}
 		m.rulesReadTimeout = callTimeout
 		m.ApplyRules(got.Rules, "store")
-		m.recordRulesFresh(time.Now().Add(rulesPollTime)) // the next read may wait that long
+		m.recordRulesFresh(time.Now().Add(rulesPollTime), 0) // the next read may wait that long
 		pause := time.Duration(0)
 		if after > 0 && (got.Rules != nil || len(got.Orders) > 0) {
 			pause = rulesReadPause
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"time"
 
@@ -14,8 +15,9 @@
 // The reader of the first cell reads the store, and the readers of the other cells
 // poll that reader, so that the number of calls to the store does not grow with
 // the deployment. A member whose reader does not answer, or has not read lately,
-// reads the store itself for a while: several members may have lost the store at
-// once, and trying them one after another would take longer than a change is
+// polls the next one, which takes the reader's place. If that one is lost too, the
+// member reads the store itself for a while: several members may have lost the store
+// at once, and trying them one after another would take longer than a change is
 // allowed to take. A member that has lost the store polls the others in turn.
 
 // Cursor is the position up to which an instance has a reader's changes.
@@ -38,7 +40,7 @@
 	RemovedInstances []model.InstanceID
 	Rules            *model.RoutingRules // nil unless they are newer
 	Moves            []model.VersionMove // all version moves if any of them changed
-	Age              time.Duration       // time for which the entries or the rules have not been read from the store
+	Ages             Ages
 	Source           model.InstanceID    // instance that last read the entries
 	RulesBase        *model.RoutingRules // rules that the poller has, for a transfer of the difference; nil if unknown
 }
@@ -51,17 +53,14 @@
 }
 
 const (
-	// readerPollWait is how long a reader holds a poll when there is no change. A
-	// poll times out after readerPollWait + readerPollMargin, which is the time it
-	// takes to detect that a reader is lost.
-	readerPollWait   = 300 * time.Millisecond
-	readerPollMargin = 400 * time.Millisecond
-	// maxReadAge is the age of a reader's last read above which the reader counts as
-	// having lost the store. It covers two reads of the entries, and leaves a member
-	// the rest of the time allowed for a change to read the store itself.
-	maxReadAge = 1200 * time.Millisecond
-	// avoidReaderFor is how long a reader is passed over after it failed.
-	avoidReaderFor = 3 * time.Second
+	// lostReaderCheckInterval is the time between two checks whether a lost reader is
+	// back.
+	lostReaderCheckInterval = 3 * time.Second
+	// avoidStoreFor is how long an instance polls others after a failed read of the store.
+	avoidStoreFor = 3 * time.Second
+	// expiryNotice is the time before data get too old to be shared from which on polls
+	// return as soon as the data are fresher.
+	expiryNotice = maxReaderPollWait
 	// maxSharedRemovals is the number of share versions for which a removed entry is
 	// kept once there are twice as many entries.
 	maxSharedRemovals = 1024
@@ -87,34 +86,26 @@
 	if m.opts.Peers == nil {
 		return m.opts.Self
 	}
-	storeLost := now.Before(m.avoidUntil[m.opts.Self.ID])
-	for _, in := range m.opts.Members() {
-		switch {
-		case in.State != model.InstanceLive:
-		case in.ID == m.opts.Self.ID && !storeLost:
-			return m.rootReader(now)
-		case !now.Before(m.avoidUntil[in.ID]):
-			return in
-		case !storeLost:
-			return m.opts.Self
-		}
+	avoided := func(id model.InstanceID) bool {
+		_, lost := m.lostReaders[id]
+		return lost
 	}
-	return m.opts.Self
-}
-
-// rootReader returns the instance that reads the store for all cells, or this
-// instance while that one is avoided.
-func (m *Manager) rootReader(now time.Time) model.Instance {
-	for _, in := range m.opts.Instances.All() {
-		if in.State != model.InstanceLive {
-			continue
-		}
-		if now.Before(m.avoidUntil[in.ID]) {
-			break
+	if now.Before(m.storeLostUntil) {
+		for _, in := range m.opts.Members() {
+			if in.ID != m.opts.Self.ID && in.State == model.InstanceLive && !avoided(in.ID) {
+				return in
+			}
 		}
-		return in
+		return m.opts.Self
+	}
+	in, polls := chooseSource(m.opts.Members(), m.opts.Self.ID, avoided)
+	if in.ID == m.opts.Self.ID { // the reader of this cell
+		in, polls = chooseSource(m.opts.Instances.All(), m.opts.Self.ID, avoided)
 	}
-	return m.opts.Self
+	if !polls {
+		return m.opts.Self
+	}
+	return in
 }
 
 // pollReader polls the reader for changes. It runs under keyEntries.
@@ -124,44 +115,102 @@
 		cursor.RulesRevision = current.Revision
 	}
 	call := func(ctx context.Context) (Delta, error) {
-		return m.opts.Peers.Poll(ctx, reader, cursor, current, readerPollWait)
+		return m.opts.Peers.Poll(ctx, reader, cursor, current, m.limits.readerPollWait())
 	}
-	worker.Call(m.opts.Pool, keyEntries, readerPollWait+readerPollMargin, call, func(delta Delta, err error) {
+	worker.Call(m.opts.Pool, keyEntries, m.limits.readerPollWait()+m.limits.readerPollMargin(), call, func(delta Delta, err error) {
 		now := time.Now()
 		// A reader whose data comes from this instance is no source: two instances
 		// that poll each other would both stop reading the store.
-		if err != nil || delta.Age > maxReadAge || delta.Source == m.opts.Self.ID {
-			m.avoidUntil[reader.ID] = now.Add(avoidReaderFor)
-			m.opts.Log.WithField("instance", string(reader.ID)).WithField("age_ms", delta.Age.Milliseconds()).
+		if err != nil || m.limits.timeLeft(delta.Ages) == 0 || delta.Source == m.opts.Self.ID {
+			m.lostReaders[reader.ID] = now.Add(lostReaderCheckInterval)
+			m.opts.Log.WithField("instance", string(reader.ID)).WithField("age_ms", delta.Ages.Entries.Milliseconds()).
+				WithField("rules_age_ms", delta.Ages.Rules.Milliseconds()).WithField("hops", delta.Ages.Hops).
 				WithField("source", string(delta.Source)).WithError(err).Warn("reader lost")
 		}
+		if err == nil && delta.Snapshot && now.Add(-delta.Ages.Entries).Before(m.entries.readAt) {
+			// It would bring back upstreams that are gone.
+			m.ApplyRules(delta.Rules, string(reader.ID))
+			m.opts.Pool.After(readerCheckInterval, keyEntries, worker.Func(m.readEntries))
+			return
+		}
 		if err == nil {
 			m.applyDelta(delta, reader)
-			m.recordRead(now.Add(-delta.Age), delta.Source)
-			m.recordRulesFresh(now.Add(-delta.Age))
+			if delta.Source != m.opts.Self.ID {
+				m.recordRead(now.Add(-delta.Ages.Entries), delta.Source, delta.Ages.Hops+1)
+				m.recordRulesFresh(now.Add(-delta.Ages.Rules), delta.Ages.RulesHops+1)
+			}
 		}
 		m.readEntries()
 	})
 }
 
-// recordRead records when the store was last read and by which instance.
-func (m *Manager) recordRead(at time.Time, by model.InstanceID) {
+// checkLostReaders asks the lost readers whose check is due how old their data are. This
+// instance keeps to its source meanwhile: its data would age while it waits for a reader
+// that is still lost. It runs under keyEntries.
+func (m *Manager) checkLostReaders(now time.Time) {
+	for id, due := range m.lostReaders {
+		if now.Before(due) {
+			continue
+		}
+		in, known := m.opts.Instances.Get(id)
+		if !known || in.State != model.InstanceLive {
+			delete(m.lostReaders, id)
+			continue
+		}
+		m.lostReaders[id] = now.Add(lostReaderCheckInterval)
+		// No change is newer than this cursor, so that the answer has the ages alone.
+		cursor := Cursor{ReaderIncarnation: in.Incarnation, Version: math.MaxUint64, RulesRevision: math.MaxUint64}
+		call := func(ctx context.Context) (Delta, error) { return m.opts.Peers.Poll(ctx, in, cursor, nil, 0) }
+		worker.Call(m.opts.Pool, keyEntries, m.limits.readerPollMargin(), call, func(delta Delta, err error) {
+			if err != nil || m.limits.timeLeft(delta.Ages) == 0 || delta.Source == m.opts.Self.ID {
+				return
+			}
+			delete(m.lostReaders, id)
+			m.opts.Log.WithField("instance", string(id)).WithField("age_ms", delta.Ages.Entries.Milliseconds()).
+				WithField("hops", delta.Ages.Hops).WithField("source", string(delta.Source)).Info("reader regained")
+		})
+	}
+}
+
+// recordRead records when the store was last read and by which instance, and how many
+// instances its data passed on their way here.
+func (m *Manager) recordRead(at time.Time, by model.InstanceID, hops int) {
 	if at.Before(m.entries.readAt) {
 		return
 	}
 	m.entries.readAt = at
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
-	m.sharedReadAt, m.sharedReadBy = at, by
+	defer m.wakeIfAlmostExpired(m.ages())
+	m.sharedReadAt, m.sharedReadBy, m.sharedHops = at, by, hops
 }
 
 // recordRulesFresh records until when the rules are known to have been the newest.
 // A reader that cannot read the rules must not pass for fresh because of its entries.
-func (m *Manager) recordRulesFresh(until time.Time) {
+func (m *Manager) recordRulesFresh(until time.Time, hops int) {
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
 	if until.After(m.sharedRulesFreshAt) {
-		m.sharedRulesFreshAt = until
+		defer m.wakeIfAlmostExpired(m.ages())
+		m.sharedRulesFreshAt, m.sharedRulesHops = until, hops
+	}
+}
+
+// ages returns the ages of the data that this instance shares. The caller holds shareMu.
+func (m *Manager) ages() Ages {
+	return Ages{
+		Entries:   time.Since(m.sharedReadAt),
+		Rules:     max(time.Since(m.sharedRulesFreshAt), 0),
+		Hops:      m.sharedHops,
+		RulesHops: m.sharedRulesHops,
+	}
+}
+
+// wakeIfAlmostExpired wakes the calls of ServePoll if data of these ages, which have
+// been replaced by fresher ones, were almost too old to be shared. The caller holds shareMu.
+func (m *Manager) wakeIfAlmostExpired(before Ages) {
+	if m.limits.timeLeft(before) <= expiryNotice {
+		m.wakeWaiters()
 	}
 }
 
@@ -262,22 +311,20 @@
 }
 
 // ServePoll answers the poll of another instance. It blocks until there is a change,
-// at most for the given time, and is called by network goroutines.
+// at most for the given time, and is called by network goroutines. If the data are almost
+// too old to be shared, it returns as soon as they are fresher: the caller's own pollers
+// wait for that.
 func (m *Manager) ServePoll(ctx context.Context, cursor Cursor, wait time.Duration) Delta {
-	var timeout *time.Timer
-	for {
-		delta, changed := m.changesSince(cursor)
-		if changed == nil || delta.Age > maxReadAge {
-			return delta
-		}
-		if timeout == nil {
-			// The poll ends when the last read gets too old, so that its caller
-			// learns in time that this instance has lost the store.
-			timeout = time.NewTimer(min(wait, readerPollWait, maxReadAge-delta.Age+time.Millisecond))
-			defer timeout.Stop()
-		}
+	delta, changed := m.changesSince(cursor)
+	first := m.limits.timeLeft(delta.Ages)
+	// The poll ends when the last read gets too old, so that its caller
+	// learns in time that this instance has lost the store.
+	timeout := time.NewTimer(min(wait, maxReaderPollWait, first+time.Millisecond))
+	defer timeout.Stop()
+	for left := first; changed != nil && left > 0 && (left <= first || first > expiryNotice); left = m.limits.timeLeft(delta.Ages) {
 		select {
 		case <-changed:
+			delta, changed = m.changesSince(cursor)
 		case <-timeout.C:
 			delta, _ = m.changesSince(cursor)
 			return delta
@@ -285,6 +332,7 @@
 			return delta
 		}
 	}
+	return delta
 }
 
 // changesSince returns the changes since the cursor or, if there are none, the
@@ -312,7 +360,12 @@
 	incarnation := m.self().Incarnation
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
-	delta = Delta{ReaderIncarnation: incarnation, Version: m.shareVersion, Age: max(time.Since(m.sharedReadAt), time.Since(m.sharedRulesFreshAt)), Source: m.sharedReadBy}
+	delta = Delta{
+		ReaderIncarnation: incarnation,
+		Version:           m.shareVersion,
+		Ages:              m.ages(),
+		Source:            m.sharedReadBy,
+	}
 	delta.Snapshot = cursor.ReaderIncarnation != delta.ReaderIncarnation
 	for id, c := range m.sharedEntries {
 		switch {
--- /dev/null
+++ b/internal/coordination/registry/source_test.go
@@ -0,0 +1,150 @@
+package registry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"gotest.tools/v3/assert"
+)
+
+// fleetIDs returns the IDs of n instances, in order.
+func fleetIDs(n int) []model.InstanceID {
+	ids := make([]model.InstanceID, n)
+	for i := range ids {
+		ids[i] = model.InstanceID(fmt.Sprintf("i%02d", i))
+	}
+	return ids
+}
+
+// entryReads returns the reads of the entries by all instances, and how many instances
+// made them.
+func (c fakePeers) entryReads() (reads, readers int) {
+	for _, m := range c {
+		if n := int(m.store.entryReads.Load()); n > 0 {
+			reads, readers = reads+n, readers+1
+		}
+	}
+	return reads, readers
+}
+
+// forgetEntryReads sets the counts of entryReads to zero.
+func (c fakePeers) forgetEntryReads() {
+	for _, m := range c {
+		m.store.entryReads.Store(0)
+	}
+}
+
+// Guards against readers whose data counts as too old right before each of their reads,
+// so that all their members read the store: the interval of reads follows the bound for
+// leaving upstreams, and the allowed age did not.
+func TestCalmReadersAreKeptForAnyBound(t *testing.T) {
+	for _, bound := range []time.Duration{1, 3, 4, 10} {
+		for _, size := range []int{6, 2} { // one cell, and three
+			synctest.Test(t, func(t *testing.T) {
+				c := startCellsWithin(newStoreContent(), size, bound*time.Second, fleetIDs(6)...)
+				defer c.close()
+				for _, m := range c {
+					m.store.changeTransferTime.Store(int64(40 * time.Millisecond))
+				}
+				time.Sleep(5 * time.Second)
+				c.forgetEntryReads()
+				time.Sleep(7 * time.Second)
+				_, readers := c.entryReads()
+				assert.Equal(t, readers, 1, "bound %d s, cells of %d", bound, size)
+			})
+		}
+	}
+}
+
+// Guards against all members of a cell reading the store when their reader is lost:
+// the next member takes its place.
+func TestLostReaderIsReplacedByOneMember(t *testing.T) {
+	ids := fleetIDs(6)
+	inEachPhase(t, 70*time.Millisecond, 6, ids, func(t *testing.T, w *storeContent, c fakePeers, phase int) {
+		for name, lose := range map[string]func(){
+			"silent":        func() { c[ids[0]].unresponsive.Store(true) },
+			"without store": func() { c[ids[0]].store.unreachable.Store(true) },
+		} {
+			c.forgetEntryReads()
+			lose()
+			w.change(func() {
+				w.revision++
+				w.entries["u1"] = entryOf("u1", true, uint64(w.revision))
+			})
+			time.Sleep(2 * time.Second) // LeaveTimeout
+			for _, id := range ids[1:] {
+				row, _ := c[id].upstreams.Get("u1")
+				assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "%s, reader %s, phase %d", id, name, phase)
+			}
+			time.Sleep(4 * time.Second)
+			_, readers := c.entryReads()
+			assert.Assert(t, readers <= 2, "%d members read the store, reader %s, phase %d", readers, name, phase)
+			c[ids[0]].unresponsive.Store(false)
+			c[ids[0]].store.unreachable.Store(false)
+			time.Sleep(5 * time.Second)
+		}
+	})
+}
+
+// Guards against instances of all cells reading the store when the instance that reads
+// it for all of them is lost.
+func TestLostRootReaderIsReplacedByOneMember(t *testing.T) {
+	ids := fleetIDs(12)
+	for _, bound := range []time.Duration{2, 4} {
+		inEachPhaseWithin(t, bound*time.Second, 70*time.Millisecond, 4, ids, func(t *testing.T, w *storeContent, c fakePeers, phase int) {
+			c.forgetEntryReads()
+			c[ids[0]].store.unreachable.Store(true)
+			c[ids[0]].unresponsive.Store(phase%2 == 0)
+			w.change(func() {
+				w.revision++
+				w.entries["u1"] = entryOf("u1", true, 2)
+			})
+			time.Sleep(bound * time.Second)
+			for _, id := range ids[1:] {
+				row, _ := c[id].upstreams.Get("u1")
+				assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "%s, bound %d s, phase %d", id, bound, phase)
+			}
+			time.Sleep(4 * time.Second)
+			_, readers := c.entryReads()
+			assert.Assert(t, readers <= 2+12/4, "%d instances read the store, bound %d s, phase %d", readers, bound, phase)
+		})
+	}
+}
+
+// scriptedPeers answers polls with a fixed delta.
+type scriptedPeers struct{ delta Delta }
+
+func (p scriptedPeers) Poll(context.Context, model.Instance, Cursor, *model.RoutingRules, time.Duration) (Delta, error) {
+	return p.delta, nil
+}
+
+// Guards against an upstream that is gone and gets work again, since an instance that
+// changes its reader applies a snapshot that is older than what it knows.
+func TestOlderSnapshotBringsNoUpstreamBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newStoreContent()
+		m := newMember(w, fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+		defer m.pool.Close()
+		m.Start()
+		time.Sleep(3 * time.Second)
+		stale := scriptedPeers{Delta{
+			ReaderIncarnation: 1, Version: 9, Snapshot: true, Source: "a", Ages: Ages{Entries: 900 * time.Millisecond},
+			Changed: []Entry{entryOf("u1", false, 1), entryOf("u2", false, 1)},
+		}}
+		w.change(func() { delete(w.entries, "u1"); w.revision++ })
+		time.Sleep(700 * time.Millisecond) // one interval of reads
+		m.pool.Post(keyEntries, worker.Func(func() {
+			m.opts.Peers = stale
+			m.opts.Instances.Merge(model.Instance{ID: "a", Incarnation: 1, State: model.InstanceLive})
+		}))
+		time.Sleep(800 * time.Millisecond)
+		_, known := m.upstreams.Get("u1")
+		assert.Assert(t, !known)
+	})
+}
--- a/internal/protocol/peerwire/registry.go
+++ b/internal/protocol/peerwire/registry.go
@@ -33,6 +33,40 @@
 	Moves     []model.VersionMove `cbor:"10,keyasint,omitempty"`
 	Source    model.InstanceID    `cbor:"11,keyasint,omitempty"`
 	Packed    []byte              `cbor:"12,keyasint,omitempty"` // sent in place of Rules to a sender that asked for it
+	// Ages tells the parts of AgeMs apart; builds before it sent and read AgeMs alone.
+	Ages *agesRow `cbor:"13,keyasint,omitempty"`
+}
+
+// agesRow says how old the data in a registryDelta are.
+type agesRow struct {
+	_         struct{} `cbor:",toarray"`
+	EntriesMs uint32
+	RulesMs   uint32
+	Hops      uint32
+	RulesHops uint32
+}
+
+func toAgesRow(a registry.Ages) *agesRow {
+	return &agesRow{
+		EntriesMs: clampCount(int(a.Entries.Milliseconds())),
+		RulesMs:   clampCount(int(a.Rules.Milliseconds())),
+		Hops:      clampCount(a.Hops),
+		RulesHops: clampCount(a.RulesHops),
+	}
+}
+
+// ages returns the ages in a delta.
+func (b *registryDelta) ages() registry.Ages {
+	if b.Ages == nil {
+		age := time.Duration(b.AgeMs) * time.Millisecond
+		return registry.Ages{Entries: age, Rules: age}
+	}
+	return registry.Ages{
+		Entries:   time.Duration(b.Ages.EntriesMs) * time.Millisecond,
+		Rules:     time.Duration(b.Ages.RulesMs) * time.Millisecond,
+		Hops:      int(b.Ages.Hops),
+		RulesHops: int(b.Ages.RulesHops),
+	}
 }
 
 // instanceRow is an instance as it announced itself in the platform's store.
@@ -102,7 +136,8 @@
 		Whole:   n.Snapshot,
 		Removed: n.Removed,
 		Rules:   n.Rules,
-		AgeMs:   clampCount(int(n.Age.Milliseconds())),
+		AgeMs:   clampCount(int(n.Ages.Max().Milliseconds())),
+		Ages:    toAgesRow(n.Ages),
 		Source:  n.Source,
 		Left:    n.RemovedInstances,
 		Moves:   n.Moves,
@@ -152,7 +187,7 @@
 		Snapshot:          b.Whole,
 		Removed:           b.Removed,
 		Rules:             b.Rules,
-		Age:               time.Duration(b.AgeMs) * time.Millisecond,
+		Ages:              b.ages(),
 		Source:            b.Source,
 		RemovedInstances:  b.Left,
 		Moves:             b.Moves,
--- a/internal/protocol/peerwire/state_test.go
+++ b/internal/protocol/peerwire/state_test.go
@@ -28,7 +28,7 @@
 
 func sampleDelta() registry.Delta {
 	return registry.Delta{
-		ReaderIncarnation: 1, Version: 2, Snapshot: true, Age: time.Second, Removed: []model.UpstreamID{"gone"},
+		ReaderIncarnation: 1, Version: 2, Snapshot: true, Ages: registry.Ages{Entries: time.Second, Rules: 2 * time.Second, Hops: 1, RulesHops: 2}, Removed: []model.UpstreamID{"gone"},
 		Changed: []registry.Entry{{
 			Upstream:    model.Upstream{ID: "u", Kind: model.KindService, Address: "10.0.0.1:1", FailureDomain: "d", Serves: "s", Version: "v1", Slots: 4},
 			Incarnation: 5, Sequence: 6, Leaving: true,
