resend: an instance with little saved takes resends on credit of its cell

Cause: the limit on resends is shared out evenly, which at 295 instances gives each 0.18 of a resend and 0.56 for each request of its own. An instance that got few streams lately has less than one resend, so a stream that loses its engine there waits until another stream arrives at the same instance. The issue suspected that the answers to copy orders are ignored; they are not, the move had no budget.

Change: states carry the saved resends (field 11, additive).

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -135,7 +135,7 @@
 		Allowance:   s.ExposureAllowance,
 		Log:         logger,
 	})
-	if err := e.connect(identity, self, link, tables{commitments, upstreams, locations, outcomes, moves, suspects}, logger); err != nil {
+	if err := e.connect(identity, self, link, tables{commitments, upstreams, locations, outcomes, moves, suspects, budgets}, logger); err != nil {
 		return nil, err
 	}
 	e.forward = forward.New(forward.Options{
@@ -187,6 +187,7 @@
 	outcomes    *outcome.Table
 	moves       *move.Table
 	suspects    *suspect.Table
+	resends     *resend.Budgets
 }
 
 // connect builds the exchange of states with the other instances and the listener
@@ -205,6 +206,7 @@
 		Outcomes:    shared.outcomes,
 		Moves:       shared.moves,
 		Suspects:    shared.suspects,
+		Resends:     shared.resends,
 		Judge:       e.registry.RootReader,
 		Link:        link,
 		Log:         logger,
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
@@ -35,6 +36,7 @@
 	MoveCounts  []move.Row                         // counts for the open version moves
 	Outcomes    map[model.UpstreamID]outcome.Tally // of upstreams with recent bad outcomes
 	Left        map[model.UpstreamID]uint64        // incarnations of upstreams that said that they leave
+	Resends     resend.Balances                    // resends that the instance has saved
 }
 
 // MoveCounts are an instance's counts for the open version moves.
@@ -94,6 +96,7 @@
 	Outcomes    *outcome.Table
 	Moves       *move.Table
 	Suspects    *suspect.Table
+	Resends     *resend.Budgets
 	// Judge returns the instance that judges version moves, and false if it is not
 	// known.
 	Judge func() (model.Instance, bool)
@@ -202,6 +205,7 @@
 		Outcomes:    m.opts.Outcomes.LocalReport(time.Now()),
 		MoveCounts:  m.opts.Moves.LocalRows(),
 		Left:        m.recentlyLeft(time.Now()),
+		Resends:     m.opts.Resends.Balances(),
 	}
 	for _, in := range m.reachable(m.opts.Members()) {
 		m.opts.Link.Send(in, s)
@@ -274,6 +278,7 @@
 	m.opts.Commitments.SetRemote(s.Instance, s.Work, now)
 	m.opts.Outcomes.SetRemote(s.Instance, s.Outcomes, now)
 	m.opts.Moves.SetRemote(s.Instance, s.MoveCounts)
+	m.opts.Resends.SetRemote(s.Instance, s.Resends, now)
 	for part, up := range s.Parts {
 		m.opts.Locations.SetRemote(part, up, now)
 	}
--- a/internal/coordination/exchange/exchange_test.go
+++ b/internal/coordination/exchange/exchange_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
@@ -115,7 +116,8 @@
 				OtherFirsts: func() []model.Instance { return records(firsts) },
 				Judge:       func() (model.Instance, bool) { return record(cells[0][0]), true },
 				Upstreams:   m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: m.moves, Suspects: m.suspects,
-				Link: link{n, id}, Log: &log.Logger{Handler: discard.Default},
+				Resends: resend.New(resend.Limit{Ratio: 0.8, Burst: 100, Window: 10 * time.Second}, 2),
+				Link:    link{n, id}, Log: &log.Logger{Handler: discard.Default},
 			})
 			n[id] = m
 		}
--- a/internal/protocol/peerwire/state.go
+++ b/internal/protocol/peerwire/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
@@ -26,6 +27,8 @@
 	Trials   []moveCountsRow             `cbor:"9,keyasint,omitempty"`
 	// Left holds the incarnations of upstreams that leave.
 	Left map[model.UpstreamID]uint64 `cbor:"10,keyasint,omitempty"`
+	// Resends holds the saved resends by service, in units of resendUnit.
+	Resends map[string]int32 `cbor:"11,keyasint,omitempty"`
 }
 
 // workRow is the wire form of a commitment.Work: one instance's work on one upstream.
@@ -59,6 +62,12 @@
 	NewFailures uint64
 }
 
+// maxResends bounds the balance that a state reports, so that it fits its field.
+const maxResends = 1e6
+
+// resendUnit is the number of resends that 1 stands for in stateBody.Resends.
+const resendUnit = 0.01
+
 // outcomeWeightUnit is the weight that 1 stands for in an outcomeRow.
 const outcomeWeightUnit = 0.01
 
@@ -78,6 +87,12 @@
 		b.Outcomes = append(b.Outcomes, outcomeRow{Upstream: id, Ended: clampCount(int(math.Round(t.Requests / outcomeWeightUnit))), Bad: clampCount(int(math.Round(t.Bad / outcomeWeightUnit)))})
 	}
 	b.Trials = moveCountsRows(s.MoveCounts)
+	for service, balance := range s.Resends {
+		if b.Resends == nil {
+			b.Resends = make(map[string]int32, len(s.Resends))
+		}
+		b.Resends[service] = int32(math.Round(max(min(balance, maxResends), -maxResends) / resendUnit))
+	}
 	for id, age := range s.Failed {
 		if b.Failed == nil {
 			b.Failed = make(map[model.UpstreamID]uint32, len(s.Failed))
@@ -112,6 +127,12 @@
 		Outcomes:    make(map[model.UpstreamID]outcome.Tally, len(b.Outcomes)),
 	}
 	s.MoveCounts = moveRows(b.Trials)
+	for service, balance := range b.Resends {
+		if s.Resends == nil {
+			s.Resends = make(resend.Balances, len(b.Resends))
+		}
+		s.Resends[service] = float64(balance) * resendUnit
+	}
 	for _, o := range b.Outcomes {
 		s.Outcomes[o.Upstream] = outcome.Tally{Requests: float64(o.Ended) * outcomeWeightUnit, Bad: float64(o.Bad) * outcomeWeightUnit}
 	}
--- a/internal/protocol/peerwire/state_test.go
+++ b/internal/protocol/peerwire/state_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
@@ -23,6 +24,7 @@
 		Left:       map[model.UpstreamID]uint64{"l": 7},
 		MoveCounts: []move.Row{{Service: "s", Revision: 5, Route: "r", Old: move.Counts{Requests: 9, Failures: 1}, New: move.Counts{Requests: 3}}},
 		Outcomes:   map[model.UpstreamID]outcome.Tally{"v": {Requests: 2.5, Bad: 0.25}},
+		Resends:    resend.Balances{"s": 1.5, "t": -0.5},
 	}
 }
 
--- a/internal/state/call/budget.go
+++ b/internal/state/call/budget.go
@@ -56,17 +56,30 @@
 
 // Withdraw takes one retry from the balance, or returns false if less than one is
 // left.
-func (b *Budget) Withdraw() bool {
+func (b *Budget) Withdraw() bool { return b.WithdrawOnCredit(0) }
+
+// WithdrawOnCredit takes one retry from the balance, which may fall below zero by at most
+// the credit, or returns false.
+func (b *Budget) WithdrawOnCredit(credit float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(time.Now())
-	if b.balance < 1-roundingTolerance {
+	if b.balance+credit < 1-roundingTolerance {
 		return false
 	}
 	b.balance--
 	return true
 }
 
+// Balance returns the number of retries that are left. It is negative after withdrawals on
+// credit.
+func (b *Budget) Balance() float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.advance(time.Now())
+	return b.balance
+}
+
 // limit returns the highest balance. The caller holds mu.
 func (b *Budget) limit() float64 {
 	if b.opts.Window == 0 {
