forward: do not charge the resend budget for sends that reach no upstream

Cause: a refused connection used up a resend, though the limit is on what reaches upstreams.

Change: after a send that certainly reached no upstream, the next one is free. Calls use the reserved resend too. continuation.MaxFailures still bounds the attempts.

Measured: TestSendsThatReachNoUpstreamAreNotCharged fails before (one send instead of two).

--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -136,7 +136,7 @@
 	if r.executions > 0 && !r.mayRunAgain() {
 		return false
 	}
-	return r.m.opts.Budget.TakeResend(r.service.Name)
+	return r.takeResend()
 }
 
 // settleCall ends a call for which no further upstream is tried, unless an
@@ -180,6 +180,9 @@
 	}
 	r.m.metrics.countLoss(r.service.Name, kind)
 	r.scheduleCrashCheck(a, kind, sent)
+	if !sent {
+		r.resendReserved = true // the budget limits what reaches upstreams
+	}
 	if r.route.Stream {
 		r.handleStreamLoss(a, kind, cause, sent)
 		return
--- a/internal/coordination/forward/silence_test.go
+++ b/internal/coordination/forward/silence_test.go
@@ -224,3 +224,24 @@
 		assert.Assert(t, b.lastSend().Upstream.FailureDomain != model.FailureDomain("a"))
 	})
 }
+
+// Guards against a request that waits for the resend budget although its last send
+// reached no upstream: where engines are lost in waves, refused connections used up the
+// share of an instance, and its streams then waited until their deadline.
+func TestSendsThatReachNoUpstreamAreNotCharged(t *testing.T) {
+	for _, path := range []string{"/log/1", "/read/1", "/book/1"} {
+		withHarness(t, func(b *harness) {
+			b.budget.usedUp.Store(true)
+			b.submit(path)
+			for n := range 3 {
+				assert.Equal(t, len(b.sent()), n+1, path)
+				b.lastSend().Lost(continuation.LossDial, "connection refused", false)
+				b.advance(0)
+			}
+			last := b.lastSend()
+			last.Lost(continuation.LossReset, "reset", true)
+			b.advance(time.Second)
+			assert.Assert(t, last == b.lastSend(), "%s: a send that may have arrived is not charged", path)
+		})
+	}
+}
