rules: find routes, keys and services in an index of the revision

Change: state/rules builds an index once for each revision (routes by host and prefix length, keys, services). forward.Admit and the ingress read it; the walks are gone.

--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -2,12 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/access"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 )
 
 // Refusal codes. The problem package maps them to HTTP statuses.
@@ -29,21 +29,21 @@
 }
 
 // Admit finds the route, the service and the organisation of a request, or refuses it.
-func Admit(current *model.RoutingRules, req *Request) (RouteMatch, *model.Refusal) {
+func Admit(current *rules.Index, req *Request) (RouteMatch, *model.Refusal) {
 	if current == nil {
 		return RouteMatch{}, refuseNotReady(req)
 	}
-	route, ok := MatchRoute(current, req.Host, req.Path)
+	route, ok := current.Route(req.Host, req.Path)
 	if !ok {
 		return RouteMatch{}, &model.Refusal{Code: codeNoRoute, Message: "No route of this host has a prefix of the path.", Outcome: model.OutcomeNotRun}
 	}
 	a := RouteMatch{Route: route}
-	if len(current.Holders) > 0 {
-		holder, known := findKeyHolder(current, req.Credential)
+	if len(current.Rules.Holders) > 0 {
+		organisation, known := current.Holder(req.Credential)
 		if !known && !route.Public {
 			return RouteMatch{}, &model.Refusal{Code: codeUnknownCredential, Message: "The credential names no organisation.", Outcome: model.OutcomeNotRun}
 		}
-		a.Organisation = holder.Organisation
+		a.Organisation = organisation
 	}
 	name := chooseService(route, req.ID)
 	service, ok := current.Service(name)
@@ -54,39 +54,6 @@
 	return a, nil
 }
 
-// MatchRoute returns the route of the host whose prefix is the longest that matches the path.
-func MatchRoute(current *model.RoutingRules, host, path string) (model.HostRoute, bool) {
-	best := -1
-	for i := range current.Routes {
-		route := &current.Routes[i]
-		if !strings.EqualFold(route.Host, host) || !strings.HasPrefix(path, route.Prefix) {
-			continue
-		}
-		if best < 0 || len(route.Prefix) > len(current.Routes[best].Prefix) {
-			best = i
-		}
-	}
-	if best < 0 {
-		return model.HostRoute{}, false
-	}
-	return current.Routes[best], true
-}
-
-// findKeyHolder returns the key holder that the credential belongs to.
-func findKeyHolder(current *model.RoutingRules, credential string) (model.KeyHolder, bool) {
-	if credential == "" {
-		return model.KeyHolder{}, false
-	}
-	for _, holder := range current.Holders {
-		for _, key := range holder.Keys {
-			if key == credential {
-				return holder, true
-			}
-		}
-	}
-	return model.KeyHolder{}, false
-}
-
 // chooseService chooses one of the route's services by weight. The choice depends
 // on the request ID alone, so that a request always goes to the same service.
 func chooseService(route model.HostRoute, id model.RequestID) string {
--- a/internal/coordination/forward/admit_test.go
+++ b/internal/coordination/forward/admit_test.go
@@ -1,11 +1,13 @@
 package forward
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"gotest.tools/v3/assert"
 )
 
@@ -39,7 +41,7 @@
 		{"public without key", "h", "/open/x", "", "open", ""},
 	}
 	for _, c := range cases {
-		admitted, refusal := Admit(admitRules(), &Request{ID: "r", Host: c.host, Path: c.path, Credential: c.key})
+		admitted, refusal := Admit(rules.NewIndex(admitRules()), &Request{ID: "r", Host: c.host, Path: c.path, Credential: c.key})
 		if c.code != "" {
 			assert.Equal(t, refusal.Code, c.code, c.name)
 			continue
@@ -58,8 +60,8 @@
 	count := map[string]int{}
 	for i := range 2000 {
 		req := &Request{ID: model.RequestID(time.Duration(i).String()), Host: "h", Path: "/split/", Credential: "k1"}
-		first, _ := Admit(admitRules(), req)
-		again, _ := Admit(admitRules(), req)
+		first, _ := Admit(rules.NewIndex(admitRules()), req)
+		again, _ := Admit(rules.NewIndex(admitRules()), req)
 		assert.Equal(t, first.Service.Name, again.Service.Name)
 		count[first.Service.Name]++
 	}
@@ -81,3 +83,27 @@
 		}
 	})
 }
+
+// BenchmarkAdmit measures the lookup of a request's route, organisation and service.
+func BenchmarkAdmit(b *testing.B) {
+	for _, count := range []int{20, 400, 2000} {
+		b.Run(fmt.Sprintf("routes=%d", count), func(b *testing.B) {
+			r := &model.RoutingRules{}
+			for i := range count {
+				r.Routes = append(r.Routes, model.HostRoute{
+					Name: fmt.Sprint(i), Host: "h.example", Prefix: fmt.Sprintf("/area%d/part%d/", i%7, i),
+					Targets: []model.RouteTarget{{Service: "s", Weight: 1}},
+				})
+				r.Holders = append(r.Holders, model.KeyHolder{Organisation: model.OrganisationID(fmt.Sprint(i)), Keys: []string{fmt.Sprintf("key%d", i)}})
+			}
+			index := rules.NewIndex(r)
+			req := &Request{ID: "r", Host: "h.example", Path: r.Routes[count-1].Prefix + "x", Credential: fmt.Sprintf("key%d", count-1)}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, refusal := Admit(index, req); refusal != nil {
+					b.Fatal(refusal.Code)
+				}
+			}
+		})
+	}
+}
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -200,7 +200,7 @@
 		r.refuse(RefuseLeaving())
 		return
 	}
-	current := r.m.opts.Rules.Current()
+	current := r.m.opts.Rules.Index()
 	if current == nil {
 		r.hold(r.handleArrival, refuseNotReady(r.req))
 		return
@@ -211,7 +211,7 @@
 		return
 	}
 	r.route, r.organisation = admitted.Route, admitted.Organisation
-	r.service, r.revision = admitted.Service, current.Revision
+	r.service, r.revision = admitted.Service, current.Rules.Revision
 	r.deadline = Deadline(r.req, r.route)
 	r.tried = map[model.UpstreamID]bool{}
 	r.inFlight = map[int]*attempt{}
--- a/internal/state/rules/rules.go
+++ b/internal/state/rules/rules.go
@@ -16,7 +16,7 @@
 // the other fields. Invariant: the revision of current never falls.
 type Table struct {
 	mu       lock.Mutex
-	current  *model.RoutingRules
+	current  *Index                // of the rules in force; nil means none
 	replaced []*model.RoutingRules // the last ones, oldest first
 }
 
@@ -28,18 +28,22 @@
 // Apply puts the rules in force if their revision is higher than the current
 // one, and reports whether it did. The caller must not change r afterwards.
 func (t *Table) Apply(r *model.RoutingRules) bool {
+	if current := t.Current(); current != nil && r.Revision <= current.Revision {
+		return false
+	}
+	index := NewIndex(r)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.current != nil && r.Revision <= t.current.Revision {
+	if t.current != nil && r.Revision <= t.current.Rules.Revision {
 		return false
 	}
 	if t.current != nil {
 		if len(t.replaced) == maxReplaced {
 			t.replaced = slices.Delete(t.replaced, 0, 1)
 		}
-		t.replaced = append(t.replaced, t.current)
+		t.replaced = append(t.replaced, t.current.Rules)
 	}
-	t.current = r
+	t.current = index
 	return true
 }
 
@@ -58,6 +62,14 @@
 
 // Current returns the rules in force, or nil. The caller must not change them.
 func (t *Table) Current() *model.RoutingRules {
+	if index := t.Index(); index != nil {
+		return index.Rules
+	}
+	return nil
+}
+
+// Index returns the index of the rules in force, or nil.
+func (t *Table) Index() *Index {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.current
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -171,12 +171,12 @@
 		return true
 	}
 	lastEnd := s.lastEnd.Load()
-	current := s.opts.Rules.Current()
+	current := s.opts.Rules.Index()
 	if current == nil || (lastEnd == nil && !s.refuseStreams.Load()) {
 		return false
 	}
 	path, _ := targetOf(r)
-	route, ok := forward.MatchRoute(current, hostOf(r), path)
+	route, ok := current.Route(hostOf(r), path)
 	if !ok {
 		return false
 	}
