forward: check streams and copy holders without a copy of all rows

Cause: each check whether one engine may have failed copied all rows of its service and counted the failures of all failure domains: 229 kB for each of about eight checks a second and instance at 512 engines.

Change: upstream.Table.Failed returns the rows that failed lately and the sizes of the failure domains; detectOutages counts those alone. The hash of a placement is computed without an allocation.

--- a/internal/coordination/forward/outage.go
+++ b/internal/coordination/forward/outage.go
@@ -26,33 +26,43 @@
 // last failure there.
 type outages map[model.FailureDomain]time.Time
 
-// detectOutages finds the lost failure domains from the upstreams of one service.
-func detectOutages(rows []upstream.Row, now time.Time) outages {
+// detectOutages finds the lost failure domains of a service from its upstreams that
+// failed lately and the number of its upstreams in each failure domain.
+func detectOutages(failed []upstream.Row, sizes map[model.FailureDomain]int, now time.Time) outages {
+	if len(failed) < outageMinFailed {
+		return nil
+	}
 	type count struct {
-		failed, all int
-		last        time.Time
+		failed int
+		last   time.Time
 	}
 	domains := map[model.FailureDomain]count{}
-	for _, row := range rows {
+	for _, row := range failed {
+		if !recentlyFailed(row, now) {
+			continue
+		}
 		c := domains[row.Upstream.FailureDomain]
-		c.all++
-		if recentlyFailed(row, now) {
-			c.failed++
-			if row.FailedAt.After(c.last) {
-				c.last = row.FailedAt
-			}
+		c.failed++
+		if row.FailedAt.After(c.last) {
+			c.last = row.FailedAt
 		}
 		domains[row.Upstream.FailureDomain] = c
 	}
 	lost := outages{}
 	for domain, c := range domains {
-		if c.failed >= outageMinFailed && float64(c.failed) >= outageMinShare*float64(c.all) {
+		if c.failed >= outageMinFailed && float64(c.failed) >= outageMinShare*float64(sizes[domain]) {
 			lost[domain] = c.last
 		}
 	}
 	return lost
 }
 
+// outagesOf returns the lost failure domains of the service.
+func (m *Manager) outagesOf(service string, now time.Time) outages {
+	failed, sizes := m.opts.Upstreams.Failed(service, now.Add(-failedUpstreamTimeout))
+	return detectOutages(failed, sizes, now)
+}
+
 // mayBeLost reports whether the upstream may be lost: the upstream or its failure
 // domain failed, and the upstream has shown no sign of life since.
 func (o outages) mayBeLost(row upstream.Row, now time.Time) bool {
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -46,7 +46,7 @@
 // they are suspected to have failed.
 func (m *Manager) eligibleUpstreams(r *activeRequest, now time.Time) (ready, suspected []upstream.Row) {
 	rows := m.opts.Upstreams.Serving(r.service.Name)
-	return splitByFailure(m.filterByVersion(r, rows, now), detectOutages(rows, now), r.tried, now)
+	return splitByFailure(m.filterByVersion(r, rows, now), m.outagesOf(r.service.Name, now), r.tried, now)
 }
 
 // splitByFailure returns the upstreams that are neither tried, leaving, down nor paused,
@@ -75,7 +75,7 @@
 // mayHaveFailed reports whether the upstream is suspected to have failed and has
 // shown no sign of recovery.
 func (m *Manager) mayHaveFailed(row upstream.Row, now time.Time) bool {
-	return detectOutages(m.opts.Upstreams.Serving(row.Upstream.Serves), now).mayBeLost(row, now)
+	return m.outagesOf(row.Upstream.Serves, now).mayBeLost(row, now)
 }
 
 // pickCallUpstream returns the upstream with the least cost for a call.
@@ -106,7 +106,9 @@
 // hashFraction returns a number from 0 to 1 that depends on the key and the upstream
 // alone, so that choices are repeatable and different keys spread over the upstreams.
 func hashFraction(key string, id model.UpstreamID) float64 {
-	return float64(xxhash.Sum64String(key+"\x00"+string(id))) / math.MaxUint64
+	var buffer [96]byte // holds most keys and IDs without an allocation
+	text := append(append(append(buffer[:0], key...), 0), id...)
+	return float64(xxhash.Sum64(text)) / math.MaxUint64
 }
 
 // streamDemand is the work and the memory that a stream needs from an engine.
--- a/internal/coordination/forward/promptsearch.go
+++ b/internal/coordination/forward/promptsearch.go
@@ -72,7 +72,7 @@
 func (m *Manager) startPromptSearch(service string, now time.Time, located func()) *promptSearch {
 	s := &promptSearch{startedAt: now, maxTokens: map[string]int{}, waiters: []func(){located}}
 	rows := m.opts.Upstreams.Serving(service)
-	ready, _ := splitByFailure(rows, detectOutages(rows, now), nil, now)
+	ready, _ := splitByFailure(rows, m.outagesOf(service, now), nil, now)
 	s.knownEngines = len(ready)
 	ready = ready[:min(len(ready), maxQueriedEngines)]
 	s.queriedEngines, s.pendingReplies = len(ready), len(ready)
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -90,7 +90,10 @@
 	rows      map[model.UpstreamID]*Row
 	sendTimes map[model.UpstreamID]sendTimes
 	serving   map[string][]*Row // the rows by the model or service that they serve, sorted by ID
-	version   uint64            // rises with each change of a report
+	// domains holds the number of rows of each model or service by failure domain. The
+	// inner maps are replaced and never changed.
+	domains map[string]map[model.FailureDomain]int
+	version uint64 // rises with each change of a report
 }
 
 // NewTable returns an empty table.
@@ -143,13 +146,19 @@
 // holds mu.
 func (t *Table) rebuildIndex() {
 	t.serving = map[string][]*Row{}
+	t.domains = map[string]map[model.FailureDomain]int{}
 	for _, row := range t.rows {
 		t.serving[""] = append(t.serving[""], row)
 		if name := row.Upstream.Serves; name != "" {
 			t.serving[name] = append(t.serving[name], row)
 		}
 	}
-	for _, rows := range t.serving {
+	for name, rows := range t.serving {
+		sizes := map[model.FailureDomain]int{}
+		for _, row := range rows {
+			sizes[row.Upstream.FailureDomain]++
+		}
+		t.domains[name] = sizes
 		slices.SortFunc(rows, func(a, b *Row) int {
 			return strings.Compare(string(a.Upstream.ID), string(b.Upstream.ID))
 		})
@@ -322,6 +331,22 @@
 	return rows
 }
 
+// Failed returns the rows that serve the given model or service and whose last connection
+// failure is later than the given time, and the number of all of its rows in each failure
+// domain, which the caller must not change. It is called for each check of a running
+// stream, where a copy of all rows would cost more than the check.
+func (t *Table) Failed(name string, after time.Time) ([]Row, map[model.FailureDomain]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var failed []Row
+	for _, row := range t.serving[name] {
+		if row.FailedAt.After(after) {
+			failed = append(failed, *row)
+		}
+	}
+	return failed, t.domains[name]
+}
+
 // Loads returns the loads of the usable upstreams that serve the given model
 // or service in the given version with the given adapter, sorted by upstream
 // ID. An empty version matches any version; an empty adapter means that none is
