forward: no copy orders to an engine that said that it does not run the stream

Cause: a probe that can not tell overwrote the definite answer to a copy order, so the copy was ordered again each 0.3 s and the stream counted as present.

Change: the answer to an order (denied) is kept apart from what probes show (forgotten), until the stream has an event. A denied stream is not copied; each check tries to move it.

--- a/internal/coordination/forward/copy.go
+++ b/internal/coordination/forward/copy.go
@@ -54,6 +54,12 @@
 // engine copies to its first holder as the stream grows. That holder cannot be
 // changed while the stream runs, so a later holder gets copies on request.
 func (r *activeRequest) checkCopy(a *attempt) {
+	if a.denied { // the engine has no memory of the stream left to copy
+		if !r.moveUnknown(a) {
+			r.scheduleCopyCheck(a, copyCheckInterval)
+		}
+		return
+	}
 	alive := r.holderAlive(a)
 	if a.eventCount == 0 || (alive && !a.copyOnRequest) {
 		r.scheduleCopyCheck(a, copyCheckInterval)
--- a/internal/coordination/forward/probe_test.go
+++ b/internal/coordination/forward/probe_test.go
@@ -104,3 +104,22 @@
 		assert.Equal(t, len(b.sent()), 1)
 	})
 }
+
+// Guards against copy orders to an engine that has said that it does not run the stream,
+// while the stream waits for the resend budget.
+func TestNoCopyIsOrderedFromAnEngineWithoutTheStream(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.engineState = EngineState{Reported: true, Waiting: 3, Active: 8}
+		b.copyError = ErrStreamUnknown
+		b.budget.usedUp.Store(true)
+		b.startStreamWithLostHolder()
+		b.advance(2 * time.Second) // the orders of the first 0.3 s precede the silence
+		orders := len(b.copyHolders)
+		b.advance(3 * time.Second)
+		assert.Equal(t, len(b.copyHolders), orders)
+		assert.Equal(t, len(b.sent()), 1)
+		b.budget.usedUp.Store(false)
+		b.advance(400 * time.Millisecond)
+		assert.Equal(t, len(b.sent()), 2)
+	})
+}
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -123,7 +123,8 @@
 	silenceTimer    *worker.Timer
 	probed          bool      // probed since the last event
 	unansweredSince time.Time // first of the last probes that got no answer; zero means none
-	forgotten       bool      // the engine reports that it no longer has the request
+	forgotten       bool      // the state that the engine reports does not have the request
+	denied          bool      // the engine answered a copy order that it does not run the stream
 }
 
 // continuationState describes the attempt to the rules of package continuation.
--- a/internal/coordination/forward/silence.go
+++ b/internal/coordination/forward/silence.go
@@ -56,7 +56,7 @@
 
 // endSilence notes that the attempt has brought an event.
 func (r *activeRequest) endSilence(a *attempt) {
-	a.unansweredSince, a.forgotten = time.Time{}, false
+	a.unansweredSince, a.forgotten, a.denied = time.Time{}, false, false
 	if a.eventCount == 1 || a.probed { // the next check is scheduled too late
 		a.probed = false
 		r.scheduleSilenceCheck(a, r.silenceLimit(a))
@@ -88,7 +88,7 @@
 		return false
 	}
 	kind := continuation.LossSilence
-	if a.forgotten {
+	if a.forgotten || a.denied {
 		kind = continuation.LossNoStream
 	}
 	r.handleLoss(a, kind, cause, true)
@@ -102,7 +102,7 @@
 	if time.Since(a.lastSeen) < r.silenceLimit(a) {
 		return false
 	}
-	a.forgotten = true
+	a.denied = true
 	return r.moveSilent(a, "engine no longer has the request")
 }
 
@@ -112,7 +112,7 @@
 		PromptRead:       a.eventCount > 0 || a.fromCopy,
 		SendsLeft:        r.sendsLeft(),
 		AlternativeReady: r.hasAlternative(a),
-		Lost:             a.forgotten || r.isStuck(a),
+		Lost:             a.forgotten || a.denied || r.isStuck(a),
 	}
 	if source := r.copyForResume(a); source != nil {
 		_, s.CopyReady = r.m.usableHolder(source.holder.ID)
