backend: read answers to engine calls under the shared memory budget

Cause: probes, copy orders and questions for cached prompts read up to 1 MiB each outside the budget of 32 MiB that holds for all other answers, and took a truncated answer for a complete one. A search asks up to 256 engines at once; if they send bytes without end, an instance of 184 MB runs out of memory, and the requests of other clients end with it.

Change: callEngine reads under the budget; an answer over its limit is an error.

--- a/internal/transport/backend/endless_test.go
+++ b/internal/transport/backend/endless_test.go
@@ -114,3 +114,41 @@
 		})
 	}
 }
+
+// Guards against engines that answer control calls without end: a search for prompts asks
+// hundreds of engines at once, and each answer may be large.
+func TestEndlessAnswersToEngineCallsTakeBoundedMemory(t *testing.T) {
+	for name, start := range map[string]string{
+		"head": "HTTP/1.1 200 OK\r\nX-Filler: ",
+		"body": "HTTP/1.1 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			engine := model.Upstream{ID: "u", Address: startUpstream(t, endless(start, "a")).Address()}
+			client := New(forwardwire.Names{Request: "X-Req", NotRun: "X-Not-Run"}, EngineAPI{
+				StatePath: "/state", CachedPromptsPath: "/prompts", CopyPath: "/copy",
+				EncodeCopy:          func(model.RequestID, string) ([]byte, error) { return []byte("{}"), nil },
+				DecodeState:         func([]byte) (forward.EngineState, error) { return forward.EngineState{}, nil },
+				DecodeCopy:          func([]byte) (string, error) { return "handle", nil },
+				DecodeCachedPrompts: func([]byte) ([]forward.CachedPart, error) { return nil, nil },
+			})
+			defer client.Close()
+			client.unpooled = newTransport(false, 5*time.Second)
+			const engines, timeout = 128, 10 * time.Second
+			used := peakHeap(func() {
+				var ended sync.WaitGroup
+				refused := func(err error) {
+					assert.Check(t, err != nil, "the answer counts as complete")
+					ended.Done()
+				}
+				ended.Add(3 * engines)
+				for range engines {
+					client.CachedParts(engine, timeout, func(_ []forward.CachedPart, err error) { refused(err) })
+					client.Probe(engine, timeout, func(_ forward.EngineState, err error) { refused(err) })
+					client.RequestCopy(engine, "r", engine, timeout, func(_ string, err error) { refused(err) })
+				}
+				ended.Wait()
+			})
+			assert.Assert(t, used <= 3*maxBufferedBytes, "%d bytes for %d calls", used, 3*engines)
+		})
+	}
+}
--- a/internal/transport/backend/engine.go
+++ b/internal/transport/backend/engine.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -139,7 +138,9 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "%s %s at %q: %v", method, path, up.ID, err)
 	}
-	answer, err := io.ReadAll(io.LimitReader(in.Body, maxEngineAnswerBytes))
+	reserved := c.memory.Reserve()
+	defer reserved.Release()
+	answer, err := reserved.ReadAll(in.Body, maxEngineAnswerBytes)
 	if err := trace.NewAggregate(err, in.Body.Close()); err != nil {
 		return nil, err
 	}
