--- a/internal/coordination/registry/source_test.go
+++ b/internal/coordination/registry/source_test.go
@@ -119,7 +119,8 @@
 // scriptedPeers answers polls with a fixed delta.
 type scriptedPeers struct{ delta Delta }
 
-func (p scriptedPeers) Poll(context.Context, model.Instance, Cursor, *model.RoutingRules, time.Duration) (Delta, error) {
+func (p scriptedPeers) Poll(_ context.Context, _ model.Instance, _ Cursor, _ *model.RoutingRules, d time.Duration) (Delta, error) {
+	time.Sleep(d)
 	return p.delta, nil
 }
 
@@ -128,6 +129,7 @@
 func TestOlderSnapshotBringsNoUpstreamBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newStoreContent()
+		first := model.Instance{ID: "a", Incarnation: 1, State: model.InstanceLive}
 		m := newMember(w, fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
 		defer m.pool.Close()
 		m.Start()
@@ -140,7 +142,8 @@
 		time.Sleep(700 * time.Millisecond) // one interval of reads
 		m.pool.Post(keyEntries, worker.Func(func() {
 			m.opts.Peers = stale
-			m.opts.Instances.Merge(model.Instance{ID: "a", Incarnation: 1, State: model.InstanceLive})
+			m.opts.Instances.Merge(first)
+			w.change(func() { w.instances = append(w.instances, first) }) // or the next read of the list removes it
 		}))
 		time.Sleep(800 * time.Millisecond)
 		_, known := m.upstreams.Get("u1")
