backend, service: an answer without a length needs a live upstream at its end

Cause: an answer without a length ends with its connection. When its process is killed, the system closes the connection in the same way, and forward ended the stream once the attempt had brought an event. Calls of edged and calls of entryd to plain services had the same fault.

Change: package answerend asks the process that sent such an answer for a sign of life, over a new connection.

The stand-in of TestCutAnswersAreNotComplete closed the connection of any other request; it now answers them with 404, as a live server does. Its checks are unchanged.

--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -42,6 +42,7 @@
 // Send is one attempt to have a request run by an upstream.
 type Send struct {
 	Upstream        model.Upstream
+	Incarnation     uint64 // of the upstream; 0 means unknown
 	Request         *Request
 	Organisation    model.OrganisationID
 	Deadline        time.Time // zero means none
@@ -66,8 +67,9 @@
 	EventsArrived(events []Event)
 	// StreamEnded says that the answer with the stream is complete; nothing follows.
 	StreamEnded()
-	// ConnectionClosed says that the connection was closed after whole events, and that
-	// the answer has no other end: it is complete, or its engine crashed. Nothing follows.
+	// ConnectionClosed says that the connection was closed after whole events, that the
+	// answer has no other end, and that its engine was alive after that. Nothing follows.
+	// An engine that was not is reported as Lost.
 	ConnectionClosed()
 	// Lost says that the send failed; nothing follows. sent says that a byte
 	// of the request may have reached the upstream.
@@ -149,6 +151,9 @@
 	}
 	r.notifyWorkChanged(a)
 	s.Upstream, s.Request, s.Organisation, s.Deadline = a.upstream, r.req, r.organisation, r.deadline
+	if row, known := r.m.opts.Upstreams.Get(a.upstream.ID); known {
+		s.Incarnation = row.Report.Incarnation
+	}
 	a.cancel = r.m.opts.Sender.Start(s, &receiver{r: r, number: a.number})
 }
 
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -241,8 +241,8 @@
 }
 
 // earlyEnd returns the kind of loss if the attempt's answer ended before the stream did,
-// and else an empty one. The connection of an answer that is not delimited ends in the
-// same way when its engine crashes, so it ends the stream only after a new event.
+// and else an empty one. An answer that is not delimited ends the stream only after a new
+// event.
 func (r *activeRequest) earlyEnd(a *attempt, delimited bool) (kind continuation.Loss, cause string) {
 	switch {
 	case r.stream.accepted == 0:
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -18,6 +18,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerend"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
@@ -106,7 +107,7 @@
 		return
 	}
 	defer func() { _ = in.Body.Close() }() // a failed read is reported where it happens
-	c.receive(s, in, use, receiver)
+	c.receive(ctx, s, in, use, receiver)
 }
 
 // transport returns the transport for a send. Without an ID, an answer to the request
@@ -140,7 +141,7 @@
 }
 
 // receive reads the response and passes it to the receiver.
-func (c *Client) receive(s forward.Send, in *http.Response, use *keptconn.Use, receiver forward.Receiver) {
+func (c *Client) receive(ctx context.Context, s forward.Send, in *http.Response, use *keptconn.Use, receiver forward.Receiver) {
 	verdict := c.names.Judge(s.Request.ID, use.Kept(), in.StatusCode, in.Header)
 	if verdict.BadPause != "" {
 		c.badPause.Do(func() {
@@ -160,9 +161,9 @@
 		receiver.Lost(continuation.LossStatus, verdict.Invalid, true)
 	case s.Stream && in.StatusCode == http.StatusOK && mayHaveEvents(in.Header):
 		receiver.StreamBegan(in.StatusCode, c.names.Answered(in.Header))
-		readEvents(in.Body, isDelimited(in), c.memory, receiver)
+		readEvents(c.body(ctx, s, in), answerend.IsDelimited(in), c.memory, receiver)
 	default:
-		c.readAnswer(in, verdict, receiver)
+		c.readAnswer(ctx, s, in, verdict, receiver)
 	}
 }
 
@@ -174,16 +175,29 @@
 	return mediaType == "" || strings.EqualFold(mediaType, "text/event-stream")
 }
 
-// isDelimited reports whether the answer marks its end itself. The transport reports an
-// error if the connection of such an answer closes before its end.
-func isDelimited(in *http.Response) bool {
-	return in.ContentLength >= 0 || len(in.TransferEncoding) > 0
+// body returns a reader of the answer's body that reports an error if the answer has no
+// length and the upstream has not outlived it.
+func (c *Client) body(ctx context.Context, s forward.Send, in *http.Response) io.Reader {
+	return answerend.Body(ctx, in, func(ctx context.Context) error {
+		err := c.checkAlive(ctx, s)
+		entry := log.WithField("part", "backend").WithField("request_id", string(s.Request.ID)).WithField("upstream", string(s.Upstream.ID))
+		if err != nil {
+			entry.WithError(err).Info("answer without a length ended, and its upstream may have crashed")
+			return err
+		}
+		entry.Info("answer without a length ended, and its upstream is alive")
+		return nil
+	})
 }
 
-func (c *Client) readAnswer(in *http.Response, verdict forwardwire.Verdict, receiver forward.Receiver) {
+func (c *Client) readAnswer(ctx context.Context, s forward.Send, in *http.Response, verdict forwardwire.Verdict, receiver forward.Receiver) {
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
-	body, err := reserved.ReadAll(in.Body, maxAnswerBytes)
+	var answer io.Reader = in.Body
+	if !verdict.NotRun { // the head of a refusal is enough
+		answer = c.body(ctx, s, in)
+	}
+	body, err := reserved.ReadAll(answer, maxAnswerBytes)
 	if err != nil && !verdict.NotRun {
 		receiver.Lost(continuation.LossTruncated, err.Error(), true)
 		return
--- a/internal/transport/backend/cut_test.go
+++ b/internal/transport/backend/cut_test.go
@@ -18,12 +18,14 @@
 )
 
 // cutAnswer answers each request with the bytes that its path selects and then ends the
-// connection: /fin/N/ and /reset/N/ send the first N bytes.
+// connection: /fin/N/ and /reset/N/ send the first N bytes. Other requests, such as the one
+// that asks whether the upstream is alive, are answered with status 404.
 func cutAnswer(whole string) rawhttp.Answer {
 	return func(_ int, conn net.Conn, req *http.Request) bool {
 		var end string
 		var size int
 		if _, err := fmt.Sscanf(strings.ReplaceAll(req.URL.Path, "/", " "), "%s %d", &end, &size); err != nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
 			return false
 		}
 		_, _ = io.WriteString(conn, whole[:size])
--- a/internal/transport/backend/engine.go
+++ b/internal/transport/backend/engine.go
@@ -27,6 +27,9 @@
 // forwarded requests.
 type EngineAPI struct {
 	StatePath string // path of an engine's state
+	// DecodeIncarnation returns the incarnation in the answer of StatePath, and 0 if the
+	// answer has none.
+	DecodeIncarnation func(answer []byte) uint64
 	// DecodeState decodes the answer of StatePath.
 	DecodeState func(answer []byte) (forward.EngineState, error)
 	CopyPath    string // path for orders to copy the engine's memory of a stream to another engine
@@ -121,14 +124,47 @@
 	}()
 }
 
-// callEngine makes one call to an engine over a new connection and returns the
-// body of the answer. A header names the engine, so that no other upstream at
-// its address answers.
+// checkAlive returns an error unless the process that got the send answers a call. Any
+// answer shows that: a plain service need not know the path.
+func (c *Client) checkAlive(ctx context.Context, s forward.Send) error {
+	answer, status, err := c.exchange(ctx, http.MethodGet, s.Upstream, c.engine.StatePath, nil)
+	switch {
+	case err != nil:
+		return err
+	case status == http.StatusMisdirectedRequest:
+		return trace.NotFound("another upstream has the address of %q", s.Upstream.ID)
+	case c.engine.DecodeIncarnation == nil || s.Incarnation == 0:
+		return nil
+	}
+	if now := c.engine.DecodeIncarnation(answer); now != 0 && now != s.Incarnation {
+		return trace.NotFound("upstream %q has restarted", s.Upstream.ID)
+	}
+	return nil
+}
+
+// callEngine makes one call to an engine and returns the body of an answer with a status
+// of success.
 func (c *Client) callEngine(ctx context.Context, method string, up model.Upstream, path string, body []byte) ([]byte, error) {
+	answer, status, err := c.exchange(ctx, method, up, path, body)
+	switch {
+	case err != nil:
+		return nil, err
+	case status == http.StatusNotFound:
+		return nil, trace.NotFound("%s %s at %q was answered with status 404", method, path, up.ID)
+	case status/100 != http.StatusOK/100:
+		return nil, trace.ConnectionProblem(nil, "%s %s at %q was answered with status %d", method, path, up.ID, status)
+	}
+	return answer, nil
+}
+
+// exchange makes one call to an upstream over a new connection and returns the body and
+// the status of the answer. A header names the upstream, so that no other upstream at its
+// address answers.
+func (c *Client) exchange(ctx context.Context, method string, up model.Upstream, path string, body []byte) (answer []byte, status int, err error) {
 	target := url.URL{Scheme: "http", Host: up.Address, Path: path}
 	out, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return nil, 0, trace.Wrap(err)
 	}
 	if len(body) > 0 {
 		out.Header.Set("Content-Type", "application/json")
@@ -136,19 +172,13 @@
 	c.names.Expect(out.Header, up.ID)
 	in, err := c.unpooled.RoundTrip(out)
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "%s %s at %q: %v", method, path, up.ID, err)
+		return nil, 0, trace.ConnectionProblem(err, "%s %s at %q: %v", method, path, up.ID, err)
 	}
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
-	answer, err := reserved.ReadAll(in.Body, maxEngineAnswerBytes)
+	answer, err = reserved.ReadAll(in.Body, maxEngineAnswerBytes)
 	if err := trace.NewAggregate(err, in.Body.Close()); err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	if in.StatusCode == http.StatusNotFound {
-		return nil, trace.NotFound("%s %s at %q was answered with status 404", method, path, up.ID)
-	}
-	if in.StatusCode/100 != http.StatusOK/100 {
-		return nil, trace.ConnectionProblem(nil, "%s %s at %q was answered with status %d", method, path, up.ID, in.StatusCode)
-	}
-	return answer, nil
+	return answer, in.StatusCode, nil
 }
--- a/internal/transport/backend/events.go
+++ b/internal/transport/backend/events.go
@@ -9,6 +9,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerend"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 )
 
@@ -56,6 +57,8 @@
 		receiver.ConnectionClosed()
 	case errors.Is(err, io.EOF):
 		receiver.StreamEnded()
+	case errors.Is(err, answerend.ErrCut):
+		receiver.Lost(continuation.LossTruncated, err.Error(), true)
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		receiver.Lost(continuation.LossTruncated, "stream ended within an event", true)
 	default:
--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -12,8 +12,10 @@
 
 	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
+	"github.com/sequoiavalve/sequoiavalve/internal/protocol/engineapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/hop"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerend"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
@@ -116,13 +118,26 @@
 	}
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
-	body, err := reserved.ReadAll(in.Body, maxResponseBytes)
+	body, err := reserved.ReadAll(answerend.Body(ctx, in, func(ctx context.Context) error { return c.checkAlive(ctx, upstream) }), maxResponseBytes)
 	if err != nil {
 		return call.Response{}, &call.SendError{Sent: true, Err: trace.ConnectionProblem(err, "response of upstream %q", upstream.ID)}
 	}
 	return call.Response{Status: in.StatusCode, Header: hop.EndToEnd(in.Header), Body: body, Upstream: upstream.ID}, nil
 }
 
+// checkAlive returns an error unless the upstream answers a call, whatever the answer is.
+func (c *Client) checkAlive(ctx context.Context, upstream model.Upstream) error {
+	out, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+upstream.Address+engineapi.HealthPath, nil)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	in, err := c.unpooled.RoundTrip(out)
+	if err != nil {
+		return trace.ConnectionProblem(err, "upstream %q does not answer: %v", upstream.ID, err)
+	}
+	return trace.Wrap(in.Body.Close())
+}
+
 func (c *Client) transport(req call.Request) *keptconn.Transport {
 	if req.Route.Idempotent {
 		return c.pooled
--- a/internal/transport/service/client_test.go
+++ b/internal/transport/service/client_test.go
@@ -138,3 +138,30 @@
 	assert.Equal(t, h.Get("X-Hop")+h.Get("Expect"), "")
 	assert.Equal(t, s.Requests(), int32(1))
 }
+
+// Guards against a response without a length that counts as complete although its upstream
+// crashed while it sent the response: the connection ends in the same way.
+func TestResponseWithoutLengthOfACrashedUpstreamIsNotComplete(t *testing.T) {
+	for _, crashes := range []bool{true, false} {
+		var s server
+		s = startServer(t, func(_ int, conn net.Conn, req *http.Request) bool {
+			if req.Method == http.MethodGet {
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+				return false
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			if crashes {
+				_ = s.Close()
+			}
+			return false
+		})
+		resp, err := New().Send(t.Context(), s.upstream(), stampCall())
+		if !crashes {
+			assert.NilError(t, err)
+			assert.Equal(t, string(resp.Body), "half")
+			continue
+		}
+		var sendErr *call.SendError
+		assert.Assert(t, errors.As(err, &sendErr) && sendErr.Sent, "%v", err)
+	}
+}
