suspect, forward: crashes by copies of a request at once count against it

Cause: a crash did not count if more than a fifth of the other upstreams failed within 0.5 s. An instance knows that the others failed, but not what ran there, so each took the crashes by copies at other instances for an outage.

Change: such a death is recorded as disputed, with the upstreams that failed beside it, and sent to the other instances. The table counts it once the rows of all instances show that the fingerprint ran on those upstreams. The disputed deaths of one moment count once for a part of prompts. Trials of a refused request run at one instance alone: copies at all of them were as many runs.

Case 'all upstreams fail' of TestOtherLossesDoNotCountAsCrashes asserted that no row is sent, which is the fault. It now asserts that no crash counts and that no row goes to all instances.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -13,6 +13,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/cell"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/lease"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/versions"
@@ -158,6 +159,7 @@
 		UpstreamLeft:     e.exchange.UpstreamLeft,
 		ConnectionFailed: e.exchange.ConnectionFailed,
 		PublishCrashes:   e.exchange.PublishSuspects,
+		RunsTrials:       e.runsTrials,
 		Log:              logger,
 	})
 	e.ingress = ingress.New(ingress.Options{
@@ -267,6 +269,18 @@
 	return client.WireBytesSent + server.WireBytesSent, client.WireBytesReceived + server.WireBytesReceived
 }
 
+// runsTrials reports whether this instance is the first of the live ones, by rendezvous
+// hashing of the fingerprint.
+func (e *Edge) runsTrials(fp suspect.Fingerprint) bool {
+	var live []model.InstanceID
+	for _, in := range e.instances.All() {
+		if in.State == model.InstanceLive {
+			live = append(live, in.ID)
+		}
+	}
+	return lease.Rank(string(fp), e.settings.Instance, live) == 0
+}
+
 // countLive returns the number of live instances.
 func (e *Edge) countLive() (n int) {
 	for _, in := range e.instances.All() {
--- a/internal/coordination/forward/crash.go
+++ b/internal/coordination/forward/crash.go
@@ -25,9 +25,9 @@
 	// crashTrialDelay is how long after the last crash a request is refused. Then
 	// the request may run once, so that one that was not the cause is served again.
 	crashTrialDelay = 30 * time.Second
-	// crashTrialLimit is the number of crashes from which on there is no further trial:
-	// the platform allows three runs after the third crash.
-	crashTrialLimit = 5
+	// maxCrashTrials is the number of trials of a request that crash an upstream, after
+	// which there is no further one: the platform allows three runs after the third crash.
+	maxCrashTrials = 2
 	// crashCheckDelay is the time from a lost connection to the check whether the
 	// upstream crashed. Other requests that the same fault hit have failed by then,
 	// and a crashed upstream is still down: it needs about a second to start again.
@@ -35,11 +35,14 @@
 	// crashCheckTimeout bounds the check whether the upstream crashed.
 	crashCheckTimeout = 250 * time.Millisecond
 	// commonFailureShare is the share of a service's upstreams that may have failed
-	// within commonFailureTime of the crash without having run the request. If more
-	// have failed, the failures are taken to have a common cause other than the
-	// request. Crashes caused by requests follow each other with more time between.
+	// within suspect.CommonFailureTime of the crash without having run the request. If
+	// more have failed, the failures are taken to have a common cause other than the
+	// request.
 	commonFailureShare = 0.2
-	commonFailureTime  = 500 * time.Millisecond
+	// maxBeside is the number of other upstreams that failed at that moment from which on
+	// the crash is not recorded at all. An outage of many upstreams hits hundreds of
+	// requests, each of which would be recorded.
+	maxBeside = 16
 	// crashBroadcastCount is the number of crashes from which on the records go to
 	// all instances and not only to those of the cell. A single lost connection
 	// has many other possible causes.
@@ -64,20 +67,44 @@
 	return r.cachedFingerprints
 }
 
-// crashHistory returns the number of upstream crashes recorded against the request
-// and the time of the last one. The fingerprints are not computed until a first crash
-// is known.
-func (r *activeRequest) crashHistory(now time.Time) (crashes int, last time.Time) {
+// crashes are the upstream crashes recorded against a request.
+type crashes struct {
+	deaths   []suspect.Death // by time
+	disputed int             // number of them beside which too many other upstreams failed
+}
+
+// crashHistory returns the crashes recorded against the request. The fingerprints are not
+// computed until a first crash is known.
+func (r *activeRequest) crashHistory(now time.Time) crashes {
 	if r.m.opts.Suspects.Version() == 0 {
-		return 0, time.Time{}
+		return crashes{}
+	}
+	deaths, disputed := r.m.opts.Suspects.Deaths(r.fingerprints()[0], now)
+	return crashes{deaths, disputed}
+}
+
+// last returns the time of the last crash, of which there must be one.
+func (c crashes) last() time.Time { return c.deaths[len(c.deaths)-1].At }
+
+// mayBeOutage reports whether one outage may have caused all crashes: copies of a request
+// that many callers send run on all of its upstreams.
+func (c crashes) mayBeOutage() bool {
+	return c.disputed == len(c.deaths) && c.last().Sub(c.deaths[0].At) <= suspect.CommonFailureTime
+}
+
+// trialTime returns the time from which on a request with so many crashes may run once
+// more. It returns false if the trials are used up.
+func (c crashes) trialTime() (at time.Time, left bool) {
+	if c.mayBeOutage() {
+		return c.last(), true
 	}
-	for _, d := range r.m.opts.Suspects.CountedRows(r.fingerprints()[0], now).Deaths {
-		crashes++
-		if d.At.After(last) {
-			last = d.At
+	trials := 0
+	for _, d := range c.deaths[crashRefuseCount:] {
+		if d.At.Sub(c.deaths[crashRefuseCount-1].At) > suspect.CommonFailureTime {
+			trials++
 		}
 	}
-	return crashes, last
+	return c.last().Add(crashTrialDelay), trials < maxCrashTrials
 }
 
 // crashingPart returns the first part of the prompt that is taken to crash upstreams.
@@ -107,35 +134,54 @@
 	now := time.Now()
 	fields := log.Fields{}
 	refusal := &model.Refusal{Code: CodeCrashesUpstreams, Outcome: model.OutcomeNotRun}
-	crashes, last := r.crashHistory(now)
-	trial := last.Add(crashTrialDelay)
+	history := r.crashHistory(now)
 	part, crashing := r.crashingPart(now)
 	switch {
 	case crashing:
 		refusal.Message = "Upstreams ended when they ran requests with a part of this prompt."
 		fields["prompt_part"] = part.ID
-	case crashes >= crashTrialLimit:
-		refusal.Message = "Upstreams ended when they ran this request."
-	case crashes >= crashRefuseCount && now.Before(trial):
-		refusal.Message = "Upstreams ended when they ran this request."
-		refusal.RetryAfter = trial.Sub(now)
-	default:
+	case len(history.deaths) < crashRefuseCount:
 		return false
+	default:
+		at, left := history.trialTime()
+		if left && !now.Before(at) && r.beginTrial(now) {
+			return false
+		}
+		refusal.Message = "Upstreams ended when they ran this request."
+		if left {
+			refusal.RetryAfter = max(at.Sub(now), 0)
+		}
 	}
-	fields["request_id"], fields["fingerprint"], fields["deaths"] = string(r.req.ID), string(r.fingerprints()[0]), crashes
-	if crashes > 0 {
-		fields["last_ms"] = now.Sub(last).Milliseconds()
+	fields["request_id"], fields["fingerprint"], fields["deaths"] = string(r.req.ID), string(r.fingerprints()[0]), len(history.deaths)
+	if len(history.deaths) > 0 {
+		fields["last_ms"] = now.Sub(history.last()).Milliseconds()
 	}
 	r.m.opts.Log.WithFields(fields).Warn("request ends upstreams")
 	r.refuse(refusal)
 	return true
 }
 
+// beginTrial reports whether the request may run once although it is known to have crashed
+// upstreams. Copies of it may come at all instances at once, so one instance alone runs
+// trials, one at a time.
+func (r *activeRequest) beginTrial(now time.Time) bool {
+	fp := r.fingerprints()[0]
+	r.onTrial = r.onTrial || r.m.opts.RunsTrials(fp) && r.m.opts.Suspects.BeginTrial(fp, crashTrialDelay, now)
+	return r.onTrial
+}
+
+// endTrial allows the next trial if no upstream has run the request.
+func (r *activeRequest) endTrial() {
+	if r.onTrial && r.executions == 0 {
+		r.m.opts.Suspects.CancelTrial(r.fingerprints()[0])
+	}
+}
+
 // mayRunAgain reports whether the recorded crashes allow another run of a request that
 // has already run. The parts of a prompt on which an engine wrote events are sound.
 func (r *activeRequest) mayRunAgain() bool {
 	now := time.Now()
-	if crashes, _ := r.crashHistory(now); crashes >= crashRefuseCount {
+	if len(r.crashHistory(now).deaths) >= crashRefuseCount {
 		return false
 	}
 	if r.stream.accepted > r.req.LastPosition {
--- a/internal/coordination/forward/crash_test.go
+++ b/internal/coordination/forward/crash_test.go
@@ -101,7 +101,13 @@
 				_, runs := b.submitAndCrash()
 				assert.Assert(t, runs > 0)
 			}
-			assert.Equal(t, len(b.crashBroadcasts()), 0)
+			rows := b.suspects.Snapshot(time.Now())
+			assert.Equal(t, len(rows.Deaths), 0)
+			for _, d := range rows.Disputes {
+				counted, _ := b.suspects.CountDeaths(d.Fingerprint, time.Now())
+				assert.Equal(t, counted, 0)
+			}
+			assert.Assert(t, !slices.Contains(b.crashBroadcasts(), true), "disputed crashes were sent to all instances")
 		})
 	})
 }
@@ -316,3 +322,83 @@
 		})
 	}
 }
+
+// crashCopies submits copies of a call at once, and crashes each upstream that gets one. It
+// returns the number of sends. Afterwards the upstreams start again.
+func (b *harness) crashCopies(copies int) int {
+	before := len(b.sent())
+	for range copies {
+		b.submit("/read/1")
+	}
+	for at := before; at < len(b.sent()); at++ {
+		send := b.sent()[at]
+		b.crashedUpstreams[send.Upstream.ID] = true
+		send.Lost(continuation.LossReset, "EOF", true)
+		b.advance(0)
+	}
+	b.advance(crashCheckDelay + time.Second)
+	clear(b.crashedUpstreams)
+	for _, send := range b.sent()[before:] {
+		b.upstreams.Apply(upstream.Report{Upstream: send.Upstream.ID, Incarnation: uint64(len(b.sent())), Health: upstream.HealthUp, At: time.Now().Add(time.Second)})
+	}
+	return len(b.sent()) - before
+}
+
+// Guards against a request whose copies, sent at once, crash so many upstreams that each
+// crash is taken for a part of an outage: the request was never refused.
+func TestCopiesThatEndUpstreamsAtOnceAreRefused(t *testing.T) {
+	for _, copies := range []int{2, 4} {
+		withHarness(t, func(b *harness) {
+			assert.Assert(t, b.crashCopies(copies) >= crashRefuseCount)
+			later := 0
+			for range 60 {
+				b.advance(5 * time.Second)
+				later += b.crashCopies(copies)
+			}
+			assert.Assert(t, later <= 3, "%d runs after the third crash", later)
+		})
+	}
+}
+
+// Guards against crashes of copies that run at other instances and are taken for an outage
+// here: each instance knows of the others only that upstreams failed.
+func TestCopiesAtOtherInstancesExplainFailures(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		others := []model.UpstreamID{"desk-b0", "desk-b1", "desk-c0", "desk-c1"}
+		for _, id := range others {
+			b.upstreams.RecordFailure(id, time.Now(), time.Now())
+		}
+		b.submitAndCrash()
+		own := b.suspects.Snapshot(time.Now()).Disputes
+		assert.Assert(t, len(own) > 0)
+		for _, id := range others {
+			d := own[0]
+			d.ID = suspect.DeathID{Upstream: id}
+			b.suspects.Merge(suspect.Rows{Disputes: []suspect.Dispute{d}}, time.Now())
+		}
+		b.otherRunsTrials = true
+		b.advance(time.Second)
+		reply, runs := b.submitAndCrash()
+		assert.Equal(t, runs, 0)
+		assert.Equal(t, reply.refused.Code, CodeCrashesUpstreams)
+	})
+}
+
+// Guards against a popular request that stays refused after an outage of all upstreams that
+// ran it: one instance tries it, and the answer clears it.
+func TestPopularRequestIsServedAfterAnOutage(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.crashCopies(4)
+		reply, _ := b.submit("/read/1")
+		second, runs := b.submitAndCrash()
+		assert.Equal(t, runs, 0, "only one trial at a time")
+		assert.Equal(t, second.refused.Code, CodeCrashesUpstreams)
+		b.lastSend().Answered(Answer{Status: 200})
+		b.advance(0)
+		assert.Equal(t, reply.answer.Status, 200)
+		third, _ := b.submit("/read/1")
+		b.lastSend().Answered(Answer{Status: 200})
+		b.advance(0)
+		assert.Equal(t, third.answer.Status, 200)
+	})
+}
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -87,6 +87,7 @@
 	promptQueries     int // calls of CachedParts
 	crashedUpstreams  map[model.UpstreamID]bool
 	suspects          *suspect.Table
+	otherRunsTrials   bool   // another instance runs the trials
 	suspectBroadcasts []bool // for each call of PublishCrashes, whether it was for all instances; read through crashBroadcasts
 }
 
@@ -211,6 +212,7 @@
 			Moves:            b.moves,
 			Suspects:         b.suspects,
 			PublishCrashes:   b.publishCrashes,
+			RunsTrials:       func(suspect.Fingerprint) bool { return !b.otherRunsTrials },
 			Sender:           b,
 			Budget:           &b.budget,
 			FailureDomain:    "a",
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -123,7 +123,10 @@
 	// PublishCrashes is called with the recorded crashes of a request. widely says that
 	// they go to all instances and not only to those of the cell.
 	PublishCrashes func(rows suspect.Rows, widely bool)
-	Log            log.Interface
+	// RunsTrials reports whether this instance is the one that runs requests with the
+	// fingerprint although they are known to have crashed upstreams.
+	RunsTrials func(fp suspect.Fingerprint) bool
+	Log        log.Interface
 }
 
 // Manager forwards the requests of one instance.
@@ -187,6 +190,7 @@
 	ended          bool
 
 	cachedFingerprints []suspect.Fingerprint // computed on first use; empty before
+	onTrial            bool                  // runs although it is known to have crashed upstreams
 	brokenUpstreams    []model.UpstreamID    // upstreams whose connections broke before an answer
 	pendingCrashChecks int                   // checks whether one of brokenUpstreams crashed
 
@@ -306,6 +310,7 @@
 func (r *activeRequest) finish(outcome string, status int) {
 	r.ended = true
 	r.endHold()
+	r.endTrial()
 	r.deadlineTimer.Stop()
 	for _, a := range r.inFlight {
 		r.discardRequestedCopy(a)
--- a/internal/state/suspect/merge.go
+++ b/internal/state/suspect/merge.go
@@ -8,6 +8,9 @@
 	for _, d := range in.Deaths {
 		changed = t.addDeath(d, now) || changed
 	}
+	for _, d := range in.Disputes {
+		changed = t.addDispute(d, now) || changed
+	}
 	for _, c := range in.Clears {
 		old, ok := t.clears[c.Fingerprint]
 		if isCurrent(c.At, now, expiry) && (!ok || c.At.After(old.At)) {
@@ -65,6 +68,8 @@
 // prune drops expired rows, and the oldest rows beyond maxRows of each kind.
 func (t *Table) prune(now time.Time) {
 	pruneMap(t.deaths, now, expiry, func(d Death) time.Time { return d.At })
+	pruneMap(t.disputes, now, expiry, func(d Dispute) time.Time { return d.At })
+	pruneMap(t.trials, now, expiry, func(at time.Time) time.Time { return at })
 	pruneMap(t.clears, now, expiry, func(c Clear) time.Time { return c.At })
 	pruneMap(t.permits, now, expiry, func(p Permit) time.Time { return p.At })
 	pruneMap(t.hosts, now, hostExpiry, func(h Host) time.Time { return h.Renewed })
@@ -77,6 +82,11 @@
 	for key := range t.deaths {
 		t.deathIDs[key.fingerprint] = append(t.deathIDs[key.fingerprint], key.id)
 	}
+	for key := range t.disputes {
+		if _, undisputed := t.deaths[key]; !undisputed {
+			t.deathIDs[key.fingerprint] = append(t.deathIDs[key.fingerprint], key.id)
+		}
+	}
 }
 
 func pruneMap[K comparable, V any](rows map[K]V, now time.Time, lifetime time.Duration, timestamp func(V) time.Time) {
--- a/internal/state/suspect/suspect.go
+++ b/internal/state/suspect/suspect.go
@@ -4,6 +4,7 @@
 package suspect
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -87,10 +88,11 @@
 
 // Rows is a set of rows that instances exchange.
 type Rows struct {
-	Deaths  []Death
-	Clears  []Clear
-	Permits []Permit
-	Hosts   []Host
+	Deaths   []Death
+	Clears   []Clear
+	Permits  []Permit
+	Hosts    []Host
+	Disputes []Dispute `cbor:",omitempty"` // unknown to earlier builds, which ignore them
 }
 
 type deathKey struct {
@@ -118,11 +120,13 @@
 	mu       lock.Mutex
 	self     model.InstanceID
 	deaths   map[deathKey]Death
-	deathIDs map[Fingerprint][]DeathID // index of deaths, rebuilt with each change
+	disputes map[deathKey]Dispute
+	deathIDs map[Fingerprint][]DeathID // index of deaths and disputes, rebuilt with each change
 	clears   map[Fingerprint]Clear
 	permits  map[permitKey]Permit
 	hosts    map[HostID]Host
 	running  map[Fingerprint]localAttempts
+	trials   map[Fingerprint]time.Time // begin of this instance's last trial
 	changed  chan struct{}
 	version  uint64 // rises with each change
 }
@@ -130,14 +134,16 @@
 // NewTable returns an empty table of the given instance.
 func NewTable(self model.InstanceID) *Table {
 	return &Table{
-		mu:      lock.New(lock.RankSuspect),
-		self:    self,
-		deaths:  map[deathKey]Death{},
-		clears:  map[Fingerprint]Clear{},
-		permits: map[permitKey]Permit{},
-		hosts:   map[HostID]Host{},
-		running: map[Fingerprint]localAttempts{},
-		changed: make(chan struct{}),
+		mu:       lock.New(lock.RankSuspect),
+		self:     self,
+		deaths:   map[deathKey]Death{},
+		disputes: map[deathKey]Dispute{},
+		clears:   map[Fingerprint]Clear{},
+		permits:  map[permitKey]Permit{},
+		hosts:    map[HostID]Host{},
+		running:  map[Fingerprint]localAttempts{},
+		trials:   map[Fingerprint]time.Time{},
+		changed:  make(chan struct{}),
 	}
 }
 
@@ -177,6 +183,9 @@
 	for _, h := range t.hosts {
 		out.Hosts = append(out.Hosts, h)
 	}
+	for _, d := range t.disputes {
+		out.Disputes = append(out.Disputes, d)
+	}
 	return out
 }
 
@@ -197,34 +206,19 @@
 
 // countDeaths implements CountDeaths. The caller holds mu.
 func (t *Table) countDeaths(fp Fingerprint, now time.Time) (deaths, position int) {
-	cleared := t.clears[fp].At
-	for _, id := range t.deathIDs[fp] {
-		d := t.deaths[deathKey{fingerprint: fp, id: id}]
-		if d.At.After(cleared) && now.Sub(d.At) < expiry {
-			deaths++
-			position = max(position, d.Position)
-		}
+	if len(t.deathIDs[fp]) == 0 {
+		return 0, 0
+	}
+	counted := t.countedDeaths(fp, now)
+	for _, d := range counted {
+		position = max(position, d.Position)
 	}
-	return deaths, position
+	return len(counted), position
 }
 
-// CountedRows returns the deaths that count against the fingerprint, and its clear
-// row if it has one.
-func (t *Table) CountedRows(fp Fingerprint, now time.Time) Rows {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var rows Rows
-	clearRow, cleared := t.clears[fp]
-	if cleared {
-		rows.Clears = []Clear{clearRow}
-	}
-	for _, id := range t.deathIDs[fp] {
-		d := t.deaths[deathKey{fingerprint: fp, id: id}]
-		if d.At.After(clearRow.At) && now.Sub(d.At) < expiry {
-			rows.Deaths = append(rows.Deaths, d)
-		}
-	}
-	return rows
+// compareDeaths orders deaths by time.
+func compareDeaths(a, b Death) int {
+	return cmp.Or(a.At.Compare(b.At), cmp.Compare(a.ID.Upstream, b.ID.Upstream), cmp.Compare(a.ID.Incarnation, b.ID.Incarnation))
 }
 
 // FingerprintsOf returns the fingerprints that the engine ran when it died.
@@ -245,22 +239,17 @@
 func (t *Table) ExplainedByOthers(fp Fingerprint, except []Fingerprint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	counts := func(d Death) bool {
-		return d.At.After(t.clears[d.Fingerprint].At) && now.Sub(d.At) < expiry
-	}
 	deaths := map[DeathID]bool{}
-	for _, id := range t.deathIDs[fp] {
-		if counts(t.deaths[deathKey{fingerprint: fp, id: id}]) {
-			deaths[id] = true
-		}
+	for _, d := range t.countedDeaths(fp, now) {
+		deaths[d.ID] = true
 	}
-	for other, ids := range t.deathIDs {
+	for other := range t.deathIDs {
 		if slices.Contains(except, other) {
 			continue
 		}
 		common := 0
-		for _, id := range ids {
-			if deaths[id] && counts(t.deaths[deathKey{fingerprint: other, id: id}]) {
+		for _, d := range t.countedDeaths(other, now) {
+			if deaths[d.ID] {
 				common++
 			}
 		}
@@ -271,18 +260,22 @@
 	return false
 }
 
-// RecordProgress clears the fingerprint if it has deaths and the position lies beyond
-// all of their positions. A finished request clears the fingerprint at any
+// RecordProgress clears the fingerprint if it has deaths, disputed ones included, and the
+// position lies beyond all of their positions. A finished request clears the fingerprint at any
 // position; an unfinished one at another position renews its Host rows.
 // RecordProgress is called for each token and returns at once for a fingerprint
 // without deaths.
 func (t *Table) RecordProgress(fp Fingerprint, position int, finished bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	deaths, last := t.countDeaths(fp, now)
-	if deaths == 0 {
+	deaths, disputes := t.uncleared(fp, now)
+	if len(deaths)+len(disputes) == 0 {
 		return
 	}
+	last := 0
+	for _, d := range deaths {
+		last = max(last, d.Position)
+	}
 	if !finished && position <= last {
 		t.renew(fp, now)
 		return
@@ -295,8 +288,11 @@
 // that it clears, which may be later if the clock of another instance is ahead.
 func (t *Table) clearTime(fp Fingerprint, now time.Time) time.Time {
 	for _, id := range t.deathIDs[fp] {
-		if at := t.deaths[deathKey{fingerprint: fp, id: id}].At; at.After(now) {
-			now = at
+		key := deathKey{fingerprint: fp, id: id}
+		for _, at := range []time.Time{t.deaths[key].At, t.disputes[key].At} {
+			if at.After(now) {
+				now = at
+			}
 		}
 	}
 	return now
@@ -304,5 +300,5 @@
 
 // Empty reports whether the set has no rows.
 func (r Rows) Empty() bool {
-	return len(r.Deaths) == 0 && len(r.Clears) == 0 && len(r.Permits) == 0 && len(r.Hosts) == 0
+	return len(r.Deaths) == 0 && len(r.Clears) == 0 && len(r.Permits) == 0 && len(r.Hosts) == 0 && len(r.Disputes) == 0
 }
--- a/internal/state/suspect/suspect_test.go
+++ b/internal/state/suspect/suspect_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"gotest.tools/v3/assert"
 )
 
@@ -25,6 +26,11 @@
 			if random.IntN(4) == 0 {
 				parts = append(parts, Rows{Clears: []Clear{{Fingerprint: fp, At: at}}})
 			}
+			upstreams := []model.UpstreamID{"e", "f", "g"}
+			id.Upstream = upstreams[random.IntN(3)]
+			parts = append(parts, Rows{Disputes: []Dispute{{
+				Death: Death{ID: id, Fingerprint: fp, At: at}, Beside: upstreams[random.IntN(3):], Tolerated: random.IntN(2), Shared: fp == "f2",
+			}}})
 		}
 		now := start.Add(time.Minute)
 		a, b := NewTable("a"), NewTable("b")
@@ -40,6 +46,7 @@
 			na, pa := a.CountDeaths(fp, now)
 			nb, pb := b.CountDeaths(fp, now)
 			assert.DeepEqual(t, []int{na, pa}, []int{nb, pb})
+			assert.DeepEqual(t, a.Evidence(fp, now), b.Evidence(fp, now))
 		}
 	}
 }
--- a/tests/e2e/crash_test.go
+++ b/tests/e2e/crash_test.go
@@ -112,6 +112,31 @@
 	assert.Equal(t, body, wantStream(req.Header.Get("X-Attempt-Id"), 20))
 }
 
+// Guards against a request whose copies come at all instances at once: each instance took
+// the crashes of the others for an outage, and the copies crashed workers again and again.
+func TestEdgesRefuseCopiesOfARequestThatEndsWorkers(t *testing.T) {
+	t.Parallel()
+	const deadly = "/log/deadly"
+	e, seen := startCrashingEdges(t, fleet.WorkerOptions{CrashOn: deadly})
+	for range 5 {
+		var wave sync.WaitGroup
+		for edge := range 3 {
+			req := e.request(edge, "POST", deadly)
+			wave.Go(func() {
+				resp, err := http.DefaultClient.Do(req)
+				if assert.Check(t, err) {
+					assert.Check(t, resp.Body.Close())
+				}
+			})
+		}
+		wave.Wait()
+		time.Sleep(1500 * time.Millisecond) // all workers are back
+	}
+	assert.Assert(t, seen.count() >= 3, "%d crashes", seen.count())
+	late := seen.since(seen.at(2).Add(3 * time.Second))
+	assert.Assert(t, late <= 3, "%d crashes later than 3 s after the third", late)
+}
+
 // Guards against an instance that was started after workers crashed and lets the
 // request, which the others refuse, crash more of them.
 func TestStartedEdgeKnowsEarlierCrashes(t *testing.T) {
