continuation: refused connections are no failures of a stream

Cause: a stream is given up after eight attempts in a row without an event, and attempts that reached no engine counted. When half of the engines crash at one moment, eight connections are refused within 40 ms. In the log the abort follows the eighth refused connection, with one of five sends used. Ruled out: the resend budget and the route's limit of sends.

Change: continuation.ReachedEngine says which losses count, for forward and relay.

--- a/internal/coordination/continuation/decide.go
+++ b/internal/coordination/continuation/decide.go
@@ -36,7 +36,7 @@
 }
 
 const (
-	// MaxFailures limits the consecutive attempts that deliver no token.
+	// MaxFailures limits the consecutive attempts that reach an engine and deliver no token.
 	MaxFailures = 8
 	// MaxUnplacedWait limits the wait for an engine while the caller has seen no
 	// token.
@@ -68,7 +68,7 @@
 	Tokens           int           // number of accepted tokens
 	Shown            int           // number of tokens handed to the caller
 	AlternativeReady bool          // another usable engine of the version exists
-	Failures         int           // consecutive attempts that delivered no token
+	Failures         int           // consecutive attempts that reached an engine and delivered no token
 	NeedsLostStream  bool          // the caller has seen tokens that only the lost stream can deliver
 	Waited           time.Duration // time spent waiting for an engine so far
 }
@@ -98,6 +98,11 @@
 	}
 }
 
+// ReachedEngine reports whether an engine may have had the request of the lost attempt.
+// Other attempts are no failures of the stream: in an outage connections to many engines
+// are refused within milliseconds.
+func ReachedEngine(l Loss) bool { return l != LossDial }
+
 // ProcessDied reports whether the loss shows that the engine process died: the
 // connection to it broke, and reattaching to the stream failed as well. attached
 // says that the lost attempt was such a reattachment, and delivered nothing.
--- a/internal/coordination/forward/broken_stream_test.go
+++ b/internal/coordination/forward/broken_stream_test.go
@@ -198,6 +198,31 @@
 	})
 }
 
+// Guards against a stream that is aborted because connections to several engines are
+// refused in a row while an outage lasts: no engine had the request.
+func TestStreamOutlivesRefusedConnections(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		reply, _ := b.breakAfterTwoEvents()
+		refused := 0
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); b.advance(50 * time.Millisecond) {
+			for sends := b.sent(); refused < len(sends)-1; sends = b.sent() {
+				refused++
+				sends[refused].Lost(continuation.LossDial, "connection refused", false)
+				b.advance(0)
+			}
+			assert.Assert(t, !reply.broken, "aborted after %d refused connections", refused)
+		}
+		assert.Assert(t, refused > continuation.MaxFailures)
+		b.advance(failedUpstreamTimeout)
+		assert.Equal(t, b.lastSend().LastPosition, Position(2))
+		b.lastSend().StreamBegan(200, nil)
+		b.lastSend().event(3)
+		b.lastSend().StreamEnded()
+		b.advance(0)
+		assert.Assert(t, reply.ended && !reply.broken)
+	})
+}
+
 // streamEnds are the ways in which the answer of an engine ends after whole events.
 var streamEnds = map[string]func(s *fakeSend){
 	"ended":  func(s *fakeSend) { s.StreamEnded() },
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -33,7 +33,7 @@
 type streamState struct {
 	accepted            Position
 	delivered           Position // last event that the caller has
-	consecutiveFailures int      // attempts in a row that brought no event
+	consecutiveFailures int      // attempts in a row that reached an engine and brought no event
 	lostAt              time.Time
 	resumeCopy          *streamCopy // copy of the lost attempt's memory; nil means none
 	lastEventAt         time.Time
@@ -264,7 +264,7 @@
 	if !sent {
 		r.executions--
 	}
-	if a.eventCount == 0 {
+	if a.eventCount == 0 && continuation.ReachedEngine(kind) {
 		r.stream.consecutiveFailures++
 	}
 	if r.stream.lostAt.IsZero() && r.response.begun {
--- a/internal/coordination/relay/lose.go
+++ b/internal/coordination/relay/lose.go
@@ -33,7 +33,7 @@
 	}
 	m.logLoss(r, kind, detail, action)
 	m.metrics.countLoss(kind, action)
-	r = m.closeAttempt(r, string(kind), countFailure(r))
+	r = m.closeAttempt(r, string(kind), countFailure(r, kind))
 	if action != continuation.Reattach {
 		m.recordLoss(r, kind)
 	}
@@ -47,14 +47,15 @@
 		Tokens:           len(r.Tokens),
 		Shown:            r.ShownTokens,
 		AlternativeReady: m.hasAlternative(r),
-		Failures:         r.FruitlessAttempts + countFailure(r),
+		Failures:         r.FruitlessAttempts + countFailure(r, kind),
 		NeedsLostStream:  len(r.Tokens) < r.StreamOnly,
 	}
 }
 
-// countFailure returns 1 for an attempt that delivered no token, and else 0.
-func countFailure(r generation.Record) int {
-	if len(r.Tokens) == r.Attempt.First {
+// countFailure returns 1 for an attempt that reached an engine and delivered no token, and
+// else 0.
+func countFailure(r generation.Record, kind continuation.Loss) int {
+	if len(r.Tokens) == r.Attempt.First && continuation.ReachedEngine(kind) {
 		return 1
 	}
 	return 0
