forwardwire: the request target is forwarded byte for byte

Cause: the listener took the target apart and the client put it together by rules that do not match: net/url writes an opaque part that begins with two slashes in the absolute form. The same cause dropped the question mark of an empty query. net/http answered OPTIONS * with 200 by itself, and a CONNECT was forwarded as a path. Ruled out: the listener, which keeps the bytes.

Change: forwardwire.Target parses the target and encodes it again. What net/http would send with other bytes is answered 400.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -57,6 +57,7 @@
 	Method       string
 	Path         string
 	Query        string // raw, without the question mark
+	EmptyQuery   bool   // the target has a question mark and nothing after it
 	Header       Header // fields that are forwarded to the upstream
 	Body         []byte
 	Credential   string
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -9,7 +9,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"strings"
 	"sync"
 	"time"
@@ -124,9 +123,10 @@
 type onceReader struct{ io.Reader }
 
 func (c *Client) request(ctx context.Context, s forward.Send) *http.Request {
+	target := forwardwire.Target{Path: s.Request.Path, Query: s.Request.Query, EmptyQuery: s.Request.EmptyQuery}
 	out := &http.Request{
 		Method:     s.Request.Method,
-		URL:        &url.URL{Scheme: "http", Host: s.Upstream.Address, Opaque: s.Request.Path, RawQuery: s.Request.Query},
+		URL:        target.URL(s.Upstream.Address),
 		Host:       s.Request.Host,
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -75,6 +75,7 @@
 	s.http.MaxHeaderBytes = defaultHeaderBytes
 	s.http.Protocols = new(http.Protocols)
 	s.http.Protocols.SetHTTP1(true)
+	s.http.DisableGeneralOptionsHandler = true // it would answer "OPTIONS *" with 200
 	return s
 }
 
@@ -151,22 +152,26 @@
 	if err != nil {
 		return nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
 	}
+	target, err := forwardwire.ParseTarget(r)
+	if err != nil {
+		return nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
+	}
 	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyBytes()))
 	if err != nil {
 		return nil, bodyRefusal(err)
 	}
 	// A connection that closes before the whole body is read is reset, and its caller may
 	// not get the refusal.
-	if s.refusesNow(r, req) {
+	if s.refusesNow(r, target.Path, req) {
 		return nil, forward.RefuseLeaving()
 	}
 	req.Host, req.Method = hostOf(r), r.Method
-	req.Path, req.Query = targetOf(r)
+	req.Path, req.Query, req.EmptyQuery = target.Path, target.Query, target.EmptyQuery
 	return req, nil
 }
 
 // refusesNow reports whether a stop is so near that the request is refused.
-func (s *Server) refusesNow(r *http.Request, req *forward.Request) bool {
+func (s *Server) refusesNow(r *http.Request, path string, req *forward.Request) bool {
 	if s.refuseRequests.Load() {
 		return true
 	}
@@ -175,7 +180,6 @@
 	if current == nil || (lastEnd == nil && !s.refuseStreams.Load()) {
 		return false
 	}
-	path, _ := targetOf(r)
 	route, ok := current.Route(hostOf(r), path)
 	if !ok {
 		return false
@@ -203,16 +207,6 @@
 	return host
 }
 
-// targetOf returns path and query as the caller sent them.
-func targetOf(r *http.Request) (path, query string) {
-	target := r.RequestURI
-	if !strings.HasPrefix(target, "/") {
-		target = r.URL.RequestURI()
-	}
-	path, query, _ = strings.Cut(target, "?")
-	return path, query
-}
-
 func bodyRefusal(err error) *model.Refusal {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
--- a/internal/transport/ingress/server_test.go
+++ b/internal/transport/ingress/server_test.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"bufio"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -64,3 +67,21 @@
 	s.RefuseRequests()
 	assert.Assert(t, refused("/log/1") && refused("/call/1"))
 }
+
+// Guards against an answer to "OPTIONS *" that no upstream gave: net/http answers it with
+// status 200 unless it is told otherwise.
+func TestAsteriskTargetIsRefused(t *testing.T) {
+	s := New(Options{Address: "127.0.0.1:0", Names: forwardwire.Names{Request: "X-Req"}, Rules: rules.NewTable(), Log: &log.Logger{Handler: discard.Default}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = s.http.Close() }()
+	go func() { _ = s.http.Serve(listener) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	_, err = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: h\r\nX-Req: r1\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusBadRequest)
+}
