registry, platform: a read of the store ends when nothing arrives

A read that began before the store was back waited that long for an answer that could not come. Ruled out: entries and readers, which are back 1.2 s after the return. Reads of entries and instances had a limit of 0.8 s on the whole call, which a large answer on a slow link exceeds each time.

An instance that regains the store checks its lost readers at once.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -21,7 +21,7 @@
 	known Revision
 	// readAll means that the next read returns all entries. It is set after a failed
 	// read and while this instance relies on a reader, because the changes since
-	// after may then be too many to arrive within callTimeout.
+	// after may then be too many to arrive within readTimeout.
 	readAll bool
 	byID    map[model.UpstreamID]Entry
 	// byAddress holds the newest upstream at each address.
@@ -69,7 +69,7 @@
 		after = 0
 	}
 	call := func(ctx context.Context) (Entries, error) { return m.opts.Store.Entries(ctx, after) }
-	worker.Call(m.opts.Pool, keyEntries, callTimeout, call, func(got Entries, err error) {
+	worker.Call(m.opts.Pool, keyEntries, readTimeout, call, func(got Entries, err error) {
 		if !errors.Is(err, ErrHistoryGone) {
 			m.entries.record(err)
 		}
@@ -88,6 +88,9 @@
 				}
 			}
 		default:
+			if !m.storeLostUntil.IsZero() {
+				m.checkLostReadersNow()
+			}
 			m.storeLostUntil = time.Time{}
 			m.applyEntries(got)
 		}
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -70,7 +70,7 @@
 		return
 	}
 	call := func(ctx context.Context) (InstanceChanges, error) { return m.opts.Store.Instances(ctx, 0, 0) }
-	worker.Call(m.opts.Pool, keyInstances, callTimeout, call, func(got InstanceChanges, err error) {
+	worker.Call(m.opts.Pool, keyInstances, readTimeout, call, func(got InstanceChanges, err error) {
 		m.list.record(err)
 		if err != nil {
 			m.opts.Pool.After(m.retryWait(), keyInstances, worker.Func(m.register))
@@ -139,7 +139,7 @@
 // above this instance have started, and then reads the entries and the rules.
 func (m *Manager) startByLevel() {
 	call := func(ctx context.Context) (InstanceChanges, error) { return m.opts.Store.Instances(ctx, 0, 0) }
-	worker.Call(m.opts.Pool, keyInstances, callTimeout, call, func(got InstanceChanges, err error) {
+	worker.Call(m.opts.Pool, keyInstances, readTimeout, call, func(got InstanceChanges, err error) {
 		m.list.record(err)
 		level := time.Duration(0)
 		if err == nil {
@@ -201,7 +201,7 @@
 		return
 	}
 	after := m.list.after
-	limit := callTimeout + wait
+	limit := readTimeout + wait
 	call := func(ctx context.Context) (InstanceChanges, error) { return m.opts.Store.Instances(ctx, after, wait) }
 	worker.Call(m.opts.Pool, keyInstances, limit, call, func(got InstanceChanges, err error) {
 		pause := time.Duration(0)
--- a/internal/coordination/registry/outage_test.go
+++ b/internal/coordination/registry/outage_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,3 +65,35 @@
 		assert.Assert(t, c["b"].store.entryReads.Load() > 0)
 	})
 }
+
+// Guards against rules that come into force late after an outage in which the store
+// answers nothing: each read that timed out doubled the time limit of the next one, which
+// then waited for an answer that could not come while the store was back.
+func TestRulesAreInForceSoonAfterASilentOutage(t *testing.T) {
+	ids := make([]model.InstanceID, 12)
+	for i := range ids {
+		ids[i] = model.InstanceID(fmt.Sprintf("i%02d", i))
+	}
+	for _, outage := range []time.Duration{2 * time.Second, 7 * time.Second} {
+		inEachPhase(t, 130*time.Millisecond, len(ids), ids, func(t *testing.T, w *storeContent, c fakePeers, phase int) {
+			for _, m := range c {
+				m.store.hangs.Store(true)
+			}
+			time.Sleep(outage)
+			for _, m := range c {
+				m.store.hangs.Store(false)
+			}
+			back := time.Now()
+			w.change(func() {
+				w.revision++
+				w.rules = &model.RoutingRules{Revision: 2}
+			})
+			for id, m := range c {
+				for m.rulesTable.Current().Revision < 2 {
+					assert.Assert(t, time.Since(back) < 2*time.Second, "outage of %s, phase %d: %s has the old rules %s after the return", outage, phase, id, time.Since(back))
+					time.Sleep(10 * time.Millisecond)
+				}
+			}
+		})
+	}
+}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -109,7 +109,7 @@
 
 const (
 	// rulesPollTime is how long a read of the rules waits for a change. If the
-	// connection falls silent, changes go unseen for rulesPollTime + callTimeout, which
+	// connection falls silent, changes go unseen for rulesPollTime + SilenceLimit, which
 	// must be less than the 2 s within which rules must be in force.
 	rulesPollTime = time.Second
 	// instancesPollTime is how long a read of the instances waits for a change.
@@ -118,13 +118,14 @@
 	// read. Operators sometimes change rules many times a second and each call to
 	// the store costs money, while rules must be in force within 2 s.
 	rulesReadPause = 300 * time.Millisecond
-	// callTimeout is the timeout of a call, not counting the time for which a long
-	// poll waits.
-	callTimeout = 800 * time.Millisecond
-	// maxRulesReadTimeout bounds the timeout of a read of all rules, which is doubled
-	// after each read that timed out. The largest rules are about 500 kB, which take
-	// 0.4 s on an idle link of 10 Mbit/s.
-	maxRulesReadTimeout = 4 * callTimeout
+	// SilenceLimit is the time without any part of an answer after which a read of the
+	// store fails, not counting the time for which a long poll waits.
+	SilenceLimit = 800 * time.Millisecond
+	// callTimeout bounds a write of this instance's row.
+	callTimeout = SilenceLimit
+	// readTimeout bounds a read whose answer is under way. The largest rules are about
+	// 500 kB, which take 0.4 s on an idle link of 10 Mbit/s and longer beside other traffic.
+	readTimeout = 4 * SilenceLimit
 	// startRetryWait is the pause after a failed call while this instance has no
 	// rules yet, and retryWait the pause once it has. Failed calls also cost money
 	// and count towards the limit on calls, and in an outage all instances retry.
@@ -153,15 +154,14 @@
 // Manager reads the store, directly or through a reader. shareMu guards the fields
 // whose names start with share, and is a leaf: no other lock is taken under it.
 type Manager struct {
-	opts             Options
-	limits           limits
-	rulesOutage      outageTracker
-	rulesReadTimeout time.Duration // of a read of all rules; used only by items under keyRules
-	instancesKnown   atomic.Bool
-	readsStore       atomic.Bool                    // this instance reads the store itself
-	cursor           Cursor                         // used only by items under keyEntries
-	lostReaders      map[model.InstanceID]time.Time // readers that are passed over, and when to check them; used as cursor is
-	storeLostUntil   time.Time                      // until when others are polled after a failed read of the store; used as cursor is
+	opts           Options
+	limits         limits
+	rulesOutage    outageTracker
+	instancesKnown atomic.Bool
+	readsStore     atomic.Bool                    // this instance reads the store itself
+	cursor         Cursor                         // used only by items under keyEntries
+	lostReaders    map[model.InstanceID]time.Time // readers that are passed over, and when to check them; used as cursor is
+	storeLostUntil time.Time                      // until when others are polled after a failed read of the store; used as cursor is
 
 	shareMu            sync.Mutex
 	shareVersion       uint64
@@ -193,7 +193,6 @@
 		shareChanged:    make(chan struct{}),
 	}
 	m.readsStore.Store(!opts.FirstStart)
-	m.rulesReadTimeout = callTimeout
 	m.rulesOutage = outageTracker{log: opts.Log, table: "rules"}
 	m.list = newListState(opts.Log)
 	m.entries = newEntryState(opts.Log)
@@ -257,20 +256,14 @@
 	}
 	started := time.Now()
 	call := func(ctx context.Context) (Published, error) { return m.opts.Store.Published(ctx, after, rulesPollTime) }
-	timeout := m.rulesReadTimeout
-	if after > 0 {
-		timeout = callTimeout + rulesPollTime
-	}
-	worker.Call(m.opts.Pool, keyRules, timeout, call, func(got Published, err error) {
+	worker.Call(m.opts.Pool, keyRules, rulesPollTime+readTimeout, call, func(got Published, err error) {
 		firstFailure := err != nil && m.rulesOutage.failedSince.IsZero()
 		m.rulesOutage.record(err)
 		if err != nil {
-			took := time.Since(started)
-			m.opts.Log.WithField("after", after).WithField("ms", took.Milliseconds()).WithError(err).Debug("read of the rules failed")
-			m.rulesReadFailed(after, firstFailure && took >= timeout, err)
+			m.opts.Log.WithField("after", after).WithField("ms", time.Since(started).Milliseconds()).WithError(err).Debug("read of the rules failed")
+			m.opts.Pool.After(m.rulesRetryPause(firstFailure, err), keyRules, worker.Func(func() { m.readRules(0) }))
 			return
 		}
-		m.rulesReadTimeout = callTimeout
 		m.ApplyRules(got.Rules, "store")
 		m.recordRulesFresh(time.Now().Add(rulesPollTime), 0) // the next read may wait that long
 		pause := time.Duration(0)
@@ -284,18 +277,14 @@
 	})
 }
 
-// rulesReadFailed schedules the next read of the rules after a failed one. silent
-// means that the read timed out after one that had succeeded: its connection may have
-// fallen silent while the store answers on others.
-func (m *Manager) rulesReadFailed(after Revision, silent bool, err error) {
-	pause := m.retryWait()
-	switch {
-	case errors.Is(err, ErrHistoryGone), silent:
-		pause = 0
-	case after == 0 && errors.Is(err, context.DeadlineExceeded):
-		m.rulesReadTimeout = min(2*m.rulesReadTimeout, maxRulesReadTimeout)
+// rulesRetryPause returns the pause after a failed read of the rules. One that timed out
+// after a read that had succeeded is repeated at once: its connection may have fallen
+// silent while the store answers on others.
+func (m *Manager) rulesRetryPause(firstFailure bool, err error) time.Duration {
+	if errors.Is(err, ErrHistoryGone) || firstFailure && errors.Is(err, context.DeadlineExceeded) {
+		return 0
 	}
-	m.opts.Pool.After(pause, keyRules, worker.Func(func() { m.readRules(0) }))
+	return m.retryWait()
 }
 
 // ApplyRules puts rules in force if they are newer than the current ones.
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -149,6 +149,14 @@
 	})
 }
 
+// checkLostReadersNow has the next read check all lost readers. When the store is back here
+// it may be back for them, and one that has the rules saves reads of them.
+func (m *Manager) checkLostReadersNow() {
+	for id := range m.lostReaders {
+		m.lostReaders[id] = time.Time{}
+	}
+}
+
 // lostReaderCheckDelay returns when to check a reader that gave this answer again. One whose
 // data come from this instance looks for another source once they are too old, and then
 // has what this instance cannot read.
