registry: the judge of version moves is an instance that reads the store

Cause: the judge was the first live instance that reads the store itself. One that has lost the store polls others, and since it lives no other took its place. Ruled out: lost counts; no instance was judge.

Change: the root reader is the instance whose reads the others have. One that polls takes the one that its reader names (one more field of the message), one of the first cell that reads itself the first in line that it has not found lost.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -59,6 +59,7 @@
 	}
 	reader := m.reader(started)
 	m.readsStore.Store(reader.ID == m.opts.Self.ID)
+	m.findRootReader()
 	if !m.readsStore.Load() {
 		m.entries.readAll = true
 		m.pollReader(reader)
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -159,8 +159,10 @@
 	rulesOutage    outageTracker
 	instancesKnown atomic.Bool
 	readsStore     atomic.Bool                    // this instance reads the store itself
+	rootReader     atomic.Pointer[model.Instance] // reads the store for all others; nil if unknown
 	cursor         Cursor                         // used only by items under keyEntries
 	lostReaders    map[model.InstanceID]time.Time // readers that are passed over, and when to check them; used as cursor is
+	polledRoot     model.InstanceID               // root reader that the reader named last; used as cursor is
 	storeLostUntil time.Time                      // until when others are polled after a failed read of the store; used as cursor is
 
 	shareMu            sync.Mutex
@@ -312,12 +314,35 @@
 }
 
 // RootReader returns the instance that reads the store for all others, and false if no
-// instance is known to live.
+// instance is known to.
 func (m *Manager) RootReader() (model.Instance, bool) {
-	for _, in := range m.opts.Instances.All() {
-		if in.State == model.InstanceLive {
-			return in, true
-		}
+	if root := m.rootReader.Load(); root != nil {
+		return *root, true
 	}
 	return model.Instance{}, false
 }
+
+// findRootReader finds the instance that reads the store for all others: for one that polls,
+// the one that its reader takes for it; for one of the first cell that reads the store
+// itself, the first in line that is not lost. Others know only what they were told, as does
+// one that fails to read. It runs under keyEntries.
+func (m *Manager) findRootReader() {
+	all := m.opts.Instances.All()
+	polls := !m.readsStore.Load()
+	members := m.opts.Members()
+	inFirstCell := len(members) > 0 && len(all) > 0 && members[0].ID == all[0].ID
+	failing := !polls && !m.entries.failedSince.IsZero()
+	if root, known := m.RootReader(); failing && known && root.ID == m.opts.Self.ID {
+		m.rootReader.Store(nil)
+	}
+	if failing || !polls && !inFirstCell {
+		return
+	}
+	for _, in := range all {
+		_, lost := m.lostReaders[in.ID]
+		if in.State == model.InstanceLive && (polls && in.ID == m.polledRoot || !polls && !lost) {
+			m.rootReader.Store(&in)
+			return
+		}
+	}
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -43,6 +43,7 @@
 	Moves            []model.VersionMove // all version moves if any of them changed
 	Ages             Ages
 	Source           model.InstanceID    // instance that last read the entries
+	RootReader       model.InstanceID    // instance that the sender takes for the root reader; from earlier builds Source
 	RulesBase        *model.RoutingRules // rules that the poller has, for a transfer of the difference; nil if unknown
 }
 
@@ -138,6 +139,7 @@
 			return
 		}
 		if err == nil {
+			m.polledRoot = delta.RootReader
 			m.applyDelta(delta, reader)
 			if delta.Source != m.opts.Self.ID {
 				m.recordRead(now.Add(-delta.Ages.Entries), delta.Source, delta.Ages.Hops+1)
@@ -394,6 +396,9 @@
 	if movesChanged {
 		delta.Moves = m.opts.Moves.All()
 	}
+	if root, known := m.RootReader(); known {
+		delta.RootReader = root.ID
+	}
 	if current := m.opts.Rules.Current(); current != nil && current.Revision > cursor.RulesRevision {
 		delta.Rules, delta.RulesBase = current, m.opts.Rules.Recent(cursor.RulesRevision)
 	}
--- a/internal/coordination/registry/source_test.go
+++ b/internal/coordination/registry/source_test.go
@@ -150,3 +150,44 @@
 		assert.Assert(t, !known)
 	})
 }
+
+// Guards against version moves that nobody judges because the store turns the first
+// instance away: each instance took that one for the judge, and it had lost the store.
+func TestRootReaderIsOneThatReadsTheStore(t *testing.T) {
+	for _, refused := range [][]model.InstanceID{{"a"}, {"a", "b"}, {"a", "d"}} {
+		inEachPhase(t, 70*time.Millisecond, 3, []model.InstanceID{"a", "b", "c", "d", "e", "f"}, func(t *testing.T, _ *storeContent, c fakePeers, phase int) {
+			assert.Assert(t, c["a"].IsRootReader())
+			for _, id := range refused {
+				c[id].store.unreachable.Store(true)
+			}
+			time.Sleep(4 * time.Second)
+			named := map[model.InstanceID]time.Time{} // when each instance last named a root reader that is one
+			for id := range c {
+				named[id] = time.Now()
+			}
+			for range 60 {
+				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
+				judges := 0
+				for id, m := range c {
+					if m.IsRootReader() {
+						judges++
+						assert.Assert(t, !m.store.unreachable.Load(), "phase %d: %s has lost the store", phase, id)
+					}
+					if root, known := m.RootReader(); known && c[root.ID].IsRootReader() {
+						named[id] = time.Now()
+					}
+					// An instance whose readers are all lost looks for them at this interval.
+					assert.Assert(t, time.Since(named[id]) <= lostReaderCheckInterval, "refused %s, phase %d: %s does not know the root reader", refused, phase, id)
+				}
+				assert.Equal(t, judges, 1, "refused %s, phase %d", refused, phase)
+			}
+			for _, id := range refused {
+				c[id].store.unreachable.Store(false)
+			}
+			time.Sleep(8 * time.Second)
+			synctest.Wait()
+			assert.Assert(t, c["a"].IsRootReader(), "phase %d", phase)
+		})
+	}
+}
--- a/internal/protocol/peerwire/registry.go
+++ b/internal/protocol/peerwire/registry.go
@@ -1,6 +1,7 @@
 package peerwire
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -40,7 +41,8 @@
 	Revision uint64             `cbor:"14,keyasint,omitempty"`
 	Lapsed   []model.UpstreamID `cbor:"15,keyasint,omitempty"`
 	// ReadForMs belongs to Ages, whose form earlier builds require as it is.
-	ReadForMs uint32 `cbor:"16,keyasint,omitempty"`
+	ReadForMs uint32           `cbor:"16,keyasint,omitempty"`
+	Root      model.InstanceID `cbor:"17,keyasint,omitempty"`
 }
 
 // agesRow says how old the data in a registryDelta are.
@@ -153,6 +155,7 @@
 		Revision:  uint64(n.Revision),
 		Lapsed:    n.Lapsed,
 		ReadForMs: clampCount(int(n.Ages.ReadFor.Milliseconds())),
+		Root:      n.RootReader,
 	}
 	if packed != nil {
 		b.Rules = nil
@@ -204,6 +207,7 @@
 		Moves:             b.Moves,
 		Revision:          registry.Revision(b.Revision),
 		Lapsed:            b.Lapsed,
+		RootReader:        cmp.Or(b.Root, b.Source),
 	}
 	if b.Packed != nil {
 		var err error
