ingress: an aborted response to an HTTP/1.0 caller resets the connection

An aborted stream looked complete to an HTTP/1.0 caller: its response has no end but that of the connection.

Change: the connection of such a caller is reset when the response is aborted.

Measured: TestAbortResetsAConnectionThatFramesTheResponse fails without the change.

--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -128,11 +129,11 @@
 
 // run writes the queued parts until the end of the response. It reports false
 // if the caller disconnected before.
-func (x *exchange) run(ctx context.Context) bool {
+func (x *exchange) run(r *http.Request) bool {
 	for {
 		select {
 		case <-x.wake:
-		case <-ctx.Done():
+		case <-r.Context().Done():
 			return false
 		}
 		for _, s := range x.take() {
@@ -145,7 +146,7 @@
 				x.server.logCut(x.id, s.cause)
 			}
 			if s.abort {
-				panic(http.ErrAbortHandler) // resets the connection without the end of the body
+				abortResponse(r)
 			}
 			if s.end {
 				return true
@@ -158,6 +159,18 @@
 	}
 }
 
+// connectionKey is the context key of a request's connection.
+type connectionKey struct{}
+
+// abortResponse ends the handler and closes the connection without the end of the body. The
+// response to an HTTP/1.0 request ends with its connection, so that connection is reset.
+func abortResponse(r *http.Request) {
+	if conn, found := r.Context().Value(connectionKey{}).(*net.TCPConn); found && !r.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0) // a connection that fails is not taken for complete either
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // logOverflow logs the cut after a failed write, if the overflow of the queue ended it.
 func (x *exchange) logOverflow() {
 	x.mu.Lock()
--- a/internal/transport/ingress/exchange_test.go
+++ b/internal/transport/ingress/exchange_test.go
@@ -1,11 +1,14 @@
 package ingress
 
 import (
+	"bufio"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/memory"
@@ -35,7 +38,7 @@
 		defer close(written)
 		x := newExchange(s, w, "r1")
 		reply(x)
-		x.run(r.Context())
+		x.run(r)
 	}))
 	defer server.Close()
 	resp, err := http.Get(server.URL)
@@ -115,3 +118,31 @@
 		assert.Equal(t, len(logged), 0)
 	}
 }
+
+// Guards against an aborted stream that looks complete to an HTTP/1.0 caller, whose
+// response has no end but that of its connection.
+func TestAbortResetsAConnectionThatFramesTheResponse(t *testing.T) {
+	s := New(Options{Address: "127.0.0.1:0", Names: forwardwire.Names{Request: "X-Req"}, Log: &log.Logger{Handler: memory.New()}})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.http.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		x := newExchange(s, w, "r1")
+		x.Begin(200, nil)
+		x.Events([]byte("id: 1\n\n"))
+		time.AfterFunc(50*time.Millisecond, x.Abort)
+		x.run(r)
+	})
+	go func() { _ = s.http.Serve(listener) }()
+	defer func() { _ = s.http.Close() }()
+	for _, version := range []string{"1.0", "1.1"} {
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		assert.NilError(t, err)
+		_, err = io.WriteString(conn, "GET /a HTTP/"+version+"\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		assert.NilError(t, err)
+		_, err = io.ReadAll(resp.Body)
+		assert.Assert(t, err != nil, "HTTP/%s: the response looks complete", version)
+		assert.NilError(t, conn.Close())
+	}
+}
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -75,6 +76,9 @@
 	s.http.MaxHeaderBytes = defaultHeaderBytes
 	s.http.Protocols = new(http.Protocols)
 	s.http.Protocols.SetHTTP1(true)
+	s.http.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, conn)
+	}
 	s.http.DisableGeneralOptionsHandler = true // it would answer "OPTIONS *" with 200
 	return s
 }
@@ -134,14 +138,14 @@
 	req.TraceParent = tracecontext.SampledParent(ctx)
 	x := newExchange(s, w, req.ID)
 	reportDisconnect := s.opts.Forward.Submit(req, x)
-	if !x.run(r.Context()) {
+	if !x.run(r) {
 		if s.closing.Load() {
 			s.logCut(req.ID, "the instance stops")
 		}
 		reportDisconnect()
 		// net/http would complete the response: a caller that only closed its sending
 		// side would get an empty or short body that looks whole.
-		panic(http.ErrAbortHandler)
+		abortResponse(r)
 	}
 }
 
--- a/internal/transport/ingress/slow_test.go
+++ b/internal/transport/ingress/slow_test.go
@@ -44,7 +44,7 @@
 			defer x.mu.Unlock()
 			ended <- x.queuedBytes
 		}()
-		x.run(r.Context())
+		x.run(r)
 	}))
 	defer server.Close()
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
