registry: share the revision of the entries after the changes up to it

A poll that came between the two could tell another instance a revision together with an upstream that was removed at it, and the other one would take the upstream back until the next poll.

Cause: the revision was shared before the changes were applied. Found by reading the change; no run showed it. Change: it is shared after them. Measured: the tests of the package pass.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -113,8 +113,8 @@
 	m.recordRead(now, m.opts.Self.ID, 0)
 	isFirst := s.ownReadAt.Before(s.outageEnd)
 	s.ownReadAt = now
-	m.learn(got.Revision)
 	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) })
+	m.learn(got.Revision)
 	if isFirst {
 		m.askOthersOfOutage()
 	}
