forward: send the cell only the new rows about a crash

Each crash sent the cell all rows about the request and the parts of its prompt. Disputed rows make these many in an outage of up to 16 upstreams, and each stream that was lost sent them again.

Change: the cell gets the new rows, all instances get all of them as before. Measured: the tests of forward and the process tests of crashes pass; the traffic was not measured.

--- a/internal/coordination/forward/crashrecord.go
+++ b/internal/coordination/forward/crashrecord.go
@@ -77,8 +77,10 @@
 	r.m.opts.Suspects.Merge(added, now)
 	most := r.mostCrashes(now)
 	r.m.opts.Log.WithFields(fields).WithField("deaths", most).WithField("disputed", disputed).Warn("upstream ended when it ran a request")
-	r.m.opts.PublishCrashes(r.crashEvidence(now), most >= crashBroadcastCount)
-	if most < crashBroadcastCount {
+	if most >= crashBroadcastCount {
+		r.m.opts.PublishCrashes(r.crashEvidence(now), true)
+	} else {
+		r.m.opts.PublishCrashes(added, false) // the cell has the earlier rows
 		r.m.opts.Pool.After(crashBroadcastDelay, r.key, worker.Func(func() {
 			// Other instances may run other requests with the same parts, or copies of this
 			// one, whose crashes add up only if all instances know them.
