--- a/internal/transport/answerend/answerend.go
+++ b/internal/transport/answerend/answerend.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/wait"
 )
 
 // ErrCut means that an answer without a length may lack its end.
@@ -79,7 +80,7 @@
 		if err == nil {
 			return io.EOF
 		}
-		if isGone(err) || !wait(ctx, askInterval) {
+		if isGone(err) || wait.Sleep(ctx, askInterval) != nil {
 			return trace.Wrap(ErrCut, "%v", err)
 		}
 	}
@@ -90,15 +91,3 @@
 func isGone(err error) bool {
 	return trace.IsNotFound(err) || errors.Is(err, syscall.ECONNREFUSED)
 }
-
-// wait waits for the time and reports whether the context lasts longer.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
