registry: log lines of entries have the revision of their read

Cause: since the revision is shared after the changes, the lines 'upstream entry' and 'upstream entry is gone' had the revision of the read before. Seen as revision 0 in the log of a soak. Change: the revision is known before the changes are applied and shared after them.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -113,8 +113,9 @@
 	m.recordRead(now, m.opts.Self.ID, 0)
 	isFirst := s.ownReadAt.Before(s.outageEnd)
 	s.ownReadAt = now
+	s.known = got.Revision
 	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) })
-	m.learn(got.Revision)
+	m.shareRevision()
 	if isFirst {
 		m.askOthersOfOutage()
 	}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -177,13 +177,12 @@
 	return delta.Revision < m.entries.known
 }
 
-// learn records the revision up to which the entries are complete. The changes up to it
-// must be shared already: a poll must not find the revision without them.
-func (m *Manager) learn(known Revision) {
-	m.entries.known = known
+// shareRevision shares the revision up to which the entries are complete. The changes up to
+// it must be shared already: a poll must not find the revision without them.
+func (m *Manager) shareRevision() {
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
-	m.sharedRevision = known
+	m.sharedRevision = m.entries.known
 }
 
 // checkLostReaders asks the lost readers whose check is due how old their data are. This
@@ -275,12 +274,13 @@
 			m.MovesChanged()
 		}
 	}
+	if delta.Revision > 0 {
+		m.entries.known = delta.Revision
+	}
 	if len(delta.Changed) > 0 || len(delta.Removed) > 0 || delta.Snapshot {
 		m.applyChanges(Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}, removeImmediately)
 	}
-	if delta.Revision > 0 {
-		m.learn(delta.Revision)
-	}
+	m.shareRevision()
 	if len(delta.Instances) > 0 || len(delta.RemovedInstances) > 0 {
 		m.opts.Pool.Post(keyInstances, worker.Func(func() {
 			m.list.unknownSince = time.Time{}
