registry: a poll that does not wait sets no timer

It does so when two timers that are due run at one time in a test's bubble, as wait.Sleep says. A poll that waits for nothing set such a timer, and instances that regain the store now send several at once. That this was the timer is suspected: the crash was seen once and not reproduced.

Change: such a poll returns at once, with the answer that it gave before.

--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -369,6 +369,9 @@
 // wait for that.
 func (m *Manager) ServePoll(ctx context.Context, cursor Cursor, wait time.Duration) Delta {
 	delta, changed := m.changesSince(cursor)
+	if wait <= 0 {
+		return delta // without a timer that is due, see wait.Sleep
+	}
 	first := m.limits.timeLeft(delta.Ages)
 	// The poll ends when the last read gets too old, so that its caller
 	// learns in time that this instance has lost the store.
