--- a/internal/state/lock/lock.go
+++ b/internal/state/lock/lock.go
@@ -20,6 +20,7 @@
 	RankCommitment   Rank = 33
 	RankOutcome      Rank = 34
 	RankPrefix       Rank = 35
+	RankDemand       Rank = 36
 	RankMove         Rank = 37
 	RankStop         Rank = 40
 	RankEvidence     Rank = 50
