exchange: demand of the instances of a cell and of the other cells

Cause: an instance knew the work of its own cell only. In a deployment of several cells no estimate of a service's room could count what the others run and wait for.

Change: a heartbeat carries the instance's demand by service (state field 12). The first live member of a cell sends the cell's sum to the first members of the other cells (message cell.demand), once a second, or each 1.5 s to more than 24 cells, and they hand it on by failure domain with their heartbeat (state field 13). Reports count for 3 s and are kept in state/demand. Summaries are kept by cell, so that a cell does not count twice after a takeover. Builds without the fields ignore them, and drop cell.demand with a log line.

The golden file has the old bytes of a state before the new fields; a state of the earlier build is read back unchanged. go test -race -tags lockcheck passes.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -101,6 +102,7 @@
 	outcomes := outcome.NewTable()
 	moves := move.NewTable()
 	suspects := suspect.NewTable(s.Instance)
+	demands := demand.NewTable()
 	if e.peers, err = peer.NewClient(peerOptions(identity, self)); err != nil {
 		return nil, err
 	}
@@ -137,7 +139,7 @@
 		Allowance:   s.ExposureAllowance,
 		Log:         logger,
 	})
-	if err := e.connect(identity, self, link, tables{commitments, upstreams, locations, outcomes, moves, suspects, budgets}, logger); err != nil {
+	if err := e.connect(identity, self, link, tables{commitments, upstreams, locations, outcomes, moves, suspects, demands, budgets}, logger); err != nil {
 		return nil, err
 	}
 	e.forward = forward.New(forward.Options{
@@ -190,6 +192,7 @@
 	outcomes    *outcome.Table
 	moves       *move.Table
 	suspects    *suspect.Table
+	demand      *demand.Table
 	resends     *resend.Budgets
 }
 
@@ -208,7 +211,9 @@
 		Locations:   shared.locations,
 		Outcomes:    shared.outcomes,
 		Moves:       shared.moves,
+		CellName:    e.cell.Name,
 		Suspects:    shared.suspects,
+		Demand:      shared.demand,
 		Resends:     shared.resends,
 		Judge:       e.registry.RootReader,
 		Link:        link,
@@ -218,6 +223,7 @@
 	receiver := edgelink.Receiver{
 		States:        e.exchange.Receive,
 		MoveCounts:    e.exchange.ReceiveMoveCounts,
+		CellDemand:    e.exchange.ReceiveCellDemand,
 		Suspects:      e.exchange.ReceiveSuspects,
 		KnownSuspects: func() suspect.Rows { return shared.suspects.Snapshot(time.Now()) },
 		Log:           logger,
@@ -228,6 +234,7 @@
 		peerwire.KindRegistry:   edgelink.ServeNews(e.registry.ServePoll),
 		peerwire.KindState:      receiver,
 		peerwire.KindMoveCounts: receiver,
+		peerwire.KindCellDemand: receiver,
 		peerwire.KindSuspects:   receiver,
 	})
 	return err
--- a/internal/coordination/capacity/capacity.go
+++ b/internal/coordination/capacity/capacity.go
@@ -14,8 +14,8 @@
 
 const (
 	// MaxSummaryAge is the age from which on the summaries of other cells count as
-	// unknown. They are sent once a second, so two may be lost.
-	MaxSummaryAge = 3 * time.Second
+	// unknown.
+	MaxSummaryAge = demand.TTL
 	// MemoryFillLimit is the fraction of an engine's memory that placements may fill.
 	// Engines preempt streams when their memory is fuller.
 	MemoryFillLimit = 0.9
--- a/internal/coordination/cell/tracker.go
+++ b/internal/coordination/cell/tracker.go
@@ -39,6 +39,14 @@
 	return t.current.OtherFirsts
 }
 
+// Name returns the name of the cell. It is empty in a deployment of one cell.
+func (t *Tracker) Name() string {
+	t.refresh()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.current.name
+}
+
 // Prefers reports whether the cell prefers the engine at the address.
 func (t *Tracker) Prefers(address string) bool {
 	t.refresh()
--- a/internal/coordination/exchange/exchange.go
+++ b/internal/coordination/exchange/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -37,6 +38,19 @@
 	Outcomes    map[model.UpstreamID]outcome.Tally // of upstreams with recent bad outcomes
 	Left        map[model.UpstreamID]uint64        // incarnations of upstreams that said that they leave
 	Resends     resend.Balances                    // resends that the instance has saved
+	// Demand is what the instance's callers ask, by service. It is nil in the states that
+	// are sent because of a change.
+	Demand map[string]demand.Demand
+	// OtherCells are the summaries of the other cells, which only the first member of a
+	// cell sends.
+	OtherCells []demand.Summary
+}
+
+// CellDemand is the summary that the first member of a cell sends to those of the others.
+type CellDemand struct {
+	Instance model.InstanceID
+	Cell     string
+	Summary  demand.Summary
 }
 
 // MoveCounts are an instance's counts for the open version moves.
@@ -50,6 +64,8 @@
 	Send(to model.Instance, s State)
 	// SendMoveCounts sends counts, which may be lost.
 	SendMoveCounts(to model.Instance, c MoveCounts)
+	// SendCellDemand sends the summary of a cell, which may be lost.
+	SendCellDemand(to []model.Instance, c CellDemand)
 	// SendSuspects sends rows, which may be lost.
 	SendSuspects(to []model.Instance, rows suspect.Rows)
 	// ExchangeSuspects sends rows to an instance and calls received with the rows of
@@ -90,12 +106,14 @@
 	Instances   *instance.Table
 	Members     func() []model.Instance // of this instance's cell
 	OtherFirsts func() []model.Instance // first live members of the other cells
+	CellName    func() string
 	Commitments *commitment.Table
 	Upstreams   *upstream.Table
 	Locations   *location.Table
 	Outcomes    *outcome.Table
 	Moves       *move.Table
 	Suspects    *suspect.Table
+	Demand      *demand.Table
 	Resends     *resend.Budgets
 	// Judge returns the instance that judges version moves, and false if it is not
 	// known.
@@ -137,7 +155,10 @@
 }
 
 // Start begins to send states.
-func (m *Manager) Start() { m.opts.Pool.Post(key, worker.Func(m.heartbeat)) }
+func (m *Manager) Start() {
+	m.opts.Pool.Post(key, worker.Func(m.heartbeat))
+	m.opts.Pool.Post(key, worker.Func(m.reportCellDemand))
+}
 
 // StateChanged reports that this instance's work or its outcomes changed, so that the
 // state is sent soon. It may be called by items of any key.
@@ -181,13 +202,17 @@
 // heartbeat sends a state, marks silent instances and schedules the next
 // heartbeat.
 func (m *Manager) heartbeat() {
-	m.send()
+	m.sendState(true)
 	m.sendMoveCounts()
 	m.markSilent(time.Now())
 	m.opts.Pool.After(heartbeatInterval, key, worker.Func(m.heartbeat))
 }
 
-func (m *Manager) send() {
+func (m *Manager) send() { m.sendState(false) }
+
+// sendState sends the state to the cell, with the demand if it is a heartbeat. The states
+// between heartbeats are up to 200/s under load, and stay small without it.
+func (m *Manager) sendState(heartbeat bool) {
 	m.sendScheduled = false
 	m.sequence++
 	self, found := m.opts.Instances.Get(m.opts.Self.ID)
@@ -207,6 +232,9 @@
 		Left:        m.recentlyLeft(time.Now()),
 		Resends:     m.opts.Resends.Balances(),
 	}
+	if heartbeat {
+		s.Demand, s.OtherCells = m.heartbeatDemand(time.Now())
+	}
 	for _, in := range m.reachable(m.opts.Members()) {
 		m.opts.Link.Send(in, s)
 	}
@@ -279,6 +307,7 @@
 	m.opts.Outcomes.SetRemote(s.Instance, s.Outcomes, now)
 	m.opts.Moves.SetRemote(s.Instance, s.MoveCounts)
 	m.opts.Resends.SetRemote(s.Instance, s.Resends, now)
+	m.receiveDemand(s, now)
 	for part, up := range s.Parts {
 		m.opts.Locations.SetRemote(part, up, now)
 	}
--- a/internal/coordination/exchange/exchange_test.go
+++ b/internal/coordination/exchange/exchange_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -12,6 +13,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -33,6 +35,9 @@
 	moves        *move.Table
 	disconnected atomic.Bool  // the states that it sends are lost
 	rowsReceived atomic.Int32 // messages with suspects
+	demand       *demand.Table
+
+	summariesReceived atomic.Int32
 }
 
 // network delivers messages at once.
@@ -56,6 +61,17 @@
 	l.network[to.ID].ReceiveMoveCounts(c)
 }
 
+// SendCellDemand implements Link.
+func (l link) SendCellDemand(to []model.Instance, c CellDemand) {
+	if l.network[l.self].disconnected.Load() {
+		return
+	}
+	for _, in := range to {
+		l.network[in.ID].summariesReceived.Add(1)
+		l.network[in.ID].ReceiveCellDemand(c)
+	}
+}
+
 // SendSuspects implements Link.
 func (l link) SendSuspects(to []model.Instance, rows suspect.Rows) {
 	for _, in := range to {
@@ -105,6 +121,7 @@
 				upstreams:   upstream.NewTable(),
 				suspects:    suspect.NewTable(id),
 				moves:       move.NewTable(),
+				demand:      demand.NewTable(),
 			}
 			for _, in := range records(slices.Concat(cells...)) {
 				m.instances.Merge(in)
@@ -114,6 +131,8 @@
 				Pool: m.pool, Self: record(id), Instances: m.instances, Commitments: m.commitments,
 				Members:     func() []model.Instance { return records(cell) },
 				OtherFirsts: func() []model.Instance { return records(firsts) },
+				CellName:    func() string { return strconv.Itoa(i) },
+				Demand:      m.demand,
 				Judge:       func() (model.Instance, bool) { return record(cells[0][0]), true },
 				Upstreams:   m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: m.moves, Suspects: m.suspects,
 				Resends: resend.New(resend.Limit{Ratio: 0.8, Burst: 100, Window: 10 * time.Second}, 2),
--- a/internal/protocol/peerwire/peerwire.go
+++ b/internal/protocol/peerwire/peerwire.go
@@ -47,6 +47,7 @@
 	KindSuspects      Kind = "suspects"
 	KindState         Kind = "state"
 	KindMoveCounts    Kind = "move.counts"
+	KindCellDemand    Kind = "cell.demand"
 	KindRegistry      Kind = "registry"
 	KindError         Kind = "error"
 )
@@ -56,7 +57,7 @@
 func (k Kind) Label() string {
 	switch k {
 	case KindView, KindReport, KindGossip, KindLogOpen, KindLogAppend, KindLogClose, KindLogFetch, KindLogFollow,
-		KindSuspectPermit, KindSuspects, KindState, KindMoveCounts, KindRegistry, KindError:
+		KindSuspectPermit, KindSuspects, KindState, KindMoveCounts, KindCellDemand, KindRegistry, KindError:
 		return string(k)
 	}
 	return "other"
--- a/internal/protocol/peerwire/state.go
+++ b/internal/protocol/peerwire/state.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
@@ -29,6 +30,9 @@
 	Left map[model.UpstreamID]uint64 `cbor:"10,keyasint,omitempty"`
 	// Resends holds the saved resends by service, in units of resendUnit.
 	Resends map[string]int32 `cbor:"11,keyasint,omitempty"`
+	// Demand is present, and may be empty, in the states that report it.
+	Demand     *[]demandRow  `cbor:"12,keyasint,omitempty"`
+	OtherCells []summaryBody `cbor:"13,keyasint,omitempty"`
 }
 
 // workRow is the wire form of a commitment.Work: one instance's work on one upstream.
@@ -99,6 +103,11 @@
 		}
 		b.Failed[id] = clampCount(int(age.Milliseconds()))
 	}
+	if s.Demand != nil {
+		rows := demandRows(s.Demand)
+		b.Demand = &rows
+	}
+	b.OtherCells = summaryBodies(s.OtherCells)
 	body, err := encoding.Marshal(b)
 	return Message{Kind: KindState, Body: body}, trace.Wrap(err)
 }
@@ -139,6 +148,15 @@
 	for id, age := range b.Failed {
 		s.Failed[id] = time.Duration(age) * time.Millisecond
 	}
+	if b.Demand != nil {
+		s.Demand = make(map[string]demand.Demand, len(*b.Demand))
+		for _, r := range *b.Demand {
+			s.Demand[r.Service] = r.demand()
+		}
+	}
+	for _, c := range b.OtherCells {
+		s.OtherCells = append(s.OtherCells, c.summary())
+	}
 	for _, r := range b.Work {
 		s.Work[r.Upstream] = commitment.Work{
 			Requests:      int(r.Requests),
--- a/internal/protocol/peerwire/state_test.go
+++ b/internal/protocol/peerwire/state_test.go
@@ -8,6 +8,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/resend"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
@@ -25,6 +26,8 @@
 		MoveCounts: []move.Row{{Service: "s", Revision: 5, Route: "r", Old: move.Counts{Requests: 9, Failures: 1}, New: move.Counts{Requests: 3}}},
 		Outcomes:   map[model.UpstreamID]outcome.Tally{"v": {Requests: 2.5, Bad: 0.25}},
 		Resends:    resend.Balances{"s": 1.5, "t": -0.5},
+		Demand:     map[string]demand.Demand{"s": {InFlight: 1, Waiting: 2, MemoryTokens: 3, Rate: 4.5, HoldTime: 30 * time.Millisecond}},
+		OtherCells: []demand.Summary{{Domain: "d", Cells: 2, Age: time.Second, Services: map[string]demand.Demand{"s": {InFlight: 5}}}},
 	}
 }
 
@@ -81,6 +84,9 @@
 	for _, m := range []func() (Message, error){
 		func() (Message, error) { return EncodeState(sampleState()) },
 		func() (Message, error) { return EncodeNews(sampleDelta(), nil) },
+		func() (Message, error) {
+			return EncodeCellDemand(exchange.CellDemand{Instance: "i", Cell: "d/0", Summary: sampleState().OtherCells[0]})
+		},
 		func() (Message, error) {
 			return EncodeSuspects(suspect.Rows{Deaths: []suspect.Death{{Fingerprint: "f", At: time.Unix(1, 0)}}, Clears: []suspect.Clear{{Fingerprint: "g"}}})
 		},
@@ -108,6 +114,10 @@
 			_, err := EncodeMoveCounts(c)
 			assert.NilError(t, err)
 		}
+		if c, err := DecodeCellDemand(Message{Kind: KindCellDemand, Body: body}); err == nil {
+			_, err := EncodeCellDemand(c)
+			assert.NilError(t, err)
+		}
 		if ask, err := DecodeNewsAsk(Message{Kind: KindRegistry, Body: body}); err == nil {
 			assert.Assert(t, ask.Wait >= 0)
 		}
--- a/internal/state/demand/demand.go
+++ b/internal/state/demand/demand.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/lock"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
 const (
@@ -67,13 +68,25 @@
 
 // Table holds the demand by service. mu has lock.RankDemand and guards the other fields.
 type Table struct {
-	mu    lock.Mutex
-	local map[string]*counter
+	mu      lock.Mutex
+	local   map[string]*counter
+	members map[model.InstanceID]member // other instances of the cell
+	// cells holds the summaries that other cells sent to this instance, by the name of the
+	// cell. handed holds those that another instance of the cell handed on.
+	cells    map[string]cellSummary
+	cellsAt  time.Time
+	handed   []Summary
+	handedAt time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{mu: lock.New(lock.RankDemand), local: map[string]*counter{}}
+	return &Table{
+		mu:      lock.New(lock.RankDemand),
+		local:   map[string]*counter{},
+		members: map[model.InstanceID]member{},
+		cells:   map[string]cellSummary{},
+	}
 }
 
 // counter returns the counter of the service. The caller holds mu.
--- a/internal/transport/edgelink/edgelink.go
+++ b/internal/transport/edgelink/edgelink.go
@@ -50,6 +50,18 @@
 	l.send(to, m)
 }
 
+// SendCellDemand implements exchange.Link.
+func (l *Link) SendCellDemand(to []model.Instance, c exchange.CellDemand) {
+	m, err := peerwire.EncodeCellDemand(c)
+	if err != nil {
+		l.log.WithError(err).Error("demand of the cell not sent: it cannot be encoded")
+		return
+	}
+	for _, in := range to {
+		l.send(in, m)
+	}
+}
+
 // SendSuspects sends rows about requests that are suspected of ending upstreams.
 func (l *Link) SendSuspects(to []model.Instance, rows suspect.Rows) {
 	m, err := peerwire.EncodeSuspects(rows)
@@ -103,6 +115,7 @@
 type Receiver struct {
 	States     func(exchange.State)
 	MoveCounts func(exchange.MoveCounts)
+	CellDemand func(exchange.CellDemand)
 	Suspects   func(from model.InstanceID, rows suspect.Rows)
 	// KnownSuspects returns the rows with which suspects that arrive on a stream are
 	// answered.
@@ -117,6 +130,8 @@
 		r.state(from, m)
 	case peerwire.KindMoveCounts:
 		r.moveCounts(from, m)
+	case peerwire.KindCellDemand:
+		r.cellDemand(from, m)
 	case peerwire.KindSuspects:
 		r.suspects(from, m)
 	default:
@@ -161,6 +176,17 @@
 	r.MoveCounts(c)
 }
 
+// cellDemand passes on a summary that was sent by the instance that it names.
+func (r Receiver) cellDemand(from peer.Peer, m peerwire.Message) {
+	c, err := peerwire.DecodeCellDemand(m)
+	if err != nil || string(c.Instance) != from.Name {
+		r.Log.WithField("part", "edgelink").WithField("instance", from.Name).WithError(err).
+			Warn("demand of a cell dropped: it is malformed or names another instance")
+		return
+	}
+	r.CellDemand(c)
+}
+
 func (r Receiver) suspects(from peer.Peer, m peerwire.Message) {
 	rows, err := peerwire.DecodeSuspects(m)
 	if err != nil {
--- a/internal/transport/edgelink/edgelink_test.go
+++ b/internal/transport/edgelink/edgelink_test.go
@@ -10,6 +10,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/exchange"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
@@ -22,7 +23,7 @@
 // messages on to receive.
 func connect(t *testing.T, receive Receiver) (*Link, *peer.Server) {
 	t.Helper()
-	handlers := peer.Mux{peerwire.KindState: receive, peerwire.KindMoveCounts: receive, peerwire.KindSuspects: receive}
+	handlers := peer.Mux{peerwire.KindState: receive, peerwire.KindMoveCounts: receive, peerwire.KindCellDemand: receive, peerwire.KindSuspects: receive}
 	link, _, server := connectTo(t, handlers, receive.Datagram, receive.Log)
 	return link, server
 }
@@ -143,3 +144,23 @@
 	receive.Datagram(peer.Peer{Name: "c"}, m)
 	assert.Equal(t, len(got), 0)
 }
+
+// Guards against the demand of a cell that does not arrive, and against demand that one
+// instance sends in the name of another.
+func TestCellDemandArrives(t *testing.T) {
+	got := make(chan exchange.CellDemand, 1)
+	receive := Receiver{CellDemand: func(c exchange.CellDemand) { got <- c }, Log: &log.Logger{Handler: discard.Default}}
+	link, server := connect(t, receive)
+	sum := exchange.CellDemand{Instance: "a", Cell: "d/0", Summary: demand.Summary{Domain: "d", Cells: 1, Services: map[string]demand.Demand{"s": {InFlight: 9, Rate: 12.5}}}}
+	link.SendCellDemand([]model.Instance{{ID: "b", ControlAddress: server.Address()}}, sum)
+	select {
+	case received := <-got:
+		assert.DeepEqual(t, received, sum)
+	case <-time.After(2 * time.Second):
+		t.Fatal("the demand did not arrive")
+	}
+	m, err := peerwire.EncodeCellDemand(sum)
+	assert.NilError(t, err)
+	receive.Datagram(peer.Peer{Name: "c"}, m)
+	assert.Equal(t, len(got), 0)
+}
--- a/tests/golden/messages_test.go
+++ b/tests/golden/messages_test.go
@@ -82,6 +82,7 @@
 		sampleOf("suspect.permit reply", nil, peerwire.EncodePermitReply, peerwire.DecodePermitReply),
 		sampleOf[suspect.Rows]("suspects", nil, peerwire.EncodeSuspects, peerwire.DecodeSuspects),
 		sampleOf[exchange.State]("state", nil, peerwire.EncodeState, peerwire.DecodeState),
+		sampleOf("cell.demand", nil, peerwire.EncodeCellDemand, peerwire.DecodeCellDemand),
 		sampleOf("move.counts", nil, peerwire.EncodeMoveCounts, peerwire.DecodeMoveCounts),
 		sampleOf("registry", nil,
 			func(r registryRequest) (peerwire.Message, error) { return peerwire.EncodeNewsAsk(r.Known, r.Wait) },
@@ -134,3 +135,22 @@
 	}
 	golden.Assert(t, text.String(), "peer-messages.golden")
 }
+
+// stateBeforeDemand is a state as builds wrote it that do not report their demand.
+const stateBeforeDemand = "a3617601646b696e6465737461746564626f6479ab016273320203030404f5058185627337090a0b0c06a16373313719465007a16373313463733135088183637333311a000339001a000352000981876373323116637332331819181c181a181d0aa16373333618250ba1637333391a0003e800"
+
+// Guards against a state of an earlier build that cannot be read, or whose missing demand
+// is taken for none.
+func TestStateOfAnEarlierBuild(t *testing.T) {
+	data, err := hex.DecodeString(stateBeforeDemand)
+	assert.NilError(t, err)
+	m, err := peerwire.Decode(data)
+	assert.NilError(t, err)
+	s, err := peerwire.DecodeState(m)
+	assert.NilError(t, err)
+	assert.Equal(t, len(s.Work), 1)
+	assert.Assert(t, s.Demand == nil && s.OtherCells == nil)
+	again, err := peerwire.EncodeState(s)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, again.Body, m.Body)
+}
