locality: work leaves the failure domain by what leaving costs against the wait at home

Cause: calls left their failure domain by one constant, whatever the other domain had to do, and streams did not weigh the domain at all: 63% of the streams of a calm load left it. In equal overload 60% of the calls changed places among domains.

Change: locality.Plan compares what the callers of each domain ask with the places of its usable upstreams, and sends out the least with which callers wait no longer at home than elsewhere. The plan is made once a second from the exchanged demand. Placements of calls and streams weigh a domain by one cost. It is on where the settings name two or more failure domains (field zones).

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -154,6 +154,10 @@
 		Sender:           e.client,
 		Budget:           budgets,
 		FailureDomain:    s.FailureDomain,
+		FailureDomains:   s.FailureDomains,
+		Demand:           demands,
+		CellMembers:      e.countOtherMembers,
+		OtherCells:       func() int { return len(e.cell.OtherFirsts()) },
 		PrefersEngine:    e.cell.Prefers,
 		Instances:        e.countLive,
 		Policy:           opts.Policy,
@@ -264,10 +268,12 @@
 	}
 }
 
-// Start starts to read the store and to exchange states with the other instances.
+// Start starts to read the store, to exchange states with the other instances, and to
+// plan which work leaves the failure domain.
 func (e *Edge) Start() {
 	e.registry.Start()
 	e.exchange.Start()
+	e.forward.StartLocality()
 }
 
 // Traffic returns the bytes on the wire that this instance sent to the other
@@ -289,6 +295,16 @@
 	return lease.Rank(string(fp), e.settings.Instance, live) == 0
 }
 
+// countOtherMembers returns the number of other live instances of the cell.
+func (e *Edge) countOtherMembers() (n int) {
+	for _, in := range e.cell.Members() {
+		if in.State == model.InstanceLive && in.ID != e.settings.Instance {
+			n++
+		}
+	}
+	return n
+}
+
 // countLive returns the number of live instances.
 func (e *Edge) countLive() (n int) {
 	for _, in := range e.instances.All() {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -20,6 +20,7 @@
 	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
@@ -109,6 +110,14 @@
 	Sender        Sender
 	Budget        Budget
 	FailureDomain model.FailureDomain // of this instance
+	// FailureDomains is the number of failure domains that the settings name. With fewer
+	// than two, no shares of work that leaves the domain are planned.
+	FailureDomains int
+	Demand         *demand.Table
+	// CellMembers returns the number of other live instances of the cell, and OtherCells the
+	// number of other cells that have one.
+	CellMembers func() int
+	OtherCells  func() int
 	// PrefersEngine reports whether this instance's cell prefers the engine at an address.
 	PrefersEngine func(address string) bool
 	// Instances returns the number of live instances, this one included.
@@ -141,6 +150,7 @@
 	// promptSearchKey access it.
 	promptSearches map[string]*promptSearch
 	running        runningRequests
+	localities     localityPlans
 }
 
 // New returns a Manager.
--- a/internal/coordination/forward/metrics.go
+++ b/internal/coordination/forward/metrics.go
@@ -26,6 +26,8 @@
 	pauses        metric.Int64Counter
 	pauseRefusals metric.Int64Counter
 	aborted       metric.Int64Counter
+	domainShare   metric.Float64Gauge
+	leftDomain    metric.Int64Counter
 }
 
 // newMetrics returns the instruments. Creating an instrument fails only for an
@@ -46,9 +48,19 @@
 	m.pauses, _ = meter.Int64Counter("forward_pauses", metric.WithDescription("Pauses that upstreams asked for, by service."))
 	m.pauseRefusals, _ = meter.Int64Counter("forward_pause_refusals", metric.WithDescription("Requests refused because all upstreams had asked for a pause, by service."))
 	m.aborted, _ = meter.Int64Counter("forward_streams_aborted", metric.WithDescription("Streams that had begun and were aborted, by service and cause."))
+	m.domainShare, _ = meter.Float64Gauge("forward_domain_share", metric.WithDescription("Share of a service's new work that is sent to another failure domain."))
+	m.leftDomain, _ = meter.Int64Counter("forward_left_domain", metric.WithDescription("Placements in another failure domain, by service, domain and reason."))
 	return m
 }
 
+func (m *metrics) recordDomainShare(service string, domain model.FailureDomain, share float64) {
+	m.domainShare.Record(context.Background(), share, metric.WithAttributes(attribute.String("service", service), attribute.String("domain", string(domain))))
+}
+
+func (m *metrics) countLeftDomain(service string, domain model.FailureDomain, reason string) {
+	m.leftDomain.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("domain", string(domain)), attribute.String("reason", reason)))
+}
+
 func (m *metrics) countAbortedStream(service, cause string) {
 	m.aborted.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
 }
--- a/internal/coordination/forward/place.go
+++ b/internal/coordination/forward/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/capacity"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/outlier"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -13,8 +14,9 @@
 )
 
 const (
-	// otherDomainCost is the cost of an upstream in another failure domain, as a
-	// fraction of its slots: a call accepts that much more load to stay in its domain.
+	// otherDomainCost is the cost of an upstream in another failure domain while the
+	// shares of work that leave are not known, as a fraction of its slots: a call accepts
+	// that much more load to stay in its domain.
 	otherDomainCost = 0.2
 	// tieBreakCost is the random part of a call's cost, as a fraction of the slots.
 	tieBreakCost = 1e-3
@@ -25,9 +27,6 @@
 	repeatableRiskCost    = 1.0
 	// defaultSlots is assumed for upstreams that do not report their slots.
 	defaultSlots = 1
-	// memoryFillLimit is the fraction of an engine's memory that placements may fill.
-	// Engines preempt streams when their memory is fuller.
-	memoryFillLimit = 0.9
 	// assumedPrefillRate is the speed at which an engine is assumed to read prompts.
 	assumedPrefillRate = 5000.0 // tokens/s
 )
@@ -87,19 +86,20 @@
 	if r.route.Repeat == model.RepeatAny {
 		riskCost = repeatableRiskCost
 	}
+	rows := m.usableUpstreams(r, now)
+	domains := m.domainCosts(r, otherDomainCost)
 	best, bestCost := model.Upstream{}, 0.0
-	for _, row := range m.usableUpstreams(r, now) {
+	for _, row := range rows {
 		up := row.Upstream
 		cost := float64(totals[up.ID].Requests) / float64(max(up.Slots, defaultSlots))
 		cost += riskCost * outlier.Risk(outcomes[up.ID])
-		if up.FailureDomain != m.opts.FailureDomain {
-			cost += otherDomainCost
-		}
+		cost += domains.of(up.FailureDomain)
 		cost += tieBreakCost * hashFraction(string(r.req.ID), up.ID)
 		if best.ID == "" || cost < bestCost {
 			best, bestCost = up, cost
 		}
 	}
+	m.countLeft(r, best, domains)
 	return best, best.ID != ""
 }
 
@@ -127,12 +127,14 @@
 	located, _ := m.opts.Locations.Get(key, now)
 	outcomes := m.opts.Outcomes.Totals(now)
 	rows := m.usableUpstreams(r, now)
+	domains := m.domainCosts(r, 0)
 	best, bestCost, bestFits := model.Upstream{}, 0.0, false
 	for _, row := range rows {
 		up := row.Upstream
 		load := totals[up.ID]
 		c := m.candidate(up, load, key)
 		c.Risk = outlier.Risk(outcomes[up.ID])
+		c.DomainCost = domains.of(up.FailureDomain)
 		if up.ID == located {
 			c.CachedTokens = demand.prefillTokens
 		}
@@ -142,6 +144,7 @@
 			best, bestCost, bestFits = up, cost, fits
 		}
 	}
+	m.countLeft(r, best, domains)
 	return engineChoice{best, totals[best.ID], best.ID == located, len(rows)}, best.ID != ""
 }
 
@@ -158,7 +161,7 @@
 	if engine == nil || engine.MemoryTokens == 0 {
 		return true
 	}
-	return float64(load.MemoryTokens+load.CopyTokens+added) <= memoryFillLimit*float64(engine.MemoryTokens)
+	return float64(load.MemoryTokens+load.CopyTokens+added) <= capacity.MemoryFillLimit*float64(engine.MemoryTokens)
 }
 
 // affinityKey returns the ID of the prompt's last part, or the request ID if the
--- a/internal/coordination/forward/place_test.go
+++ b/internal/coordination/forward/place_test.go
@@ -7,7 +7,9 @@
 
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/discard"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/locality"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
@@ -59,6 +61,43 @@
 	}
 }
 
+// BenchmarkPlannedPlacement measures the choice of the engine for a stream while shares of
+// work that leaves the failure domain are known.
+func BenchmarkPlannedPlacement(b *testing.B) {
+	for _, engines := range []int{16, 128, 512, 3500} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			m, r := placementManager(engines)
+			shares := locality.Shares{Active: true, Home: "0", HomeCells: 10, At: time.Now().Add(time.Hour)}
+			for _, domain := range []model.FailureDomain{"1", "2", "3", "4"} {
+				shares.Targets = append(shares.Targets, locality.Target{Domain: domain, Share: 0.1, Load: 0.5})
+			}
+			m.localities.current.Store(&map[string]locality.Shares{"engine": shares})
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, ok := m.pickEngine(r, r.demand()); !ok {
+					b.Fatal("no engine was chosen")
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkLocalityPlan measures the plan of the shares of one service, which is made once
+// a second.
+func BenchmarkLocalityPlan(b *testing.B) {
+	for _, engines := range []int{16, 128, 512, 3500} {
+		b.Run(fmt.Sprintf("engines=%d", engines), func(b *testing.B) {
+			m, r := placementManager(engines)
+			none := func() int { return 0 }
+			m.opts.Demand, m.opts.CellMembers, m.opts.OtherCells = demand.NewTable(), none, none
+			b.ReportAllocs()
+			for b.Loop() {
+				m.localityView(r.service, m.opts.Commitments.Totals(time.Now()), time.Now())
+			}
+		})
+	}
+}
+
 // BenchmarkHolderCheck measures the check whether the holder of a running stream's copy
 // may have failed.
 func BenchmarkHolderCheck(b *testing.B) {
--- a/internal/coordination/forward/policy.go
+++ b/internal/coordination/forward/policy.go
@@ -10,6 +10,7 @@
 	Load              commitment.Work // from all instances
 	SameFailureDomain bool            // in this instance's failure domain
 	Preferred         bool            // assigned to this instance's cell
+	DomainCost        float64         // of the engine's failure domain, as locality.Choice gives it
 	CachedTokens      int             // prompt tokens expected to be in the engine's cache
 	Risk              float64         // fraction of the engine's streams that fail or are late
 	HashFraction      float64         // pseudo-random, 0 to 1; depends on the prompt and the engine alone
@@ -23,6 +24,11 @@
 	// otherCellCost is the cost, in prompts, of an engine that is assigned to another
 	// cell. This instance does not know the work that the other cell sends there.
 	otherCellCost = 1.0
+	// domainCost is the cost, in prompts, of a failure domain whose DomainCost is 1. It is
+	// about the load that one further running stream puts on an engine: a stream stays in
+	// its domain as long as that costs its caller next to nothing, and a cached prompt, a
+	// load or a risk outweighs it.
+	domainCost = 0.5
 	// cachedTokenCredit is the credit for a prompt token that is expected to be in an
 	// engine's cache, in tokens that must be read. Reading the token again would take
 	// the engine's time and delay the other streams there.
@@ -50,6 +56,7 @@
 		cost += otherCellCost * float64(prompt)
 	}
 	cost += failureRiskCost * float64(prompt) * c.Risk
+	cost += domainCost * float64(prompt) * c.DomainCost
 	cost -= cachedTokenCredit * float64(c.CachedTokens)
 	return cost + randomSpread*float64(prompt)*c.HashFraction
 }
--- a/internal/state/demand/demand_test.go
+++ b/internal/state/demand/demand_test.go
@@ -32,3 +32,38 @@
 	assert.Equal(t, d.MemoryTokens, 50)
 	assert.Equal(t, d.HoldTime, 30*time.Millisecond)
 }
+
+// Guards against demand of other instances and cells that counts twice or after it is old.
+func TestRemoteDemandCountsOnceAndExpires(t *testing.T) {
+	table, now := NewTable(), time.Unix(1000, 0)
+	table.SetWaiting("s", 1)
+	table.SetMember("m", "b", map[string]Demand{"s": {Waiting: 2}}, now)
+	table.SetMember("m", "b", map[string]Demand{"s": {Waiting: 4}}, now)
+	domains, members := table.CellByDomain("s", "a", now)
+	assert.Equal(t, members, 1)
+	assert.Equal(t, domains["a"].Waiting, 1)
+	assert.Equal(t, domains["b"].Waiting, 4)
+	assert.Equal(t, table.Cell(now)["s"].Waiting, 5)
+
+	table.SetCell("b/0", Summary{Domain: "b", Cells: 1, Services: map[string]Demand{"s": {Waiting: 8}}}, now)
+	table.SetCell("b/1", Summary{Domain: "b", Cells: 1, Services: map[string]Demand{"s": {Waiting: 16}}}, now.Add(time.Second))
+	sums := table.OtherCells(now.Add(2 * time.Second))
+	assert.Equal(t, len(sums), 1)
+	assert.Equal(t, sums[0].Cells, 2)
+	assert.Equal(t, sums[0].Age, 2*time.Second)
+	assert.Equal(t, sums[0].Services["s"].Waiting, 24)
+
+	// An instance that is no longer the first of its cell uses what the new one hands on.
+	table.SetOtherCells([]Summary{{Domain: "b", Cells: 2, Age: time.Second, Services: map[string]Demand{"s": {Waiting: 9}}}}, now.Add(2*time.Second))
+	d, age, known := table.Others("s", now.Add(3*time.Second))
+	assert.Assert(t, known)
+	assert.Equal(t, d.Waiting, 9)
+	assert.Equal(t, age, 2*time.Second)
+
+	late := now.Add(2*time.Second + TTL)
+	_, _, known = table.Others("s", late)
+	assert.Assert(t, !known)
+	_, members = table.CellByDomain("s", "a", late)
+	assert.Equal(t, members, 0)
+	assert.Equal(t, table.Cell(late)["s"].Waiting, 1)
+}
--- a/internal/state/demand/remote.go
+++ b/internal/state/demand/remote.go
@@ -118,8 +118,9 @@
 }
 
 // CellByDomain returns the demand for the service of this instance, which is in the domain
-// self, and of the other instances of its cell, by failure domain of the instances.
-func (t *Table) CellByDomain(service string, self model.FailureDomain, now time.Time) map[model.FailureDomain]Demand {
+// self, and of the other instances of its cell, by failure domain of the instances. members
+// is the number of other instances that report their demand.
+func (t *Table) CellByDomain(service string, self model.FailureDomain, now time.Time) (domains map[model.FailureDomain]Demand, members int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var own Demand
@@ -127,13 +128,14 @@
 		own = c.demand
 		own.Rate = c.rate(now)
 	}
-	domains := map[model.FailureDomain]Demand{self: own}
+	domains = map[model.FailureDomain]Demand{self: own}
 	for _, m := range t.members {
 		if now.Sub(m.at) <= TTL {
+			members++
 			domains[m.domain] = domains[m.domain].Plus(m.services[service])
 		}
 	}
-	return domains
+	return domains, members
 }
 
 // Others returns the demand of all other cells for the service and the age of the oldest
