exchange: a deployment of one cell ignores summaries of cells

Cause: while the lists of instances differ at 24 instances, one of them divides the deployment into cells and another one does not. The latter would count instances as members and again in a summary, and services would look full for up to 3 s. The demand of an instance that is not in the list yet was kept without its failure domain.

Change: without other cells, summaries are ignored; demand of an unknown instance is ignored until its next heartbeat.

Result: TestSummariesAreIgnoredInOneCell fails without the change and passes with it (go test -race -tags lockcheck).

--- a/internal/coordination/exchange/demand.go
+++ b/internal/coordination/exchange/demand.go
@@ -91,23 +91,26 @@
 // ReceiveCellDemand applies the summary of another cell.
 func (m *Manager) ReceiveCellDemand(c CellDemand) {
 	m.opts.Pool.Post(key, worker.Func(func() {
-		if c.Cell != m.opts.CellName() {
+		if m.hasOtherCells() && c.Cell != m.opts.CellName() {
 			m.opts.Demand.SetCell(c.Cell, c.Summary, time.Now())
 		}
 	}))
 }
 
+// hasOtherCells reports whether the deployment has several cells, as far as this instance
+// knows. Where it has one, an instance whose list of instances is ahead may send summaries of
+// instances that this one counts as members of its own cell.
+func (m *Manager) hasOtherCells() bool { return m.opts.CellName() != "" }
+
 // receiveDemand applies the demand in the state of an instance of the cell. A state from
 // an instance of an older build has none.
 func (m *Manager) receiveDemand(s State, now time.Time) {
-	if s.Demand != nil {
-		var domain model.FailureDomain
-		if in, found := m.opts.Instances.Get(s.Instance); found {
-			domain = in.FailureDomain
-		}
-		m.opts.Demand.SetMember(s.Instance, domain, s.Demand, now)
+	// The demand of an instance whose failure domain is not known yet comes again with its
+	// next heartbeat.
+	if in, found := m.opts.Instances.Get(s.Instance); found && s.Demand != nil {
+		m.opts.Demand.SetMember(s.Instance, in.FailureDomain, s.Demand, now)
 	}
-	if len(s.OtherCells) > 0 {
+	if len(s.OtherCells) > 0 && m.hasOtherCells() {
 		m.opts.Demand.SetOtherCells(s.OtherCells, now)
 	}
 }
--- a/internal/coordination/exchange/demand_test.go
+++ b/internal/coordination/exchange/demand_test.go
@@ -80,3 +80,20 @@
 		assert.Equal(t, got.Waiting, 6)
 	})
 }
+
+// Guards against instances that count twice while another one already divides the deployment
+// into cells, and against the demand of an instance whose failure domain is not known.
+func TestSummariesAreIgnoredInOneCell(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, _, stop := startPair(t)
+		defer stop()
+		services := map[string]demand.Demand{"s": {Waiting: 6}}
+		a.ReceiveCellDemand(CellDemand{Instance: "b", Cell: "d/1", Summary: demand.Summary{Cells: 1, Services: services}})
+		a.Receive(State{Instance: "b", Incarnation: 1, Sequence: 1 << 40, OtherCells: []demand.Summary{{Cells: 1, Services: services}}})
+		a.Receive(State{Instance: "unknown", Incarnation: 1, Sequence: 1, Demand: services})
+		synctest.Wait()
+		_, _, known := a.demand.Others("s", time.Now())
+		assert.Assert(t, !known)
+		assert.Equal(t, a.demand.Cell(time.Now())["s"].Waiting, 0)
+	})
+}
--- a/internal/coordination/exchange/exchange_test.go
+++ b/internal/coordination/exchange/exchange_test.go
@@ -131,10 +131,15 @@
 				Pool: m.pool, Self: record(id), Instances: m.instances, Commitments: m.commitments,
 				Members:     func() []model.Instance { return records(cell) },
 				OtherFirsts: func() []model.Instance { return records(firsts) },
-				CellName:    func() string { return strconv.Itoa(i) },
-				Demand:      m.demand,
-				Judge:       func() (model.Instance, bool) { return record(cells[0][0]), true },
-				Upstreams:   m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: m.moves, Suspects: m.suspects,
+				CellName: func() string {
+					if len(cells) == 1 {
+						return ""
+					}
+					return strconv.Itoa(i)
+				},
+				Demand:    m.demand,
+				Judge:     func() (model.Instance, bool) { return record(cells[0][0]), true },
+				Upstreams: m.upstreams, Locations: location.NewTable(), Outcomes: outcome.NewTable(), Moves: m.moves, Suspects: m.suspects,
 				Resends: resend.New(resend.Limit{Ratio: 0.8, Burst: 100, Window: 10 * time.Second}, 2),
 				Link:    link{n, id}, Log: &log.Logger{Handler: discard.Default},
 			})
