--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -20,6 +20,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -101,6 +102,7 @@
 	outcomes := outcome.NewTable()
 	moves := move.NewTable()
 	suspects := suspect.NewTable(s.Instance)
+	demands := demand.NewTable()
 	if e.peers, err = peer.NewClient(peerOptions(identity, self)); err != nil {
 		return nil, err
 	}
@@ -137,7 +139,7 @@
 		Allowance:   s.ExposureAllowance,
 		Log:         logger,
 	})
-	if err := e.connect(identity, self, link, tables{commitments, upstreams, locations, outcomes, moves, suspects, budgets}, logger); err != nil {
+	if err := e.connect(identity, self, link, tables{commitments, upstreams, locations, outcomes, moves, suspects, demands, budgets}, logger); err != nil {
 		return nil, err
 	}
 	e.forward = forward.New(forward.Options{
@@ -152,6 +154,10 @@
 		Sender:           e.client,
 		Budget:           budgets,
 		FailureDomain:    s.FailureDomain,
+		FailureDomains:   s.FailureDomains,
+		Demand:           demands,
+		CellMembers:      e.countOtherMembers,
+		OtherCells:       func() int { return len(e.cell.OtherFirsts()) },
 		PrefersEngine:    e.cell.Prefers,
 		Instances:        e.countLive,
 		Policy:           opts.Policy,
@@ -190,6 +196,7 @@
 	outcomes    *outcome.Table
 	moves       *move.Table
 	suspects    *suspect.Table
+	demand      *demand.Table
 	resends     *resend.Budgets
 }
 
@@ -208,7 +215,9 @@
 		Locations:   shared.locations,
 		Outcomes:    shared.outcomes,
 		Moves:       shared.moves,
+		CellName:    e.cell.Name,
 		Suspects:    shared.suspects,
+		Demand:      shared.demand,
 		Resends:     shared.resends,
 		Judge:       e.registry.RootReader,
 		Link:        link,
@@ -218,6 +227,7 @@
 	receiver := edgelink.Receiver{
 		States:        e.exchange.Receive,
 		MoveCounts:    e.exchange.ReceiveMoveCounts,
+		CellDemand:    e.exchange.ReceiveCellDemand,
 		Suspects:      e.exchange.ReceiveSuspects,
 		KnownSuspects: func() suspect.Rows { return shared.suspects.Snapshot(time.Now()) },
 		Log:           logger,
@@ -228,6 +238,7 @@
 		peerwire.KindRegistry:   edgelink.ServeNews(e.registry.ServePoll),
 		peerwire.KindState:      receiver,
 		peerwire.KindMoveCounts: receiver,
+		peerwire.KindCellDemand: receiver,
 		peerwire.KindSuspects:   receiver,
 	})
 	return err
@@ -257,10 +268,12 @@
 	}
 }
 
-// Start starts to read the store and to exchange states with the other instances.
+// Start starts to read the store, to exchange states with the other instances, and to
+// plan which work leaves the failure domain.
 func (e *Edge) Start() {
 	e.registry.Start()
 	e.exchange.Start()
+	e.forward.StartLocality()
 }
 
 // Traffic returns the bytes on the wire that this instance sent to the other
@@ -282,6 +295,16 @@
 	return lease.Rank(string(fp), e.settings.Instance, live) == 0
 }
 
+// countOtherMembers returns the number of other live instances of the cell.
+func (e *Edge) countOtherMembers() (n int) {
+	for _, in := range e.cell.Members() {
+		if in.State == model.InstanceLive && in.ID != e.settings.Instance {
+			n++
+		}
+	}
+	return n
+}
+
 // countLive returns the number of live instances.
 func (e *Edge) countLive() (n int) {
 	for _, in := range e.instances.All() {
