keptconn: only sound answers reach net/http

Cause: each reader took what net/http's client returned, which accepts blanks in field names, folded lines and a length beside a transfer coding. An answer without a length counted as complete when its connection ended, also by a reset that a write of the request had seen first, or while the request was not written.

Change: keptconn.Conn has each head checked by answerhead before net/http has it, hands on no bytes beyond the length, and knows whether the request was written whole.

--- a/internal/protocol/answerhead/answerhead.go
+++ b/internal/protocol/answerhead/answerhead.go
@@ -37,6 +37,9 @@
 // IsInterim reports whether another head follows this one.
 func (h Head) IsInterim() bool { return h.Status < 200 }
 
+// HasNoBody reports whether answers of the status have no body, whatever their fields say.
+func (h Head) HasNoBody() bool { return h.Status == 204 || h.Status == 304 }
+
 // End returns the length of the head at the start of data, or 0 if its blank line is not
 // there yet. The search begins at from, 0 at first; for more data it goes on at next.
 func End(data []byte, from int) (end, next int) {
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -214,7 +214,7 @@
 }
 
 // lossOf returns the kind of loss: a failed connection attempt, an answer to another
-// request, a timeout, or a broken connection.
+// request, a timeout, a broken answer, or a broken connection.
 func lossOf(err error, sent bool) continuation.Loss {
 	var timeout net.Error
 	switch {
@@ -224,6 +224,8 @@
 		return continuation.LossWrongStream
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return continuation.LossSilence
+	case errors.Is(err, keptconn.ErrBroken): // its upstream is alive: a failed request, and no failed connection
+		return continuation.LossTruncated
 	default:
 		return continuation.LossReset
 	}
--- a/internal/transport/backend/events.go
+++ b/internal/transport/backend/events.go
@@ -11,6 +11,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerend"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 )
 
 const (
@@ -57,7 +58,7 @@
 		receiver.ConnectionClosed()
 	case errors.Is(err, io.EOF):
 		receiver.StreamEnded()
-	case errors.Is(err, answerend.ErrCut):
+	case errors.Is(err, answerend.ErrCut), errors.Is(err, keptconn.ErrBroken):
 		receiver.Lost(continuation.LossTruncated, err.Error(), true)
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		receiver.Lost(continuation.LossTruncated, "stream ended within an event", true)
--- a/internal/transport/keptconn/keptconn.go
+++ b/internal/transport/keptconn/keptconn.go
@@ -1,4 +1,9 @@
-// Package keptconn rejects answers that a server sent before it had the request.
+// Package keptconn is the only way by which answers of other programs are read. It decides
+// whether what a server sent is an answer at all, before net/http has a byte of it, and
+// rejects answers that a server sent before it had the request.
+//
+// On Linux, a reset that a write sees first makes the next read return an end of file. So
+// an answer that ends with its connection counts only if its request was written whole.
 //
 // net/http takes any bytes on a kept connection for the answer to the next request. A
 // faulty server that sends an answer twice, or late, so answers a request that it has not
@@ -19,45 +24,12 @@
 // belongs to another request.
 var ErrEarlyAnswer = errors.New("the answer arrived before the request was sent")
 
-// Conn is a connection that compares the time of answers with that of requests.
-type Conn struct {
-	net.Conn
-	requests atomic.Int64 // number of requests that were given the connection
-	received atomic.Int64 // bytes read
-	// unwritten is set until the first byte of the current request is written, and
-	// before is what was received until then.
-	unwritten atomic.Bool
-	before    atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.received.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c *Conn) Write(p []byte) (int, error) {
-	if c.unwritten.Load() {
-		c.before.Store(c.received.Load())
-		c.unwritten.Store(false)
-	}
-	return c.Conn.Write(p)
-}
-
-// answersEarly reports whether the answer that the transport begins to read was received
-// before the current request was written. The transport reads no more from the connection
-// while it has unread bytes.
-func (c *Conn) answersEarly() bool {
-	return c.unwritten.Load() || c.received.Load() == c.before.Load()
-}
-
-// Transport is an http.Transport that returns ErrEarlyAnswer for early answers on kept
+// Transport is an http.Transport that returns ErrBroken for what is no answer, and ErrEarlyAnswer for early answers on kept
 // connections. On a new connection, such an answer can belong to no other request.
 type Transport struct{ http *http.Transport }
 
-// New returns a Transport that sends with t.
+// New returns a Transport that sends with t. For https, t needs a DialTLSContext. Requests
+// must not ask for another protocol.
 func New(t *http.Transport) *Transport {
 	if t.DialContext == nil {
 		t.DialContext = new(net.Dialer).DialContext
@@ -94,17 +66,38 @@
 // Exchange is RoundTrip. It also returns how the request used its connection.
 func (t *Transport) Exchange(req *http.Request) (*http.Response, *Use, error) {
 	use := &Use{}
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
-		GotConn:              use.gotConn,
+	trace := &httptrace.ClientTrace{
+		GotConn:              func(info httptrace.GotConnInfo) { use.gotConn(info, req) },
 		GotFirstResponseByte: use.gotFirstByte,
-	})
-	resp, err := t.http.RoundTrip(req.WithContext(ctx))
-	if err == nil && use.early.Load() {
+	}
+	if bodyLength(req) == unknownLength {
+		trace.WroteRequest = func(info httptrace.WroteRequestInfo) {
+			if c := use.conn.Load(); c != nil && info.Err == nil {
+				c.wroteBody()
+			}
+		}
+	}
+	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, use, use.cause(req.Context(), err)
+	}
+	if use.early.Load() {
 		_ = resp.Body.Close() // the answer is not used
 		use.Discard()
 		return nil, use, ErrEarlyAnswer
 	}
-	return resp, use, err
+	return resp, use, nil
+}
+
+// bodyLength returns the length of a request's body, or unknownLength.
+func bodyLength(req *http.Request) int64 {
+	switch {
+	case req.Body == nil || req.Body == http.NoBody:
+		return 0
+	case req.ContentLength <= 0:
+		return unknownLength
+	}
+	return req.ContentLength
 }
 
 // Use describes the connection of one request. The transport may set it on a goroutine of
@@ -115,13 +108,23 @@
 	early atomic.Bool
 }
 
-func (u *Use) gotConn(info httptrace.GotConnInfo) {
+func (u *Use) gotConn(info httptrace.GotConnInfo, req *http.Request) {
 	c := info.Conn.(*Conn) // opened by the function of wrap
-	c.unwritten.Store(true)
-	u.kept.Store(c.requests.Add(1) > 1)
+	c.begin(req.Method == http.MethodHead, bodyLength(req))
+	u.kept.Store(c.requests.Load() > 1)
 	u.conn.Store(c)
 }
 
+// cause returns the fault of a broken head in place of the error that net/http made of it.
+func (u *Use) cause(ctx context.Context, err error) error {
+	if c := u.conn.Load(); c != nil && ctx.Err() == nil {
+		if broken := c.brokenHead(); broken != nil {
+			return broken
+		}
+	}
+	return err
+}
+
 func (u *Use) gotFirstByte() {
 	if u.kept.Load() && u.conn.Load().answersEarly() {
 		u.early.Store(true)
