backend: a broken refusal does not count as not run

Cause: the head of a refusal was enough, also if its connection broke while the request was being written, or if it had no length and was reset.

Change: an answer that keptconn calls broken is a loss whatever its mark says.

Measured: TestBrokenRefusalsAreLosses fails before and passes after.

--- a/internal/transport/backend/broken_test.go
+++ b/internal/transport/backend/broken_test.go
@@ -22,6 +22,37 @@
 	return s
 }
 
+// startRefusing starts an upstream that answers with the form and the mark that the request
+// has not run.
+func startRefusing(t *testing.T, form rawhttp.Form) *rawhttp.Server {
+	t.Helper()
+	s, err := form.WithStatus("503 Service Unavailable").Start(func(req *http.Request) string {
+		return "X-Not-Run: 1\r\nX-Req: " + req.Header.Get("X-Req") + "\r\n"
+	}, "full")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+// Guards against a request that counts as not run by bytes that are no answer: it would be
+// sent again although the upstream may have run it.
+func TestBrokenRefusalsAreLosses(t *testing.T) {
+	for _, form := range rawhttp.BrokenAnswers() {
+		for _, stream := range []bool{false, true} {
+			client := keptClient()
+			got := sendConnected(client, formCall(form, startRefusing(t, form).Address(), "r1", stream, false))
+			assert.Check(t, got.loss != "" && got.sent, "%s, stream: %t: %+v", form.Name, stream, got.answer)
+			client.Close()
+		}
+	}
+	for _, form := range rawhttp.SurplusAnswers() {
+		client := keptClient()
+		got := sendConnected(client, formCall(form, startRefusing(t, form).Address(), "r1", false, false))
+		assert.Check(t, got.answer != nil && got.answer.NotRun, "%s: %+v", form.Name, got)
+		client.Close()
+	}
+}
+
 // formCall returns a call or stream to a server of startForm.
 func formCall(form rawhttp.Form, address, id string, stream, reuse bool) forward.Send {
 	s := callTo(address, id)
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -194,11 +194,11 @@
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
 	var answer io.Reader = in.Body
-	if !verdict.NotRun { // the head of a refusal is enough
+	if !verdict.NotRun { // the head of a refusal is enough, unless the answer is broken
 		answer = c.body(ctx, s, in)
 	}
 	body, err := reserved.ReadAll(answer, maxAnswerBytes)
-	if err != nil && !verdict.NotRun {
+	if err != nil && (!verdict.NotRun || errors.Is(err, keptconn.ErrBroken)) {
 		receiver.Lost(continuation.LossTruncated, err.Error(), true)
 		return
 	}
