engine, probe, platform: a status counts only with its answer

Cause: orders and probes stopped reading at the end of the JSON object, and refusals of engines and answers to writes of the platform were believed by their status although the body broke.

Change: the body is read to its end first. A broken answer to a platform write leaves its outcome unknown.

--- /dev/null
+++ b/internal/transport/engine/broken_test.go
@@ -0,0 +1,89 @@
+package engine
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/order"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
+	"gotest.tools/v3/assert"
+)
+
+// lossChannel is a relay.Events that sends the kinds of loss to a channel.
+type lossChannel struct {
+	recorder
+	losses chan continuation.Loss
+}
+
+func (c lossChannel) Lost(kind continuation.Loss, _ continuation.Detail) { c.losses <- kind }
+
+// startForm starts an engine that answers with the form.
+func startForm(t *testing.T, form rawhttp.Form, body string) model.Upstream {
+	t.Helper()
+	s, err := form.Start(func(*http.Request) string { return "" }, body)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	return model.Upstream{ID: "u", Address: s.Address()}
+}
+
+// uploadText returns a text that a request needs for the form.
+func uploadText(form rawhttp.Form) string {
+	if form.NeedsUpload {
+		return strings.Repeat("a", rawhttp.UploadBytes)
+	}
+	return "a"
+}
+
+// Guards against a generation that counts as whole, or as rejected by its engine, by bytes
+// that are no answer.
+func TestBrokenAnswersAreLosses(t *testing.T) {
+	const events = "data: {\"id\":\"s\",\"choices\":[{\"position\":0,\"tokens\":[\"a\"]}]}\n\n"
+	for _, form := range rawhttp.BrokenAnswers() {
+		for _, refused := range []bool{false, true} {
+			f := form
+			if refused {
+				f = form.WithStatus("400 Bad Request")
+			}
+			up := startForm(t, f, events)
+			c := New()
+			got := lossChannel{losses: make(chan continuation.Loss, 10)}
+			c.Start(up, relay.StreamRequest{Stream: "s", Spec: model.GenerationSpec{Prompt: uploadText(form)}}, &got)
+			select {
+			case kind := <-got.losses:
+				assert.Check(t, kind != continuation.LossRejected, "%s, refused: %t: %s", form.Name, refused, kind)
+			case <-time.After(10 * time.Second):
+				t.Errorf("%s: no loss", form.Name)
+			}
+			c.Close()
+		}
+	}
+}
+
+// Guards against an order that counts as done, or as overtaken by a later one, by bytes
+// that are no answer.
+func TestBrokenAnswersOfOrdersAreErrors(t *testing.T) {
+	for _, form := range rawhttp.BrokenAnswers() {
+		for _, refused := range []bool{false, true} {
+			f := form
+			if refused {
+				f = form.WithStatus("409 Conflict")
+			}
+			up := startForm(t, f, "{}")
+			o := NewOrders()
+			err := o.Order(t.Context(), up, 1, order.State{Model: uploadText(form)})
+			assert.Check(t, err != nil, form.Name)
+			assert.Check(t, !errors.Is(err, order.ErrStaleFencing), "%s, refused: %t", form.Name, refused)
+			if !form.NeedsUpload { // a read has no body
+				_, err := o.State(t.Context(), up)
+				assert.Check(t, err != nil, "state: %s", form.Name)
+			}
+			o.Close()
+		}
+	}
+}
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -263,7 +263,10 @@
 }
 
 func lossOfStatus(resp *http.Response) (continuation.Loss, continuation.Detail) {
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	if err != nil { // a refusal that is not whole decides nothing
+		return continuation.LossReset, continuation.Detail{Cause: err.Error()}
+	}
 	detail := continuation.Detail{Cause: fmt.Sprintf("status %d", resp.StatusCode)}
 	var reply engineapi.ErrorReply
 	if json.Unmarshal(body, &reply) == nil {
--- a/internal/transport/engine/orders.go
+++ b/internal/transport/engine/orders.go
@@ -82,12 +82,15 @@
 		return engineapi.StateReply{}, fmt.Errorf("%s %s of %s: %w", method, path, u.ID, err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxStateBytes))
+	if err != nil { // a status whose answer is not whole decides nothing
+		return engineapi.StateReply{}, fmt.Errorf("%s %s of %s: %w", method, path, u.ID, err)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return engineapi.StateReply{}, orderError(u, resp)
 	}
 	var reply engineapi.StateReply
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxStateBytes)).Decode(&reply)
-	return reply, err
+	return reply, json.Unmarshal(answer, &reply)
 }
 
 // orderError turns an engine's refusal into the order package's errors.
--- a/internal/transport/platform/client.go
+++ b/internal/transport/platform/client.go
@@ -12,6 +12,7 @@
 	"compress/gzip"
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -159,6 +160,9 @@
 	c.lastAnswer.record()
 	defer func() { _ = response.Body.Close() }()
 	body, err := readAnswer(response)
+	if errors.Is(err, keptconn.ErrBroken) {
+		return answer{}, &Error{Op: request.op, Kind: kindOfLoss(request.isWrite(), true), Cause: err}
+	}
 	if kind := kindOfStatus(request.isWrite(), response.StatusCode, problemCode(body)); kind != nil {
 		return answer{}, &Error{
 			Op:         request.op,
--- a/internal/transport/probe/probe.go
+++ b/internal/transport/probe/probe.go
@@ -43,8 +43,12 @@
 	if resp.StatusCode != http.StatusOK {
 		return upstream.Report{}, fmt.Errorf("probe %s: status %d", up.ID, resp.StatusCode)
 	}
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxHealthBytes))
+	if err != nil { // also after an object that is whole
+		return upstream.Report{}, fmt.Errorf("probe %s: %w", up.ID, err)
+	}
 	var health engineapi.Health
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxHealthBytes)).Decode(&health); err != nil {
+	if err := json.Unmarshal(answer, &health); err != nil {
 		return upstream.Report{}, fmt.Errorf("probe %s: %w", up.ID, err)
 	}
 	return report(up, health, time.Now()), nil
