callerclient: answers are read through keptconn

Cause: the client of the load tool took what net/http returned.

Change: it uses keptconn.Transport, reads bodies to their end, and states the length of a call's body, from which keptconn knows when it is written.

--- a/internal/transport/callerclient/call.go
+++ b/internal/transport/callerclient/call.go
@@ -24,6 +24,7 @@
 	if err != nil {
 		return Reply{}, fmt.Errorf("build request: %w", err)
 	}
+	req.ContentLength = int64(len(body))
 	c.setHeaders(req)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
--- a/internal/transport/callerclient/caller.go
+++ b/internal/transport/callerclient/caller.go
@@ -16,6 +16,8 @@
 	"strings"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/tmaxmax/go-sse"
 )
 
@@ -43,10 +45,11 @@
 // New returns a client that starts from the given addresses.
 func New(organisation string, bootstrap ...string) *Client {
 	return &Client{
-		http: &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost:   256,
-			ResponseHeaderTimeout: time.Minute,
-		}},
+		http: &http.Client{Transport: keptconn.New(&http.Transport{
+			MaxIdleConnsPerHost:    256,
+			ResponseHeaderTimeout:  time.Minute,
+			MaxResponseHeaderBytes: answerlimit.MaxHeadBytes,
+		})},
 		bootstrap:    bootstrap,
 		organisation: organisation,
 	}
@@ -169,7 +172,10 @@
 // recordRefusal records a refusal. It reports true if a retry would be refused
 // again.
 func (s *stream) recordRefusal(resp *http.Response) (bool, error) {
-	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return false, err
+	}
 	s.transcript.RefusalCode = refusalCode(string(body))
 	s.refusals++
 	retry := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests
--- a/internal/transport/callerclient/endpoints.go
+++ b/internal/transport/callerclient/endpoints.go
@@ -74,6 +74,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return answer, fmt.Errorf("endpoints from %s: status %d", address, resp.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxReplyBytes)).Decode(&answer)
-	return answer, err
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReplyBytes))
+	if err != nil {
+		return answer, err
+	}
+	return answer, json.Unmarshal(body, &answer)
 }
