e2e: edged passes on no broken answer

Cause: nothing played broken answers against a whole process.

Change: TestEdgePassesOnNoBrokenAnswer plays each form that needs no upload; a call ends with 502 outcome_unknown and runs once.

--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -222,6 +223,40 @@
 	assert.Equal(t, status, http.StatusBadGateway, body)
 }
 
+// Guards against bytes of a worker that are no answer and reach a caller as one, and
+// against a call that counts as not run after them.
+func TestEdgePassesOnNoBrokenAnswer(t *testing.T) {
+	t.Parallel()
+	e := startEdges(t, 1)
+	for _, w := range e.fleet.Workers("desk") {
+		e.fleet.Crash(w)
+		e.fleet.Store.Remove("servers", w.ID())
+	}
+	var current atomic.Pointer[rawhttp.Form]
+	sound := rawhttp.SurplusAnswers()[0]
+	current.Store(&sound)
+	faulty, err := rawhttp.StartForms(func() rawhttp.Form { return *current.Load() }, func(req *http.Request) string {
+		return fmt.Sprintf("X-Attempt-Id: %s\r\nX-Server-Signature: s\r\n", req.Header.Get("X-Attempt-Id"))
+	}, "ok")
+	assert.NilError(t, err)
+	defer func() { assert.Check(t, faulty.Close()) }()
+	e.add(fleet.WorkerOptions{ID: "faulty", Service: "desk", Zone: "a", Slots: 6, Advertise: func(string) string { return faulty.Address() }})
+	e.publishRules()
+	e.awaitReady()
+	status, body, _ := e.do(e.request(0, "POST", "/book/1"))
+	assert.Assert(t, status == http.StatusOK && body == "ok", "%d: %s", status, body)
+	for _, form := range rawhttp.BrokenAnswers() {
+		if form.NeedsUpload {
+			continue // the tests of transport/backend play these
+		}
+		current.Store(&form)
+		before := faulty.Requests()
+		status, body, _ := e.do(e.request(0, "POST", "/book/1"))
+		assert.Check(t, status == http.StatusBadGateway && strings.Contains(body, "outcome_unknown"), "%s: %d: %s", form.Name, status, body)
+		assert.Check(t, faulty.Requests() == before+1, "%s: the call ran %d times", form.Name, faulty.Requests()-before)
+	}
+}
+
 // repeatRefusal answers the first request of each connection, and runs each later one
 // after it has sent a refusal without an ID.
 func repeatRefusal(n int, conn net.Conn, req *http.Request) bool {
