--- a/internal/transport/callerclient/broken_test.go
+++ b/internal/transport/callerclient/broken_test.go
@@ -28,6 +28,7 @@
 			_, err = c.Endpoints(ctx, s.Address())
 			assert.Check(t, err != nil, "endpoints: %s", form.Name)
 		}
+		assert.Check(t, ctx.Err() == nil, "%s: a call waits for more bytes", form.Name)
 		cancel()
 		c.http.CloseIdleConnections()
 		assert.NilError(t, s.Close())
--- a/internal/transport/service/broken_test.go
+++ b/internal/transport/service/broken_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/call"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
@@ -26,7 +28,10 @@
 				req.Body = bytes.Repeat([]byte("a"), rawhttp.UploadBytes)
 			}
 			for range 2 {
-				got, err := c.Send(t.Context(), server{s}.upstream(), req)
+				ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+				got, err := c.Send(ctx, server{s}.upstream(), req)
+				assert.Check(t, ctx.Err() == nil, "%s: the call waits for more bytes", form.Name)
+				cancel()
 				var sendErr *call.SendError
 				assert.Check(t, errors.As(err, &sendErr) && sendErr.Sent, "%s, idempotent: %t: %v, status %d", form.Name, idempotent, err, got.Status)
 			}
