Stand-in of the store: eras and restores from a copy

Cause: no test could play a store that comes back from an older copy. Change: the stand-in copies its content at a time and restores the copy later. Answers carry Store-Era once an era is set, a restore raises it, and a read from a version that the store does not have yet gets 410.

--- a/internal/transport/standin/fleet/store.go
+++ b/internal/transport/standin/fleet/store.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -47,6 +48,7 @@
 	history          []Row // all changes since the last Compact, in order
 	compactedVersion uint64
 	version          uint64
+	era              uint64        // 0: answers have no era
 	changed          chan struct{} // closed and replaced at each change
 	fault            Fault
 	calls            int
@@ -88,6 +90,47 @@
 	return s.calls
 }
 
+// Copy is the content of a store at one time.
+type Copy struct {
+	rows             map[rowKey]Row
+	history          []Row
+	compactedVersion uint64
+	version          uint64
+}
+
+// SetEra sets the era in the answers.
+func (s *Store) SetEra(era uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era = era
+}
+
+// Copy returns a copy of the content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.rows), slices.Clone(s.history), s.compactedVersion, s.version}
+}
+
+// Restore replaces the content by that of an earlier copy and raises the era. All later
+// writes are lost and their versions are given out again. Reads that wait are answered.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.history = maps.Clone(c.rows), slices.Clone(c.history)
+	s.compactedVersion, s.version = c.compactedVersion, c.version
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// Version returns the version of the last write.
+func (s *Store) Version() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
+}
+
 // Compact drops the history, so that a feed from an earlier version gets 410.
 func (s *Store) Compact() {
 	s.mu.Lock()
@@ -210,8 +253,9 @@
 	due := time.NewTimer(time.Duration(waitMs) * time.Millisecond)
 	defer due.Stop()
 	for {
-		rows, changed, compacted := s.changesSince(query.Get("tableName"), version)
-		if compacted {
+		rows, changed, gone := s.changesSince(query.Get("tableName"), version)
+		if gone {
+			s.signEra(w)
 			w.WriteHeader(http.StatusGone)
 			return
 		}
@@ -231,12 +275,12 @@
 }
 
 // changesSince returns the changes of a table after the version, and a channel
-// that is closed at the next change of any table. compacted reports that the
-// history no longer reaches back to the version.
-func (s *Store) changesSince(table string, version uint64) (rows []Row, changed <-chan struct{}, compacted bool) {
+// that is closed at the next change of any table. gone reports that the history does not
+// have the version, either any more or, after a restore, yet.
+func (s *Store) changesSince(table string, version uint64) (rows []Row, changed <-chan struct{}, gone bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if version < s.compactedVersion {
+	if version < s.compactedVersion || version > s.version {
 		return nil, nil, true
 	}
 	for _, r := range s.history {
@@ -253,6 +297,20 @@
 	s.answer(w, http.StatusOK, rows)
 }
 
+// signEra sets the era in a response.
+func (s *Store) signEra(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.setEra(w)
+}
+
+// setEra is signEra for callers that hold mu.
+func (s *Store) setEra(w http.ResponseWriter) {
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+}
+
 // answer writes a response with the rows. The caller holds mu.
 func (s *Store) answer(w http.ResponseWriter, status int, rows []Row) {
 	if rows == nil {
@@ -265,6 +323,7 @@
 		NowMs   int64  `json:"nowMs"`
 	}{rows, false, s.version, time.Since(s.startedAt).Milliseconds()}
 	w.Header().Set("Content-Type", "application/json")
+	s.setEra(w)
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // the client notices a truncated response
 }
