What was read from or written to the store belongs to an era

Cause: a store that is restored from an older copy gives versions out again. Where they have overtaken what an instance last read, no 410 shows the restore: the row of an instance that started after the copy was never written again, and changes since a version of the old history were taken for changes of the new one. Change: results of registry.Store and versions.RecordStore carry the era, positions compare by era and revision, and answers of an older era change nothing. Deltas between instances have a field for the era, 0 from older builds.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -116,6 +116,7 @@
 		Instances:       e.instances,
 		Moves:           moves,
 		OnVersionOrders: func(orders []model.VersionOrder) { e.versions.AddOrders(orders) },
+		OnRestore:       func(era model.Era) { e.versions.StoreRestored(era) },
 		Members:         e.cell.Members,
 		LeaveTimeout:    s.LeaveTimeout,
 		RenewInterval:   s.RenewInterval,
--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -15,10 +15,11 @@
 // them.
 type entryState struct {
 	outageTracker
-	after Revision // up to which this instance has read the entries itself
-	// known is the revision of the store up to which byID is complete, by this instance's
-	// reads or those of its readers. What was read at an older revision changes nothing.
-	known Revision
+	after    Revision // up to which this instance has read the entries itself
+	afterEra Era      // of after
+	// position is the state of the store up to which byID is complete, by this instance's
+	// reads or those of its readers. What was read at an older one changes nothing.
+	position Position
 	// readAll means that the next read returns all entries. It is set after a failed
 	// read and while this instance relies on a reader, because the changes since
 	// after may then be too many to arrive within readTimeout.
@@ -36,6 +37,8 @@
 	lastChanged map[model.UpstreamID]time.Time // when a change of each entry was last received
 	readAt      time.Time                      // last successful read of the store, by any instance
 	ownReadAt   time.Time                      // last successful read of the store by this instance
+	restoredEra Era                            // begun by the last restore that was applied here
+	restoredAt  time.Time                      // when it was learned of
 }
 
 func newEntryState(logger log.Interface) entryState {
@@ -68,12 +71,20 @@
 		m.pollReader(reader)
 		return
 	}
-	after := m.entries.after
+	after, since := m.entries.after, m.entries.afterEra
 	if m.entries.readAll {
 		after = 0
 	}
 	call := func(ctx context.Context) (Entries, error) { return m.opts.Store.Entries(ctx, after) }
 	readStore(m, &m.entriesLoop, readTimeout, call, func(got Entries, err error) {
+		if err == nil {
+			err = m.checkAnswer(&got.Era, since, after == 0)
+		}
+		if errors.Is(err, errNewEra) {
+			m.entries.readAll = true
+			m.readEntries()
+			return
+		}
 		m.entriesFail.Store(err != nil)
 		if !errors.Is(err, ErrHistoryGone) && m.entries.record(err) {
 			m.restartRules(started)
@@ -128,20 +139,22 @@
 // known is ignored.
 func (m *Manager) applyEntries(got Entries) {
 	s := &m.entries
-	if got.Revision < s.known {
-		m.opts.Log.WithField("revision", got.Revision).WithField("known", s.known).Warn("stale entries ignored")
+	m.keepEntries(time.Now())
+	position := Position{got.Era, got.Revision}
+	if position.Before(s.position) {
+		m.opts.Log.WithField("revision", got.Revision).WithField("known", s.position.Revision).WithField("era", got.Era.Number()).Warn("stale entries ignored")
 		return
 	}
 	now := time.Now()
-	s.after, s.readAll = got.Revision, false
+	s.after, s.afterEra, s.readAll = got.Revision, got.Era, false
 	m.cursor = Cursor{} // the changes since an earlier poll may undo what was read here
 	m.recordRead(now, m.opts.Self.ID, 0)
 	isFirst := s.ownReadAt.Before(s.outageEnd)
 	s.ownReadAt = now
-	s.known = got.Revision
+	s.position = position
 	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) })
-	m.shareRevision()
-	if isFirst {
+	m.sharePosition()
+	if isFirst && !s.wasRestored() {
 		m.askOthersOfOutage()
 	}
 	for id := range s.discovered {
@@ -184,6 +197,9 @@
 			}
 			continue
 		}
+		if known && s.restoredEra > 0 {
+			e = e.after(old)
+		}
 		_, wasLapsed := s.removalDue[e.Upstream.ID]
 		delete(s.removalDue, e.Upstream.ID)
 		delete(s.discovered, e.Upstream.ID)
@@ -203,6 +219,24 @@
 	}
 }
 
+// after returns the entry as it counts if old was known before: a restored store may show an
+// older state of it. What an upstream said last is kept, and it stays leaving.
+func (e Entry) after(old Entry) Entry {
+	switch {
+	case e.Incarnation < old.Incarnation, e.Incarnation == old.Incarnation && e.Sequence < old.Sequence:
+		return old
+	case e.Incarnation == old.Incarnation:
+		e.Leaving = e.Leaving || old.Leaving
+	}
+	return e
+}
+
+// wasRestored reports whether the last outage is that of a restore. Other instances have
+// read the store all along then, and still entries are missing that will come back.
+func (s *entryState) wasRestored() bool {
+	return !s.restoredAt.IsZero() && s.outageEnd.Before(s.restoredAt.Add(outageGrace))
+}
+
 // scheduleRemoval drops an upstream whose entry was removed at the given time. Until then
 // its entry has lapsed, which the instances that poll this one are told.
 func (m *Manager) scheduleRemoval(id model.UpstreamID, due, now time.Time) {
@@ -253,7 +287,7 @@
 		WithField("service", e.Upstream.Serves).
 		WithField("address", e.Upstream.Address).
 		WithField("leaving", e.Leaving).
-		WithField("revision", m.entries.known).
+		WithField("revision", m.entries.position.Revision).
 		Info("upstream entry")
 }
 
@@ -306,7 +340,7 @@
 			delete(s.byID, id)
 			delete(s.lastChanged, id)
 			m.shareEntry(entryChange{entry: e, removed: true})
-			s.log.WithField("upstream", string(id)).WithField("revision", s.known).Info("upstream entry is gone")
+			s.log.WithField("upstream", string(id)).WithField("revision", s.position.Revision).Info("upstream entry is gone")
 		}
 	}
 	return dropped
--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -47,6 +47,7 @@
 // the other fields.
 type storeContent struct {
 	mu        sync.Mutex
+	era       Era
 	revision  Revision
 	rules     *model.RoutingRules
 	entries   map[model.UpstreamID]Entry
@@ -66,6 +67,12 @@
 	return w.revision
 }
 
+func (w *storeContent) currentEra() Era {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.era
+}
+
 func (s *fakeStore) Published(ctx context.Context, after Revision, d time.Duration) (Published, error) {
 	s.calls.Add(1)
 	if s.staleConns.Load() {
@@ -91,7 +98,7 @@
 	}
 	s.content.mu.Lock()
 	defer s.content.mu.Unlock()
-	return Published{Revision: s.content.revision, Rules: s.content.rules}, nil
+	return Published{Era: s.content.era, Revision: s.content.revision, Rules: s.content.rules}, nil
 }
 
 // hang waits for an answer that does not begin, as long as the client of a store does.
@@ -129,7 +136,7 @@
 	}
 	s.content.mu.Lock()
 	defer s.content.mu.Unlock()
-	got := Entries{Revision: s.content.revision, Snapshot: true}
+	got := Entries{Era: s.content.era, Revision: s.content.revision, Snapshot: true}
 	for _, e := range s.content.entries {
 		got.Changed = append(got.Changed, e)
 	}
@@ -146,13 +153,13 @@
 	}
 	s.content.mu.Lock()
 	defer s.content.mu.Unlock()
-	return InstanceChanges{Revision: 1, Snapshot: true, Changed: slices.Clone(s.content.instances)}, nil
+	return InstanceChanges{Era: s.content.era, Revision: 1, Snapshot: true, Changed: slices.Clone(s.content.instances)}, nil
 }
 
-func (s *fakeStore) Announce(ctx context.Context, in model.Instance, _ Revision) (uint64, error) {
+func (s *fakeStore) Announce(ctx context.Context, in model.Instance, _ Revision) (Announcement, error) {
 	if s.writesHang.Load() {
 		wait.Sleep(ctx, time.Hour)
-		return 0, ctx.Err()
+		return Announcement{}, ctx.Err()
 	}
 	wait.Sleep(ctx, time.Duration(s.announceTime.Load()))
 	s.content.mu.Lock()
@@ -161,23 +168,23 @@
 		if row.ID == in.ID {
 			in.Incarnation = max(in.Incarnation, row.Incarnation)
 			s.content.instances[i] = in
-			return in.Incarnation, nil
+			return Announcement{Incarnation: in.Incarnation, Era: s.content.era}, nil
 		}
 	}
 	s.content.instances = append(s.content.instances, in)
-	return in.Incarnation, nil
+	return Announcement{Incarnation: in.Incarnation, Era: s.content.era}, nil
 }
 
 func (s *fakeStore) CloseIdle() { s.staleConns.Store(false) }
 
-func (s *fakeStore) Withdraw(_ context.Context, self model.Instance) error {
+func (s *fakeStore) Withdraw(_ context.Context, self model.Instance) (Era, error) {
 	if s.unreachable.Load() {
-		return errDown
+		return 0, errDown
 	}
 	s.content.change(func() {
 		s.content.instances = slices.DeleteFunc(s.content.instances, func(in model.Instance) bool { return in.ID == self.ID })
 	})
-	return nil
+	return s.content.currentEra(), nil
 }
 
 // member is one instance of a cell.
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -16,6 +16,7 @@
 
 // InstanceChanges are the changes in the list of instances since a revision.
 type InstanceChanges struct {
+	Era          Era
 	Revision     Revision // up to which the changes are complete
 	Snapshot     bool     // Changed is a full snapshot of the list
 	Changed      []model.Instance
@@ -49,11 +50,18 @@
 type listState struct {
 	outageTracker
 	after        Revision // up to which the list has been read
+	afterEra     Era      // of after
 	listed       map[model.InstanceID]bool
 	rowRevision  Revision  // revision of this instance's row when it was last read; 0 means no row
 	unknownSince time.Time // when an instance missing from the list was first encountered; zero means none
 	readerUsedAt time.Time // when this instance last relied on a reader
 	withdrawn    bool      // this instance is stopping
+	withdrawnEra Era       // in which its row was last removed
+	announced    bool      // this instance's row was written
+	announcing   bool      // it is being written again
+	rowEra       Era       // in which it was last written, or found
+	restoredEra  Era       // begun by the last restore that was applied here
+	keepUntil    time.Time // until when rows are not missed that a restored store lacks
 }
 
 func newListState(logger log.Interface) listState {
@@ -76,8 +84,11 @@
 			m.opts.Pool.After(m.retryWait(), keyInstances, worker.Func(m.register))
 			return
 		}
-		m.list.rowRevision = got.RowRevisions[m.opts.Self.ID]
-		m.list.after = got.Revision
+		got.Era = m.noticeEra(got.Era, "store")
+		if m.Era() == got.Era {
+			m.list.rowRevision = got.RowRevisions[m.opts.Self.ID]
+			m.list.after, m.list.afterEra = got.Revision, got.Era
+		}
 		for _, in := range got.Changed {
 			if in.ID == m.opts.Self.ID {
 				m.raiseIncarnation(in.Incarnation + 1)
@@ -115,15 +126,16 @@
 		return
 	}
 	self, row := m.self(), m.list.rowRevision
-	call := func(ctx context.Context) (uint64, error) { return m.opts.Store.Announce(ctx, self, row) }
-	worker.Call(m.opts.Pool, keyInstances, announceTimeout, call, func(incarnation uint64, err error) {
+	call := func(ctx context.Context) (Announcement, error) { return m.opts.Store.Announce(ctx, self, row) }
+	worker.Call(m.opts.Pool, keyInstances, announceTimeout, call, func(got Announcement, err error) {
 		m.list.record(err)
 		m.withdrawAfterAnnouncement()
 		if err != nil {
 			m.opts.Pool.After(m.announceBackoff(), keyInstances, worker.Func(m.announce))
 			return
 		}
-		restarted := m.raiseIncarnation(incarnation)
+		m.recordAnnouncement(got)
+		restarted := m.raiseIncarnation(got.Incarnation)
 		switch {
 		case m.opts.FirstStart && !restarted:
 			m.opts.Pool.After(firstStartStagger, keyInstances, worker.Func(m.startByLevel))
@@ -135,12 +147,25 @@
 	})
 }
 
+// recordAnnouncement records the era in which the row of this instance was written. If the
+// store was restored meanwhile, the row is written again.
+func (m *Manager) recordAnnouncement(got Announcement) {
+	m.list.announced, m.list.announcing = true, false
+	m.list.rowEra = max(m.list.rowEra, m.noticeEra(got.Era, "store"))
+	if m.list.rowEra < m.Era() {
+		m.scheduleRewrite()
+	}
+}
+
 // startByLevel reads the list of instances, waits until the levels of readers
 // above this instance have started, and then reads the entries and the rules.
 func (m *Manager) startByLevel() {
 	call := func(ctx context.Context) (InstanceChanges, error) { return m.opts.Store.Instances(ctx, 0, 0) }
 	worker.Call(m.opts.Pool, keyInstances, readTimeout, call, func(got InstanceChanges, err error) {
 		m.list.record(err)
+		if err == nil {
+			err = m.checkAnswer(&got.Era, 0, true)
+		}
 		level := time.Duration(0)
 		if err == nil {
 			m.applyInstances(got)
@@ -200,13 +225,16 @@
 		m.opts.Pool.After(readerCheckInterval, keyInstances, worker.Func(m.readInstances))
 		return
 	}
-	after := m.list.after
+	after, since := m.list.after, m.list.afterEra
 	limit := readTimeout + wait
 	call := func(ctx context.Context) (InstanceChanges, error) { return m.opts.Store.Instances(ctx, after, wait) }
 	worker.Call(m.opts.Pool, keyInstances, limit, call, func(got InstanceChanges, err error) {
 		pause := time.Duration(0)
+		if err == nil {
+			err = m.checkAnswer(&got.Era, since, after == 0)
+		}
 		switch {
-		case errors.Is(err, ErrHistoryGone):
+		case errors.Is(err, ErrHistoryGone), errors.Is(err, errNewEra):
 			m.list.after = 0
 		case err != nil:
 			m.list.record(err)
@@ -226,8 +254,13 @@
 // applyInstances applies a read of the store. Instances that are missing from a
 // full snapshot have stopped.
 func (m *Manager) applyInstances(got InstanceChanges) {
-	m.list.after = got.Revision
-	if got.Snapshot {
+	m.instancesRestored()
+	m.list.after, m.list.afterEra = got.Revision, got.Era
+	keepsMissing := time.Now().Before(m.list.keepUntil)
+	if got.Snapshot && keepsMissing {
+		m.opts.Pool.After(time.Until(m.list.keepUntil), keyInstances, worker.Func(func() { m.list.after = 0 }))
+	}
+	if got.Snapshot && !keepsMissing {
 		present := make(map[model.InstanceID]bool, len(got.Changed))
 		for _, in := range got.Changed {
 			present[in.ID] = true
@@ -244,6 +277,9 @@
 	ownRowMissing := got.Snapshot && !slices.ContainsFunc(got.Changed, isOwnRow)
 	m.mergeInstances(got.Changed, got.Removed)
 	m.instancesKnown.Store(true)
+	if ownRowMissing && keepsMissing {
+		return // it is written again by rewriteRow
+	}
 	if ownRowMissing || slices.Contains(got.Removed, m.opts.Self.ID) {
 		m.reannounce()
 	}
@@ -273,22 +309,32 @@
 // reannounce publishes this instance under a higher incarnation, because the
 // others treat the removed incarnation as stopped.
 func (m *Manager) reannounce() {
-	if m.list.withdrawn {
+	if m.list.withdrawn || m.list.announcing {
 		return
 	}
-	m.opts.Log.Warn("own row is missing in the store and is announced again")
 	self := m.self()
 	self.Incarnation++
 	m.opts.Instances.Merge(self)
-	call := func(ctx context.Context) (uint64, error) { return m.opts.Store.Announce(ctx, self, 0) }
-	worker.Call(m.opts.Pool, keyInstances, announceTimeout, call, func(incarnation uint64, err error) {
+	m.announceAgain(self, "own row is missing in the store and is announced again")
+}
+
+// announceAgain publishes this instance as self, until it succeeds.
+func (m *Manager) announceAgain(self model.Instance, cause string) {
+	m.opts.Log.WithField("incarnation", self.Incarnation).WithField("era", m.Era().Number()).Warn(cause)
+	m.list.announcing = true
+	call := func(ctx context.Context) (Announcement, error) { return m.opts.Store.Announce(ctx, self, 0) }
+	worker.Call(m.opts.Pool, keyInstances, announceTimeout, call, func(got Announcement, err error) {
 		m.list.record(err)
 		m.withdrawAfterAnnouncement()
-		if err != nil {
-			m.opts.Pool.After(m.announceBackoff(), keyInstances, worker.Func(m.reannounce))
-			return
+		switch {
+		case m.list.withdrawn:
+			m.list.announcing = false
+		case err != nil:
+			m.opts.Pool.After(m.announceBackoff(), keyInstances, worker.Func(func() { m.announceAgain(self, cause) }))
+		default:
+			m.recordAnnouncement(got)
+			m.raiseIncarnation(got.Incarnation)
 		}
-		m.raiseIncarnation(incarnation)
 	})
 }
 
@@ -306,15 +352,14 @@
 // withdraw removes the row, and tries again until it is gone: callers would get the
 // address of a stopped instance from it.
 func (m *Manager) withdraw() {
-	call := func(ctx context.Context) (uint64, error) {
-		self := m.self()
-		return self.Incarnation, m.opts.Store.Withdraw(ctx, self)
-	}
-	worker.Call(m.opts.Pool, keyInstances, callTimeout, call, func(incarnation uint64, err error) {
+	self := m.self()
+	call := func(ctx context.Context) (Era, error) { return m.opts.Store.Withdraw(ctx, self) }
+	worker.Call(m.opts.Pool, keyInstances, callTimeout, call, func(got Era, err error) {
 		m.list.record(err)
 		switch {
 		case err == nil:
-			m.opts.Log.WithField("incarnation", incarnation).Info("instance withdrawn")
+			m.list.withdrawnEra = max(m.list.withdrawnEra, m.noticeEra(got, "store"))
+			m.opts.Log.WithField("incarnation", self.Incarnation).Info("instance withdrawn")
 		case !trace.IsCompareFailed(err): // otherwise another start of the instance has the row
 			m.opts.Pool.After(m.retryWait(), keyInstances, worker.Func(m.withdraw))
 		}
--- a/internal/coordination/registry/outage.go
+++ b/internal/coordination/registry/outage.go
@@ -51,7 +51,7 @@
 // read the store all along. What was put off for the outage takes effect.
 func (m *Manager) reviewOutage(ages Ages, from model.InstanceID, now time.Time) {
 	s := &m.entries
-	if s.outageEnd.IsZero() || ages.ReadFor == 0 {
+	if s.outageEnd.IsZero() || ages.ReadFor == 0 || s.wasRestored() {
 		return
 	}
 	last := now.Add(-ages.Entries)
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -29,7 +29,7 @@
 // revision; the caller must read the full table.
 var ErrHistoryGone = errors.New("the store's history does not reach back to the given revision")
 
-// Revision numbers the states of the store. It rises with each write.
+// Revision numbers the states of the store within an era. It rises with each write.
 type Revision uint64
 
 // Entry is the row in which an upstream registers itself.
@@ -42,6 +42,7 @@
 
 // Entries are the changes in the table of upstream entries since a revision.
 type Entries struct {
+	Era      Era
 	Revision Revision // up to which the changes are complete
 	Snapshot bool     // Changed is a full snapshot of the table
 	Changed  []Entry
@@ -56,6 +57,7 @@
 
 // Published are the operator's changes since a revision.
 type Published struct {
+	Era      Era
 	Revision Revision            // from which the next read continues
 	Rules    *model.RoutingRules // nil unless they changed
 	Orders   []model.VersionOrder
@@ -74,16 +76,22 @@
 	Instances(ctx context.Context, after Revision, wait time.Duration) (InstanceChanges, error)
 	// Announce publishes this instance and returns the incarnation under which
 	// it is published: at least that of in, and above that of an earlier start.
-	// row is the revision at which the instance's row was last read, 0 if there was
-	// no row; a wrong revision costs a second write.
-	Announce(ctx context.Context, in model.Instance, row Revision) (incarnation uint64, err error)
+	// row is the revision at which the instance's row was last read in the present era,
+	// 0 if there was no row; a wrong revision costs a second write.
+	Announce(ctx context.Context, in model.Instance, row Revision) (Announcement, error)
 	// Withdraw removes the row that Announce published, unless another start of the
 	// instance has replaced it.
-	Withdraw(ctx context.Context, in model.Instance) error
+	Withdraw(ctx context.Context, in model.Instance) (Era, error)
 	// CloseIdle closes the connections that no call uses.
 	CloseIdle()
 }
 
+// Announcement is how an instance was published.
+type Announcement struct {
+	Incarnation uint64
+	Era         Era // in which the row was found or written
+}
+
 // Options configure a Manager.
 type Options struct {
 	Pool         *worker.Pool
@@ -103,6 +111,8 @@
 	OnInstanceCount func(int)
 	// OnVersionOrders is called with the version orders that were read from the store.
 	OnVersionOrders func([]model.VersionOrder)
+	// OnRestore, if it is not nil, is called with the new era when the store was restored.
+	OnRestore func(Era)
 	// FirstStart means that the whole system starts for the first time: instances
 	// may wait for their readers before they read anything themselves.
 	FirstStart bool
@@ -155,12 +165,14 @@
 )
 
 // Manager reads the store, directly or through a reader. shareMu guards the fields
-// whose names start with share, and is a leaf: no other lock is taken under it.
+// whose names start with share, eraMu era and restoredEra. Both are leaves: no other lock is
+// taken under them.
 type Manager struct {
 	opts           Options
 	limits         limits
 	rulesOutage    outageTracker // used only by items under keyRules
 	rulesLoop      readLoop      // as rulesOutage
+	rulesEra       Era           // of the last read of the rules; as rulesOutage
 	entriesLoop    readLoop      // used only by items under keyEntries
 	entriesFail    atomic.Bool   // the last read of the entries from the store failed
 	pace           readPace
@@ -172,12 +184,16 @@
 	polledRoot     model.InstanceID               // root reader that the reader named last; used as cursor is
 	storeLostUntil time.Time                      // until when others are polled after a failed read of the store; used as cursor is
 
+	eraMu       sync.Mutex
+	era         Era // highest known
+	restoredEra Era // begun by the last restore that this instance learned of; 0: none
+
 	shareMu            sync.Mutex
 	shareVersion       uint64
 	sharedEntries      map[model.UpstreamID]entryChange
 	sharedInstances    map[model.InstanceID]instanceChange
 	sharedMovesVersion uint64    // share version of the last change of a version move
-	sharedRevision     Revision  // entryState.known
+	sharedPosition     Position  // entryState.position
 	sharedReadAt       time.Time // last read of the entries, by sharedReadBy
 	sharedReadSince    time.Time // since when the store has been read without an outage, up to sharedReadAt
 	sharedReadBy       model.InstanceID
@@ -279,6 +295,14 @@
 	started := time.Now()
 	call := func(ctx context.Context) (Published, error) { return m.opts.Store.Published(ctx, after, rulesPollTime) }
 	readStore(m, &m.rulesLoop, rulesPollTime+readTimeout, call, func(got Published, err error) {
+		if err == nil {
+			if era := m.checkAnswer(&got.Era, m.rulesEra, after == 0); errors.Is(era, errNewEra) {
+				m.readRules(0)
+				return
+			} else if era != nil {
+				err = era
+			}
+		}
 		firstFailure := err != nil && m.rulesOutage.failedSince.IsZero()
 		if m.rulesOutage.record(err) {
 			m.restartEntries(started)
@@ -288,12 +312,16 @@
 			m.rulesLoop.after(m.rulesRetryPause(firstFailure, err), func() { m.readRules(0) })
 			return
 		}
+		m.rulesEra = got.Era
 		m.ApplyRules(got.Rules, "store")
 		m.recordRulesFresh(time.Now().Add(rulesPollTime), 0) // the next read may wait that long
 		pause := time.Duration(0)
 		if after > 0 && (got.Rules != nil || len(got.Orders) > 0) {
 			pause = rulesReadPause
 		}
+		for i := range got.Orders {
+			got.Orders[i].Era = got.Era
+		}
 		if len(got.Orders) > 0 {
 			m.opts.OnVersionOrders(got.Orders)
 		}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -30,6 +30,7 @@
 type Delta struct {
 	ReaderIncarnation uint64 // incarnation of the reader
 	Version           uint64
+	Era               Era      // of Revision; 0 from earlier builds
 	Revision          Revision // of the store up to which the reader's entries are complete; 0 from earlier builds
 	Snapshot          bool     // Changed is a full snapshot of the entries
 	Changed           []Entry
@@ -128,6 +129,10 @@
 				WithField("rules_age_ms", delta.Ages.Rules.Milliseconds()).WithField("hops", delta.Ages.Hops).
 				WithField("source", string(delta.Source)).WithError(err).Warn("reader lost")
 		}
+		if err == nil && delta.Era > 0 {
+			m.noticeEra(delta.Era, string(reader.ID))
+			m.keepEntries(now)
+		}
 		if err == nil && m.isOlder(delta, now) {
 			// It would bring back upstreams that are gone. The next poll asks for all, as
 			// the changes in this answer are passed over.
@@ -180,15 +185,24 @@
 	if delta.Revision == 0 {
 		return delta.Snapshot && now.Add(-delta.Ages.Entries).Before(m.entries.readAt)
 	}
-	return delta.Revision < m.entries.known
+	return m.position(delta).Before(m.entries.position)
+}
+
+// position returns the position of a delta. One of an earlier build, which knows no eras,
+// counts as one of the present era.
+func (m *Manager) position(delta Delta) Position {
+	if delta.Era == 0 {
+		return Position{m.entries.position.Era, delta.Revision}
+	}
+	return Position{delta.Era, delta.Revision}
 }
 
-// shareRevision shares the revision up to which the entries are complete. The changes up to
-// it must be shared already: a poll must not find the revision without them.
-func (m *Manager) shareRevision() {
+// sharePosition shares the state of the store up to which the entries are complete. The changes up to
+// it must be shared already: a poll must not find the position without them.
+func (m *Manager) sharePosition() {
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
-	m.sharedRevision = m.entries.known
+	m.sharedPosition = m.entries.position
 }
 
 // checkLostReaders asks the lost readers whose check is due how old their data are. This
@@ -284,12 +298,12 @@
 		}
 	}
 	if delta.Revision > 0 {
-		m.entries.known = delta.Revision
+		m.entries.position = m.position(delta)
 	}
 	if len(delta.Changed) > 0 || len(delta.Removed) > 0 || delta.Snapshot {
 		m.applyChanges(Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}, removeImmediately)
 	}
-	m.shareRevision()
+	m.sharePosition()
 	if len(delta.Instances) > 0 || len(delta.RemovedInstances) > 0 {
 		m.opts.Pool.Post(keyInstances, worker.Func(func() {
 			m.list.unknownSince = time.Time{}
@@ -321,7 +335,8 @@
 	share := func(c instanceChange) {
 		old, known := m.sharedInstances[c.instance.ID]
 		same := old.removed == c.removed && old.instance.Incarnation == c.instance.Incarnation && old.instance.Fingerprint == c.instance.Fingerprint
-		if (known && same) || (!known && c.removed) {
+		older := known && !c.removed && c.instance.Incarnation < old.instance.Incarnation // of a restored store
+		if older || (known && same) || (!known && c.removed) {
 			return
 		}
 		m.shareVersion++
@@ -431,7 +446,8 @@
 	delta = Delta{
 		ReaderIncarnation: incarnation,
 		Version:           m.shareVersion,
-		Revision:          m.sharedRevision,
+		Era:               m.sharedPosition.Era,
+		Revision:          m.sharedPosition.Revision,
 		Ages:              m.ages(),
 		Source:            m.sharedReadBy,
 	}
--- a/internal/coordination/versions/manager.go
+++ b/internal/coordination/versions/manager.go
@@ -35,6 +35,7 @@
 // Record is the store's record of a move.
 type Record struct {
 	Move      model.VersionMove
+	Era       model.Era     // of the store when it answered
 	Revision  uint64        // of the row; 0 means that there is no row
 	StoreTime time.Duration // the store's clock when it answered
 }
@@ -74,6 +75,7 @@
 	opts        Options
 	movers      map[string]*mover // by service
 	tickStopped bool              // no tick is scheduled
+	restoredEra model.Era         // begun by the last restore of the store; 0: none since the start
 }
 
 // New returns a Manager that does nothing until it receives an order.
@@ -99,10 +101,30 @@
 // addOrder starts a mover for a new order. The target receives no requests until the
 // record gives it a share.
 func (m *Manager) addOrder(o model.VersionOrder) {
-	if mv, known := m.movers[o.Service]; known && mv.order.Revision >= o.Revision {
+	mv := m.movers[o.Service]
+	current, _, inForce := m.opts.Moves.Get(o.Service)
+	var last model.VersionOrder
+	switch {
+	case mv != nil:
+		last = mv.order
+	case inForce:
+		last = current.VersionOrder
+	}
+	switch {
+	case mv != nil && !o.After(last):
 		return
+	case o.Era > last.Era && last.Era > 0:
+		switch compareRestored(o, last, mv.earlierOrders()) {
+		case orderKnown:
+			m.adoptOrder(o, last)
+			return
+		case orderReplaced:
+			m.opts.Log.WithField("service", o.Service).WithField("target", o.Target).WithField("revision", o.Revision).
+				Info("version order was replaced before the restore of the store and is ignored")
+			return
+		}
 	}
-	m.movers[o.Service] = &mover{manager: m, order: o}
+	m.movers[o.Service] = &mover{manager: m, order: o, rewrite: m.restoredEra > 0, earlier: mv.earlierOrders().with(last)}
 	m.opts.Log.WithField("service", o.Service).WithField("target", o.Target).WithField("revision", o.Revision).
 		WithField("within_ms", o.Within.Milliseconds()).Info("version move is ordered")
 	m.apply(model.VersionMove{VersionOrder: o, State: model.MoveOpen, Reason: "ordered"})
@@ -132,11 +154,15 @@
 	manager      *Manager
 	order        model.VersionOrder
 	callInFlight bool
-	notBefore    time.Time
-	storedKnown  bool      // stored is the store's content; false before a read and after a failed call
-	stored       Record    // record as last read or written
-	storedAt     time.Time // local time at which stored was received
-	analysis     *analysis // nil unless this instance judges
+	earlier      orders // that order has replaced
+	// rewrite means that a restored store may lack the record: it is read, and written again
+	// if it is not the one in force.
+	rewrite     bool
+	notBefore   time.Time
+	storedKnown bool      // stored is the store's content; false before a read and after a failed call
+	stored      Record    // record as last read or written
+	storedAt    time.Time // local time at which stored was received
+	analysis    *analysis // nil unless this instance judges
 }
 
 // analysis holds the judge of a move and the evidence that it has read.
@@ -162,7 +188,7 @@
 // tick reads the record, or advances the move on the instance that judges.
 func (mv *mover) tick(now time.Time) {
 	current, _, _ := mv.manager.opts.Moves.Get(mv.order.Service)
-	ended := current.Revision != mv.order.Revision || current.State != model.MoveOpen
+	ended := !current.Is(mv.order) || current.State != model.MoveOpen
 	judges := mv.manager.opts.IsJudge()
 	if !judges {
 		mv.analysis = nil
@@ -180,8 +206,8 @@
 // endIsStored reports whether an ended move needs no further store call: the store's
 // record already says that the move has ended, or a newer order has replaced the move.
 func (mv *mover) endIsStored(current model.VersionMove) bool {
-	return current.Revision > mv.order.Revision || current.State == model.MoveFinished ||
-		(mv.storedKnown && mv.stored.Move.Revision == current.Revision && mv.stored.Move.State == current.State)
+	return current.After(mv.order) || (current.State == model.MoveFinished && !mv.rewrite) ||
+		(mv.storedKnown && mv.stored.Revision > 0 && mv.stored.Move.Is(current.VersionOrder) && mv.stored.Move.State == current.State)
 }
 
 // read reads and applies the store's record.
@@ -191,6 +217,9 @@
 	call := func(ctx context.Context) (Record, error) { return mv.manager.opts.Records.Read(ctx, mv.order.Service) }
 	worker.Call(mv.manager.opts.Pool, managerKey, callTimeout, call, func(got Record, err error) {
 		mv.callInFlight = false
+		if err == nil {
+			err = mv.manager.checkEra(got)
+		}
 		if err != nil {
 			mv.callFailed("read", err)
 			return
@@ -206,11 +235,15 @@
 // applyStored keeps a record that was read or written, and applies it unless it
 // belongs to an older order.
 func (mv *mover) applyStored(got Record) {
+	got.Move.VersionOrder = mv.keptOrder(got.Move.VersionOrder)
 	mv.storedKnown, mv.stored = true, got
 	mv.storedAt = time.Now()
-	if got.Revision > 0 && got.Move.Revision >= mv.order.Revision {
+	if got.Revision > 0 && !mv.order.After(got.Move.VersionOrder) {
 		mv.manager.apply(got.Move)
 	}
+	if current, _, _ := mv.manager.opts.Moves.Get(mv.order.Service); !mv.isBehind(current) {
+		mv.rewrite = false
+	}
 }
 
 // callFailed logs a failed store call. The record is read again after retryInterval,
@@ -228,6 +261,12 @@
 // the target loses its traffic at once; it receives more only after the store has the
 // step.
 func (mv *mover) advance(current model.VersionMove, now time.Time) {
+	if mv.rewrite && mv.isBehind(current) {
+		mv.manager.opts.Log.WithField("service", current.Service).WithField("target", current.Target).
+			WithField("state", string(current.State)).WithField("step", current.Step).Info("record of the version move is written again after a restore of the store")
+		mv.write(current)
+		return
+	}
 	if current.State != model.MoveOpen {
 		mv.write(current) // the move was taken back here, which the store does not have yet
 		return
@@ -269,6 +308,9 @@
 	call := func(ctx context.Context) (Record, error) { return mv.manager.opts.Records.Write(ctx, next, revision) }
 	worker.Call(mv.manager.opts.Pool, managerKey, callTimeout, call, func(got Record, err error) {
 		mv.callInFlight = false
+		if err == nil {
+			err = mv.manager.checkEra(got)
+		}
 		if err != nil {
 			mv.callFailed("write", err)
 			return
--- a/internal/protocol/peerwire/registry.go
+++ b/internal/protocol/peerwire/registry.go
@@ -43,6 +43,7 @@
 	// ReadForMs belongs to Ages, whose form earlier builds require as it is.
 	ReadForMs uint32           `cbor:"16,keyasint,omitempty"`
 	Root      model.InstanceID `cbor:"17,keyasint,omitempty"`
+	Era       uint64           `cbor:"18,keyasint,omitempty"` // of Revision; builds before it send none
 }
 
 // agesRow says how old the data in a registryDelta are.
@@ -152,6 +153,7 @@
 		Moves:   n.Moves,
 		Packed:  packed,
 
+		Era:       uint64(n.Era),
 		Revision:  uint64(n.Revision),
 		Lapsed:    n.Lapsed,
 		ReadForMs: clampCount(int(n.Ages.ReadFor.Milliseconds())),
@@ -205,6 +207,7 @@
 		Source:            b.Source,
 		RemovedInstances:  b.Left,
 		Moves:             b.Moves,
+		Era:               registry.Era(b.Era),
 		Revision:          registry.Revision(b.Revision),
 		Lapsed:            b.Lapsed,
 		RootReader:        cmp.Or(b.Root, b.Source),
--- a/internal/state/model/move.go
+++ b/internal/state/model/move.go
@@ -7,10 +7,29 @@
 type VersionOrder struct {
 	Service  string
 	Target   string        // version
-	Revision uint64        // revision of the store when the move was ordered; a later order has a higher one
+	Era      Era           // of Revision
+	Revision uint64        // revision of the store when the move was ordered; a later order of the era has a higher one
 	Within   time.Duration // time limit of the whole move
 }
 
+// After reports whether the order was given later than the other one.
+func (o VersionOrder) After(other VersionOrder) bool {
+	if o.Era != other.Era {
+		return o.Era > other.Era
+	}
+	return o.Revision > other.Revision
+}
+
+// Is reports whether both are the same order as the store has it in one era.
+func (o VersionOrder) Is(other VersionOrder) bool {
+	return o.Era == other.Era && o.Revision == other.Revision
+}
+
+// Demands reports whether both orders demand the same.
+func (o VersionOrder) Demands(other VersionOrder) bool {
+	return o.Service == other.Service && o.Target == other.Target && o.Within == other.Within
+}
+
 // MoveState is the progress of a move.
 type MoveState string
 
--- a/internal/state/move/move.go
+++ b/internal/state/move/move.go
@@ -75,15 +75,15 @@
 	}
 	t.moves[m.Service] = appliedMove{m, now}
 	t.hasMoves.Store(true)
-	if old.Revision != m.Revision {
+	if old.Revision != m.Revision || old.Target != m.Target {
 		t.dropCounts(m.Service)
 	}
 	return true
 }
 
 func supersedes(m, old model.VersionMove) bool {
-	if m.Revision != old.Revision {
-		return m.Revision > old.Revision
+	if !m.Is(old.VersionOrder) {
+		return m.After(old.VersionOrder)
 	}
 	if finality(m.State) != finality(old.State) {
 		return finality(m.State) > finality(old.State)
