--- /dev/null
+++ b/internal/coordination/registry/era_test.go
@@ -0,0 +1,199 @@
+package registry
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"gotest.tools/v3/assert"
+)
+
+// restore puts the store back to a state with other rows and the next era.
+func (w *storeContent) restore(change func()) {
+	w.change(func() {
+		w.era++
+		change()
+	})
+}
+
+func (w *storeContent) hasRow(id model.InstanceID) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.ContainsFunc(w.instances, func(in model.Instance) bool { return in.ID == id })
+}
+
+func startCellInEra(w *storeContent, era Era, ids ...model.InstanceID) fakePeers {
+	w.era = era
+	return startCellsWithin(w, len(ids), defaultLeaveTimeout, ids...)
+}
+
+// Guards against positions of an earlier era that count as newer because their revisions
+// are higher.
+func TestPositionsCompareByEraAndRevision(t *testing.T) {
+	assert.Assert(t, Position{1, 900}.Before(Position{2, 4}))
+	assert.Assert(t, !Position{2, 4}.Before(Position{1, 900}))
+	assert.Assert(t, Position{2, 3}.Before(Position{2, 4}))
+	assert.Assert(t, !Position{2, 4}.Before(Position{2, 4}))
+}
+
+// Guards against answers that are applied although they say nothing about the present rows.
+func TestEraOfAnAnswerDecides(t *testing.T) {
+	assert.NilError(t, checkEra(2, 2, 2, false))
+	assert.NilError(t, checkEra(3, 2, 3, true))
+	assert.ErrorIs(t, checkEra(3, 2, 3, false), errNewEra)
+	assert.ErrorIs(t, checkEra(2, 2, 3, false), errOlderEra)
+	assert.ErrorIs(t, checkEra(2, 0, 3, true), errOlderEra)
+	assert.NilError(t, checkEra(0, 0, 0, false), "a store without eras")
+}
+
+// Guards against a store that more instances than it can take write to at the same moment.
+func TestRowsAreWrittenAgainUnderTheLimit(t *testing.T) {
+	const partitionLimit = 200 // transactions a second
+	for _, instances := range []int{12, 118, 300, 640} {
+		rate := 2 * float64(instances) / rewriteTime(instances).Seconds() // of at most two transactions each
+		assert.Assert(t, rate <= partitionLimit/2, "%d instances: %v transactions/s", instances, rate)
+	}
+}
+
+// Guards against instances that do not read the store and never learn that it lost their
+// rows, after one restore and after a second one that follows soon.
+func TestInstancesThatPollWriteTheirRowsAgain(t *testing.T) {
+	for _, pause := range []time.Duration{0, 50 * time.Millisecond, 700 * time.Millisecond, 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCellInEra(w, 1, "a", "b", "c", "d")
+			defer c.close()
+			time.Sleep(5 * time.Second)
+			lose := func() { w.restore(func() { w.instances, w.revision = nil, 8 }) }
+			lose()
+			if pause > 0 {
+				time.Sleep(pause)
+				lose()
+			}
+			time.Sleep(4 * time.Second)
+			synctest.Wait()
+			for id, m := range c {
+				assert.Assert(t, w.hasRow(id), "%s after a pause of %s", id, pause)
+				assert.Equal(t, m.Era(), w.era, "%s", id)
+				for other := range c {
+					in, _ := m.opts.Instances.Get(other)
+					assert.Equal(t, in.State, model.InstanceLive, "%s at %s", other, id)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an answer from before a restore that arrives late and undoes what was read
+// since, or that makes the instance read on from a revision of the earlier history.
+func TestLateAnswerOfAnOlderEraChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newStoreContent()
+		c := startCellInEra(w, 2, "a")
+		defer c.close()
+		m := c["a"]
+		time.Sleep(3 * time.Second)
+		w.restore(func() { w.revision = 5 })
+		time.Sleep(3 * time.Second)
+		m.pool.Post(keyEntries, worker.Func(func() {
+			m.applyEntries(Entries{Era: 2, Revision: 900, Snapshot: true, Changed: []Entry{entryOf("old", false, 1)}})
+		}))
+		m.noticeEra(2, "store")
+		time.Sleep(100 * time.Millisecond)
+		assert.Assert(t, m.has("u1") && m.has("u2") && !m.has("old"))
+		assert.Equal(t, m.Era(), Era(3))
+		w.change(func() {
+			w.revision = 6
+			w.entries["u1"] = entryOf("u1", true, 2)
+			w.rules = &model.RoutingRules{Revision: 2}
+		})
+		time.Sleep(2 * time.Second)
+		row, _ := m.upstreams.Get("u1")
+		assert.Equal(t, row.Report.Health, upstream.HealthLeaving)
+		assert.Equal(t, m.rulesTable.Current().Revision, uint64(2))
+	})
+}
+
+// Guards against an instance that stops following the store because an answer has no era.
+func TestAnswerWithoutAnEraCountsForThePresentOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newStoreContent()
+		c := startCellInEra(w, 2, "a", "b")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		w.change(func() {
+			w.era, w.revision = 0, 11
+			w.entries["u1"] = entryOf("u1", true, 2)
+			w.rules = &model.RoutingRules{Revision: 2}
+		})
+		time.Sleep(2 * time.Second)
+		for id, m := range c {
+			row, _ := m.upstreams.Get("u1")
+			assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "%s", id)
+			assert.Equal(t, m.rulesTable.Current().Revision, uint64(2), "%s", id)
+			assert.Equal(t, m.Era(), Era(2))
+		}
+	})
+}
+
+// Guards against an instance that ignores a reader of an earlier build, which sends no era,
+// or that takes its data for those of an earlier era.
+func TestDeltaOfAnEarlierBuildCountsForThePresentEra(t *testing.T) {
+	m := newMember(newStoreContent(), fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+	defer m.pool.Close()
+	m.noticeEra(4, "store")
+	m.entries.position = Position{4, 20}
+	now := time.Now()
+
+	assert.Assert(t, !m.isOlder(Delta{Revision: 21}, now))
+	assert.Assert(t, m.isOlder(Delta{Revision: 19}, now))
+	assert.Equal(t, m.position(Delta{Revision: 21}), Position{4, 21})
+	assert.Assert(t, m.isOlder(Delta{Era: 3, Revision: 900}, now))
+	assert.Assert(t, !m.isOlder(Delta{Era: 5, Revision: 1}, now))
+}
+
+// Guards against upstreams that are lost at instances which poll a reader, or that return to
+// work although they leave, because a restored store lacks their entries or has older ones.
+func TestUpstreamsOutlastARestoreAtAllInstances(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newStoreContent()
+		c := startCellInEra(w, 1, "a", "b", "c")
+		defer c.close()
+		time.Sleep(3 * time.Second)
+		w.change(func() {
+			w.revision++
+			w.entries["u1"] = entryOf("u1", true, 5)
+			w.entries["u3"] = entryOf("u3", false, 1)
+		})
+		time.Sleep(2 * time.Second)
+		w.restore(func() {
+			w.revision = 10
+			w.entries = map[model.UpstreamID]Entry{"u1": entryOf("u1", false, 1)}
+		})
+		check := func(when string, wants map[model.UpstreamID]bool) {
+			t.Helper()
+			synctest.Wait()
+			for id, m := range c {
+				for up, want := range wants {
+					assert.Equal(t, m.has(up), want, "%s at %s, %s", up, id, when)
+				}
+				row, _ := m.upstreams.Get("u1")
+				assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "%s, %s", id, when)
+			}
+		}
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			check("right after the restore", map[model.UpstreamID]bool{"u2": true, "u3": true})
+		}
+		w.change(func() {
+			w.revision = 14
+			w.entries["u3"] = entryOf("u3", false, 1)
+		})
+		time.Sleep(3 * time.Second)
+		check("later", map[model.UpstreamID]bool{"u2": false, "u3": true})
+	})
+}
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -62,6 +62,7 @@
 	rowEra       Era       // in which it was last written, or found
 	restoredEra  Era       // begun by the last restore that was applied here
 	keepUntil    time.Time // until when rows are not missed that a restored store lacks
+	wholeAt      time.Time // when to read the list as a whole, to find those; zero: not at all
 }
 
 func newListState(logger log.Interface) listState {
@@ -225,6 +226,9 @@
 		m.opts.Pool.After(readerCheckInterval, keyInstances, worker.Func(m.readInstances))
 		return
 	}
+	if !m.list.wholeAt.IsZero() && time.Now().After(m.list.wholeAt) {
+		m.list.wholeAt, m.list.after, wait = time.Time{}, 0, 0
+	}
 	after, since := m.list.after, m.list.afterEra
 	limit := readTimeout + wait
 	call := func(ctx context.Context) (InstanceChanges, error) { return m.opts.Store.Instances(ctx, after, wait) }
@@ -258,7 +262,7 @@
 	m.list.after, m.list.afterEra = got.Revision, got.Era
 	keepsMissing := time.Now().Before(m.list.keepUntil)
 	if got.Snapshot && keepsMissing {
-		m.opts.Pool.After(time.Until(m.list.keepUntil), keyInstances, worker.Func(func() { m.list.after = 0 }))
+		m.list.wholeAt = m.list.keepUntil
 	}
 	if got.Snapshot && !keepsMissing {
 		present := make(map[model.InstanceID]bool, len(got.Changed))
--- a/internal/coordination/versions/manager_test.go
+++ b/internal/coordination/versions/manager_test.go
@@ -26,6 +26,7 @@
 type fakeRecords struct {
 	mu             sync.Mutex
 	record         Record
+	era            model.Era
 	startedAt      time.Time
 	down           bool
 	loseAnswers    bool // answers of writes are lost
@@ -51,6 +52,7 @@
 		return Record{}, errors.New("store is down")
 	}
 	got := f.record
+	got.Era = f.era
 	got.StoreTime = time.Since(f.startedAt)
 	return got, nil
 }
@@ -64,7 +66,7 @@
 	case revision != f.record.Revision:
 		return Record{}, store.ErrConflict
 	}
-	f.record = Record{Move: m, Revision: revision + 1, StoreTime: time.Since(f.startedAt)}
+	f.record = Record{Move: m, Revision: revision + 1, Era: f.era, StoreTime: time.Since(f.startedAt)}
 	if m.State == model.MoveFinished {
 		f.finishedWrites++
 	}
--- a/internal/transport/standin/fleet/fleet.go
+++ b/internal/transport/standin/fleet/fleet.go
@@ -132,14 +132,20 @@
 )
 
 // register writes the worker's entry to the store with the given state. A worker that
-// drains does not become available again.
+// drains does not become available again, and writes its entry once more when the store was
+// restored.
 func (w *Worker) register(state string) {
 	w.entry.Lock()
 	defer w.entry.Unlock()
-	if w.drains {
+	era := w.fleet.Store.Era()
+	if w.drains && w.entryEra == era {
 		return
 	}
-	w.drains = state == stateDraining
+	w.entryEra = era
+	w.drains = w.drains || state == stateDraining
+	if w.drains {
+		state = stateDraining
+	}
 	w.mu.Lock()
 	w.sequence++
 	entry := map[string]any{
@@ -155,7 +161,7 @@
 }
 
 // renewEntry writes the entry at each heartbeat until the worker crashes. The
-// entry of a draining worker is not renewed.
+// entry of a draining worker is not renewed but after a restore of the store.
 func (w *Worker) renewEntry() {
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
--- a/internal/transport/standin/fleet/store.go
+++ b/internal/transport/standin/fleet/store.go
@@ -105,6 +105,13 @@
 	s.era = era
 }
 
+// Era returns the era.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Copy returns a copy of the content.
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
--- a/internal/transport/standin/fleet/worker.go
+++ b/internal/transport/standin/fleet/worker.go
@@ -61,7 +61,7 @@
 }
 
 // Worker is a model worker or an application worker. entry orders the writes of its
-// entry, guards drains and is taken before mu, which guards the fields below it.
+// entry, guards drains and entryEra and is taken before mu, which guards the fields below it.
 type Worker struct {
 	fleet *Fleet
 	opts  WorkerOptions
@@ -69,8 +69,9 @@
 	prefillSlot chan struct{} // semaphore of capacity 1 for SerialPrefill
 	crash       sync.Once
 
-	entry  sync.Mutex
-	drains bool // the entry says that the worker drains
+	entry    sync.Mutex
+	drains   bool   // the entry says that the worker drains
+	entryEra uint64 // era of the store in which the entry was last written
 
 	mu            sync.Mutex
 	server        *http.Server
--- a/tests/e2e/soak_test.go
+++ b/tests/e2e/soak_test.go
@@ -138,6 +138,7 @@
 	version         int
 	maxPause        time.Duration // longest delay with which the scheduler ran this process
 	unexpectedExits []string
+	lastRules       []byte // as the operator wrote them last
 }
 
 const (
@@ -151,6 +152,7 @@
 	f, err := fleet.Start("127.0.0.1:0")
 	assert.NilError(t, err)
 	s := &soak{t: t, plan: plan, edges: &edges{t: t, fleet: f}, processLocks: make([]sync.Mutex, plan.instances), dir: t.TempDir()}
+	f.Store.SetEra(1)
 	if *soakKeep != "" {
 		s.dir = filepath.Join(*soakKeep, fmt.Sprint("soak-", plan.seed))
 		assert.NilError(t, os.MkdirAll(s.dir, 0o755))
@@ -338,6 +340,8 @@
 			links.Go(func() { s.applyLinkFault(link, f) })
 		}
 		links.Wait()
+	case faultRestore:
+		s.restoreStore(f)
 	case faultRules:
 		defer s.recordFault(f.kind, "rules")()
 		s.changeRules(f.target%2 == 0, nil)
@@ -357,6 +361,36 @@
 	s.edges.fleet.Store.SetFault(fleet.FaultNone)
 }
 
+// restoreStore copies the store and later brings it back from that copy. The operator writes
+// the rules again, and workers write their entries again by themselves.
+func (s *soak) restoreStore(f fault) {
+	before := s.edges.fleet.Store.Copy()
+	time.Sleep(f.length)
+	defer s.recordFault(f.kind, "store")()
+	restore(s.edges.fleet.Store, before, f.target%2 == 1)
+	time.Sleep(operatorDelay)
+	s.mu.Lock()
+	s.edges.fleet.Store.Put("op", "config", s.lastRules)
+	s.mu.Unlock()
+	time.Sleep(heldAfterRestore)
+	s.expireEntries()
+}
+
+// expireEntries removes the entries of workers that have ended, which a restore brings back and
+// which nobody renews.
+func (s *soak) expireEntries() {
+	entries := s.edges.fleet.Store.Keys("servers") // before the workers, of which new ones may start
+	alive := map[string]bool{}
+	for _, w := range s.edges.fleet.Workers("") {
+		alive[w.ID()] = true
+	}
+	for _, id := range entries {
+		if !alive[id] {
+			s.edges.fleet.Store.Remove("servers", id)
+		}
+	}
+}
+
 func (s *soak) applyLinkFault(link *proxy, f fault) {
 	link.setMode(f.mode)
 	time.Sleep(f.length)
--- a/tests/e2e/soakplan_test.go
+++ b/tests/e2e/soakplan_test.go
@@ -31,6 +31,8 @@
 	faultSilent    faultKind = "worker silent" // for a time that sound workers may be
 	// faultStoreOutage takes the store away from all instances.
 	faultStoreOutage faultKind = "link to store of all"
+	// faultRestore takes the store away from all instances and brings it back from a copy.
+	faultRestore faultKind = "store restored from a copy"
 	// faultVariedRules changes the rules in all their parts.
 	faultVariedRules faultKind = "rules varied"
 )
@@ -102,6 +104,7 @@
 	p.faults = append(p.faults, planSilences(seed, faulty)...)
 	p.faults = append(p.faults, planVariedRules(seed, faulty)...)
 	p.faults = append(p.faults, planStoreOutages(seed, faulty)...)
+	p.faults = append(p.faults, planRestores(seed, faulty)...)
 	slices.SortFunc(p.faults, func(a, b fault) int { return cmp.Compare(a.at, b.at) })
 	return p
 }
@@ -161,6 +164,28 @@
 	return faults
 }
 
+// planRestores plans restores of the store from a copy, for every second seed, with random
+// numbers of its own as planNotices has. The length is that of the history that is lost, and
+// an odd target lets versions overtake what instances have read.
+func planRestores(seed uint64, faulty time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 15))
+	if random.IntN(2) == 0 {
+		return nil
+	}
+	var faults []fault
+	for range 1 + random.IntN(2) {
+		faults = append(faults, fault{
+			kind:   faultRestore,
+			at:     time.Second + time.Duration(random.Int64N(int64(faulty-2*time.Second))),
+			length: time.Second + time.Duration(random.Int64N(int64(3*time.Second))),
+			target: random.IntN(1 << 20),
+			times:  1 + random.IntN(2),
+			gap:    time.Duration(random.IntN(700)) * time.Millisecond,
+		})
+	}
+	return faults
+}
+
 // planPlannedWork returns a plan with no faults but changes of the rules, reloads and
 // planned stops, which overlap, and silences of sound workers beside them.
 func planPlannedWork(seed uint64, faulty time.Duration, scale int) soakPlan {
--- a/tests/e2e/soakrules_test.go
+++ b/tests/e2e/soakrules_test.go
@@ -106,6 +106,7 @@
 	if random != nil {
 		text = variedRules(s.version, spare, random)
 	}
-	s.edges.fleet.Store.Put("op", "config", []byte(text))
+	s.lastRules = []byte(text)
+	s.edges.fleet.Store.Put("op", "config", s.lastRules)
 	s.keyChanges = append(s.keyChanges, keyChange{time.Now(), spare})
 }
