--- a/tests/e2e/soakcheck_test.go
+++ b/tests/e2e/soakcheck_test.go
@@ -69,6 +69,7 @@
 	violations = append(violations, s.checkLeaving(attempts, runs)...)
 	violations = append(violations, s.checkPauses(attempts)...)
 	violations = append(violations, s.checkSilences(attempts, runs)...)
+	violations = append(violations, s.checkRows()...)
 	return append(violations, s.checkRecovery(attempts)...)
 }
 
@@ -236,6 +237,18 @@
 	return slices.ContainsFunc(s.appliedFaults, func(f appliedFault) bool { return f.scope == id && f.overlaps(from, to) })
 }
 
+// checkRows checks that the store has the row of each instance at the end.
+func (s *soak) checkRows() []string {
+	rows := s.edges.fleet.Store.Keys("instances")
+	var missing []string
+	for i := range s.edges.procs {
+		if id := fmt.Sprint("edge", i); !slices.Contains(rows, id) {
+			missing = append(missing, fmt.Sprintf("the store lacks the row of %s at the end", id))
+		}
+	}
+	return missing
+}
+
 // checkRecovery checks that recoveredShare of the attempts are served at the end,
 // after half of soakRecovery without faults.
 func (s *soak) checkRecovery(attempts map[string]soakAttempt) []string {
