Orders of moves without an era count for the present one

Cause: beside instances of an earlier build, which name the era of no order, a move in force would have begun again once an instance that knows eras read its order, or would have ignored later steps of an earlier build's judge. Change: orders without an era are compared by revision alone. Measured: TestOrderWithoutAnEraIsTheSame; tests of versions and state pass with -race.

--- a/internal/coordination/versions/manager.go
+++ b/internal/coordination/versions/manager.go
@@ -111,9 +111,7 @@
 		last = current.VersionOrder
 	}
 	switch {
-	case mv != nil && !o.After(last):
-		return
-	case o.Era > last.Era && last.Era > 0:
+	case o.Era > last.Era && last.Revision > 0:
 		switch compareRestored(o, last, mv.earlierOrders()) {
 		case orderKnown:
 			m.adoptOrder(o, last)
@@ -123,6 +121,8 @@
 				Info("version order was replaced before the restore of the store and is ignored")
 			return
 		}
+	case mv != nil && !o.After(last):
+		return
 	}
 	m.movers[o.Service] = &mover{manager: m, order: o, rewrite: m.restoredEra > 0, earlier: mv.earlierOrders().with(last)}
 	m.opts.Log.WithField("service", o.Service).WithField("target", o.Target).WithField("revision", o.Revision).
--- a/internal/coordination/versions/restore.go
+++ b/internal/coordination/versions/restore.go
@@ -56,14 +56,17 @@
 )
 
 // compareRestored compares an order that is first seen in a new era with the last one that
-// was known before and with those that it had replaced.
+// was known before and with those that it had replaced. A last one without an era is of an
+// earlier build or of a store without eras, and no restore is known between the two.
 func compareRestored(o, last model.VersionOrder, earlier orders) restoredOrder {
 	switch {
 	case isKept(o, last):
 		return orderKnown
 	case earlier.has(o):
 		return orderReplaced
-	case o.Demands(last):
+	case last.Era == 0 && !o.After(last):
+		return orderReplaced
+	case last.Era > 0 && o.Demands(last):
 		return orderKnown
 	default:
 		return orderNew
--- a/internal/coordination/versions/restore_test.go
+++ b/internal/coordination/versions/restore_test.go
@@ -118,3 +118,30 @@
 		assert.Equal(t, m.Share, 0.0)
 	})
 }
+
+// Guards against a move that begins again, or that no longer follows its judge, because
+// instances of an earlier build name its order without an era.
+func TestOrderWithoutAnEraIsTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		records := &fakeRecords{startedAt: time.Now(), era: 1}
+		j := startJudge(t, records)
+		j.judges.Store(false)
+		finished := model.VersionMove{VersionOrder: orderIn(0, 9, "v2")[0], State: model.MoveFinished, Share: 1, Step: 7}
+		earlier := finished
+		earlier.State, earlier.Step, earlier.Share = model.MoveOpen, 2, 0.1
+		assert.Assert(t, j.moves.Apply(earlier, time.Now()))
+		j.AddOrders(orderIn(1, 9, "v2"))
+		synctest.Wait()
+		m, _, _ := j.moves.Get("s")
+		assert.Equal(t, m.Step, uint64(2))
+		assert.Assert(t, j.moves.Apply(finished, time.Now()), "a later step without an era")
+		j.AddOrders(orderIn(1, 9, "v2"))
+		synctest.Wait()
+		m, _, _ = j.moves.Get("s")
+		assert.Equal(t, m.State, model.MoveFinished)
+		j.AddOrders(orderIn(1, 12, "v2")) // a new order
+		synctest.Wait()
+		m, _, _ = j.moves.Get("s")
+		assert.Equal(t, m.State, model.MoveOpen)
+	})
+}
--- a/internal/state/model/move.go
+++ b/internal/state/model/move.go
@@ -12,9 +12,10 @@
 	Within   time.Duration // time limit of the whole move
 }
 
-// After reports whether the order was given later than the other one.
+// After reports whether the order was given later than the other one. One without an era, of
+// an earlier build, counts as one of the other's era.
 func (o VersionOrder) After(other VersionOrder) bool {
-	if o.Era != other.Era {
+	if !o.inEraOf(other) {
 		return o.Era > other.Era
 	}
 	return o.Revision > other.Revision
@@ -22,7 +23,11 @@
 
 // Is reports whether both are the same order as the store has it in one era.
 func (o VersionOrder) Is(other VersionOrder) bool {
-	return o.Era == other.Era && o.Revision == other.Revision
+	return o.inEraOf(other) && o.Revision == other.Revision
+}
+
+func (o VersionOrder) inEraOf(other VersionOrder) bool {
+	return o.Era == other.Era || o.Era == 0 || other.Era == 0
 }
 
 // Demands reports whether both orders demand the same.
--- a/internal/state/move/move.go
+++ b/internal/state/move/move.go
@@ -88,7 +88,10 @@
 	if finality(m.State) != finality(old.State) {
 		return finality(m.State) > finality(old.State)
 	}
-	return m.Step > old.Step
+	if m.Step != old.Step {
+		return m.Step > old.Step
+	}
+	return m.Era > old.Era // learned from an earlier build before
 }
 
 // finality returns the precedence of a state. MoveFinished comes before
