platform: decode the priorities of routes and organisations

Cause: the operator's rules give each route a priority, and some organisations one of their own, which nothing reads. Change: model.HostRoute and model.KeyHolder gain Priority, rules.Index.Priority returns the one that counts. An organisation without one has nil, which differs from 0, the most urgent.

--- a/internal/state/model/forwarding.go
+++ b/internal/state/model/forwarding.go
@@ -31,6 +31,7 @@
 	Targets     []RouteTarget
 	MaxAttempts int  // upstreams that one request may run on
 	Public      bool // needs no credential
+	Priority    int  // of requests whose organisation has none; 0 is the most urgent
 }
 
 // EngineTraits describe the engines of a service.
@@ -50,6 +51,7 @@
 type KeyHolder struct {
 	Organisation OrganisationID
 	Keys         []string
+	Priority     *int // of the organisation's requests on all routes; nil means that the route decides
 }
 
 // CallerLimits bound what a caller may send.
--- a/internal/state/rules/index.go
+++ b/internal/state/rules/index.go
@@ -11,10 +11,12 @@
 // that does not grow with their number. It is built once for a revision and not changed
 // afterwards.
 type Index struct {
-	Rules    *model.RoutingRules
-	hosts    map[string]*hostIndex // by host in lower case
-	holders  map[string]model.OrganisationID
-	services map[string]model.BackendService
+	Rules   *model.RoutingRules
+	hosts   map[string]*hostIndex // by host in lower case
+	holders map[string]model.OrganisationID
+	// priorities holds the organisations that have a priority of their own.
+	priorities map[model.OrganisationID]int
+	services   map[string]model.BackendService
 }
 
 // hostIndex holds the routes of one host.
@@ -28,10 +30,11 @@
 // a name, the first one counts.
 func NewIndex(r *model.RoutingRules) *Index {
 	ix := &Index{
-		Rules:    r,
-		hosts:    map[string]*hostIndex{},
-		holders:  map[string]model.OrganisationID{},
-		services: make(map[string]model.BackendService, len(r.Services)),
+		Rules:      r,
+		hosts:      map[string]*hostIndex{},
+		holders:    map[string]model.OrganisationID{},
+		priorities: map[model.OrganisationID]int{},
+		services:   make(map[string]model.BackendService, len(r.Services)),
 	}
 	for i := range r.Routes {
 		ix.addRoute(&r.Routes[i])
@@ -42,6 +45,9 @@
 		slices.Reverse(host.lengths)
 	}
 	for _, holder := range r.Holders {
+		if _, known := ix.priorities[holder.Organisation]; !known && holder.Priority != nil {
+			ix.priorities[holder.Organisation] = *holder.Priority
+		}
 		for _, key := range holder.Keys {
 			if _, known := ix.holders[key]; !known {
 				ix.holders[key] = holder.Organisation
@@ -96,6 +102,14 @@
 	return organisation, known
 }
 
+// Priority returns the priority of the organisation's requests on the route.
+func (ix *Index) Priority(organisation model.OrganisationID, route model.HostRoute) int {
+	if p, known := ix.priorities[organisation]; known {
+		return p
+	}
+	return route.Priority
+}
+
 // Service returns the service of the given name.
 func (ix *Index) Service(name string) (model.BackendService, bool) {
 	service, known := ix.services[name]
--- a/internal/state/rules/index_test.go
+++ b/internal/state/rules/index_test.go
@@ -35,3 +35,14 @@
 		}
 	})
 }
+
+// Guards against an organisation without a priority that counts as the most urgent one, and
+// against a route's priority that overrides that of an organisation.
+func TestPriorityOfTheOrganisationGoesBeforeTheRoute(t *testing.T) {
+	zero := 0
+	ix := NewIndex(&model.RoutingRules{Holders: []model.KeyHolder{{Organisation: "urgent", Priority: &zero}, {Organisation: "plain"}}})
+	route := model.HostRoute{Priority: 2}
+	assert.Equal(t, ix.Priority("urgent", route), 0)
+	assert.Equal(t, ix.Priority("plain", route), 2)
+	assert.Equal(t, ix.Priority("", route), 2)
+}
