admission: order by priority, objective and deadline; memory, limits and paced returns

Cause: the decision serves only entryd. It knows no memory of engines, no more than two classes, no bound on bytes, and starves the less urgent class; Retry-After sends a wave of refused callers back as a wave. Change: nine classes; a less urgent class gets at least a quarter of the more urgent ones' fraction of admitted requests. In an organisation's turn, requests that can still meet their objective go by deadline, then the late ones. Waiting is bounded in bytes too. A resumed request waits only for memory, before all others. MarkFull limits a service whose upstreams turned a request away; the limit falls once and rises by one in the time of a call. PacedReturns gives refused callers times of return one after the other. Return gives a place back without a sample of the hold time. The closure of TestFairShares gets the waiting request in place of its organisation; what it checks is unchanged.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -1,23 +1,46 @@
-// Package admission decides when a generation may run. Each model has bounded
-// queues with priorities, deadlines and fair shares by organisation.
+// Package admission decides whether a request runs, waits or is refused. Each service
+// (a model, for generations) has bounded queues with priorities, deadlines and fair shares
+// by organisation. It answers loads beyond what the upstreams can take: bursts, an
+// organisation that asks for many times its share, callers that return at once, and losses
+// of upstreams. It does not choose upstreams.
 package admission
 
 import (
 	"slices"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 )
 
-// Options configure a Manager. All fields are required.
+// Options configure a Manager. Pool, Organisations and one of Capacity and Supply are
+// required.
 type Options struct {
 	Pool          *worker.Pool
 	Organisations *organisation.Table
 	// Capacity returns the number of requests that this instance may currently
 	// have in flight for the model. It is called without a lock held.
 	Capacity func(serves string) int
+	// Supply is used in place of Capacity where the memory of engines limits a service too.
+	// It is called without a lock held.
+	Supply func(serves string) Supply
+	// Recheck is the time after which a queue looks for room again, for capacity whose
+	// changes are not announced by AdmitWaiting. Zero means that all are announced.
+	Recheck time.Duration
+	// MaxQueue is the queue length of services without one; zero means defaultMaxQueue.
+	MaxQueue int
+	// MaxBytes bounds the memory of all waiting requests; zero means that it is not bounded.
+	MaxBytes int
+	// PacedReturns gives refused callers times of return in fractions of seconds, one after
+	// the other. Otherwise Retry-After is the expected wait in whole seconds.
+	PacedReturns bool
+	// WaitingChanged is called without a lock held after the number of waiting requests may
+	// have changed. It may be nil.
+	WaitingChanged func(serves string, waiting int)
+	// Log gets a line for each refusal and for each request that waited. It may be nil.
+	Log log.Interface
 }
 
 // Request asks for admission.
@@ -27,6 +50,14 @@
 	Organisation model.OrganisationID
 	Priority     model.Priority
 	Deadline     time.Time // latest time of admission; zero means none
+	// Objective is the latest time of admission that meets the latency objective; zero
+	// means none. A request that missed it goes behind those that can still meet theirs.
+	Objective time.Time
+	// CallerDeadline is the time until which the caller waits; zero means unknown.
+	CallerDeadline time.Time
+	Bytes          int    // memory that the request takes while it waits
+	MemoryTokens   int    // memory that the request needs of one engine
+	CallerID       string // the caller's name of the request, for the log; several may carry one
 }
 
 // Manager queues, admits and refuses the requests of all models.
@@ -42,15 +73,12 @@
 
 // Enter asks for a slot. onDecision is called exactly once, on a worker under
 // the request's key: with nil when the request may run, else with the refusal.
-// A resumed generation is admitted at once, even beyond the capacity.
+// A resumed request is admitted even beyond the capacity. It waits only for memory.
 func (m *Manager) Enter(req Request, onDecision func(*model.Refusal)) {
 	onDecision = m.metrics.withMetrics(req, onDecision)
-	capacity := m.Capacity(req.Serves)
-	var decisions []decision
-	m.Organisations.Update(func(s *organisation.State) {
-		decisions = enter(s, req, onDecision, capacity, time.Now())
+	decisions := m.decide(req.Serves, func(s *organisation.State, p Supply, now time.Time) []decision {
+		return m.limits().enter(s, req, onDecision, p, now)
 	})
-	m.postDecisions(decisions)
 	if !req.Deadline.IsZero() && !decided(decisions, req.ID) {
 		m.Pool.After(time.Until(req.Deadline), worker.Key(req.ID), worker.Func(func() { m.expire(req) }))
 	}
@@ -58,20 +86,101 @@
 
 // expire refuses a request that still waits at its deadline.
 func (m *Manager) expire(req Request) {
+	m.decide(req.Serves, func(s *organisation.State, p Supply, now time.Time) []decision {
+		return m.limits().expire(s, req, p, now)
+	})
+}
+
+// limits returns the options that the decisions depend on.
+func (m *Manager) limits() limits {
+	return limits{maxQueue: m.MaxQueue, maxBytes: m.MaxBytes, pacedReturns: m.PacedReturns}
+}
+
+func (m *Manager) supply(serves string) Supply {
+	if m.Supply != nil {
+		return m.Supply(serves)
+	}
+	return Supply{Slots: m.Capacity(serves)}
+}
+
+// decide makes decisions on the service's queue, posts them and returns them.
+func (m *Manager) decide(serves string, change func(*organisation.State, Supply, time.Time) []decision) []decision {
+	p := m.supply(serves)
 	var decisions []decision
+	waiting, recheck := 0, false
 	m.Organisations.Update(func(s *organisation.State) {
-		decisions = refuseWaiting(s, req.ID, refuseDeadline())
+		decisions = change(s, p, time.Now())
+		if q, known := s.Queues[serves]; known {
+			for i := range decisions {
+				decisions[i].inputs = inputs{Slots: p.Slots, InFlight: q.InFlight, Waiting: q.Len(), HoldTime: q.HoldTime, Age: p.Age}
+			}
+			waiting = q.Len()
+			recheck = m.Recheck > 0 && waiting > 0 && !q.RecheckPending
+			q.RecheckPending = q.RecheckPending || recheck
+		}
 	})
+	if recheck {
+		m.Pool.After(m.Recheck, recheckKey(serves), worker.Func(func() { m.recheck(serves) }))
+	}
+	if m.WaitingChanged != nil {
+		m.WaitingChanged(serves, waiting)
+	}
 	m.postDecisions(decisions)
+	return decisions
+}
+
+// recheckKey is the key of the items that look for room for the service's queue.
+func recheckKey(serves string) worker.Key { return worker.Key("admission/" + serves) }
+
+func (m *Manager) recheck(serves string) {
+	m.Organisations.Update(func(s *organisation.State) { s.Queue(serves).RecheckPending = false })
+	m.AdmitWaiting(serves)
+}
+
+// MarkFull records that all upstreams of the service turned an admitted request away. pause
+// is the time that a request takes.
+func (m *Manager) MarkFull(serves string, pause time.Duration) {
+	m.Organisations.Update(func(s *organisation.State) { markFull(s.Queue(serves), pause, time.Now()) })
+}
+
+// IsFull reports whether all upstreams of the service turned a request away within the last
+// pause.
+func (m *Manager) IsFull(serves string, now time.Time) bool {
+	full := false
+	m.Organisations.Update(func(s *organisation.State) {
+		if q, known := s.Queues[serves]; known {
+			full = now.Before(q.FullUntil)
+		}
+	})
+	return full
+}
+
+// RetryAfter returns the time after which a caller should return whose request is refused
+// for another cause than the queue.
+func (m *Manager) RetryAfter(req Request) time.Duration {
+	places, now := m.supply(req.Serves).places(), time.Now()
+	var after time.Duration
+	m.Organisations.Update(func(s *organisation.State) {
+		q := s.Queue(req.Serves)
+		wait, _ := drainTime(q, q.Len()+1, places)
+		after = m.limits().retryAfter(q, waitingOf(req, nil, now), wait, places, now)
+	})
+	return after
 }
 
 // Leave ends a waiting or admitted request and admits those that can now run.
 // A request that still waits is refused with the code "cancelled".
-func (m *Manager) Leave(id model.RequestID) {
+func (m *Manager) Leave(id model.RequestID) { m.leave(id, true) }
+
+// Return is Leave for a request that has not run, although it may have been admitted. Its
+// time does not count as one that requests take.
+func (m *Manager) Return(id model.RequestID) { m.leave(id, false) }
+
+func (m *Manager) leave(id model.RequestID, ran bool) {
 	var decisions []decision
 	var unblocked []string
 	m.Organisations.Update(func(s *organisation.State) {
-		decisions, unblocked = leave(s, id, time.Now())
+		decisions, unblocked = leave(s, id, ran, time.Now())
 	})
 	m.postDecisions(decisions)
 	for _, serves := range unblocked {
@@ -81,12 +190,9 @@
 
 // AdmitWaiting admits waiting requests after the model's capacity changed.
 func (m *Manager) AdmitWaiting(serves string) {
-	capacity := m.Capacity(serves)
-	var decisions []decision
-	m.Organisations.Update(func(s *organisation.State) {
-		decisions = admitWaiting(s, serves, capacity, time.Now())
+	m.decide(serves, func(s *organisation.State, p Supply, now time.Time) []decision {
+		return admitWaiting(s, serves, p, now)
 	})
-	m.postDecisions(decisions)
 }
 
 // Configure puts a document's organisations and models in force.
@@ -106,6 +212,15 @@
 	request    model.RequestID
 	onDecision func(*model.Refusal)
 	refusal    *model.Refusal
+	waiting    organisation.Waiting
+	at         time.Time
+	inputs     inputs
+}
+
+// inputs are the figures that a decision was made on, as they are after it.
+type inputs struct {
+	Slots, InFlight, Waiting int
+	HoldTime, Age            time.Duration
 }
 
 func decided(decisions []decision, id model.RequestID) bool {
@@ -114,10 +229,38 @@
 
 func (m *Manager) postDecisions(decisions []decision) {
 	for _, d := range decisions {
+		m.logDecision(d)
 		m.Pool.Post(worker.Key(d.request), worker.Func(func() { d.onDecision(d.refusal) }))
 	}
 }
 
+// logDecision logs a refusal, or the admission of a request that waited.
+func (m *Manager) logDecision(d decision) {
+	waited := d.at.Sub(d.waiting.Entered)
+	if m.Log == nil || d.waiting.CallerID == "" || (d.refusal == nil && waited <= 0) {
+		return
+	}
+	entry := m.Log.WithFields(log.Fields{
+		"request_id":   d.waiting.CallerID,
+		"organisation": string(d.waiting.Organisation),
+		"priority":     int(d.waiting.Priority),
+		"slots":        d.inputs.Slots,
+		"in_flight":    d.inputs.InFlight,
+		"waiting":      d.inputs.Waiting,
+		"age_ms":       d.inputs.Age.Milliseconds(),
+		"hold_ms":      d.inputs.HoldTime.Milliseconds(),
+		"waited_ms":    waited.Milliseconds(),
+	})
+	if !d.waiting.Deadline.IsZero() {
+		entry = entry.WithField("latest_start_ms", d.waiting.Deadline.Sub(d.at).Milliseconds())
+	}
+	if d.refusal == nil {
+		entry.Info("admitted after a wait")
+		return
+	}
+	entry.WithField("retry_after_ms", d.refusal.RetryAfter.Milliseconds()).Info("not admitted: " + d.refusal.Code)
+}
+
 func configureOrganisations(s *organisation.State, list []model.Organisation) {
 	for id, o := range s.Organisations {
 		s.Organisations[id] = organisation.Organisation{InFlight: o.InFlight}
--- a/internal/coordination/admission/admission_test.go
+++ b/internal/coordination/admission/admission_test.go
@@ -47,7 +47,7 @@
 			if rapid.IntRange(0, 9).Draw(rt, "visitor") == 0 {
 				enqueue(c, waiting("visit", "visitor"))
 			}
-			w, ok := dequeueNext(c, weight, func(model.OrganisationID) bool { return true })
+			w, ok := dequeueNext(c, weight, func(organisation.Waiting) bool { return true }, time.Time{})
 			if !ok {
 				rt.Fatal("nothing runs although requests wait")
 			}
--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -27,110 +27,175 @@
 	holdSmoothing   = 0.1 // weight of a new sample in the moving average of the hold time
 )
 
-// enter admits, queues or refuses a request. The request waits if no decision
-// for it is returned.
-func enter(s *organisation.State, req Request, onDecision func(*model.Refusal), capacity int, now time.Time) []decision {
-	w := organisation.Waiting{
+// limits are the bounds of the queues and the form of Retry-After.
+type limits struct {
+	maxQueue     int
+	maxBytes     int
+	pacedReturns bool
+}
+
+func waitingOf(req Request, onDecision func(*model.Refusal), now time.Time) organisation.Waiting {
+	return organisation.Waiting{
 		Request: req.ID, Organisation: req.Organisation, Priority: req.Priority,
-		Deadline: req.Deadline, OnDecision: onDecision,
+		Deadline: req.Deadline, Objective: req.Objective, CallerDeadline: req.CallerDeadline, Entered: now, Bytes: req.Bytes,
+		MemoryTokens: req.MemoryTokens, CallerID: req.CallerID, OnDecision: onDecision,
 	}
+}
+
+// enter admits, queues or refuses a request. The request waits if no decision
+// for it is returned.
+func (l limits) enter(s *organisation.State, req Request, onDecision func(*model.Refusal), p Supply, now time.Time) []decision {
+	w := waitingOf(req, onDecision, now)
 	if place, ok := s.Requests[req.ID]; ok {
-		return []decision{repeatEntry(w, place)}
+		return []decision{repeatEntry(w, place, now)}
 	}
-	if req.Priority == model.PriorityResume {
+	q := s.Queue(req.Serves)
+	countEntered(q, req.Priority, now)
+	if req.Priority == model.PriorityResume && q.Classes[model.PriorityResume].Len() == 0 && p.fits(req.MemoryTokens) {
 		return []decision{grantSlot(s, req.Serves, w, now)}
 	}
 	if !req.Deadline.IsZero() && !now.Before(req.Deadline) {
-		return []decision{{request: req.ID, onDecision: onDecision, refusal: refuseDeadline()}}
+		return []decision{{request: req.ID, onDecision: onDecision, refusal: l.refuseDeadline(q, w, p, now), waiting: w, at: now}}
 	}
-	q := s.Queue(req.Serves)
 	enqueue(&q.Classes[req.Priority], w)
-	s.Requests[req.ID] = organisation.RequestState{Serves: req.Serves, Organisation: req.Organisation, Priority: req.Priority}
-	decisions := admitWaiting(s, req.Serves, capacity, now)
-	decisions = append(decisions, enforceQueueLimit(s, q, w, capacity)...)
-	return append(decisions, refuseIfLate(s, q, req, capacity, now)...)
+	s.WaitingBytes += w.Bytes
+	s.Requests[req.ID] = organisation.RequestState{Serves: req.Serves, Organisation: req.Organisation, Priority: req.Priority, Deadline: req.Deadline}
+	decisions := admitWaiting(s, req.Serves, p, now)
+	decisions = append(decisions, l.enforceQueueLimit(s, q, w, p, now)...)
+	return append(decisions, l.refuseIfLate(s, q, w, p, now)...)
+}
+
+// expire refuses a request that still waits at its deadline. The deadline may have passed for
+// an earlier entry of the request only.
+func (l limits) expire(s *organisation.State, req Request, p Supply, now time.Time) []decision {
+	place, ok := s.Requests[req.ID]
+	if !ok || place.Admitted || place.Deadline.IsZero() || now.Before(place.Deadline) {
+		return nil
+	}
+	q := s.Queue(req.Serves)
+	return refuseWaiting(s, req.ID, l.refuseDeadline(q, waitingOf(req, nil, now), p, now), now)
 }
 
 // repeatEntry decides on a request that has entered before. An admitted one
 // keeps its slot; the repeat of a waiting one is refused as a duplicate.
-func repeatEntry(w organisation.Waiting, place organisation.RequestState) decision {
+func repeatEntry(w organisation.Waiting, place organisation.RequestState, now time.Time) decision {
 	if place.Admitted {
-		return decision{request: w.Request, onDecision: w.OnDecision}
+		return decision{request: w.Request, onDecision: w.OnDecision, waiting: w, at: now}
 	}
-	return decision{request: w.Request, onDecision: w.OnDecision, refusal: &model.Refusal{
+	return decision{request: w.Request, onDecision: w.OnDecision, waiting: w, at: now, refusal: &model.Refusal{
 		Code: CodeDuplicate, Message: "the request already waits for admission", Outcome: model.OutcomeNotRun,
 	}}
 }
 
 // grantSlot admits the request and counts it as in flight.
 func grantSlot(s *organisation.State, serves string, w organisation.Waiting, now time.Time) decision {
-	s.Queue(serves).InFlight++
+	q := s.Queue(serves)
+	q.InFlight++
+	countAdmitted(q, w.Priority, now)
 	s.AddInFlight(w.Organisation, 1)
 	s.Requests[w.Request] = organisation.RequestState{
 		Serves: serves, Organisation: w.Organisation, Priority: w.Priority, Admitted: true, Since: now,
 	}
-	return decision{request: w.Request, onDecision: w.OnDecision}
+	return decision{request: w.Request, onDecision: w.OnDecision, waiting: w, at: now}
 }
 
-// admitWaiting admits waiting requests while the model has free slots,
-// interactive requests before batch.
-func admitWaiting(s *organisation.State, serves string, capacity int, now time.Time) []decision {
+// admitWaiting admits waiting requests while the service has room, more urgent ones
+// before others.
+func admitWaiting(s *organisation.State, serves string, p Supply, now time.Time) []decision {
 	q, ok := s.Queues[serves]
 	if !ok {
 		return nil
 	}
 	var decisions []decision
-	for q.InFlight < capacity {
-		w, ok := dequeueByPriority(s, q)
+	for {
+		w, ok := dequeueByPriority(s, q, p, now)
 		if !ok {
 			break
 		}
+		s.WaitingBytes -= w.Bytes
+		p.reserve(w.MemoryTokens)
 		decisions = append(decisions, grantSlot(s, serves, w, now))
 	}
 	return decisions
 }
 
-// dequeueByPriority removes and returns the next request of the highest
-// priority in which one may run.
-func dequeueByPriority(s *organisation.State, q *organisation.Queue) (organisation.Waiting, bool) {
+// dequeueByPriority removes and returns the next request of the highest priority in which
+// one may run. A class that has had less than its guaranteed share goes first.
+func dequeueByPriority(s *organisation.State, q *organisation.Queue, p Supply, now time.Time) (organisation.Waiting, bool) {
+	mayRun := func(w organisation.Waiting) bool {
+		return (w.Priority == model.PriorityResume || s.MayRun(w.Organisation)) && p.mayStart(q, w, now)
+	}
+	if w, ok := dequeueNext(&q.Classes[model.PriorityResume], s.Weight, mayRun, now); ok {
+		return w, true
+	}
+	if q.InFlight >= p.limit(q, now) {
+		return organisation.Waiting{}, false
+	}
+	for priority := model.PriorityLowest; priority > model.PriorityInteractive; priority-- {
+		if isOwed(q, priority, now) {
+			if w, ok := dequeueNext(&q.Classes[priority], s.Weight, mayRun, now); ok {
+				return w, true
+			}
+		}
+	}
 	for i := range q.Classes {
-		if w, ok := dequeueNext(&q.Classes[i], s.Weight, s.MayRun); ok {
+		if w, ok := dequeueNext(&q.Classes[i], s.Weight, mayRun, now); ok {
 			return w, true
 		}
 	}
 	return organisation.Waiting{}, false
 }
 
-// enforceQueueLimit refuses one request if the queue is longer than its limit
-// after w entered.
-func enforceQueueLimit(s *organisation.State, q *organisation.Queue, w organisation.Waiting, capacity int) []decision {
+// enforceQueueLimit refuses requests while the queue is longer than its limit, or the
+// waiting requests of all queues take too much memory, after w entered.
+func (l limits) enforceQueueLimit(s *organisation.State, q *organisation.Queue, w organisation.Waiting, p Supply, now time.Time) []decision {
 	limit := q.MaxQueue
+	if limit <= 0 {
+		limit = l.maxQueue
+	}
 	if limit <= 0 {
 		limit = defaultMaxQueue
 	}
-	if q.Len() <= limit {
-		return nil
+	var decisions []decision
+	for q.Len() > limit || (l.maxBytes > 0 && s.WaitingBytes > l.maxBytes && q.Len() > 0) {
+		wait, _ := drainTime(q, q.Len(), p.places())
+		refused := victim(q, w, s.Weight)
+		after := l.retryAfter(q, refused, wait, p.places(), now)
+		decided := refuseWaiting(s, refused.Request, refuseOverloaded(after), now)
+		decisions = append(decisions, decided...)
+		if refused.Request == w.Request || len(decided) == 0 {
+			break
+		}
 	}
-	wait, _ := drainTime(q, q.Len(), capacity)
-	return refuseWaiting(s, victim(q, w, s.Weight).Request, refuseOverloaded(wait))
+	return decisions
 }
 
 // refuseIfLate refuses the request if it still waits and its deadline is
 // earlier than the estimated time of its admission.
-func refuseIfLate(s *organisation.State, q *organisation.Queue, req Request, capacity int, now time.Time) []decision {
-	place, ok := s.Requests[req.ID]
-	if !ok || place.Admitted || req.Deadline.IsZero() {
+//
+// A class that is owed service does not wait for the more urgent ones.
+func (l limits) refuseIfLate(s *organisation.State, q *organisation.Queue, w organisation.Waiting, p Supply, now time.Time) []decision {
+	place, ok := s.Requests[w.Request]
+	if !ok || place.Admitted || w.Deadline.IsZero() || w.Priority == model.PriorityResume {
 		return nil
 	}
-	n := countAhead(&q.Classes[req.Priority], req.Organisation, s.Weight)
-	for p := model.PriorityResume; p < req.Priority; p++ {
-		n += q.Classes[p].Len()
+	n := countAhead(&q.Classes[w.Priority], w, s.Weight, now)
+	for urgent := model.PriorityResume; urgent < w.Priority && !isOwed(q, w.Priority, now); urgent++ {
+		n += q.Classes[urgent].Len()
 	}
-	wait, known := drainTime(q, n, capacity)
-	if !known || !now.Add(wait).After(req.Deadline) {
+	wait, known := drainTime(q, n, p.places())
+	if !known || !now.Add(wait).After(w.Deadline) {
 		return nil
 	}
-	return refuseWaiting(s, req.ID, refuseLongWait(wait))
+	return refuseWaiting(s, w.Request, refuseLongWait(wait, l.retryAfter(q, w, wait, p.places(), now)), now)
+}
+
+// retryAfter returns the time after which the refused caller should return.
+func (l limits) retryAfter(q *organisation.Queue, w organisation.Waiting, wait time.Duration, places int, now time.Time) time.Duration {
+	if l.pacedReturns {
+		return pacedReturn(q, w.Request, wait, places, w.CallerDeadline, now)
+	}
+	return wholeSeconds(wait)
 }
 
 // drainTime estimates how long the model takes to free n slots. The drain rate
@@ -146,7 +211,7 @@
 
 // refuseWaiting removes a request from its queue and refuses it. It does nothing
 // if the request no longer waits.
-func refuseWaiting(s *organisation.State, id model.RequestID, refusal *model.Refusal) []decision {
+func refuseWaiting(s *organisation.State, id model.RequestID, refusal *model.Refusal, now time.Time) []decision {
 	place, ok := s.Requests[id]
 	if !ok || place.Admitted {
 		return nil
@@ -156,24 +221,28 @@
 	if !ok {
 		return nil
 	}
-	return []decision{{request: id, onDecision: w.OnDecision, refusal: refusal}}
+	s.WaitingBytes -= w.Bytes
+	return []decision{{request: id, onDecision: w.OnDecision, refusal: refusal, waiting: w, at: now}}
 }
 
 // leave ends a request and returns the models for which other requests may now
-// be admitted.
-func leave(s *organisation.State, id model.RequestID, now time.Time) ([]decision, []string) {
+// be admitted. ran says that the request held its place for as long as it takes to run.
+func leave(s *organisation.State, id model.RequestID, ran bool, now time.Time) ([]decision, []string) {
 	place, ok := s.Requests[id]
 	if !ok {
 		return nil, nil
 	}
 	if !place.Admitted {
-		return refuseWaiting(s, id, refuseCancelled()), []string{place.Serves}
+		return refuseWaiting(s, id, refuseCancelled(), now), []string{place.Serves}
 	}
 	delete(s.Requests, id)
 	s.AddInFlight(place.Organisation, -1)
 	q := s.Queue(place.Serves)
 	q.InFlight--
-	q.HoldTime = smoothHold(q.HoldTime, now.Sub(place.Since))
+	if ran {
+		q.HoldTime = smoothHold(q.HoldTime, now.Sub(place.Since))
+		raiseLimit(q, now)
+	}
 	return nil, unblockedModels(s, place)
 }
 
@@ -182,7 +251,10 @@
 // organisation has waiting requests, as they may have waited for the
 // organisation's limit.
 func unblockedModels(s *organisation.State, place organisation.RequestState) []string {
-	unblocked := []string{place.Serves}
+	var unblocked []string
+	if s.Queue(place.Serves).Len() > 0 {
+		unblocked = append(unblocked, place.Serves)
+	}
 	for name, q := range s.Queues {
 		if name != place.Serves && hasWaiting(q, place.Organisation) {
 			unblocked = append(unblocked, name)
@@ -211,27 +283,34 @@
 	return old + time.Duration(holdSmoothing*float64(sample-old))
 }
 
-func refuseOverloaded(wait time.Duration) *model.Refusal {
+func refuseOverloaded(retryAfter time.Duration) *model.Refusal {
 	return &model.Refusal{
-		Code: CodeOverloaded, Message: "the queue of the model is full",
-		Outcome: model.OutcomeNotRun, RetryAfter: retryAfter(wait),
+		Code: CodeOverloaded, Message: "the queue of the service is full",
+		Outcome: model.OutcomeNotRun, RetryAfter: retryAfter,
 	}
 }
 
-func refuseLongWait(wait time.Duration) *model.Refusal {
+func refuseLongWait(wait, retryAfter time.Duration) *model.Refusal {
 	return &model.Refusal{
 		Code:       CodeDeadlineUnmet,
 		Message:    fmt.Sprintf("the estimated wait of %s exceeds the deadline", wait.Round(time.Millisecond)),
 		Outcome:    model.OutcomeNotRun,
-		RetryAfter: retryAfter(wait),
+		RetryAfter: retryAfter,
 	}
 }
 
-func refuseDeadline() *model.Refusal {
-	return &model.Refusal{
+// refuseDeadline refuses a request whose latest time of admission has passed. Only a caller
+// that waits longer than that is told when to return.
+func (l limits) refuseDeadline(q *organisation.Queue, w organisation.Waiting, p Supply, now time.Time) *model.Refusal {
+	refusal := &model.Refusal{
 		Code: CodeDeadlineUnmet, Message: "the deadline passed before the request was admitted",
 		Outcome: model.OutcomeNotRun,
 	}
+	if l.pacedReturns {
+		wait, _ := drainTime(q, q.Len(), p.places())
+		refusal.RetryAfter = l.retryAfter(q, w, wait, p.places(), now)
+	}
+	return refusal
 }
 
 func refuseCancelled() *model.Refusal {
@@ -240,9 +319,9 @@
 	}
 }
 
-// retryAfter rounds the wait up to whole seconds, the unit of the Retry-After
+// wholeSeconds rounds the wait up to whole seconds, the unit of the Retry-After
 // header, and limits it to minRetryAfter and maxRetryAfter.
-func retryAfter(wait time.Duration) time.Duration {
+func wholeSeconds(wait time.Duration) time.Duration {
 	seconds := time.Duration(math.Ceil(wait.Seconds())) * time.Second
 	return min(max(seconds, minRetryAfter), maxRetryAfter)
 }
--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -2,17 +2,23 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 )
 
-// enqueue adds a request behind the others of its organisation. An organisation
-// without waiting requests gets the last turn of the round.
+// enqueue adds a request behind those of its organisation whose deadline is not later. An
+// organisation without waiting requests gets the last turn of the round.
 func enqueue(c *organisation.Class, w organisation.Waiting) {
 	for i := range c.Turns {
 		if c.Turns[i].Organisation == w.Organisation {
-			c.Turns[i].Waiting = append(c.Turns[i].Waiting, w)
+			list := c.Turns[i].Waiting
+			at := len(list)
+			for at > 0 && isEarlier(w.Deadline, list[at-1].Deadline) {
+				at--
+			}
+			c.Turns[i].Waiting = slices.Insert(list, at, w)
 			return
 		}
 	}
@@ -23,13 +29,19 @@
 	}
 }
 
+// isEarlier reports whether the first deadline is earlier; zero means none.
+func isEarlier(a, b time.Time) bool {
+	return !a.IsZero() && (b.IsZero() || a.Before(b))
+}
+
 // dequeueNext removes and returns the request to run next, by deficit
 // round-robin: each request costs 1 and each turn is worth the organisation's
-// weight. An organisation at its limit loses its turn.
-func dequeueNext(c *organisation.Class, weight func(model.OrganisationID) int, mayRun func(model.OrganisationID) bool) (organisation.Waiting, bool) {
+// weight. An organisation whose first request may not run loses its turn.
+func dequeueNext(c *organisation.Class, weight func(model.OrganisationID) int, mayRun func(organisation.Waiting) bool, now time.Time) (organisation.Waiting, bool) {
 	for range len(c.Turns) {
 		turn := &c.Turns[c.Next]
-		if !mayRun(turn.Organisation) {
+		first := firstInTurn(turn, now)
+		if !mayRun(turn.Waiting[first]) {
 			turn.Deficit = 0
 			c.Next = (c.Next + 1) % len(c.Turns)
 			continue
@@ -37,16 +49,29 @@
 		if turn.Deficit == 0 {
 			turn.Deficit = weight(turn.Organisation)
 		}
-		return takeFirst(c), true
+		return take(c, first), true
 	}
 	return organisation.Waiting{}, false
 }
 
-// takeFirst removes the first request of the current turn.
-func takeFirst(c *organisation.Class) organisation.Waiting {
+// meetsObjective reports whether the request meets its objective if it starts now.
+func meetsObjective(w organisation.Waiting, now time.Time) bool {
+	return w.Objective.IsZero() || !now.After(w.Objective)
+}
+
+// firstInTurn returns the position of the request that runs next in the turn: of those that
+// can still meet their objective the one of the earliest deadline, else the one of the
+// earliest deadline of all. Requests that are late in any case would otherwise make
+// each later one late too.
+func firstInTurn(turn *organisation.Turn, now time.Time) int {
+	return max(slices.IndexFunc(turn.Waiting, func(w organisation.Waiting) bool { return meetsObjective(w, now) }), 0)
+}
+
+// take removes the request at the position of the current turn.
+func take(c *organisation.Class, position int) organisation.Waiting {
 	turn := &c.Turns[c.Next]
-	w := turn.Waiting[0]
-	turn.Waiting = slices.Delete(turn.Waiting, 0, 1)
+	w := turn.Waiting[position]
+	turn.Waiting = slices.Delete(turn.Waiting, position, position+1)
 	turn.Deficit--
 	switch {
 	case len(turn.Waiting) == 0:
@@ -86,20 +111,34 @@
 	return organisation.Waiting{}, false
 }
 
-// countAhead returns how many requests of the class run until the last waiting
-// request of the organisation has started, that request included. It counts the
-// rounds in which the organisation's requests get their turns, each with the
-// weights of all organisations, and is at most the length of the class.
-func countAhead(c *organisation.Class, org model.OrganisationID, weight func(model.OrganisationID) int) int {
-	ownWaiting, roundLength := 0, 0
+// countAhead returns how many requests of the class run until the waiting request has
+// started, itself included. It counts the rounds until its organisation's turn for it, each
+// with what the organisations take of it by their weights.
+func countAhead(c *organisation.Class, w organisation.Waiting, weight func(model.OrganisationID) int, now time.Time) int {
+	rounds := 0
 	for _, turn := range c.Turns {
-		roundLength += weight(turn.Organisation)
-		if turn.Organisation == org {
-			ownWaiting = len(turn.Waiting)
+		if turn.Organisation == w.Organisation {
+			rounds = positionInTurn(turn, w, now)/weight(turn.Organisation) + 1
+		}
+	}
+	n := 0
+	for _, turn := range c.Turns {
+		n += min(len(turn.Waiting), rounds*weight(turn.Organisation))
+	}
+	return n
+}
+
+// positionInTurn returns how many requests of the turn run before the given one of it.
+func positionInTurn(turn organisation.Turn, w organisation.Waiting, now time.Time) int {
+	n, passed, inTime := 0, false, meetsObjective(w, now)
+	for _, o := range turn.Waiting {
+		passed = passed || o.Request == w.Request
+		switch other := meetsObjective(o, now); {
+		case other && !inTime, other == inTime && !passed:
+			n++
 		}
 	}
-	rounds := (ownWaiting + weight(org) - 1) / weight(org)
-	return min(c.Len(), rounds*roundLength)
+	return n
 }
 
 // victim returns the request to refuse when the queue is full: the newest
@@ -131,7 +170,7 @@
 // priority in which it has waiting requests. If that priority is higher than the
 // entering request's, newestEvictable returns the entering request.
 func newestEvictable(q *organisation.Queue, org model.OrganisationID, entering organisation.Waiting) organisation.Waiting {
-	for p := model.PriorityBatch; p >= entering.Priority; p-- {
+	for p := model.PriorityLowest; p >= entering.Priority; p-- {
 		for _, turn := range q.Classes[p].Turns {
 			if turn.Organisation == org {
 				return turn.Waiting[len(turn.Waiting)-1]
--- a/internal/coordination/admission/metrics.go
+++ b/internal/coordination/admission/metrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -13,21 +15,48 @@
 )
 
 // metrics holds the instruments of admission. The label values are bounded,
-// because only models of the environment document appear in them.
+// because only services, classes and a fixed number of organisations appear in them.
 type metrics struct {
-	wait    metric.Float64Histogram
-	refused metric.Int64Counter
+	wait     metric.Float64Histogram
+	refused  metric.Int64Counter
+	admitted metric.Int64Counter
+
+	mu       sync.Mutex // leaf lock: no other lock is taken while it is held
+	labelled map[model.OrganisationID]bool
+}
+
+const (
+	// maxOrganisationLabels bounds the organisations that have a metric of their own.
+	maxOrganisationLabels = 32
+	// otherOrganisations is the label of all further ones.
+	otherOrganisations = "other"
+)
+
+// organisationLabel returns the organisation's label. The first organisations that ask for
+// admission have one of their own.
+func (m *metrics) organisationLabel(id model.OrganisationID) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.labelled[id] {
+		if len(m.labelled) >= maxOrganisationLabels {
+			return otherOrganisations
+		}
+		m.labelled[id] = true
+	}
+	return string(id)
 }
 
 func newMetrics(organisations *organisation.Table) *metrics {
 	meter := otel.Meter("sequoiavalve/admission")
-	m := &metrics{}
+	m := &metrics{labelled: map[model.OrganisationID]bool{}}
 	// Errors are ignored: they arise only from invalid names, and the API then
 	// returns a usable no-op instrument.
 	m.wait, _ = meter.Float64Histogram("admission_wait_time", metric.WithUnit("s"),
 		metric.WithDescription("Time from the request for admission to the admission."))
 	m.refused, _ = meter.Int64Counter("admission_refused",
 		metric.WithDescription("Generations that were not admitted, by the code of the refusal."))
+	m.admitted, _ = meter.Int64Counter("admission_admitted",
+		metric.WithDescription("Requests that were admitted, by organisation. All but the first 32 organisations count as other."))
 	for _, code := range []string{CodeOverloaded, CodeDeadlineUnmet, CodeCancelled, CodeDuplicate} {
 		m.refused.Add(context.Background(), 0, codeLabel(code)) // shows 0 before the first refusal
 	}
@@ -66,6 +95,7 @@
 		if refusal != nil {
 			m.refused.Add(context.Background(), 1, codeLabel(refusal.Code))
 		} else {
+			m.admitted.Add(context.Background(), 1, metric.WithAttributes(attribute.String("organisation", m.organisationLabel(req.Organisation))))
 			m.wait.Record(context.Background(), time.Since(entered).Seconds(),
 				metric.WithAttributes(attribute.String("priority", priorityName(req.Priority))))
 		}
@@ -83,7 +113,9 @@
 		return "resume"
 	case model.PriorityInteractive:
 		return "interactive"
-	default:
+	case model.PriorityBatch:
 		return "batch"
+	default:
+		return "class" + strconv.Itoa(int(p-model.PriorityInteractive))
 	}
 }
--- /dev/null
+++ b/internal/coordination/admission/room_test.go
@@ -0,0 +1,118 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
+	"gotest.tools/v3/assert"
+)
+
+func newState() *organisation.State {
+	return &organisation.State{
+		Organisations: map[model.OrganisationID]organisation.Organisation{},
+		Queues:        map[string]*organisation.Queue{},
+		Requests:      map[model.RequestID]organisation.RequestState{},
+	}
+}
+
+func ignoreDecision(*model.Refusal) {}
+
+// Guards against refused callers that return as a wave, earlier than room is expected, in
+// another order than that of their refusals, or so late that they do not return at all.
+func TestReturnsArePaced(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := &organisation.Queue{HoldTime: 40 * time.Millisecond}
+	last := time.Duration(0)
+	for i := range 20 {
+		after := pacedReturn(q, model.RequestID(fmt.Sprint(i)), 100*time.Millisecond, 8, now.Add(time.Second), now)
+		assert.Check(t, after >= 100*time.Millisecond && after-last >= 5*time.Millisecond, "%d: %v after %v", i, after, last)
+		last = after
+	}
+	distinct := map[time.Duration]bool{}
+	for i := range 200 {
+		after := pacedReturn(q, model.RequestID(fmt.Sprint("late", i)), 400*time.Millisecond, 8, now.Add(900*time.Millisecond), now)
+		assert.Check(t, after >= 150*time.Millisecond && after <= 300*time.Millisecond, "%v", after)
+		distinct[after] = true
+	}
+	assert.Check(t, len(distinct) > 190, "%d different times", len(distinct))
+	assert.Equal(t, pacedReturn(q, "over", time.Second, 8, now, now), time.Duration(0))
+}
+
+// Guards against a less urgent class that starves while urgent requests never end, and
+// against one that gets a larger part of its requests served than the urgent class.
+func TestLessUrgentClassGetsItsGuaranteedShare(t *testing.T) {
+	s, now := newState(), time.Unix(1000, 0)
+	admitted := map[model.Priority]int{}
+	for i := range 4000 {
+		now = now.Add(5 * time.Millisecond)
+		for _, p := range []model.Priority{model.PriorityInteractive, model.PriorityInteractive, model.PriorityBatch} {
+			req := Request{ID: model.RequestID(fmt.Sprint(i, p, len(s.Requests))), Serves: "s", Priority: p, Deadline: now.Add(time.Second)}
+			limits{maxQueue: 1 << 20}.enter(s, req, ignoreDecision, Supply{}, now)
+		}
+		for _, d := range admitWaiting(s, "s", Supply{Slots: 1}, now) { // a slot for one of three
+			admitted[d.waiting.Priority]++
+			leave(s, d.request, false, now)
+		}
+	}
+	urgent, less := float64(admitted[model.PriorityInteractive])/8000, float64(admitted[model.PriorityBatch])/4000
+	assert.Check(t, less > 0 && less <= urgent, "urgent %.3f, less urgent %.3f", urgent, less)
+	assert.Check(t, less >= 0.9*guaranteedShare*urgent, "urgent %.3f, less urgent %.3f", urgent, less)
+}
+
+// Guards against waiting requests whose bodies fill the memory, and against bytes that stay
+// counted after their request was admitted, was refused or left.
+func TestWaitingBytesAreBounded(t *testing.T) {
+	s, now, l := newState(), time.Unix(1000, 0), limits{maxQueue: 100, maxBytes: 1000}
+	refused := 0
+	for i := range 10 {
+		req := Request{ID: model.RequestID(fmt.Sprint(i)), Serves: "s", Organisation: model.OrganisationID(fmt.Sprint(i % 2)), Priority: model.PriorityInteractive, Bytes: 150}
+		for _, d := range l.enter(s, req, ignoreDecision, Supply{}, now) {
+			assert.Equal(t, d.refusal.Code, CodeOverloaded)
+			refused++
+		}
+		assert.Check(t, s.WaitingBytes <= 1000)
+	}
+	assert.Equal(t, refused, 4)
+	leave(s, "0", false, now)
+	assert.Equal(t, s.WaitingBytes, 750)
+	assert.Equal(t, len(admitWaiting(s, "s", Supply{Slots: 3}, now)), 3)
+	assert.Equal(t, s.WaitingBytes, 300)
+}
+
+// Guards against streams admitted to more memory than an engine has free, and against a
+// resumed one that is overtaken while it waits for memory.
+func TestMemoryOfEnginesIsNotGrantedTwice(t *testing.T) {
+	s, now := newState(), time.Unix(1000, 0)
+	enter := func(id model.RequestID, p model.Priority, free ...int) int {
+		req := Request{ID: id, Serves: "s", Priority: p, MemoryTokens: 60}
+		return len(limits{}.enter(s, req, ignoreDecision, Supply{Slots: 9, Engines: Engines{Limited: true, Free: free}}, now))
+	}
+	assert.Equal(t, enter("plain", model.PriorityInteractive, 50, 59), 0)
+	assert.Equal(t, enter("resumed", model.PriorityResume, 50, 59), 0)
+	decisions := admitWaiting(s, "s", Supply{Slots: 9, Engines: Engines{Limited: true, Free: []int{50, 110}}}, now)
+	assert.Equal(t, len(decisions), 1, "110 tokens hold one stream of 60")
+	assert.Equal(t, decisions[0].request, model.RequestID("resumed"))
+}
+
+// Guards against a limit that outlives the overload, that is lowered by each of many
+// requests turned away at one time, or that ends all sends.
+func TestLimitOfAFullServiceEnds(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := &organisation.Queue{InFlight: 10}
+	p := Supply{Slots: 36}
+	for range 5 {
+		markFull(q, 30*time.Millisecond, now)
+	}
+	assert.Equal(t, p.limit(q, now), 9)
+	for range 10 {
+		raiseLimit(q, now)
+	}
+	assert.Equal(t, p.limit(q, now), 10)
+	assert.Equal(t, p.limit(q, now.Add(limitTTL)), 36)
+	q = &organisation.Queue{InFlight: 1}
+	markFull(q, 30*time.Millisecond, now)
+	assert.Equal(t, p.limit(q, now), 1)
+}
--- a/internal/state/commitment/commitment.go
+++ b/internal/state/commitment/commitment.go
@@ -91,6 +91,20 @@
 	t.remote[from] = report{work, now}
 }
 
+// OldestReport returns the age of the oldest report of another instance that Totals counts,
+// and zero if there is none.
+func (t *Table) OldestReport(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	oldest := time.Duration(0)
+	for _, r := range t.remote {
+		if age := now.Sub(r.at); age <= t.reportTTL {
+			oldest = max(oldest, age)
+		}
+	}
+	return oldest
+}
+
 // Local returns a copy of this instance's work.
 func (t *Table) Local() map[model.UpstreamID]Work {
 	t.mu.Lock()
--- a/internal/state/model/model.go
+++ b/internal/state/model/model.go
@@ -188,6 +188,9 @@
 	PriorityResume Priority = iota
 	PriorityInteractive
 	PriorityBatch
+	// PriorityLowest is the least urgent one. The operator's rules have more priorities than
+	// interactive and batch; those beyond count as the lowest.
+	PriorityLowest Priority = 8
 )
 
 // Sampling holds the settings that decide which tokens an engine produces.
--- a/internal/state/organisation/organisation.go
+++ b/internal/state/organisation/organisation.go
@@ -22,7 +22,15 @@
 	Request      model.RequestID
 	Organisation model.OrganisationID
 	Priority     model.Priority
-	Deadline     time.Time // zero means none
+	Deadline     time.Time // latest time of admission; zero means none
+	Objective    time.Time // latest time of admission that meets the latency objective; zero means none
+	// CallerDeadline is the time until which the caller waits; zero means unknown. It bounds
+	// the time after which a refused caller returns.
+	CallerDeadline time.Time
+	Entered        time.Time
+	Bytes          int    // memory that the request takes while it waits
+	MemoryTokens   int    // memory that the request needs of one engine
+	CallerID       string // the caller's name of the request, for the log
 	// OnDecision is called once, outside the table's lock: with nil when the
 	// request is admitted, else with the refusal.
 	OnDecision func(*model.Refusal)
@@ -43,12 +51,30 @@
 	Next  int
 }
 
+// Service counts the requests of one class that asked for admission and that were
+// admitted. Both decay with time, so that the counts follow a burst.
+type Service struct {
+	Entered, Admitted float64
+	AsOf              time.Time
+}
+
 // Queue holds the waiting requests of one model and counts the admitted ones.
 type Queue struct {
-	Classes  [model.PriorityBatch + 1]Class // by priority; the class of PriorityResume stays empty
-	MaxQueue int                            // most waiting requests; 0 means the default
+	Classes  [model.PriorityLowest + 1]Class // by priority
+	MaxQueue int                             // most waiting requests; 0 means the default
 	InFlight int
 	HoldTime time.Duration // smoothed time from a request's admission to its end; zero means unknown
+	Service  [model.PriorityLowest + 1]Service
+	// Limit is the number of requests that run at most since all upstreams turned one
+	// away at LimitedAt; zero means that there is none. Until FullUntil, a further request
+	// that is turned away does not lower it.
+	Limit     float64
+	LimitedAt time.Time
+	FullUntil time.Time
+	// NextReturn is the time at which the next refused caller is told to return.
+	NextReturn time.Time
+	// RecheckPending says that a timer is set that looks for room again.
+	RecheckPending bool
 }
 
 // RequestState is the state of a request: waiting in the queue of Serves, or
@@ -59,6 +85,7 @@
 	Priority     model.Priority
 	Admitted     bool
 	Since        time.Time // time of admission
+	Deadline     time.Time // latest time of admission while the request waits; zero means none
 }
 
 // State is the content of the table.
@@ -66,6 +93,7 @@
 	Organisations map[model.OrganisationID]Organisation
 	Queues        map[string]*Queue
 	Requests      map[model.RequestID]RequestState
+	WaitingBytes  int // of all queues
 }
 
 // Table holds the state. mu has lock.RankOrganisation and guards state.
