forward: requests wait for room in admission

Cause: a call goes to an upstream however many run there, a stream to an engine without memory, and each refusal says 200 ms. Change: calls and streams ask admission for a place first, under a key of their own, since callers may use one ID for several attempts. The room comes from Options.Room, or else from own work (calls) and the work of the cell (streams); unknown slots never make a request wait. A call that upstreams turned away waits again; the shared budget counts its next send but does not end it. A stream that fits into no engine waits. Demand is counted.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -20,10 +20,12 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/peerwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/instance"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
@@ -101,6 +103,7 @@
 	outcomes := outcome.NewTable()
 	moves := move.NewTable()
 	suspects := suspect.NewTable(s.Instance)
+	demands := demand.NewTable()
 	if e.peers, err = peer.NewClient(peerOptions(identity, self)); err != nil {
 		return nil, err
 	}
@@ -149,6 +152,8 @@
 		Outcomes:         outcomes,
 		Moves:            moves,
 		Suspects:         suspects,
+		Organisations:    organisation.NewTable(),
+		Demand:           demands,
 		Sender:           e.client,
 		Budget:           budgets,
 		FailureDomain:    s.FailureDomain,
--- a/internal/coordination/forward/call.go
+++ b/internal/coordination/forward/call.go
@@ -21,6 +21,10 @@
 
 // placeCall sends a call to the upstream with the most free capacity.
 func (r *activeRequest) placeCall() {
+	if !r.admitted {
+		r.enter(r.placeCall)
+		return
+	}
 	up, ok := r.m.pickCallUpstream(r)
 	switch {
 	case !ok && r.attemptNumber == 0 && r.m.allLeave(r, time.Now()):
@@ -67,6 +71,7 @@
 // It cannot be delivered to a caller that has a part of a stream.
 func (r *activeRequest) handleAnswer(a *attempt, answer Answer) {
 	r.endReturnSlot(a, !answer.NotRun && answer.Status < 500)
+	a.ran = !answer.NotRun && !answer.AddressReassigned
 	r.endAttempt(a)
 	if answer.Pause > 0 && !answer.AddressReassigned {
 		r.handlePause(a, answer.Pause)
@@ -77,6 +82,8 @@
 		r.m.opts.ConnectionFailed(a.upstream.ID, time.Now())
 		r.m.findSuccessor(a.upstream, r.service, answer.CurrentUpstream)
 		r.retryNotRun(a, "another upstream has the address")
+	case answer.NotRun && answer.Pause == 0 && !r.route.Stream && r.executions == 1 && len(r.inFlight) == 0:
+		r.handleTurnedAway(a)
 	case answer.NotRun:
 		r.retryNotRun(a, "upstream is full")
 	case r.response.begun:
@@ -147,7 +154,7 @@
 	case r.hasLastFailure:
 		r.deliver(r.lastFailure)
 	case r.executions == 0:
-		r.refuse(refuseBusy(r.service.Name))
+		r.refuse(r.busyRefusal())
 	default:
 		r.refuse(refuseUnknown("its connection broke"))
 	}
--- a/internal/coordination/forward/fake_test.go
+++ b/internal/coordination/forward/fake_test.go
@@ -13,9 +13,11 @@
 	"github.com/apex/log/handlers/discard"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
@@ -211,6 +213,8 @@
 			Outcomes:         outcome.NewTable(),
 			Moves:            b.moves,
 			Suspects:         b.suspects,
+			Organisations:    organisation.NewTable(),
+			Demand:           demand.NewTable(),
 			PublishCrashes:   b.publishCrashes,
 			RunsTrials:       func(suspect.Fingerprint) bool { return !b.otherRunsTrials },
 			Sender:           b,
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -18,11 +18,15 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/capacity"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
@@ -106,13 +110,18 @@
 	Outcomes      *outcome.Table
 	Moves         *move.Table
 	Suspects      *suspect.Table
+	Organisations *organisation.Table // requests that wait for room
+	Demand        *demand.Table
 	Sender        Sender
 	Budget        Budget
 	FailureDomain model.FailureDomain // of this instance
 	// PrefersEngine reports whether this instance's cell prefers the engine at an address.
 	PrefersEngine func(address string) bool
 	// Instances returns the number of live instances, this one included.
-	Instances    func() int
+	Instances func() int
+	// Room returns what the service can take further, over all cells. If it is nil, this
+	// instance decides on its own work and that of its cell.
+	Room         func(service string) capacity.Room
 	Policy       Policy // chooses engines for streams
 	StateChanged func() // called when the state that this instance sends to the others changed
 	// SuccessorFound is called with an engine that was found at the address of a lost one.
@@ -134,6 +143,7 @@
 type Manager struct {
 	opts           Options
 	metrics        *metrics
+	admission      *admission.Manager
 	requestSerial  atomic.Uint64
 	heldCount      atomic.Int64 // requests that wait for rules or upstreams
 	streamReleases pacer        // of held streams
@@ -146,7 +156,9 @@
 // New returns a Manager.
 func New(opts Options) *Manager {
 	opts.Log = opts.Log.WithField("part", "forward")
-	return &Manager{opts: opts, metrics: newMetrics(), promptSearches: map[string]*promptSearch{}}
+	m := &Manager{opts: opts, metrics: newMetrics(), promptSearches: map[string]*promptSearch{}}
+	m.admission = m.newAdmission()
+	return m
 }
 
 // Submit starts forwarding a request. The returned function reports that the
@@ -174,6 +186,7 @@
 	route         model.HostRoute
 	service       model.BackendService
 	organisation  model.OrganisationID
+	priority      int       // 0 is the most urgent
 	revision      uint64    // of the rules that chose the route
 	deadline      time.Time // for the answer; zero means none
 	deadlineTimer *worker.Timer
@@ -195,6 +208,9 @@
 	brokenUpstreams    []model.UpstreamID    // upstreams whose connections broke before an answer
 	pendingCrashChecks int                   // checks whether one of brokenUpstreams crashed
 
+	entering  bool      // waits for a place or its refusal
+	entry     int       // number of the newest request for a place
+	admitted  bool      // has a place
 	held      bool      // counted in Manager.heldCount
 	holdUntil time.Time // end of the hold; zero if there was none
 }
@@ -217,6 +233,7 @@
 	}
 	r.route, r.organisation = admitted.Route, admitted.Organisation
 	r.service, r.revision = admitted.Service, current.Rules.Revision
+	r.priority = current.Priority(r.organisation, r.route)
 	r.deadline = Deadline(r.req, r.route)
 	r.tried = map[model.UpstreamID]bool{}
 	r.inFlight = map[int]*attempt{}
@@ -224,6 +241,7 @@
 		return
 	}
 	r.m.opts.Budget.CountRequest(r.service.Name)
+	r.m.opts.Demand.RecordArrival(r.service.Name, time.Now())
 	if !r.deadline.IsZero() {
 		r.deadlineTimer = r.m.opts.Pool.After(time.Until(r.deadline), r.key, worker.Func(r.handleDeadline))
 	}
@@ -258,7 +276,7 @@
 	if r.ended {
 		return
 	}
-	r.endUnanswered(refuseBusy(r.service.Name), refuseDeadline())
+	r.endUnanswered(r.busyRefusal(), refuseDeadline())
 }
 
 // endUnanswered ends a request that gets no more time. An upstream's error answer is
@@ -317,6 +335,7 @@
 		r.discardRequestedCopy(a)
 		r.endAttempt(a)
 	}
+	r.leaveAdmission()
 	r.m.running.remove(r)
 	took := time.Since(r.req.Arrived)
 	r.m.metrics.countRequest(r.route, outcome, took)
--- a/internal/coordination/forward/hold.go
+++ b/internal/coordination/forward/hold.go
@@ -31,6 +31,7 @@
 // hold calls retry after holdCheckInterval, or refuses the request if its hold
 // time is over.
 func (r *activeRequest) hold(retry func(), refusal *model.Refusal) {
+	r.leaveAdmission()
 	now := time.Now()
 	if r.holdUntil.IsZero() {
 		if !r.beginHold() {
--- a/internal/coordination/forward/hold_test.go
+++ b/internal/coordination/forward/hold_test.go
@@ -19,12 +19,13 @@
 		b.m.opts.Rules = table
 		stream, _ := b.submit("/log/1")
 		call, _ := b.submit("/book/1")
-		b.advance(time.Second)
+		b.advance(600 * time.Millisecond)
 		assert.Equal(t, len(b.sent()), 0)
 		assert.Assert(t, stream.refused == nil && call.refused == nil)
 		table.Apply(testRules())
-		b.advance(2 * holdCheckInterval)
+		b.advance(2 * holdCheckInterval) // the route of the call ends at 800 ms
 		assert.Equal(t, len(b.sent()), 2)
+		assert.Assert(t, stream.refused == nil && call.refused == nil)
 		assert.Equal(t, b.m.heldCount.Load(), int64(0))
 	})
 }
--- a/internal/coordination/forward/metrics.go
+++ b/internal/coordination/forward/metrics.go
@@ -26,6 +26,7 @@
 	pauses        metric.Int64Counter
 	pauseRefusals metric.Int64Counter
 	aborted       metric.Int64Counter
+	turnedAway    metric.Int64Counter
 }
 
 // newMetrics returns the instruments. Creating an instrument fails only for an
@@ -46,6 +47,7 @@
 	m.pauses, _ = meter.Int64Counter("forward_pauses", metric.WithDescription("Pauses that upstreams asked for, by service."))
 	m.pauseRefusals, _ = meter.Int64Counter("forward_pause_refusals", metric.WithDescription("Requests refused because all upstreams had asked for a pause, by service."))
 	m.aborted, _ = meter.Int64Counter("forward_streams_aborted", metric.WithDescription("Streams that had begun and were aborted, by service and cause."))
+	m.turnedAway, _ = meter.Int64Counter("forward_waits_again", metric.WithDescription("Calls that wait again after upstreams turned them away without running them, by service."))
 	return m
 }
 
@@ -53,6 +55,10 @@
 	m.aborted.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
 }
 
+func (m *metrics) countTurnedAway(service string) {
+	m.turnedAway.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 func (m *metrics) countPause(service string) {
 	m.pauses.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
--- a/internal/coordination/forward/pause.go
+++ b/internal/coordination/forward/pause.go
@@ -88,6 +88,7 @@
 		})
 		return true
 	}
+	r.leaveAdmission()
 	r.m.opts.Pool.After(min(end.Sub(now), holdCheckInterval), r.key, worker.Func(func() {
 		if !r.ended {
 			retry()
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -108,6 +108,7 @@
 	copyOnRequest   bool           // the holder gets copies on request, not as the stream grows
 	copyHandle      string         // of the newest copy made on request
 	work            commitment.Work
+	reservedTokens  int // counted in the service's demand
 	copyWork        commitment.Work
 	started         time.Time
 	lastSeen        time.Time
@@ -120,6 +121,7 @@
 	eventCount      int      // events that this attempt delivered
 	staleEvents     int      // events of this attempt that the caller had already
 	lastStale       Position // highest position among them
+	ran             bool     // the upstream answered the request
 	outcomeRecorded bool     // the outcome has been recorded
 	returnSlot      bool     // counted at an upstream that returns from a pause
 	silenceTimer    *worker.Timer
@@ -146,6 +148,8 @@
 	r.m.opts.Upstreams.Acquire(a.upstream.ID, a.started)
 	r.takeReturnSlot(a)
 	r.m.opts.Commitments.Add(a.upstream.ID, a.work)
+	a.reservedTokens = a.work.MemoryTokens
+	r.m.opts.Demand.RecordStart(r.service.Name, a.reservedTokens)
 	if a.copyHolder.ID != "" {
 		r.m.opts.Commitments.Add(a.copyHolder.ID, a.copyWork)
 	}
@@ -167,6 +171,11 @@
 	r.endReturnSlot(a, false)
 	r.m.opts.Upstreams.Release(a.upstream.ID)
 	r.m.opts.Commitments.Remove(a.upstream.ID, a.work)
+	held := time.Duration(0) // unknown unless the upstream ran the whole request
+	if a.ran {
+		held = time.Since(a.started)
+	}
+	r.m.opts.Demand.RecordEnd(r.service.Name, a.reservedTokens, held)
 	if a.copyHolder.ID != "" {
 		r.m.opts.Commitments.Remove(a.copyHolder.ID, a.copyWork)
 	}
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -72,12 +72,20 @@
 		r.settleStream()
 		return
 	}
+	if !r.admitted {
+		r.enter(r.placeStream)
+		return
+	}
 	demand := r.demand()
 	choice, ok := r.m.pickEngine(r, demand)
 	if !ok {
 		r.waitForEngine()
 		return
 	}
+	if !fitsMemory(r.service.Engine, choice.load, r.neededMemory()) {
+		r.waitForMemory()
+		return
+	}
 	if r.held && !choice.promptCached && time.Now().Before(r.holdUntil) && !r.m.mayReleaseStream(demand.prefillTokens, choice.engineCount) {
 		r.recheckHeldStream()
 		return
@@ -235,6 +243,7 @@
 		return
 	}
 	r.discardRequestedCopy(a)
+	a.ran = true
 	r.endAttempt(a)
 	r.response.end(a.status, a.header)
 	r.finish("answered", a.status)
@@ -304,6 +313,7 @@
 // waitForEngine tries to place the stream again after replaceInterval, also at
 // engines that were tried before, which may have restarted by then.
 func (r *activeRequest) waitForEngine() {
+	r.leaveAdmission()
 	now := time.Now()
 	if r.executions == 0 && r.m.allLeave(r, now) {
 		r.hold(r.placeStream, refuseNoUpstream(r.service.Name, r.req))
@@ -322,9 +332,29 @@
 	r.m.opts.Pool.After(replaceInterval, r.key, worker.Func(r.placeStream))
 }
 
+// waitForMemory has a stream that fits into no engine wait for room again. It enters the
+// queue after a pause: another stream took the memory a moment ago, and this instance may
+// not know all of the work yet.
+func (r *activeRequest) waitForMemory() {
+	r.leaveAdmission()
+	if r.endUnplaced(time.Now()) {
+		return
+	}
+	r.m.opts.Pool.After(roomCheckInterval, r.key, worker.Func(r.placeStream))
+}
+
 // endUnplaced ends a stream that has neither an event nor an engine and has waited for as
 // long as it may, and reports whether it did.
 func (r *activeRequest) endUnplaced(now time.Time) bool {
+	if r.response.begun || now.Sub(r.req.Arrived) < r.placementLimit() {
+		return false
+	}
+	r.settleStream()
+	return true
+}
+
+// placementLimit returns how long a stream without an event waits for an engine.
+func (r *activeRequest) placementLimit() time.Duration {
 	objective := r.route.Objective
 	if objective == 0 {
 		objective = defaultObjective
@@ -333,11 +363,7 @@
 	if !r.req.Deadline.IsZero() {
 		limit = min(limit, time.Duration(maxPlacementShare*float64(r.req.Deadline.Sub(r.req.Arrived))))
 	}
-	if r.response.begun || now.Sub(r.req.Arrived) < limit {
-		return false
-	}
-	r.settleStream()
-	return true
+	return limit
 }
 
 // settleStream ends a stream that cannot continue.
@@ -346,7 +372,7 @@
 	case r.hasLastFailure && !r.response.begun:
 		r.deliver(r.lastFailure)
 	case r.executions == 0:
-		r.refuse(refuseBusy(r.service.Name))
+		r.refuse(r.busyRefusal())
 	default:
 		r.refuse(refuseUnknown("its stream broke"))
 	}
--- /dev/null
+++ b/internal/coordination/forward/wait_test.go
@@ -0,0 +1,240 @@
+package forward
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/capacity"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
+	"gotest.tools/v3/assert"
+)
+
+// callCapacity is the number of calls that the harness's six upstreams of 8 slots take,
+// with one queued beside each slot.
+const callCapacity = 6 * 8 * (1 + queuedPerSlot)
+
+// answerCall answers the newest call as the upstream does after the given time.
+func (b *harness) answer(s *fakeSend, after time.Duration) {
+	b.advance(after)
+	s.Answered(Answer{Status: 200})
+	synctest.Wait()
+}
+
+// fillCalls starts as many calls as run at once, and has one end after 40 ms, so that the
+// time that a call takes is known.
+func (b *harness) fillCalls() {
+	b.submit("/read/1")
+	b.answer(b.lastSend(), 40*time.Millisecond)
+	for range callCapacity {
+		b.submit("/read/1")
+	}
+	assert.Equal(b.t, len(b.sent()), 1+callCapacity)
+}
+
+// Guards against calm load that is delayed or refused: while the upstreams have free slots
+// and memory, each request is sent at the moment of its arrival, whatever the others are.
+func TestCalmLoadIsSentAtOnce(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		start := time.Now()
+		var replies []*fakeReply
+		for i := range 24 {
+			for _, path := range []string{"/read/1", "/book/1", "/log/1", "/tell/1"} {
+				if i%4 == 0 || path[1] == 'r' || path[1] == 'b' {
+					reply, _ := b.submit(path)
+					replies = append(replies, reply)
+				}
+			}
+		}
+		assert.Equal(t, len(b.sent()), len(replies))
+		assert.Equal(t, time.Since(start), time.Duration(0))
+		for _, reply := range replies {
+			assert.Assert(t, reply.refused == nil)
+		}
+	})
+}
+
+// Guards against a service that looks full because its upstreams do not report slots, an
+// input is missing, or stale work of other instances is counted for calls.
+func TestMissingInputsNeverMakeAServiceFull(t *testing.T) {
+	row := upstream.Row{Upstream: model.Upstream{ID: "u"}}
+	assert.Assert(t, !localRoom([]upstream.Row{row}, nil).Known)
+	assert.Assert(t, !localRoom(nil, nil).Known)
+	withHarness(t, func(b *harness) {
+		stale := map[model.UpstreamID]commitment.Work{}
+		for _, r := range b.upstreams.Serving("desk") {
+			stale[r.Upstream.ID] = commitment.Work{Requests: 1000}
+		}
+		b.m.opts.Commitments.SetRemote("other", stale, time.Now())
+		b.submit("/read/1")
+		assert.Equal(t, len(b.sent()), 1)
+		b.upstreams.Configure(nil)
+		assert.Equal(t, b.m.supplyOf("desk").Slots, admission.Unlimited)
+	})
+	assert.Equal(t, capacityFrom(capacity.Room{Known: true, Slots: -50, Share: 1}, 0, 6), 1, "one request must always run")
+	assert.Equal(t, capacityFrom(capacity.Room{Known: true, Slots: 10, Share: 0.5}, 3, 0), 8)
+	assert.Assert(t, math.IsInf(localRoom(nil, nil).MemoryTokens, 1))
+}
+
+// Guards against calls that are sent to a full service, and against a call that waits on
+// although a slot became free.
+func TestCallWaitsForASlot(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.fillCalls()
+		reply, _ := b.submit("/book/1")
+		assert.Equal(t, len(b.sent()), 1+callCapacity)
+		assert.Assert(t, reply.refused == nil)
+		assert.Equal(t, b.m.opts.Demand.Local(time.Now())["desk"].Waiting, 1)
+		b.answer(b.sent()[1], 10*time.Millisecond)
+		assert.Equal(t, len(b.sent()), 2+callCapacity)
+		b.lastSend().Answered(Answer{Status: 200})
+		synctest.Wait()
+		assert.Equal(t, reply.answer.Status, 200)
+		assert.Equal(t, b.m.opts.Demand.Local(time.Now())["desk"].Waiting, 0)
+	})
+}
+
+// Guards against a caller that waits in vain: one whose call cannot end in time is refused
+// at once as not run, and told to return within a third of its time.
+func TestCallThatCannotEndInTimeIsRefusedAtOnce(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.fillCalls()
+		req := b.request("/book/1")
+		req.Deadline = time.Now().Add(30 * time.Millisecond) // a call takes 40 ms
+		at := time.Now()
+		reply := b.submitRequest(req)
+		assert.Equal(t, reply.refused.Code, admission.CodeDeadlineUnmet)
+		assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun)
+		assert.Assert(t, reply.refused.RetryAfter > 0 && reply.refused.RetryAfter <= 10*time.Millisecond, "%v", reply.refused.RetryAfter)
+		assert.Equal(t, reply.refusedAt, at)
+	})
+}
+
+// Guards against a place that is kept for a caller that left, whether it waited or ran.
+func TestCallerThatLeavesFreesItsPlace(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.fillCalls()
+		_, leaveWaiting := b.submit("/book/1")
+		second, leaveSecond := b.submit("/book/1")
+		leaveWaiting()
+		synctest.Wait()
+		assert.Equal(t, b.m.opts.Demand.Local(time.Now())["desk"].Waiting, 1)
+		b.answer(b.sent()[1], 0)
+		assert.Equal(t, len(b.sent()), 2+callCapacity, "the second call runs in place of the one that left")
+		third, _ := b.submit("/book/1")
+		leaveSecond()
+		synctest.Wait()
+		assert.Equal(t, len(b.sent()), 3+callCapacity, "the running call's place is free at once")
+		assert.Assert(t, second.refused == nil && third.refused == nil)
+	})
+}
+
+// Guards against a call that runs twice because several attempts of a caller carry one ID,
+// or because it waited: each attempt that is not repeatable is sent once at most.
+func TestNonRepeatableCallThatWaitedRunsOnce(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.fillCalls()
+		var replies []*fakeReply
+		for range 2 {
+			req := b.request("/book/1")
+			req.ID = "same"
+			replies = append(replies, b.submitRequest(req))
+		}
+		for i, reply := range replies {
+			assert.Assert(t, reply.refused == nil, "attempt %d: %v", i, reply.refused)
+		}
+		b.answer(b.sent()[1], 0)
+		b.lastSend().Lost("reset", "reset by the upstream", true)
+		synctest.Wait()
+		assert.Equal(t, replies[0].refused.Code, codeUnknownOutcome)
+		booked := 0
+		for _, s := range b.sent() {
+			if s.Request.ID == "same" {
+				booked++
+			}
+		}
+		assert.Equal(t, booked, 2, "the lost attempt was not sent again; its place went to the second one")
+	})
+}
+
+// Guards against a call that is refused although its upstreams only turned it away, and
+// against one that waits for longer than it has.
+func TestTurnedAwayCallWaitsAgain(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.budget.usedUp.Store(true)
+		reply, _ := b.submit("/book/1")
+		b.lastSend().Answered(Answer{Status: 503, NotRun: true})
+		synctest.Wait()
+		assert.Assert(t, reply.refused == nil, "%v", reply.refused)
+		b.advance(50 * time.Millisecond)
+		assert.Equal(t, len(b.sent()), 1, "the shared budget bounds further sends")
+		b.budget.usedUp.Store(false)
+		b.advance(50 * time.Millisecond)
+		assert.Equal(t, len(b.sent()), 2)
+		b.budget.usedUp.Store(true)
+		b.lastSend().Answered(Answer{Status: 503, NotRun: true})
+		b.advance(time.Second)
+		assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun)
+		assert.Assert(t, !reply.refusedAt.After(time.Now().Add(-200*time.Millisecond)))
+	})
+}
+
+// Guards against a stream that is sent to an engine without memory for it, and against
+// a new stream that takes the memory before one whose caller already has events.
+func TestStreamWaitsForMemory(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		full := map[model.UpstreamID]commitment.Work{}
+		for _, r := range b.upstreams.Serving("engine") {
+			full[r.Upstream.ID] = commitment.Work{Requests: 8, MemoryTokens: 45000}
+		}
+		b.m.opts.Commitments.SetRemote("other", full, time.Now())
+		fresh, _ := b.submit("/log/1")
+		begun := b.request("/log/2")
+		begun.LastPosition = 7
+		b.submitRequest(begun)
+		assert.Equal(t, len(b.sent()), 0)
+		full["engine-a0"] = commitment.Work{Requests: 7, MemoryTokens: 39000} // room for one
+		b.m.opts.Commitments.SetRemote("other", full, time.Now())
+		b.advance(2 * roomCheckInterval)
+		assert.Equal(t, len(b.sent()), 1)
+		assert.Equal(t, b.lastSend().Request.ID, begun.ID)
+		assert.Equal(t, b.lastSend().Upstream.ID, model.UpstreamID("engine-a0"))
+		assert.Assert(t, fresh.refused == nil)
+	})
+}
+
+// Guards against an order of waiting by arrival: the priority goes first, that of the
+// organisation before that of the route, and then the earlier deadline.
+func TestMoreUrgentCallsGoFirst(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		urgent := 0
+		current := testRules()
+		current.Revision++
+		for i := range current.Routes {
+			current.Routes[i].Priority = 3
+		}
+		current.Holders = append(current.Holders, model.KeyHolder{Organisation: "first", Keys: []string{"urgent"}, Priority: &urgent})
+		b.m.opts.Rules.Apply(current)
+		b.fillCalls()
+		var order []model.RequestID
+		for i, within := range []time.Duration{700, 600, 700} {
+			req := b.request("/book/1")
+			req.ID = model.RequestID(fmt.Sprint("w", i))
+			req.Deadline = time.Now().Add(within * time.Millisecond)
+			if i == 2 {
+				req.Credential = "urgent"
+			}
+			b.submitRequest(req)
+		}
+		for i := range 3 {
+			b.answer(b.sent()[1+i], time.Millisecond)
+			order = append(order, b.lastSend().Request.ID)
+		}
+		assert.DeepEqual(t, order, []model.RequestID{"w2", "w1", "w0"})
+	})
+}
