forward, admission: a small share leaves room for one request; further tests

Cause: with hundreds of instances a share of the free room is below one request, and rounding down makes a request wait while there is room. Change: the share is rounded up; upstreams that are then full turn the request away and it waits. Tests for streams that arrive at one moment, paced refusals of every cause, and entries that outlive an earlier one.

--- a/internal/coordination/admission/room_test.go
+++ b/internal/coordination/admission/room_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 	"gotest.tools/v3/assert"
@@ -116,3 +119,33 @@
 	markFull(q, 30*time.Millisecond, now)
 	assert.Equal(t, p.limit(q, now), 1)
 }
+
+// Guards against a request that is refused at the deadline of an earlier entry, although it
+// entered again with a later one, and against a place given back twice.
+func TestEarlierEntryDoesNotEndALaterOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := worker.NewPool(worker.Options{Workers: 2})
+		defer pool.Close()
+		var mu sync.Mutex
+		var codes []string
+		m := New(Options{Pool: pool, Organisations: organisation.NewTable(), Capacity: func(string) int { return 0 }})
+		enter := func(within time.Duration) {
+			m.Enter(Request{ID: "r", Serves: "s", Priority: model.PriorityInteractive, Deadline: time.Now().Add(within)}, func(r *model.Refusal) {
+				mu.Lock()
+				defer mu.Unlock()
+				codes = append(codes, r.Code)
+			})
+			synctest.Wait()
+		}
+		enter(time.Second)
+		m.Return("r")
+		m.Return("r")
+		enter(3 * time.Second)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, codes, []string{CodeCancelled})
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.DeepEqual(t, codes, []string{CodeCancelled, CodeDeadlineUnmet})
+	})
+}
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -133,10 +133,11 @@
 
 // capacityFrom returns the number of requests that this instance may have in flight, from
 // those that it has and the room for more. At least one may run: its outcome shows whether
-// an estimate of a full service is right.
+// an estimate of a full service is right. While there is room, one more may run however small
+// this instance's share of it is, since the share is an estimate.
 func capacityFrom(room capacity.Room, own, queueing int) int {
 	free := room.Share * (room.Slots + float64(queuedPerSlot*queueing))
-	return max(own+int(math.Floor(max(free, 0))), 1)
+	return max(own+int(math.Ceil(max(free, 0))), 1)
 }
 
 // localRoom returns the free slots beside the given work. The work of other instances counts
--- a/internal/coordination/forward/wait_test.go
+++ b/internal/coordination/forward/wait_test.go
@@ -78,6 +78,7 @@
 	})
 	assert.Equal(t, capacityFrom(capacity.Room{Known: true, Slots: -50, Share: 1}, 0, 6), 1, "one request must always run")
 	assert.Equal(t, capacityFrom(capacity.Room{Known: true, Slots: 10, Share: 0.5}, 3, 0), 8)
+	assert.Equal(t, capacityFrom(capacity.Room{Known: true, Slots: 10, Share: 0.01}, 3, 0), 4, "one more runs while there is room")
 	assert.Assert(t, math.IsInf(localRoom(nil, nil).MemoryTokens, 1))
 }
 
@@ -238,3 +239,51 @@
 		assert.DeepEqual(t, order, []model.RequestID{"w2", "w1", "w0"})
 	})
 }
+
+// Guards against memory of an engine that is given to several streams which arrive at one
+// moment.
+func TestStreamsOfOneMomentShareTheMemoryLeft(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		work := map[model.UpstreamID]commitment.Work{}
+		for _, r := range b.upstreams.Serving("engine") {
+			work[r.Upstream.ID] = commitment.Work{Requests: 8, MemoryTokens: 45000}
+		}
+		work["engine-b1"] = commitment.Work{Requests: 6, MemoryTokens: 37000} // room for two of 5800
+		b.m.opts.Commitments.SetRemote("other", work, time.Now())
+		for range 5 {
+			b.m.Submit(b.request("/log/1"), &fakeReply{})
+		}
+		synctest.Wait()
+		assert.Equal(t, len(b.sent()), 2)
+		for _, s := range b.sent() {
+			assert.Equal(t, s.Upstream.ID, model.UpstreamID("engine-b1"))
+		}
+		assert.Equal(t, b.m.opts.Demand.Local(time.Now())["engine"].Waiting, 3)
+	})
+}
+
+// Guards against a refusal that sends its caller back after more than a third of the time
+// that the caller has left, whatever the cause of the refusal is.
+func TestEachRefusalForLackOfRoomIsPaced(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.budget.usedUp.Store(true)
+		var replies []*fakeReply
+		deadline := time.Now().Add(20 * time.Second) // the route ends after 800 ms
+		for range 3 {
+			req := b.request("/book/1")
+			req.Deadline = deadline
+			replies = append(replies, b.submitRequest(req))
+			b.lastSend().Answered(Answer{Status: 503, NotRun: true})
+			synctest.Wait()
+		}
+		b.advance(time.Second)
+		returns := map[time.Time]bool{}
+		for _, reply := range replies {
+			assert.Equal(t, reply.refused.Outcome, model.OutcomeNotRun)
+			left := deadline.Sub(reply.refusedAt)
+			assert.Check(t, reply.refused.RetryAfter > 0 && reply.refused.RetryAfter <= left/3, "%v of %v", reply.refused.RetryAfter, left)
+			returns[reply.refusedAt.Add(reply.refused.RetryAfter)] = true
+		}
+		assert.Equal(t, len(returns), len(replies), "callers return at the same moment: %v", returns)
+	})
+}
