admission: the test of a repeated entry reads its results under the lock

Cause: the race detector reports a read beside the worker's write in TestEarlierEntryDoesNotEndALaterOne. Change: the test copies the codes under the mutex.

--- a/internal/coordination/admission/room_test.go
+++ b/internal/coordination/admission/room_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -137,15 +138,20 @@
 			})
 			synctest.Wait()
 		}
+		decided := func() []string {
+			mu.Lock()
+			defer mu.Unlock()
+			return slices.Clone(codes)
+		}
 		enter(time.Second)
 		m.Return("r")
 		m.Return("r")
 		enter(3 * time.Second)
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		assert.DeepEqual(t, codes, []string{CodeCancelled})
+		assert.DeepEqual(t, decided(), []string{CodeCancelled})
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
-		assert.DeepEqual(t, codes, []string{CodeCancelled, CodeDeadlineUnmet})
+		assert.DeepEqual(t, decided(), []string{CodeCancelled, CodeDeadlineUnmet})
 	})
 }
