--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -25,6 +25,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
@@ -152,11 +153,12 @@
 		Outcomes:         outcomes,
 		Moves:            moves,
 		Suspects:         suspects,
+		Organisations:    organisation.NewTable(),
+		Demand:           demands,
 		Sender:           e.client,
 		Budget:           budgets,
 		FailureDomain:    s.FailureDomain,
 		FailureDomains:   s.FailureDomains,
-		Demand:           demands,
 		CellMembers:      e.countOtherMembers,
 		OtherCells:       func() int { return len(e.cell.OtherFirsts()) },
 		PrefersEngine:    e.cell.Prefers,
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -18,12 +18,14 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/demand"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/location"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/move"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/outcome"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
@@ -107,13 +109,14 @@
 	Outcomes      *outcome.Table
 	Moves         *move.Table
 	Suspects      *suspect.Table
+	Organisations *organisation.Table // requests that wait for room
+	Demand        *demand.Table
 	Sender        Sender
 	Budget        Budget
 	FailureDomain model.FailureDomain // of this instance
 	// FailureDomains is the number of failure domains that the settings name. With fewer
 	// than two, no shares of work that leaves the domain are planned.
 	FailureDomains int
-	Demand         *demand.Table
 	// CellMembers returns the number of other live instances of the cell, and OtherCells the
 	// number of other cells that have one.
 	CellMembers func() int
@@ -143,6 +146,8 @@
 type Manager struct {
 	opts           Options
 	metrics        *metrics
+	admission      *admission.Manager
+	supplies       supplyCache
 	requestSerial  atomic.Uint64
 	heldCount      atomic.Int64 // requests that wait for rules or upstreams
 	streamReleases pacer        // of held streams
@@ -156,7 +161,9 @@
 // New returns a Manager.
 func New(opts Options) *Manager {
 	opts.Log = opts.Log.WithField("part", "forward")
-	return &Manager{opts: opts, metrics: newMetrics(), promptSearches: map[string]*promptSearch{}}
+	m := &Manager{opts: opts, metrics: newMetrics(), promptSearches: map[string]*promptSearch{}}
+	m.admission = m.newAdmission()
+	return m
 }
 
 // Submit starts forwarding a request. The returned function reports that the
@@ -184,6 +191,7 @@
 	route         model.HostRoute
 	service       model.BackendService
 	organisation  model.OrganisationID
+	priority      int       // 0 is the most urgent
 	revision      uint64    // of the rules that chose the route
 	deadline      time.Time // for the answer; zero means none
 	deadlineTimer *worker.Timer
@@ -205,6 +213,9 @@
 	brokenUpstreams    []model.UpstreamID    // upstreams whose connections broke before an answer
 	pendingCrashChecks int                   // checks whether one of brokenUpstreams crashed
 
+	entering  bool      // waits for a place or its refusal
+	entry     int       // number of the newest request for a place
+	admitted  bool      // has a place
 	held      bool      // counted in Manager.heldCount
 	holdUntil time.Time // end of the hold; zero if there was none
 }
@@ -227,6 +238,7 @@
 	}
 	r.route, r.organisation = admitted.Route, admitted.Organisation
 	r.service, r.revision = admitted.Service, current.Rules.Revision
+	r.priority = current.Priority(r.organisation, r.route)
 	r.deadline = Deadline(r.req, r.route)
 	r.tried = map[model.UpstreamID]bool{}
 	r.inFlight = map[int]*attempt{}
@@ -234,6 +246,7 @@
 		return
 	}
 	r.m.opts.Budget.CountRequest(r.service.Name)
+	r.m.opts.Demand.RecordArrival(r.service.Name, time.Now())
 	if !r.deadline.IsZero() {
 		r.deadlineTimer = r.m.opts.Pool.After(time.Until(r.deadline), r.key, worker.Func(r.handleDeadline))
 	}
@@ -268,7 +281,7 @@
 	if r.ended {
 		return
 	}
-	r.endUnanswered(refuseBusy(r.service.Name), refuseDeadline())
+	r.endUnanswered(r.busyRefusal(), refuseDeadline())
 }
 
 // endUnanswered ends a request that gets no more time. An upstream's error answer is
@@ -327,6 +340,7 @@
 		r.discardRequestedCopy(a)
 		r.endAttempt(a)
 	}
+	r.leaveAdmission()
 	r.m.running.remove(r)
 	took := time.Since(r.req.Arrived)
 	r.m.metrics.countRequest(r.route, outcome, took)
--- a/internal/coordination/forward/metrics.go
+++ b/internal/coordination/forward/metrics.go
@@ -28,6 +28,7 @@
 	aborted       metric.Int64Counter
 	domainShare   metric.Float64Gauge
 	leftDomain    metric.Int64Counter
+	turnedAway    metric.Int64Counter
 }
 
 // newMetrics returns the instruments. Creating an instrument fails only for an
@@ -50,6 +51,7 @@
 	m.aborted, _ = meter.Int64Counter("forward_streams_aborted", metric.WithDescription("Streams that had begun and were aborted, by service and cause."))
 	m.domainShare, _ = meter.Float64Gauge("forward_domain_share", metric.WithDescription("Share of a service's new work that is sent to another failure domain."))
 	m.leftDomain, _ = meter.Int64Counter("forward_left_domain", metric.WithDescription("Placements in another failure domain, by service, domain and reason."))
+	m.turnedAway, _ = meter.Int64Counter("forward_waits_again", metric.WithDescription("Calls that wait again after upstreams turned them away without running them, by service."))
 	return m
 }
 
@@ -65,6 +67,10 @@
 	m.aborted.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", cause)))
 }
 
+func (m *metrics) countTurnedAway(service string) {
+	m.turnedAway.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
+}
+
 func (m *metrics) countPause(service string) {
 	m.pauses.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service)))
 }
