backend: a refusal with a malformed body is a loss

Cause: readAnswer turned a marked refusal into a loss only for ErrBroken. Faults that net/http finds in a body, such as a malformed chunk, are not ErrBroken, so bytes that are no answer counted as "not run", and the request could be sent again.

Change: a refusal whose body cannot be read whole counts only if the body was cut (io.ErrUnexpectedEOF) or is larger than the limits of size or memory. Any other error is LossTruncated. ReadAll returns no part of a body with an error; the test now checks that none is passed on.

--- a/internal/transport/backend/broken_test.go
+++ b/internal/transport/backend/broken_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/forwardwire"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
@@ -147,3 +149,45 @@
 		client.Close()
 	}
 }
+
+// Guards against a request that counts as not run by a refusal whose body is no body, and
+// against sound refusals that no longer count because their body is cut or too large.
+func TestRefusalsWithBrokenBodies(t *testing.T) {
+	const marked = "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nX-Req: r1\r\n"
+	const chunked = marked + "Transfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		answer string
+		notRun bool
+	}{
+		"size of a chunk is no number": {chunked + "4\r\nfull\r\nzz\r\n", false},
+		"chunk without a line end":     {chunked + "4\r\nfullfull\r\n0\r\n\r\n", false},
+		"size of a chunk is too long":  {chunked + "00000000000000001\r\nf\r\n0\r\n\r\n", false},
+		"trailer without a colon":      {chunked + "4\r\nfull\r\n0\r\nxyz\r\n\r\n", false},
+		"cut within its length":        {marked + "Content-Length: 40\r\n\r\nfull", true},
+		"cut between chunks":           {chunked + "4\r\nfull\r\n", true},
+		"larger than an answer may be": {marked + "\r\n" + strings.Repeat("a", maxAnswerBytes+1), true},
+		"whole, with a length":         {marked + "Content-Length: 4\r\n\r\nfull", true},
+		"whole, in chunks":             {chunked + "4\r\nfull\r\n0\r\n\r\n", true},
+	} {
+		for _, stream := range []bool{false, true} {
+			client := keptClient()
+			s := callTo(startUpstream(t, rawhttp.Text(c.answer)).Address(), "r1")
+			s.Stream, s.ReuseConnection = stream, false
+			got := sendConnected(client, s)
+			client.Close()
+			if !c.notRun {
+				assert.Check(t, got.loss == continuation.LossTruncated && got.sent, "%s, stream: %t: %+v", name, stream, got)
+				continue
+			}
+			if got.answer == nil || !got.answer.NotRun {
+				t.Errorf("%s, stream: %t: loss %q", name, stream, got.loss)
+				continue
+			}
+			want := ""
+			if strings.HasPrefix(name, "whole") {
+				want = "full"
+			}
+			assert.Check(t, string(got.answer.Body) == want, "%s, stream: %t: %d bytes", name, stream, len(got.answer.Body))
+		}
+	}
+}
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -194,11 +194,11 @@
 	reserved := c.memory.Reserve()
 	defer reserved.Release()
 	var answer io.Reader = in.Body
-	if !verdict.NotRun { // the head of a refusal is enough, unless the answer is broken
+	if !verdict.NotRun { // the head of a refusal is enough, unless its body is malformed
 		answer = c.body(ctx, s, in)
 	}
 	body, err := reserved.ReadAll(answer, maxAnswerBytes)
-	if err != nil && (!verdict.NotRun || errors.Is(err, keptconn.ErrBroken)) {
+	if err != nil && (!verdict.NotRun || !isShortened(err)) {
 		receiver.Lost(continuation.LossTruncated, err.Error(), true)
 		return
 	}
@@ -213,6 +213,15 @@
 	})
 }
 
+// isShortened reports whether the bytes of a body that could not be read whole were sound:
+// it was cut, or is larger than the limits of size or memory allow.
+func isShortened(err error) bool {
+	if errors.Is(err, keptconn.ErrBroken) { // it may wrap the errors below
+		return false
+	}
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, answerlimit.ErrTooLarge) || errors.Is(err, answerlimit.ErrBudget)
+}
+
 // lossOf returns the kind of loss: a failed connection attempt, an answer to another
 // request, a timeout, a broken answer, or a broken connection.
 func lossOf(err error, sent bool) continuation.Loss {
