keptconn: requests of unknown length are refused

Cause: Conn recognises the last write of a request by the length of its body. For a body of unknown length it relied on a hook that runs after the last write, and did not wait for that write, so that a sound answer without a length could count as broken.

Change: Exchange returns an error for a request with a body of unknown length, and closes the body; the hook is removed. callerclient.Call sent a call without a body as one of unknown length, and now sends none.

Measured: TestRequestsOfUnknownLengthAreRefused failed before (no error) and passes now, as does the new TestCallsMayHaveNoBody.

--- a/internal/transport/callerclient/broken_test.go
+++ b/internal/transport/callerclient/broken_test.go
@@ -34,3 +34,13 @@
 		assert.NilError(t, s.Close())
 	}
 }
+
+// Guards against a call without a body that is refused as one of unknown length.
+func TestCallsMayHaveNoBody(t *testing.T) {
+	s, err := rawhttp.Start(rawhttp.Text("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+	assert.NilError(t, err)
+	defer func() { _ = s.Close() }()
+	got, err := New("", s.Address()).Call(t.Context(), s.Address(), "/call", "", nil)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Body, "ok")
+}
--- a/internal/transport/callerclient/call.go
+++ b/internal/transport/callerclient/call.go
@@ -20,11 +20,14 @@
 // Call sends one POST request to a service path at the given address, without
 // retries.
 func (c *Client) Call(ctx context.Context, address, path, key string, body []byte) (Reply, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, io.NopCloser(bytes.NewReader(body)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, nil)
 	if err != nil {
 		return Reply{}, fmt.Errorf("build request: %w", err)
 	}
-	req.ContentLength = int64(len(body))
+	if len(body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		req.ContentLength = int64(len(body))
+	}
 	c.setHeaders(req)
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
--- a/internal/transport/keptconn/conn.go
+++ b/internal/transport/keptconn/conn.go
@@ -39,7 +39,7 @@
 )
 
 // unknownLength stands for a body whose end net/http finds: it is chunked, or ends with the
-// connection.
+// connection. Requests have no such body.
 const unknownLength = -1
 
 // Conn is a connection that hands on the bytes of an answer only after its head has been
@@ -67,7 +67,7 @@
 
 	unwritten bool          // no byte of the current request was given to a write
 	matched   int           // bytes of the blank line after the request's head that were written
-	bodyRest  int64         // bytes of the request's body that were not given to a write, or unknownLength
+	bodyRest  int64         // bytes of the request's body that were not given to a write
 	writing   bool          // a write is under way
 	failed    bool          // a write has failed
 	settled   chan struct{} // closed when the write under way returns; nil if none waits for it
@@ -84,13 +84,6 @@
 	}
 }
 
-// wroteBody notes that a body of unknown length was written.
-func (c *Conn) wroteBody() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.bodyRest = 0
-}
-
 // answersEarly reports whether the answer that the transport begins to read was received
 // before the current request was written.
 func (c *Conn) answersEarly() bool {
@@ -143,7 +136,7 @@
 			break
 		}
 	}
-	if c.matched == len(blankLine) && c.bodyRest != unknownLength {
+	if c.matched == len(blankLine) {
 		c.bodyRest -= int64(len(p))
 	}
 }
--- a/internal/transport/keptconn/keptconn.go
+++ b/internal/transport/keptconn/keptconn.go
@@ -24,6 +24,10 @@
 // belongs to another request.
 var ErrEarlyAnswer = errors.New("the answer arrived before the request was sent")
 
+// errUnknownLength means that the end of a request's body cannot be recognised in the bytes
+// that are written.
+var errUnknownLength = errors.New("the request has a body of unknown length")
+
 // Transport is an http.Transport that returns ErrBroken for what is no answer, and ErrEarlyAnswer for early answers on kept
 // connections. On a new connection, such an answer can belong to no other request.
 type Transport struct{ http *http.Transport }
@@ -63,20 +67,19 @@
 	return resp, err
 }
 
-// Exchange is RoundTrip. It also returns how the request used its connection.
+// Exchange is RoundTrip. It also returns how the request used its connection. A request with
+// a body needs its ContentLength.
 func (t *Transport) Exchange(req *http.Request) (*http.Response, *Use, error) {
 	use := &Use{}
+	length := bodyLength(req)
+	if length == unknownLength {
+		_ = req.Body.Close() // as RoundTrip must; the body is not used
+		return nil, use, errUnknownLength
+	}
 	trace := &httptrace.ClientTrace{
-		GotConn:              func(info httptrace.GotConnInfo) { use.gotConn(info, req) },
+		GotConn:              func(info httptrace.GotConnInfo) { use.gotConn(info, req.Method, length) },
 		GotFirstResponseByte: use.gotFirstByte,
 	}
-	if bodyLength(req) == unknownLength {
-		trace.WroteRequest = func(info httptrace.WroteRequestInfo) {
-			if c := use.conn.Load(); c != nil && info.Err == nil {
-				c.wroteBody()
-			}
-		}
-	}
 	resp, err := t.http.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, use, use.cause(req.Context(), err)
@@ -108,9 +111,9 @@
 	early atomic.Bool
 }
 
-func (u *Use) gotConn(info httptrace.GotConnInfo, req *http.Request) {
+func (u *Use) gotConn(info httptrace.GotConnInfo, method string, length int64) {
 	c := info.Conn.(*Conn) // opened by the function of wrap
-	c.begin(req.Method == http.MethodHead, bodyLength(req))
+	c.begin(method == http.MethodHead, length)
 	u.kept.Store(c.requests.Load() > 1)
 	u.conn.Store(c)
 }
--- a/internal/transport/keptconn/keptconn_test.go
+++ b/internal/transport/keptconn/keptconn_test.go
@@ -86,3 +86,33 @@
 	transport.CloseIdleConnections()
 	assert.NilError(t, post(t, transport, r, func() { r.repeat(t, 2) }))
 }
+
+// closeRecorder is a request body that records that it was closed.
+type closeRecorder struct {
+	io.Reader
+	closed bool
+}
+
+func (c *closeRecorder) Close() error {
+	c.closed = true
+	return nil
+}
+
+// Guards against requests whose last write cannot be recognised: a sound answer without a
+// length to them could be rejected.
+func TestRequestsOfUnknownLengthAreRefused(t *testing.T) {
+	r := startRepeater(t)
+	transport := New(&http.Transport{})
+	defer transport.CloseIdleConnections()
+	for _, length := range []int64{0, -1} {
+		body := &closeRecorder{Reader: strings.NewReader("body")}
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+r.Address()+"/", body)
+		assert.NilError(t, err)
+		req.ContentLength = length
+		_, use, err := transport.Exchange(req)
+		assert.ErrorIs(t, err, errUnknownLength)
+		assert.Assert(t, !use.Sent())
+		assert.Assert(t, body.closed)
+	}
+	assert.Equal(t, r.Connections(), int32(0))
+}
