keptconn: held bytes of a head are not copied at each read

Cause: accept copied the held part of a head whole at every read, also when it was already in a buffer of the connection.

Change: only bytes in the reader's buffer are copied. Later ones are appended.

--- a/internal/transport/keptconn/conn.go
+++ b/internal/transport/keptconn/conn.go
@@ -1,6 +1,7 @@
 package keptconn
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -213,14 +214,17 @@
 	if !c.began {
 		c.began, c.early = true, c.unwritten
 	}
-	data := p
+	data, owned := p, false
 	if len(c.held) > 0 {
-		data = append(c.held, p...)
+		data, owned = append(c.held, p...), true
 		c.held = nil
 	}
 	n, err := c.takeHeads(data)
 	if n < len(data) && err == nil {
-		c.held = append([]byte(nil), data[n:]...)
+		c.held = data[n:]
+		if !owned { // the reader uses its buffer again
+			c.held = bytes.Clone(c.held)
+		}
 	}
 	if n == 0 && err == nil {
 		return 0, nil, false
--- a/internal/transport/keptconn/conn_test.go
+++ b/internal/transport/keptconn/conn_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -159,3 +160,34 @@
 		})
 	}
 }
+
+// byteConn is a connection from which each read returns one byte.
+type byteConn struct {
+	net.Conn
+	text *strings.Reader
+}
+
+func (c byteConn) Read(p []byte) (int, error) { return c.text.Read(p[:1]) }
+
+// Guards against a head whose held part is copied at each read: a head of 64 KiB in parts
+// of one byte took 2 GB.
+func TestHeadInSmallPartsTakesLittleMemory(t *testing.T) {
+	text := "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-Long: "+strings.Repeat("a", 1000)+"\r\n", 60) + "\r\n"
+	assert.Assert(t, len(text) <= answerlimit.MaxHeadBytes)
+	c := &Conn{Conn: byteConn{text: strings.NewReader(text)}}
+	c.begin(false, 0)
+	got, buffer := make([]byte, 0, len(text)), make([]byte, 4096)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for len(got) < len(text) {
+		n, err := c.Read(buffer)
+		assert.NilError(t, err)
+		got = append(got, buffer[:n]...)
+	}
+	runtime.ReadMemStats(&after)
+	assert.Equal(t, string(got), text)
+	// A buffer that grows by a quarter when it is full takes five times its final size.
+	taken := after.TotalAlloc - before.TotalAlloc
+	t.Logf("%d bytes for a head of %d", taken, len(text))
+	assert.Assert(t, taken <= 16*answerlimit.MaxHeadBytes, "%d bytes", taken)
+}
