engine: a broken answer is LossTruncated

Cause: lossOf and lossOfStatus returned LossReset for a broken answer, which concerns all streams of an engine, where backend returns LossTruncated.

Change: ErrBroken is LossTruncated in both functions.

Measured: TestBrokenHeadsAreNoBrokenConnections failed before and passes now.

--- a/internal/transport/engine/broken_test.go
+++ b/internal/transport/engine/broken_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"errors"
+	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/order"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/relay"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/keptconn"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/standin/rawhttp"
 	"gotest.tools/v3/assert"
 )
@@ -87,3 +91,15 @@
 		}
 	}
 }
+
+// Guards against a broken answer of a live engine that counts as a broken connection, which
+// concerns all streams of the engine.
+func TestBrokenHeadsAreNoBrokenConnections(t *testing.T) {
+	broken := fmt.Errorf("read: %w", keptconn.ErrBroken)
+	assert.Equal(t, lossOf(broken), continuation.LossTruncated)
+	assert.Equal(t, lossOf(io.ErrUnexpectedEOF), continuation.LossReset)
+	for err, want := range map[error]continuation.Loss{broken: continuation.LossTruncated, io.ErrUnexpectedEOF: continuation.LossReset} {
+		kind, _ := lossOfStatus(&http.Response{StatusCode: http.StatusServiceUnavailable, Body: io.NopCloser(iotest.ErrReader(err))})
+		assert.Equal(t, kind, want, "%v", err)
+	}
+}
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -249,8 +249,8 @@
 	return func() { timer.Stop() }
 }
 
-// lossOf returns the kind of loss: a failed connection attempt, a timeout, or a
-// broken connection.
+// lossOf returns the kind of loss: a failed connection attempt, a timeout, a broken
+// answer, or a broken connection.
 func lossOf(err error) continuation.Loss {
 	var op *net.OpError
 	if errors.Is(err, syscall.ECONNREFUSED) || (errors.As(err, &op) && op.Op == "dial") {
@@ -259,12 +259,18 @@
 	if errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		return continuation.LossSilence
 	}
+	if errors.Is(err, keptconn.ErrBroken) { // the engine is alive: a failed request, and no failed connection
+		return continuation.LossTruncated
+	}
 	return continuation.LossReset
 }
 
 func lossOfStatus(resp *http.Response) (continuation.Loss, continuation.Detail) {
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
-	if err != nil { // a refusal that is not whole decides nothing
+	switch {
+	case errors.Is(err, keptconn.ErrBroken):
+		return continuation.LossTruncated, continuation.Detail{Cause: err.Error()}
+	case err != nil:
 		return continuation.LossReset, continuation.Detail{Cause: err.Error()}
 	}
 	detail := continuation.Detail{Cause: fmt.Sprintf("status %d", resp.StatusCode)}
