engine: refusals of more than 4 KiB do not decide

Cause: the reader of a refusal stopped at 4 KiB, so that a longer one decided (LossBusy, LossNoStream and others) although its rest could be broken.

Change: a refusal of more than 4 KiB is LossStatus, which decides nothing about the request or the stream.

Measured: TestLongRefusalsAreUndecided failed before for each of five statuses and passes now.

--- a/internal/transport/engine/broken_test.go
+++ b/internal/transport/engine/broken_test.go
@@ -103,3 +103,20 @@
 		assert.Equal(t, kind, want, "%v", err)
 	}
 }
+
+// Guards against a refusal that decides although it was not read to its end, where it may
+// be broken.
+func TestLongRefusalsAreUndecided(t *testing.T) {
+	for status, whole := range map[int]continuation.Loss{
+		400: continuation.LossRejected, 404: continuation.LossNoStream, 409: continuation.LossVersion, 429: continuation.LossBusy, 503: continuation.LossBusy,
+	} {
+		for size, want := range map[int]continuation.Loss{maxErrorBytes: whole, maxErrorBytes + 1: continuation.LossStatus, 2 * maxErrorBytes: continuation.LossStatus} {
+			body := strings.NewReader(strings.Repeat("a", size))
+			kind, _ := lossOfStatus(&http.Response{StatusCode: status, Body: io.NopCloser(body)})
+			assert.Check(t, kind == want, "%d with %d bytes: %s", status, size, kind)
+		}
+		cut := io.MultiReader(strings.NewReader(strings.Repeat("a", maxErrorBytes)), iotest.ErrReader(keptconn.ErrBroken))
+		kind, _ := lossOfStatus(&http.Response{StatusCode: status, Body: io.NopCloser(cut)})
+		assert.Check(t, kind == continuation.LossTruncated, "%d, broken at the limit: %s", status, kind)
+	}
+}
--- a/internal/transport/engine/client.go
+++ b/internal/transport/engine/client.go
@@ -265,13 +265,17 @@
 	return continuation.LossReset
 }
 
+// lossOfStatus returns the kind of loss of an answer with a status other than 200. Only a
+// refusal that was read to its end decides: the rest of a longer one may be broken.
 func lossOfStatus(resp *http.Response) (continuation.Loss, continuation.Detail) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes+1))
 	switch {
 	case errors.Is(err, keptconn.ErrBroken):
 		return continuation.LossTruncated, continuation.Detail{Cause: err.Error()}
 	case err != nil:
 		return continuation.LossReset, continuation.Detail{Cause: err.Error()}
+	case len(body) > maxErrorBytes:
+		return continuation.LossStatus, continuation.Detail{Cause: fmt.Sprintf("status %d with more than %d bytes", resp.StatusCode, maxErrorBytes)}
 	}
 	detail := continuation.Detail{Cause: fmt.Sprintf("status %d", resp.StatusCode)}
 	var reply engineapi.ErrorReply
