keptconn: doc comment of Transport

Cause: the comment could only be understood on a second reading.

Change: it names the two errors and their cases in plain words. No behaviour changes.

--- a/internal/transport/keptconn/keptconn.go
+++ b/internal/transport/keptconn/keptconn.go
@@ -28,8 +28,9 @@
 // that are written.
 var errUnknownLength = errors.New("the request has a body of unknown length")
 
-// Transport is an http.Transport that returns ErrBroken for what is no answer, and ErrEarlyAnswer for early answers on kept
-// connections. On a new connection, such an answer can belong to no other request.
+// Transport is an http.Transport that returns ErrBroken for bytes that are not an answer,
+// and ErrEarlyAnswer for an early answer on a kept connection. On a new connection, such an
+// answer can belong to no other request.
 type Transport struct{ http *http.Transport }
 
 // New returns a Transport that sends with t. For https, t needs a DialTLSContext. Requests
