--- a/internal/protocol/problem/codes.go
+++ b/internal/protocol/problem/codes.go
@@ -38,6 +38,7 @@
 	CodeDeadlineUnmet           = "deadline_unmet"
 	CodeContinuationUnavailable = "continuation_unavailable"
 	CodeDeadlineExceeded        = "deadline_exceeded"
+	CodeInstanceFull            = "instance_full"
 )
 
 // statusCallerLeft is not a registered HTTP status. HTTP servers commonly log it for
@@ -72,6 +73,7 @@
 	CodeNoEngine:                http.StatusServiceUnavailable,
 	CodeNoUpstream:              http.StatusServiceUnavailable,
 	CodeUpstreamsPaused:         http.StatusServiceUnavailable,
+	CodeInstanceFull:            http.StatusServiceUnavailable,
 	CodeEndsUpstreams:           http.StatusServiceUnavailable,
 	CodeUpstreamUnreachable:     http.StatusServiceUnavailable,
 	CodeClaimsUnavailable:       http.StatusServiceUnavailable,
--- a/internal/state/model/forwarding.go
+++ b/internal/state/model/forwarding.go
@@ -54,7 +54,10 @@
 
 // CallerLimits bound what a caller may send.
 type CallerLimits struct {
-	BodyBytes int64 // zero means no limit is given
+	BodyBytes   int64         // zero means no limit is given, also below
+	HeaderBytes int64         // of the head of a request
+	HeaderTime  time.Duration // from the first byte of a head to its end
+	IdleTime    time.Duration // of a connection between two requests
 }
 
 // RoutingRules say how requests are forwarded. They are replaced as a whole.
