callerlimit, ingress, edge: one budget of memory and a bound on connections for callers

Cause: heads, bodies and answers of any number of callers were kept without a common bound, and so were connections; the servers of readiness, addresses and metrics had no limits for heads.

Change: a listener counts the bytes and lines of each head before net/http parses them, and reserves memory for them in a budget of 15% of limits.memoryMb. Bodies are counted as they arrive and until the request ends, answers until their caller has read them. Without memory a request is refused with 503 instance_full before it runs, or its connection is closed where the head was not read. Connections are bounded by memory and limits.maxFds; the longest idle one gives way. Refusals are counted and logged once in 10 s for each cause. Without the two settings nothing is bounded. The garbage collector gets a soft limit of 60% of the memory.

--- a/cmd/edged/main.go
+++ b/cmd/edged/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -25,6 +26,11 @@
 // target size.
 const floodLimit = 1200
 
+// collectorPercent of the machine's memory is the size from which the garbage collector
+// works harder. It bounds nothing: callerlimit does. The rest is for the program's code and
+// for what the collector does not count.
+const collectorPercent = 60
+
 type commandLine struct {
 	Settings    string `arg:"" optional:"" env:"SEQUOIAVALVE_BOOT" help:"Settings file of the platform." type:"path"`
 	MetricsPort int    `help:"TCP port of /metrics; 0 means none." default:"0"`
@@ -48,6 +54,9 @@
 	if err != nil || cli.CheckConfig {
 		return err
 	}
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(s.MemoryBytes / 100 * collectorPercent)
+	}
 	tel, err := telemetry.Setup(telemetry.Options{
 		Process:       "edged",
 		Instance:      string(s.Instance),
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -29,6 +29,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/backend"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/edgelink"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/ingress"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
@@ -73,6 +74,7 @@
 	peerLink  *peer.Server
 	forward   *forward.Manager
 	ingress   *ingress.Server
+	limits    *callerlimit.Guard
 	draining  atomic.Bool
 }
 
@@ -89,6 +91,7 @@
 		store:     platform.NewStore(s.Store, logger),
 		client:    backend.New(platform.HeaderNames(), platform.EngineAPI()),
 	}
+	e.limits = callerlimit.New(callerlimit.Options{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Log: logger})
 	e.cell = cell.NewTracker(e.instances, s.Instance)
 	identity, err := peer.NewPinned(string(s.Instance), e.trustsFingerprint)
 	if err != nil {
@@ -168,6 +171,7 @@
 		Names:   platform.HeaderNames(),
 		Forward: e.forward,
 		Rules:   e.rules,
+		Limits:  e.limits,
 		Log:     logger,
 	})
 	return e, nil
--- a/internal/transport/ingress/disconnect_test.go
+++ b/internal/transport/ingress/disconnect_test.go
@@ -30,6 +30,7 @@
 		Rules:   table,
 		Log:     logger,
 	})
+	assert.NilError(t, s.listen())
 	endpoint, err := s.http.Endpoint()
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -12,6 +11,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callerlimit"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
 )
@@ -24,6 +24,7 @@
 type responsePart struct {
 	head    *responseHead
 	raw     []byte
+	memory  int64 // bytes that the part keeps from being freed
 	refusal *model.Refusal
 	end     bool   // this is the last part
 	abort   bool   // reset the connection, so that the response does not look complete
@@ -36,7 +37,11 @@
 	causeNoHead     = "a part was to be sent before the head"
 )
 
-const causeSlowCaller = "the caller reads too slowly"
+const (
+	causeSlowCaller = "the caller reads too slowly"
+	causeNoMemory   = "no memory is left for what the caller has not read"
+	causeEnded      = "the response has ended"
+)
 
 // abortPart returns the part that aborts the response for a cause decided here.
 func abortPart(cause string) responsePart {
@@ -64,8 +69,9 @@
 
 	mu          sync.Mutex
 	parts       []responsePart
-	queuedBytes int  // bytes of raw in parts
-	overflowed  bool // the queue exceeded maxQueuedBytes; further parts are dropped
+	queuedBytes int    // bytes of raw in parts
+	reserved    int64  // bytes of the budget for parts that are queued or being written
+	overflow    string // why the queue is cut; further parts are dropped; empty means it is not
 }
 
 func newExchange(s *Server, w http.ResponseWriter, id model.RequestID) *exchange {
@@ -74,7 +80,7 @@
 
 // Answer implements forward.Reply.
 func (x *exchange) Answer(a forward.Answer) {
-	x.push(responsePart{head: &responseHead{a.Status, a.Header, len(a.Body)}, raw: a.Body, end: true})
+	x.push(responsePart{head: &responseHead{a.Status, a.Header, len(a.Body)}, raw: a.Body, memory: int64(cap(a.Body)), end: true})
 }
 
 // Begin implements forward.Reply.
@@ -83,7 +89,7 @@
 }
 
 // Events implements forward.Reply.
-func (x *exchange) Events(raw []byte) { x.push(responsePart{raw: raw}) }
+func (x *exchange) Events(raw []byte) { x.push(responsePart{raw: raw, memory: int64(len(raw))}) }
 
 // End implements forward.Reply.
 func (x *exchange) End() { x.push(responsePart{end: true}) }
@@ -96,19 +102,30 @@
 
 func (x *exchange) push(s responsePart) {
 	x.mu.Lock()
-	if x.overflowed {
+	if x.overflow != "" {
 		x.mu.Unlock()
 		return
 	}
-	x.parts = append(x.parts, s)
-	x.queuedBytes += len(s.raw)
-	overflows := x.queuedBytes > maxQueuedBytes && !s.end
-	if overflows {
-		x.overflowed = true
-		x.parts = append(x.parts, abortPart(causeSlowCaller))
+	switch {
+	case !x.server.opts.Limits.Budget.Reserve(callerlimit.Answer, s.memory):
+		x.overflow = causeNoMemory
+	case x.queuedBytes+len(s.raw) > maxQueuedBytes && !s.end:
+		x.overflow = causeSlowCaller
+		x.server.opts.Limits.Budget.Release(s.memory)
+	default:
+		x.parts = append(x.parts, s)
+		x.queuedBytes += len(s.raw)
+		x.reserved += s.memory
+	}
+	cause := x.overflow
+	if cause != "" {
+		x.parts = append(x.parts, abortPart(cause))
 	}
 	x.mu.Unlock()
-	if overflows {
+	if cause == causeNoMemory {
+		x.server.opts.Limits.Count("callers", callerlimit.CauseAnswer)
+	}
+	if cause != "" {
 		// Ends a write that waits for the caller. Without support for deadlines, run
 		// aborts the response after that write.
 		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now())
@@ -119,6 +136,26 @@
 	}
 }
 
+// release gives back the memory of a part that was written.
+func (x *exchange) release(memory int64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.reserved -= memory
+	x.server.opts.Limits.Budget.Release(memory)
+}
+
+// close gives back the memory of the parts that are not written. Parts that are pushed
+// later are dropped.
+func (x *exchange) close() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.server.opts.Limits.Budget.Release(x.reserved)
+	x.reserved, x.parts = 0, nil
+	if x.overflow == "" {
+		x.overflow = causeEnded
+	}
+}
+
 func (x *exchange) take() []responsePart {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -130,6 +167,7 @@
 // run writes the queued parts until the end of the response. It reports false
 // if the caller disconnected before.
 func (x *exchange) run(r *http.Request) bool {
+	defer x.close()
 	for {
 		select {
 		case <-x.wake:
@@ -142,6 +180,7 @@
 				x.logOverflow()
 				return false
 			}
+			x.release(s.memory)
 			if s.cause != "" {
 				x.server.logCut(x.id, s.cause)
 			}
@@ -165,7 +204,8 @@
 // abortResponse ends the handler and closes the connection without the end of the body. The
 // response to an HTTP/1.0 request ends with its connection, so that connection is reset.
 func abortResponse(r *http.Request) {
-	if conn, found := r.Context().Value(connectionKey{}).(*net.TCPConn); found && !r.ProtoAtLeast(1, 1) {
+	conn, found := r.Context().Value(connectionKey{}).(interface{ SetLinger(seconds int) error })
+	if found && !r.ProtoAtLeast(1, 1) {
 		_ = conn.SetLinger(0) // a connection that fails is not taken for complete either
 	}
 	panic(http.ErrAbortHandler)
@@ -174,10 +214,10 @@
 // logOverflow logs the cut after a failed write, if the overflow of the queue ended it.
 func (x *exchange) logOverflow() {
 	x.mu.Lock()
-	overflowed := x.overflowed
+	cause := x.overflow
 	x.mu.Unlock()
-	if overflowed {
-		x.server.logCut(x.id, causeSlowCaller)
+	if cause != "" {
+		x.server.logCut(x.id, cause)
 	}
 }
 
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -6,9 +6,9 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -20,6 +20,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/rules"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -35,6 +36,8 @@
 	defaultBodyBytes   = 4 << 20
 	defaultHeaderBytes = 64 << 10
 	defaultHeaderTime  = 10 * time.Second
+	// bodyStall is the time after which a body is refused of which nothing arrives.
+	bodyStall = 30 * time.Second
 )
 
 // Options configure a Server.
@@ -43,6 +46,7 @@
 	Names   forwardwire.Names
 	Forward *forward.Manager
 	Rules   *rules.Table
+	Limits  *callerlimit.Guard // nil means no bounds on memory and connections
 	Log     log.Interface
 }
 
@@ -50,6 +54,7 @@
 type Server struct {
 	opts             Options
 	http             *kratos.Server
+	listening        bool // set by listen
 	tracer           trace.Tracer
 	cut              metric.Int64Counter       // responses that were cut
 	closeConnections atomic.Bool               // each response closes its connection
@@ -61,6 +66,9 @@
 
 // New returns a Server that does not listen yet.
 func New(opts Options) *Server {
+	if opts.Limits == nil {
+		opts.Limits = callerlimit.New(callerlimit.Options{Log: opts.Log})
+	}
 	opts.Log = opts.Log.WithField("part", "ingress")
 	s := &Server{opts: opts, tracer: otel.Tracer("sequoiavalve/ingress")}
 	// Creating an instrument fails only for an invalid name.
@@ -83,8 +91,41 @@
 	return s
 }
 
+// listen opens the listener, with the limits on callers.
+func (s *Server) listen() error {
+	if s.listening {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.opts.Address)
+	if err != nil {
+		return err
+	}
+	limited := s.opts.Limits.Protect(s.http.Server, listener, callerlimit.ServerOptions{
+		Name: "callers", Limits: s.limits, Refuse: s.refuseForMemory,
+	})
+	kratos.Listener(limited)(s.http)
+	s.listening = true
+	return nil
+}
+
+// limits returns the operator's limits on callers.
+func (s *Server) limits() model.CallerLimits {
+	if current := s.opts.Rules.Current(); current != nil {
+		return current.Limits
+	}
+	return model.CallerLimits{}
+}
+
+// refuseForMemory answers a request whose head was read without memory for it.
+func (s *Server) refuseForMemory(w http.ResponseWriter, r *http.Request) {
+	s.refuse(w, model.RequestID(r.Header.Get(s.opts.Names.Request)), callerlimit.Refusal())
+}
+
 // Start implements the kratos transport.Server interface.
 func (s *Server) Start(ctx context.Context) error {
+	if err := s.listen(); err != nil {
+		return err
+	}
 	if err := s.http.Start(ctx); !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
@@ -127,7 +168,8 @@
 	if s.closeConnections.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	req, refusal := s.decode(w, r, now)
+	req, body, refusal := s.decode(w, r, now)
+	defer body.Release()
 	if refusal != nil {
 		s.refuse(w, model.RequestID(r.Header.Get(s.opts.Names.Request)), refusal)
 		return
@@ -149,29 +191,33 @@
 	}
 }
 
-// decode reads the whole request and refuses it if it is invalid or arrives too
-// late before a stop.
-func (s *Server) decode(w http.ResponseWriter, r *http.Request, now time.Time) (*forward.Request, *model.Refusal) {
+// decode reads the whole request and refuses it if it is invalid, finds no memory or
+// arrives too late before a stop. The body is kept until it is released.
+func (s *Server) decode(w http.ResponseWriter, r *http.Request, now time.Time) (*forward.Request, *callerlimit.Kept, *model.Refusal) {
 	req, err := s.opts.Names.DecodeRequest(r.Header, now)
 	if err != nil {
-		return nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
+		return nil, nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
 	}
 	target, err := forwardwire.ParseTarget(r)
 	if err != nil {
-		return nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
+		return nil, nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
+	}
+	body, err := s.opts.Limits.ReadBody(w, r, s.bodyBytes(), bodyStall)
+	if errors.Is(err, callerlimit.ErrMemory) {
+		s.opts.Limits.Count("callers", callerlimit.CauseMemory)
 	}
-	req.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, s.bodyBytes()))
 	if err != nil {
-		return nil, bodyRefusal(err)
+		return nil, nil, bodyRefusal(err)
 	}
+	req.Body = body.Bytes
 	// A connection that closes before the whole body is read is reset, and its caller may
 	// not get the refusal.
 	if s.refusesNow(r, target.Path, req) {
-		return nil, forward.RefuseLeaving()
+		return nil, body, forward.RefuseLeaving()
 	}
 	req.Host, req.Method = hostOf(r), r.Method
 	req.Path, req.Query, req.EmptyQuery = target.Path, target.Query, target.EmptyQuery
-	return req, nil
+	return req, body, nil
 }
 
 // refusesNow reports whether a stop is so near that the request is refused.
@@ -216,5 +262,11 @@
 	if errors.As(err, &tooLarge) {
 		return &model.Refusal{Code: problem.CodeBodyTooLarge, Message: err.Error(), Outcome: model.OutcomeNotRun}
 	}
+	if errors.Is(err, callerlimit.ErrMemory) {
+		return callerlimit.Refusal()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &model.Refusal{Code: problem.CodeBodyTooSlow, Message: "Nothing of the body arrived for " + bodyStall.String() + ".", Outcome: model.OutcomeNotRun}
+	}
 	return &model.Refusal{Code: problem.CodeInvalidRequest, Message: "The body did not arrive whole.", Outcome: model.OutcomeNotRun}
 }
--- a/internal/transport/ingress/server_test.go
+++ b/internal/transport/ingress/server_test.go
@@ -44,7 +44,7 @@
 		if c.left != "" {
 			r.Header.Set("X-Left", c.left)
 		}
-		_, refusal := s.decode(httptest.NewRecorder(), r, now.Add(c.after))
+		_, _, refusal := s.decode(httptest.NewRecorder(), r, now.Add(c.after))
 		assert.Equal(t, refusal != nil && refusal.Code == problem.CodeLeaving, c.refused, "%+v", c)
 	}
 }
@@ -58,7 +58,7 @@
 	refused := func(path string) bool {
 		r := httptest.NewRequest(http.MethodPost, path, strings.NewReader(""))
 		r.Host = "h"
-		_, refusal := s.decode(httptest.NewRecorder(), r, time.Now())
+		_, _, refusal := s.decode(httptest.NewRecorder(), r, time.Now())
 		return refusal != nil && refusal.Code == problem.CodeLeaving && refusal.Outcome == model.OutcomeNotRun
 	}
 	assert.Assert(t, !refused("/log/1") && !refused("/call/1"))
