peer: bound the QUIC handshakes of unauthenticated peers

Cause: any number of senders could have a server keep connections until their handshakes ended or timed out after 1 s. Streams and windows were open only to peers with a trusted certificate already.

Change: at most 128 connections without an authenticated peer; from 64 on, senders must show that they receive at their address.

Measured: peer: TestHandshakesAreBounded. No process test plays such a flood.

--- a/internal/transport/peer/server.go
+++ b/internal/transport/peer/server.go
@@ -60,15 +60,17 @@
 
 // Server accepts connections from peers whose certificates it trusts.
 type Server struct {
-	handler  Handler
-	datagram func(from Peer, m peerwire.Message)
-	listener *quic.Listener
-	socket   net.PacketConn
-	meter    *meter
-	tracer   oteltrace.Tracer
-	ctx      context.Context
-	stop     context.CancelFunc
-	running  sync.WaitGroup
+	handler   Handler
+	datagram  func(from Peer, m peerwire.Message)
+	listener  *quic.Listener
+	transport *quic.Transport
+	pending   *handshakes
+	socket    net.PacketConn
+	meter     *meter
+	tracer    oteltrace.Tracer
+	ctx       context.Context
+	stop      context.CancelFunc
+	running   sync.WaitGroup
 }
 
 // NewServer listens and serves until Close.
@@ -86,11 +88,13 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "listen on %s: %v", o.Address, err)
 	}
-	listener, err := quic.Listen(socket, creds.serverTLS(), quicConfig(-1, IdleTimeoutWithoutKeepAlive))
+	pending := &handshakes{limit: maxHandshakes}
+	transport := &quic.Transport{Conn: socket, ConnContext: pending.begin, VerifySourceAddress: pending.verifiesAddresses}
+	listener, err := transport.Listen(creds.serverTLS(), quicConfig(-1, IdleTimeoutWithoutKeepAlive))
 	if err != nil {
-		return nil, trace.NewAggregate(err, socket.Close())
+		return nil, trace.NewAggregate(err, transport.Close(), socket.Close())
 	}
-	s := &Server{handler: h, datagram: o.Datagrams, listener: listener, socket: socket, meter: meter, tracer: o.Tracers.Tracer(instrumentationScope)}
+	s := &Server{handler: h, datagram: o.Datagrams, listener: listener, transport: transport, socket: socket, meter: meter, pending: pending, tracer: o.Tracers.Tracer(instrumentationScope)}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	s.running.Go(s.accept)
 	return s, nil
@@ -105,7 +109,7 @@
 // Close ends all connections and waits for the handlers.
 func (s *Server) Close() error {
 	s.stop()
-	err := trace.NewAggregate(s.listener.Close(), s.socket.Close())
+	err := trace.NewAggregate(s.listener.Close(), s.transport.Close(), s.socket.Close())
 	s.running.Wait()
 	return err
 }
@@ -116,6 +120,7 @@
 		if err != nil {
 			return
 		}
+		s.pending.done(conn.Context())
 		s.meter.watch(conn)
 		s.running.Go(func() { s.serveConn(conn) })
 	}
