callerserver, debugserver: limits on callers of entryd and controld

Cause: their connections, bodies and heads had limits of their own and no common one.

Plain HTTP on a TLS address is answered as before.

No process test plays a crowd at entryd or controld.

--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"container/list"
+	"crypto/tls"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -115,6 +117,7 @@
 	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
+		answerPlainHTTP(err)
 		return n, err
 	}
 	cause := c.received(p[:n])
@@ -130,11 +133,25 @@
 	return 0, net.ErrClosed
 }
 
+// answerPlainHTTP answers a caller that sent plain HTTP to a listener with TLS, as net/http
+// does on connections that it knows to have TLS.
+func answerPlainHTTP(err error) {
+	var record tls.RecordHeaderError
+	if !errors.As(err, &record) || record.Conn == nil {
+		return
+	}
+	switch string(record.RecordHeader[:]) {
+	case "GET /", "HEAD ", "POST ", "PUT /", "OPTIO":
+		_ = record.Conn.SetWriteDeadline(time.Now().Add(time.Second))
+		_, _ = io.WriteString(record.Conn, "HTTP/1.0 400 Bad Request\r\n\r\nThis address serves HTTPS only.\n")
+	}
+}
+
 func (c *conn) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.idleDeadlines = 0
-	c.setReadDeadline()
+	_ = c.setReadDeadline() // fails only on a closed connection, which the read reports
 	return c.phase != phaseClosed
 }
 
@@ -146,11 +163,12 @@
 	if begins {
 		c.beginHead()
 	}
-	switch {
-	case c.phase == phaseClosed:
+	switch c.phase {
+	case phaseClosed:
 		cause = CauseIdle
-	case c.phase == phaseHead:
+	case phaseHead:
 		cause = c.countHead(p)
+	case phaseIdle, phaseRequest:
 	}
 	c.mu.Unlock()
 	if begins {
--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -223,6 +223,9 @@
 	// No memory for a head: a small one is refused, a large one is closed.
 	g.Budget.Release(all)
 	all = g.Budget.limit / 4 * shares[Head]
+	for g.Budget.Used() != 0 { // the last request ends after its answer
+		time.Sleep(time.Millisecond)
+	}
 	assert.Assert(t, g.Budget.Reserve(Head, all))
 	defer g.Budget.Release(all)
 	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
--- a/internal/transport/callerserver/generate.go
+++ b/internal/transport/callerserver/generate.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -13,6 +12,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/openai"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel/trace"
 )
@@ -92,12 +92,16 @@
 
 // readBody reads the request body within the limits of size and time.
 func (s *Server) readBody(x *exchange) ([]byte, *model.Refusal) {
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, s.opts.MaxBodyBytes))
+	body, err := s.opts.Limits.ReadBody(x.w, x.r, s.opts.MaxBodyBytes, 0)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case err == nil:
 		s.clearBodyDeadline(x)
-		return body, nil
+		x.body = body
+		return body.Bytes, nil
+	case errors.Is(err, callerlimit.ErrMemory):
+		s.opts.Limits.Count("callers", callerlimit.CauseMemory)
+		return nil, callerlimit.Refusal()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, &model.Refusal{
 			Code:    problem.CodeBodyTooSlow,
--- a/internal/transport/callerserver/server.go
+++ b/internal/transport/callerserver/server.go
@@ -7,7 +7,9 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -20,6 +22,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/bearer"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tracecontext"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
@@ -42,25 +45,31 @@
 	MaxBodyBytes  int64
 	HeaderTimeout time.Duration // time limit for the arrival of a request header
 	BodyTimeout   time.Duration // time limit for the arrival of a body after its header
-	Log           log.Interface
+	// Limits bounds the memory and the connections of callers; nil means the defaults of a
+	// process whose settings do not name its machine's.
+	Limits *callerlimit.Guard
+	Log    log.Interface
 }
 
 // Server is the HTTP server for callers.
 type Server struct {
-	opts    Options
-	http    *kratos.Server
-	tracer  trace.Tracer
-	leaving atomic.Bool
+	opts      Options
+	http      *kratos.Server
+	tracer    trace.Tracer
+	leaving   atomic.Bool
+	listening bool // set by listen
 }
 
 // New returns a Server that does not listen yet.
 func New(opts Options) *Server {
+	if opts.Limits == nil {
+		opts.Limits = callerlimit.ForProcess(opts.Log)
+	}
 	opts.Log = opts.Log.WithField("part", "callers")
 	s := &Server{opts: opts, tracer: otel.Tracer("sequoiavalve/callers")}
 	s.http = kratos.NewServer(
 		kratos.Address(opts.Address),
 		kratos.Timeout(0), // streams run for minutes
-		kratos.TLSConfig(opts.TLS),
 	)
 	s.setLimits()
 	s.http.HandleFunc("/v1/chat/completions", s.withCaller("chat.completions", s.completion(true)))
@@ -98,8 +107,28 @@
 	s.http.Protocols.SetHTTP1(true)
 }
 
+// listen opens the listener, with the limits on callers.
+func (s *Server) listen() error {
+	if s.listening {
+		return nil
+	}
+	listener, err := net.Listen("tcp", s.opts.Address)
+	if err != nil {
+		return err
+	}
+	kratos.Listener(s.opts.Limits.ProtectTLS(s.http.Server, listener, s.opts.TLS, callerlimit.ServerOptions{Name: "callers"}))(s.http)
+	if s.opts.TLS != nil { // kratos does not know that the listener has TLS
+		kratos.Endpoint(&url.URL{Scheme: "https", Host: listener.Addr().String()})(s.http)
+	}
+	s.listening = true
+	return nil
+}
+
 // Start implements the kratos transport.Server interface.
 func (s *Server) Start(ctx context.Context) error {
+	if err := s.listen(); err != nil {
+		return err
+	}
 	err := s.http.Start(ctx)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -123,6 +152,7 @@
 	w            http.ResponseWriter
 	r            *http.Request
 	id           model.RequestID
+	body         *callerlimit.Kept // nil until it is read
 	organisation model.OrganisationID
 }
 
@@ -150,6 +180,7 @@
 func (s *Server) withRequestID(handle func(*exchange)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		x := &exchange{w: w, r: r, id: s.opts.Frontend.NewRequestID()}
+		defer func() { x.body.Release() }()
 		w.Header().Set(problem.HeaderRequestID, string(x.id))
 		s.setBodyDeadline(x)
 		handle(x)
--- a/internal/transport/callerserver/server_test.go
+++ b/internal/transport/callerserver/server_test.go
@@ -109,6 +109,7 @@
 		BodyTimeout:   bodyTime,
 		Log:           logger,
 	})
+	assert.NilError(t, s.listen())
 	address, err := s.http.Endpoint()
 	assert.NilError(t, err)
 	ended := make(chan error, 1)
--- a/internal/transport/debugserver/server.go
+++ b/internal/transport/debugserver/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/debugapi"
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/settings"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/tlsfiles"
 )
 
@@ -24,6 +25,7 @@
 	writeTime      = time.Minute
 	idleTime       = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
+	maxConnections = 64 // of operators and scrapers
 )
 
 // Server serves the debug API and the metrics on an address of their own.
@@ -53,10 +55,8 @@
 	mux.Handle("/metrics", metrics)
 	mux.Handle(debugapi.Prefix, debug)
 	s := &Server{
-		listener: listener,
 		http: &http.Server{
 			Handler:           mux,
-			TLSConfig:         config,
 			ReadHeaderTimeout: headerTime,
 			ReadTimeout:       readTime,
 			WriteTimeout:      writeTime,
@@ -64,16 +64,15 @@
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
 	}
+	s.listener = callerlimit.ForProcess(logger).ProtectTLS(s.http, listener, config, callerlimit.ServerOptions{
+		Name: "debug", MaxConnections: maxConnections, AlwaysServe: true,
+	})
 	s.running.Go(func() { s.serve(logger) })
 	return s, nil
 }
 
 func (s *Server) serve(logger log.Interface) {
-	serve := s.http.Serve
-	if s.http.TLSConfig != nil {
-		serve = func(l net.Listener) error { return s.http.ServeTLS(l, "", "") }
-	}
-	if err := serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
 		logger.WithField("part", "debug").WithError(err).Error("debug server failed")
 	}
 }
