callerlimit: callers get the answer to a head over the limit

Cause: on a connection that is used again, the listener closed at a limit that net/http reaches only a buffer later, and its close reset the connection.

Change: the slack is 8 KiB, and the connection lingers for 500 ms after 431.

--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -30,8 +30,13 @@
 	// get a refusal instead of a closed connection.
 	smallHeadBytes = 4 << 10
 	smallHeadLines = 64
-	// headSlack is added to the limit of a head, as net/http does.
-	headSlack = 4 << 10
+	// headSlack is added to the limit of a head. net/http adds 4 KiB, and has up to a
+	// buffer of a later head on a connection before its own limit applies.
+	headSlack = 4<<10 + bufferBytes
+	// lingerTime and lingerBytes bound what is read after a head over the limit, so that
+	// its caller gets the answer: a connection that closes with unread bytes is reset.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
 	// stallTime bounds the time in which a caller takes nothing of writeBytes.
 	stallTime  = 30 * time.Second
 	writeBytes = 64 << 10
@@ -126,13 +131,19 @@
 	}
 	c.listener.guard.Count(c.listener.opts.Name, cause)
 	if cause == CauseHeadSize {
-		_ = c.Conn.SetWriteDeadline(time.Now().Add(time.Second))
-		_, _ = io.WriteString(c.Conn, headTooLarge)
+		c.answerTooLarge()
 	}
 	_ = c.Close()
 	return 0, net.ErrClosed
 }
 
+func (c *conn) answerTooLarge() {
+	_ = c.Conn.SetDeadline(time.Now().Add(lingerTime))
+	_, _ = io.WriteString(c.Conn, headTooLarge)
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+}
+
 // answerPlainHTTP answers a caller that sent plain HTTP to a listener with TLS, as net/http
 // does on connections that it knows to have TLS.
 func answerPlainHTTP(err error) {
