--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -31,6 +31,7 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/suspect"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/backend"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/callerlimit"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/edgelink"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/ingress"
 	"github.com/sequoiavalve/sequoiavalve/internal/transport/peer"
@@ -75,6 +76,7 @@
 	peerLink  *peer.Server
 	forward   *forward.Manager
 	ingress   *ingress.Server
+	limits    *callerlimit.Guard
 	draining  atomic.Bool
 }
 
@@ -91,6 +93,7 @@
 		store:     platform.NewStore(s.Store, logger),
 		client:    backend.New(platform.HeaderNames(), platform.EngineAPI()),
 	}
+	e.limits = callerlimit.New(callerlimit.Options{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Log: logger})
 	e.cell = cell.NewTracker(e.instances, s.Instance)
 	identity, err := peer.NewPinned(string(s.Instance), e.trustsFingerprint)
 	if err != nil {
@@ -177,6 +180,7 @@
 		Names:   platform.HeaderNames(),
 		Forward: e.forward,
 		Rules:   e.rules,
+		Limits:  e.limits,
 		Log:     logger,
 	})
 	return e, nil
