registry: a revision without an era does not count after a restore

A reader of an earlier build sends no era. One that has not noticed a restore sends a revision of the earlier history, which counted as one of the present era. It raised the position, and own reads of the restored store were dropped as stale until the store reached that revision.

Once a restore is known, only the age of such a delta decides: one read before the restore was learned of is passed over, a later one is applied, and neither raises the position.

TestDeltaOfAnEarlierBuildIsJudgedByItsAgeAfterARestore fails without the change and passes with it.

--- a/internal/coordination/registry/era_test.go
+++ b/internal/coordination/registry/era_test.go
@@ -151,7 +151,9 @@
 
 	assert.Assert(t, !m.isOlder(Delta{Revision: 21}, now))
 	assert.Assert(t, m.isOlder(Delta{Revision: 19}, now))
-	assert.Equal(t, m.position(Delta{Revision: 21}), Position{4, 21})
+	position, known := m.position(Delta{Revision: 21})
+	assert.Assert(t, known)
+	assert.Equal(t, position, Position{4, 21})
 	assert.Assert(t, m.isOlder(Delta{Era: 3, Revision: 900}, now))
 	assert.Assert(t, !m.isOlder(Delta{Era: 5, Revision: 1}, now))
 }
@@ -226,3 +228,36 @@
 		assert.Assert(t, w.hasRow("a"))
 	})
 }
+
+// Guards against a reader of an earlier build that has not noticed a restore: its revision, of
+// the earlier history, made own reads of the restored store count as stale.
+func TestDeltaOfAnEarlierBuildIsJudgedByItsAgeAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMember(newStoreContent(), fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+		defer m.pool.Close()
+		apply := func(delta Delta) (older bool) {
+			m.pool.Post(keyEntries, worker.Func(func() {
+				older = m.isOlder(delta, time.Now())
+				m.applyDelta(delta, model.Instance{ID: "a"})
+			}))
+			synctest.Wait()
+			return older
+		}
+		m.noticeEra(1, "store")
+		m.noticeEra(2, "store")
+		synctest.Wait()
+		m.entries.position = Position{2, 810}
+		time.Sleep(time.Second)
+		delta := Delta{Revision: 1000, Changed: []Entry{entryOf("u1", false, 1)}}
+		assert.Assert(t, !apply(delta), "read after the restore")
+		assert.Equal(t, m.entries.position, Position{2, 810})
+		delta.Ages.Entries = 1100 * time.Millisecond
+		assert.Assert(t, apply(delta), "read before the restore")
+		m.pool.Post(keyEntries, worker.Func(func() {
+			m.applyEntries(Entries{Era: 2, Revision: 811, Changed: []Entry{entryOf("u2", false, 1)}})
+		}))
+		synctest.Wait()
+		assert.Equal(t, m.entries.position, Position{2, 811})
+		assert.Assert(t, m.has("u2"), "the own read was dropped as stale")
+	})
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -182,19 +182,24 @@
 
 // isOlder reports whether what is known here about the entries is newer than the delta.
 func (m *Manager) isOlder(delta Delta, now time.Time) bool {
-	if delta.Revision == 0 {
-		return delta.Snapshot && now.Add(-delta.Ages.Entries).Before(m.entries.readAt)
+	if position, known := m.position(delta); known {
+		return position.Before(m.entries.position)
 	}
-	return m.position(delta).Before(m.entries.position)
+	read := now.Add(-delta.Ages.Entries)
+	return read.Before(m.entries.restoredAt) || delta.Snapshot && read.Before(m.entries.readAt)
 }
 
-// position returns the position of a delta. One of an earlier build, which knows no eras,
-// counts as one of the present era.
-func (m *Manager) position(delta Delta) Position {
-	if delta.Era == 0 {
-		return Position{m.entries.position.Era, delta.Revision}
-	}
-	return Position{delta.Era, delta.Revision}
+// position returns the position of a delta, and false if only its age tells how new it is. A
+// revision of an earlier build, which knows no eras, counts as one of the present era until a
+// restore is known: its sender may not have noticed the restore.
+func (m *Manager) position(delta Delta) (p Position, known bool) {
+	switch {
+	case delta.Revision == 0, delta.Era == 0 && m.entries.restoredEra > 0:
+		return Position{}, false
+	case delta.Era == 0:
+		return Position{m.entries.position.Era, delta.Revision}, true
+	}
+	return Position{delta.Era, delta.Revision}, true
 }
 
 // sharePosition shares the state of the store up to which the entries are complete. The changes up to
@@ -297,8 +302,8 @@
 			m.MovesChanged()
 		}
 	}
-	if delta.Revision > 0 {
-		m.entries.position = m.position(delta)
+	if position, known := m.position(delta); known {
+		m.entries.position = position
 	}
 	if len(delta.Changed) > 0 || len(delta.Removed) > 0 || delta.Snapshot {
 		m.applyChanges(Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}, removeImmediately)
