--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -202,8 +202,8 @@
 	return Position{delta.Era, delta.Revision}, true
 }
 
-// sharePosition shares the state of the store up to which the entries are complete. The changes up to
-// it must be shared already: a poll must not find the position without them.
+// sharePosition shares the state of the store up to which the entries are complete. The
+// changes up to it must be shared already: a poll must not find the position without them.
 func (m *Manager) sharePosition() {
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
