state/move: a move without an era replaces no newer one after a restore

An order without an era counted as one of the other's era. After a restore an order (era 0, revision 100) of an earlier build replaced (2, 50), and a record (0, 100) kept (2, 50) from being applied. The sequence also depended on the order of arrival: (0, 100) came after (2, 50), (2, 50) after (1, 120), and (1, 120) after (0, 100).

Once the store was restored, an order without an era is earlier than each of a known era, unless both have the same revision and target. A move that is applied without an era keeps the era that is known of its order.

--- a/internal/coordination/versions/restore.go
+++ b/internal/coordination/versions/restore.go
@@ -76,6 +76,7 @@
 // StoreRestored has the judge write the records of moves again. It may be called from any
 // goroutine.
 func (m *Manager) StoreRestored(era model.Era) {
+	m.opts.Moves.StoreRestored()
 	m.opts.Pool.Post(managerKey, worker.Func(func() {
 		m.restoredEra = max(m.restoredEra, era)
 		for _, mv := range m.movers {
--- a/internal/state/model/move.go
+++ b/internal/state/model/move.go
@@ -26,6 +26,21 @@
 	return o.inEraOf(other) && o.Revision == other.Revision
 }
 
+// AfterOnceRestored is After once a restore of the store is known. Revisions without an era may
+// be from before the restore then, so that an order without one is earlier than each order of a
+// known era.
+func (o VersionOrder) AfterOnceRestored(other VersionOrder) bool {
+	if o.Era != other.Era {
+		return o.Era > other.Era
+	}
+	return o.Revision > other.Revision
+}
+
+// IsOnceRestored is Is once a restore of the store is known: revisions are given out again then.
+func (o VersionOrder) IsOnceRestored(other VersionOrder) bool {
+	return o.Is(other) && (o.Era == other.Era || o.Target == other.Target)
+}
+
 func (o VersionOrder) inEraOf(other VersionOrder) bool {
 	return o.Era == other.Era || o.Era == 0 || other.Era == 0
 }
--- a/internal/state/move/move.go
+++ b/internal/state/move/move.go
@@ -45,10 +45,12 @@
 // Invariants: the move of a service is replaced only by one of a later order, or,
 // for the same order, of a more final state (finished, then taken back, then
 // open), or, for the same state, of a later step. Counts of a service belong to
-// its present move only.
+// its present move only. Once the store was restored, a move without an era, of an earlier
+// build, replaces one of a known era only if both are of the same order.
 type Table struct {
 	hasMoves atomic.Bool // true once a move was applied; requests need no lock before that
 	mu       lock.Mutex
+	restored bool // the store was restored from an older copy
 	moves    map[string]appliedMove
 	local    map[rowKey]VersionCounts
 	remote   map[model.InstanceID]map[rowKey]VersionCounts
@@ -70,9 +72,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, known := t.moves[m.Service]
-	if known && !supersedes(m, old.VersionMove) {
+	if known && !supersedes(m, old.VersionMove, t.restored) {
 		return false
 	}
+	if m.Era == 0 && m.Is(old.VersionOrder) {
+		m.Era = old.Era // the earlier build that sent it does not know the era of the order
+	}
 	t.moves[m.Service] = appliedMove{m, now}
 	t.hasMoves.Store(true)
 	if old.Revision != m.Revision || old.Target != m.Target {
@@ -81,8 +86,18 @@
 	return true
 }
 
-func supersedes(m, old model.VersionMove) bool {
-	if !m.Is(old.VersionOrder) {
+// StoreRestored records that the store was restored from an older copy.
+func (t *Table) StoreRestored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.restored = true
+}
+
+func supersedes(m, old model.VersionMove, restored bool) bool {
+	switch {
+	case restored && !m.IsOnceRestored(old.VersionOrder):
+		return m.AfterOnceRestored(old.VersionOrder)
+	case !m.Is(old.VersionOrder):
 		return m.After(old.VersionOrder)
 	}
 	if finality(m.State) != finality(old.State) {
