registry, platform: reads pause while the store's history is gone

Pages with and without an era, as from a store of two builds, made each whole read fail with ErrHistoryGone, and the list was read again without a pause for as long as the mix lasted. Any endless sequence of that answer did the same in all three loops: rules, entries and instances.

A read whose history is gone is repeated at once only if none was within retryInterval, otherwise after the usual pause.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -86,12 +86,13 @@
 			return
 		}
 		m.entriesFail.Store(err != nil)
-		if !errors.Is(err, ErrHistoryGone) && m.entries.record(err) {
+		repeats := m.entries.repeatsAtOnce(err, time.Now())
+		if !repeats && m.entries.record(err) {
 			m.restartRules(started)
 		}
 		wait := m.limits.entryReadInterval() - time.Since(started)
 		switch {
-		case errors.Is(err, ErrHistoryGone):
+		case repeats:
 			m.entries.readAll = true
 			wait = 0
 		case err != nil:
--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -38,6 +38,8 @@
 	// read from a revision receives each change since then.
 	changeTransferTime atomic.Int64
 	writesHang         atomic.Bool // announcements get no answer
+	changesGone        atomic.Bool // reads of changes since a revision find their history gone
+	tablesGone         atomic.Bool // reads of whole tables get the same answer
 	// announceTime is how long an announcement is queued until it takes effect, in
 	// nanoseconds.
 	announceTime atomic.Int64
@@ -73,12 +75,24 @@
 	return w.era
 }
 
+// historyGone returns the error of a read whose history is gone, after a short while.
+func (s *fakeStore) historyGone(ctx context.Context, after Revision) error {
+	if after > 0 && s.changesGone.Load() || after == 0 && s.tablesGone.Load() {
+		wait.Sleep(ctx, time.Millisecond)
+		return ErrHistoryGone
+	}
+	return nil
+}
+
 func (s *fakeStore) Published(ctx context.Context, after Revision, d time.Duration) (Published, error) {
 	s.calls.Add(1)
 	if s.staleConns.Load() {
 		defer s.CloseIdle()
 		return Published{}, hang(ctx)
 	}
+	if err := s.historyGone(ctx, after); err != nil {
+		return Published{}, err
+	}
 	if s.unreachable.Load() {
 		return Published{}, errDown
 	}
@@ -128,6 +142,9 @@
 	if s.hangs.Load() {
 		return Entries{}, hang(ctx)
 	}
+	if err := s.historyGone(ctx, after); err != nil {
+		return Entries{}, err
+	}
 	if s.unreachable.Load() {
 		return Entries{}, errDown
 	}
@@ -145,6 +162,9 @@
 
 func (s *fakeStore) Instances(ctx context.Context, after Revision, d time.Duration) (InstanceChanges, error) {
 	s.listReads.Add(1)
+	if err := s.historyGone(ctx, after); err != nil {
+		return InstanceChanges{}, err
+	}
 	if s.unreachable.Load() {
 		return InstanceChanges{}, errDown
 	}
--- a/internal/coordination/registry/instances.go
+++ b/internal/coordination/registry/instances.go
@@ -238,9 +238,12 @@
 			err = m.checkAnswer(&got.Era, since, after == 0)
 		}
 		switch {
-		case errors.Is(err, ErrHistoryGone), errors.Is(err, errNewEra):
+		case errors.Is(err, errNewEra), m.list.repeatsAtOnce(err, time.Now()):
 			m.list.after = 0
 		case err != nil:
+			if errors.Is(err, ErrHistoryGone) {
+				m.list.after = 0
+			}
 			m.list.record(err)
 			pause = m.retryWait()
 			if m.InstancesKnown() {
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -250,6 +250,18 @@
 	log         log.Interface
 	table       string
 	failedSince time.Time // time of the first of the consecutive failures; zero if the last call succeeded
+	repeatedAt  time.Time // when a read whose history was gone was last repeated at once
+}
+
+// repeatsAtOnce reports whether a read that ended with the error is repeated without a pause,
+// because its history is gone. A store that gives this answer again and again is read with
+// the pauses of a store that fails.
+func (d *outageTracker) repeatsAtOnce(err error, now time.Time) bool {
+	if !errors.Is(err, ErrHistoryGone) || now.Sub(d.repeatedAt) < retryInterval {
+		return false
+	}
+	d.repeatedAt = now
+	return true
 }
 
 // record takes the outcome of a call to the store, and reports whether it is the first one
@@ -334,7 +346,7 @@
 // connection may have fallen silent while the store answers on others.
 func (m *Manager) rulesRetryPause(firstFailure bool, err error) time.Duration {
 	silent := firstFailure && errors.Is(err, context.DeadlineExceeded)
-	if errors.Is(err, ErrHistoryGone) || silent && !m.entriesFail.Load() {
+	if m.rulesOutage.repeatsAtOnce(err, time.Now()) || silent && !m.entriesFail.Load() {
 		return 0
 	}
 	return m.readRetryPause()
