--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -168,6 +168,17 @@
 // removed: the reader has already applied the delay.
 func removeImmediately(_ model.UpstreamID, now time.Time) time.Time { return now }
 
+// deltaRemovalTime returns the removal time of entries that a delta shows as removed. A reader
+// that started after a restore does not know the entries that the restored store lacks, so that
+// its snapshot shows as removed what other instances keep for a while.
+func (s *entryState) deltaRemovalTime(snapshot bool, now time.Time) func(model.UpstreamID, time.Time) time.Time {
+	if !snapshot || !now.Before(s.restoredAt.Add(outageGrace)) {
+		return removeImmediately
+	}
+	isFirst := s.ownReadAt.Before(s.outageEnd)
+	return func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) }
+}
+
 // removalTime returns when to drop an upstream whose entry was removed. After an
 // outage, entries that expired meanwhile are written again, so their removal is
 // delayed. An entry that changed since the outage was removed by its upstream,
--- a/internal/coordination/registry/era_test.go
+++ b/internal/coordination/registry/era_test.go
@@ -261,3 +261,34 @@
 		assert.Assert(t, m.has("u2"), "the own read was dropped as stale")
 	})
 }
+
+// Guards against upstreams that are dropped because an instance changes to a reader that
+// started after a restore, and never knew the entries that the restored store lacks.
+func TestSnapshotOfALaterReaderDropsNothingRightAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMember(newStoreContent(), fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+		defer m.pool.Close()
+		apply := func(delta Delta) {
+			m.pool.Post(keyEntries, worker.Func(func() {
+				m.noticeEra(delta.Era, "reader")
+				m.keepEntries(time.Now())
+				m.applyDelta(delta, model.Instance{ID: "a"})
+			}))
+			synctest.Wait()
+		}
+		all := []Entry{entryOf("u1", false, 1), entryOf("u2", false, 1), entryOf("u3", false, 1)}
+		apply(Delta{Era: 1, Revision: 900, Snapshot: true, Changed: all})
+		time.Sleep(5 * time.Second)
+		apply(Delta{Era: 2, Revision: 800, Snapshot: true, Changed: all[:1]})
+		time.Sleep(outageGrace - 100*time.Millisecond)
+		synctest.Wait()
+		assert.Assert(t, m.has("u1") && m.has("u2") && m.has("u3"), "dropped at once")
+		apply(Delta{Era: 2, Revision: 810, Changed: []Entry{entryOf("u2", false, 2)}})
+		time.Sleep(200 * time.Millisecond)
+		apply(Delta{Era: 2, Revision: 820, Snapshot: true, Changed: []Entry{entryOf("u1", false, 1), entryOf("u2", false, 2)}})
+		assert.Assert(t, m.has("u1") && m.has("u2"))
+		assert.Assert(t, !m.has("u3"), "kept for good")
+		apply(Delta{Era: 2, Revision: 830, Snapshot: true, Changed: []Entry{entryOf("u1", false, 1)}})
+		assert.Assert(t, !m.has("u2"), "the reader has applied the delay")
+	})
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -306,7 +306,8 @@
 		m.entries.position = position
 	}
 	if len(delta.Changed) > 0 || len(delta.Removed) > 0 || delta.Snapshot {
-		m.applyChanges(Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}, removeImmediately)
+		got := Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}
+		m.applyChanges(got, m.entries.deltaRemovalTime(delta.Snapshot, time.Now()))
 	}
 	m.sharePosition()
 	if len(delta.Instances) > 0 || len(delta.RemovedInstances) > 0 {
