registry: the era of entries is shared before the entries

Changes of entries were shared one by one and the position of the store after all of them. A poll that was answered in between had entries of the restored store under the earlier era, and its caller took them for entries of the earlier history. Seen in the test of upstreams that left before a restore: an instance that polls took such an upstream back.

A rise of the era is shared first, without a revision. A delta with an era and no revision is judged by its era and age.

TestEraIsSharedBeforeItsEntries fails without the change and passes with it.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -153,6 +153,7 @@
 	isFirst := s.ownReadAt.Before(s.outageEnd)
 	s.ownReadAt = now
 	s.position = position
+	m.shareEra(position.Era)
 	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) })
 	m.sharePosition()
 	if isFirst && !s.wasRestored() {
--- a/internal/coordination/registry/era_test.go
+++ b/internal/coordination/registry/era_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
@@ -292,3 +293,40 @@
 		assert.Assert(t, !m.has("u2"), "the reader has applied the delay")
 	})
 }
+
+// Guards against an instance that takes entries of a restored store for entries of the earlier
+// history, because its poll is answered before its reader has applied all of them.
+func TestEraIsSharedBeforeItsEntries(t *testing.T) {
+	for _, polls := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMember(newStoreContent(), fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+			defer m.pool.Close()
+			shared := map[model.UpstreamID]Delta{} // when each entry is logged, right after it is shared
+			m.opts.Log = &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
+				if e.Message == "upstream entry" {
+					shared[model.UpstreamID(e.Fields["upstream"].(string))] = m.ServePoll(t.Context(), Cursor{}, 0)
+				}
+				return nil
+			})}
+			apply := func(era Era, revision Revision, e Entry) {
+				m.pool.Post(keyEntries, worker.Func(func() {
+					m.noticeEra(era, "store")
+					m.keepEntries(time.Now())
+					if polls {
+						m.applyDelta(Delta{Era: era, Revision: revision, Changed: []Entry{e}}, model.Instance{ID: "a"})
+					} else {
+						m.applyEntries(Entries{Era: era, Revision: revision, Changed: []Entry{e}})
+					}
+				}))
+				synctest.Wait()
+			}
+			apply(1, 900, entryOf("u1", false, 1))
+			apply(2, 800, entryOf("u2", false, 1))
+			assert.Equal(t, shared["u1"].Era, Era(1))
+			assert.Equal(t, shared["u2"].Era, Era(2))
+			assert.Equal(t, shared["u2"].Revision, Revision(0), "the position came before its entries")
+			after := m.ServePoll(t.Context(), Cursor{}, 0)
+			assert.Equal(t, Position{after.Era, after.Revision}, Position{2, 800})
+		})
+	}
+}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -31,7 +31,7 @@
 	ReaderIncarnation uint64 // incarnation of the reader
 	Version           uint64
 	Era               Era      // of Revision; 0 from earlier builds
-	Revision          Revision // of the store up to which the reader's entries are complete; 0 from earlier builds
+	Revision          Revision // of the store up to which the reader's entries are complete; 0 from earlier builds, and while entries of a new era are applied
 	Snapshot          bool     // Changed is a full snapshot of the entries
 	Changed           []Entry
 	Removed           []model.UpstreamID
@@ -186,7 +186,13 @@
 		return position.Before(m.entries.position)
 	}
 	read := now.Add(-delta.Ages.Entries)
-	return read.Before(m.entries.restoredAt) || delta.Snapshot && read.Before(m.entries.readAt)
+	switch {
+	case delta.Era > 0 && delta.Era < m.entries.position.Era:
+		return true
+	case delta.Era == 0 && read.Before(m.entries.restoredAt):
+		return true
+	}
+	return delta.Snapshot && read.Before(m.entries.readAt)
 }
 
 // position returns the position of a delta, and false if only its age tells how new it is. A
@@ -207,7 +213,20 @@
 func (m *Manager) sharePosition() {
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
-	m.sharedPosition = m.entries.position
+	if m.entries.position.Era >= m.sharedPosition.Era {
+		m.sharedPosition = m.entries.position
+	}
+}
+
+// shareEra shares the era of entries that are about to be applied, without a revision until
+// sharePosition. A poll that finds the first of them must find their era too: its caller treats
+// entries of a restored store in another way.
+func (m *Manager) shareEra(era Era) {
+	m.shareMu.Lock()
+	defer m.shareMu.Unlock()
+	if era > m.sharedPosition.Era {
+		m.sharedPosition = Position{Era: era}
+	}
 }
 
 // checkLostReaders asks the lost readers whose check is due how old their data are. This
@@ -305,6 +324,7 @@
 	if position, known := m.position(delta); known {
 		m.entries.position = position
 	}
+	m.shareEra(delta.Era)
 	if len(delta.Changed) > 0 || len(delta.Removed) > 0 || delta.Snapshot {
 		got := Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}
 		m.applyChanges(got, m.entries.deltaRemovalTime(delta.Snapshot, time.Now()))
