registry: an upstream that left does not come back with a restore

Entries of a restored store were compared only with those that are still known. An upstream that had left, removed its row and was dropped came back with the row of the copy, in which it was not leaving.

After a restore, an entry of the same or an earlier incarnation that is not newer is ignored. One that was written again since has a higher sequence number and counts. Readers send no mere renewals, so a sequence number from a reader decides only if the upstream was leaving.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -39,6 +39,7 @@
 	ownReadAt   time.Time                      // last successful read of the store by this instance
 	restoredEra Era                            // begun by the last restore that was applied here
 	restoredAt  time.Time                      // when it was learned of
+	gone        goneEntries
 }
 
 func newEntryState(logger log.Interface) entryState {
@@ -49,6 +50,7 @@
 		byAddress:     map[string]model.UpstreamID{},
 		discovered:    map[model.UpstreamID]bool{},
 		removalDue:    map[model.UpstreamID]time.Time{},
+		gone:          goneEntries{},
 	}
 }
 
@@ -154,7 +156,7 @@
 	s.ownReadAt = now
 	s.position = position
 	m.shareEra(position.Era)
-	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) })
+	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) }, false)
 	m.sharePosition()
 	if isFirst && !s.wasRestored() {
 		m.askOthersOfOutage()
@@ -198,8 +200,8 @@
 }
 
 // applyChanges applies changes of entries to the table of upstreams. removalTime
-// returns the time at which a removal takes effect.
-func (m *Manager) applyChanges(got Entries, removalTime func(model.UpstreamID, time.Time) time.Time) {
+// returns the time at which a removal takes effect. polled means that a reader sent the changes.
+func (m *Manager) applyChanges(got Entries, removalTime func(model.UpstreamID, time.Time) time.Time, polled bool) {
 	s := &m.entries
 	now := time.Now()
 	for _, e := range got.Changed {
@@ -213,6 +215,12 @@
 		if known && s.restoredEra > 0 {
 			e = e.after(old)
 		}
+		if !known && s.restoredEra > 0 && s.gone.covers(e, polled, now) {
+			m.opts.Log.WithField("upstream", string(e.Upstream.ID)).WithField("incarnation", e.Incarnation).WithField("sequence", e.Sequence).
+				Info("upstream entry from before its removal ignored")
+			continue
+		}
+		delete(s.gone, e.Upstream.ID)
 		_, wasLapsed := s.removalDue[e.Upstream.ID]
 		delete(s.removalDue, e.Upstream.ID)
 		delete(s.discovered, e.Upstream.ID)
@@ -352,6 +360,7 @@
 			dropped = true
 			delete(s.byID, id)
 			delete(s.lastChanged, id)
+			s.gone.add(e, now)
 			m.shareEntry(entryChange{entry: e, removed: true})
 			s.log.WithField("upstream", string(id)).WithField("revision", s.position.Revision).Info("upstream entry is gone")
 		}
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -327,7 +327,7 @@
 	m.shareEra(delta.Era)
 	if len(delta.Changed) > 0 || len(delta.Removed) > 0 || delta.Snapshot {
 		got := Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}
-		m.applyChanges(got, m.entries.deltaRemovalTime(delta.Snapshot, time.Now()))
+		m.applyChanges(got, m.entries.deltaRemovalTime(delta.Snapshot, time.Now()), true)
 	}
 	m.sharePosition()
 	if len(delta.Instances) > 0 || len(delta.RemovedInstances) > 0 {
