--- a/internal/coordination/registry/era.go
+++ b/internal/coordination/registry/era.go
@@ -127,9 +127,10 @@
 }
 
 // rulesRestored reads the rules as a whole at once: a call that waits for a change from a
-// revision of the earlier era may wait in vain.
+// revision of the earlier era may wait in vain. The answer that showed the restore may have
+// begun that read already.
 func (m *Manager) rulesRestored() {
-	if m.readsStore.Load() && m.rulesEra < m.Era() && m.rulesOutage.failedSince.IsZero() {
+	if m.readsStore.Load() && max(m.rulesEra, m.rulesWholeEra) < m.Era() && m.rulesOutage.failedSince.IsZero() {
 		m.readRules(0)
 	}
 }
--- a/internal/coordination/registry/era_test.go
+++ b/internal/coordination/registry/era_test.go
@@ -330,3 +330,25 @@
 		})
 	}
 }
+
+// Guards against a read of all rules after a restore that is ended and made once more, which
+// costs a call for each reader and restore.
+func TestRulesAreReadOnceAsAWholeAfterARestore(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCellInEra(w, 1, "a")
+			defer c.close()
+			m := c["a"]
+			time.Sleep(5*time.Second + time.Duration(phase)*70*time.Millisecond)
+			synctest.Wait()
+			before := m.store.wholeRules.Load()
+			w.restore(func() { w.revision, w.rules = 5, &model.RoutingRules{Revision: 2} })
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			assert.Equal(t, m.Era(), Era(2))
+			assert.Equal(t, m.rulesTable.Current().Revision, uint64(2))
+			assert.Equal(t, m.store.wholeRules.Load()-before, int32(1), "phase %d", phase)
+		})
+	}
+}
--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -28,6 +28,7 @@
 	content     *storeContent
 	entryReads  atomic.Int32 // reads of the entries
 	calls       atomic.Int32
+	wholeRules  atomic.Int32 // reads of all rules
 	listReads   atomic.Int32 // reads of the list of instances
 	unreachable atomic.Bool
 	hangs       atomic.Bool // reads get no answer
@@ -86,6 +87,9 @@
 
 func (s *fakeStore) Published(ctx context.Context, after Revision, d time.Duration) (Published, error) {
 	s.calls.Add(1)
+	if after == 0 {
+		s.wholeRules.Add(1)
+	}
 	if s.staleConns.Load() {
 		defer s.CloseIdle()
 		return Published{}, hang(ctx)
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -173,6 +173,7 @@
 	rulesOutage    outageTracker // used only by items under keyRules
 	rulesLoop      readLoop      // as rulesOutage
 	rulesEra       Era           // of the last read of the rules; as rulesOutage
+	rulesWholeEra  Era           // known when the rules were last begun to be read as a whole; as rulesOutage
 	entriesLoop    readLoop      // used only by items under keyEntries
 	entriesFail    atomic.Bool   // the last read of the entries from the store failed
 	pace           readPace
@@ -304,16 +305,18 @@
 		m.rulesLoop.after(readerCheckInterval, func() { m.readRules(0) })
 		return
 	}
-	started := time.Now()
+	started, since := time.Now(), m.rulesEra
+	if after == 0 {
+		m.rulesWholeEra = m.Era()
+	}
 	call := func(ctx context.Context) (Published, error) { return m.opts.Store.Published(ctx, after, rulesPollTime) }
 	readStore(m, &m.rulesLoop, rulesPollTime+readTimeout, call, func(got Published, err error) {
 		if err == nil {
-			if era := m.checkAnswer(&got.Era, m.rulesEra, after == 0); errors.Is(era, errNewEra) {
-				m.readRules(0)
-				return
-			} else if era != nil {
-				err = era
-			}
+			err = m.checkAnswer(&got.Era, since, after == 0)
+		}
+		if errors.Is(err, errNewEra) {
+			m.readRules(0)
+			return
 		}
 		firstFailure := err != nil && m.rulesOutage.failedSince.IsZero()
 		if m.rulesOutage.record(err) {
