--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -39,6 +39,7 @@
 	ownReadAt   time.Time                      // last successful read of the store by this instance
 	restoredEra Era                            // begun by the last restore that was applied here
 	restoredAt  time.Time                      // when it was learned of
+	gone        goneEntries
 }
 
 func newEntryState(logger log.Interface) entryState {
@@ -49,6 +50,7 @@
 		byAddress:     map[string]model.UpstreamID{},
 		discovered:    map[model.UpstreamID]bool{},
 		removalDue:    map[model.UpstreamID]time.Time{},
+		gone:          goneEntries{},
 	}
 }
 
@@ -86,12 +88,13 @@
 			return
 		}
 		m.entriesFail.Store(err != nil)
-		if !errors.Is(err, ErrHistoryGone) && m.entries.record(err) {
+		repeats := m.entries.repeatsAtOnce(err, time.Now())
+		if !repeats && m.entries.record(err) {
 			m.restartRules(started)
 		}
 		wait := m.limits.entryReadInterval() - time.Since(started)
 		switch {
-		case errors.Is(err, ErrHistoryGone):
+		case repeats:
 			m.entries.readAll = true
 			wait = 0
 		case err != nil:
@@ -152,7 +155,8 @@
 	isFirst := s.ownReadAt.Before(s.outageEnd)
 	s.ownReadAt = now
 	s.position = position
-	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) })
+	m.shareEra(position.Era)
+	m.applyChanges(got, func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) }, false)
 	m.sharePosition()
 	if isFirst && !s.wasRestored() {
 		m.askOthersOfOutage()
@@ -167,6 +171,17 @@
 // removed: the reader has already applied the delay.
 func removeImmediately(_ model.UpstreamID, now time.Time) time.Time { return now }
 
+// deltaRemovalTime returns the removal time of entries that a delta shows as removed. A reader
+// that started after a restore does not know the entries that the restored store lacks, so that
+// its snapshot shows as removed what other instances keep for a while.
+func (s *entryState) deltaRemovalTime(snapshot bool, now time.Time) func(model.UpstreamID, time.Time) time.Time {
+	if !snapshot || !now.Before(s.restoredAt.Add(outageGrace)) {
+		return removeImmediately
+	}
+	isFirst := s.ownReadAt.Before(s.outageEnd)
+	return func(id model.UpstreamID, now time.Time) time.Time { return s.removalTime(id, isFirst, now) }
+}
+
 // removalTime returns when to drop an upstream whose entry was removed. After an
 // outage, entries that expired meanwhile are written again, so their removal is
 // delayed. An entry that changed since the outage was removed by its upstream,
@@ -185,8 +200,8 @@
 }
 
 // applyChanges applies changes of entries to the table of upstreams. removalTime
-// returns the time at which a removal takes effect.
-func (m *Manager) applyChanges(got Entries, removalTime func(model.UpstreamID, time.Time) time.Time) {
+// returns the time at which a removal takes effect. polled means that a reader sent the changes.
+func (m *Manager) applyChanges(got Entries, removalTime func(model.UpstreamID, time.Time) time.Time, polled bool) {
 	s := &m.entries
 	now := time.Now()
 	for _, e := range got.Changed {
@@ -200,6 +215,12 @@
 		if known && s.restoredEra > 0 {
 			e = e.after(old)
 		}
+		if !known && s.restoredEra > 0 && s.gone.covers(e, polled, now) {
+			m.opts.Log.WithField("upstream", string(e.Upstream.ID)).WithField("incarnation", e.Incarnation).WithField("sequence", e.Sequence).
+				Info("upstream entry from before its removal ignored")
+			continue
+		}
+		delete(s.gone, e.Upstream.ID)
 		_, wasLapsed := s.removalDue[e.Upstream.ID]
 		delete(s.removalDue, e.Upstream.ID)
 		delete(s.discovered, e.Upstream.ID)
@@ -339,6 +360,7 @@
 			dropped = true
 			delete(s.byID, id)
 			delete(s.lastChanged, id)
+			s.gone.add(e, now)
 			m.shareEntry(entryChange{entry: e, removed: true})
 			s.log.WithField("upstream", string(id)).WithField("revision", s.position.Revision).Info("upstream entry is gone")
 		}
--- a/internal/coordination/registry/era_test.go
+++ b/internal/coordination/registry/era_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
@@ -151,7 +152,9 @@
 
 	assert.Assert(t, !m.isOlder(Delta{Revision: 21}, now))
 	assert.Assert(t, m.isOlder(Delta{Revision: 19}, now))
-	assert.Equal(t, m.position(Delta{Revision: 21}), Position{4, 21})
+	position, known := m.position(Delta{Revision: 21})
+	assert.Assert(t, known)
+	assert.Equal(t, position, Position{4, 21})
 	assert.Assert(t, m.isOlder(Delta{Era: 3, Revision: 900}, now))
 	assert.Assert(t, !m.isOlder(Delta{Era: 5, Revision: 1}, now))
 }
@@ -226,3 +229,126 @@
 		assert.Assert(t, w.hasRow("a"))
 	})
 }
+
+// Guards against a reader of an earlier build that has not noticed a restore: its revision, of
+// the earlier history, made own reads of the restored store count as stale.
+func TestDeltaOfAnEarlierBuildIsJudgedByItsAgeAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMember(newStoreContent(), fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+		defer m.pool.Close()
+		apply := func(delta Delta) (older bool) {
+			m.pool.Post(keyEntries, worker.Func(func() {
+				older = m.isOlder(delta, time.Now())
+				m.applyDelta(delta, model.Instance{ID: "a"})
+			}))
+			synctest.Wait()
+			return older
+		}
+		m.noticeEra(1, "store")
+		m.noticeEra(2, "store")
+		synctest.Wait()
+		m.entries.position = Position{2, 810}
+		time.Sleep(time.Second)
+		delta := Delta{Revision: 1000, Changed: []Entry{entryOf("u1", false, 1)}}
+		assert.Assert(t, !apply(delta), "read after the restore")
+		assert.Equal(t, m.entries.position, Position{2, 810})
+		delta.Ages.Entries = 1100 * time.Millisecond
+		assert.Assert(t, apply(delta), "read before the restore")
+		m.pool.Post(keyEntries, worker.Func(func() {
+			m.applyEntries(Entries{Era: 2, Revision: 811, Changed: []Entry{entryOf("u2", false, 1)}})
+		}))
+		synctest.Wait()
+		assert.Equal(t, m.entries.position, Position{2, 811})
+		assert.Assert(t, m.has("u2"), "the own read was dropped as stale")
+	})
+}
+
+// Guards against upstreams that are dropped because an instance changes to a reader that
+// started after a restore, and never knew the entries that the restored store lacks.
+func TestSnapshotOfALaterReaderDropsNothingRightAfterARestore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := newMember(newStoreContent(), fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+		defer m.pool.Close()
+		apply := func(delta Delta) {
+			m.pool.Post(keyEntries, worker.Func(func() {
+				m.noticeEra(delta.Era, "reader")
+				m.keepEntries(time.Now())
+				m.applyDelta(delta, model.Instance{ID: "a"})
+			}))
+			synctest.Wait()
+		}
+		all := []Entry{entryOf("u1", false, 1), entryOf("u2", false, 1), entryOf("u3", false, 1)}
+		apply(Delta{Era: 1, Revision: 900, Snapshot: true, Changed: all})
+		time.Sleep(5 * time.Second)
+		apply(Delta{Era: 2, Revision: 800, Snapshot: true, Changed: all[:1]})
+		time.Sleep(outageGrace - 100*time.Millisecond)
+		synctest.Wait()
+		assert.Assert(t, m.has("u1") && m.has("u2") && m.has("u3"), "dropped at once")
+		apply(Delta{Era: 2, Revision: 810, Changed: []Entry{entryOf("u2", false, 2)}})
+		time.Sleep(200 * time.Millisecond)
+		apply(Delta{Era: 2, Revision: 820, Snapshot: true, Changed: []Entry{entryOf("u1", false, 1), entryOf("u2", false, 2)}})
+		assert.Assert(t, m.has("u1") && m.has("u2"))
+		assert.Assert(t, !m.has("u3"), "kept for good")
+		apply(Delta{Era: 2, Revision: 830, Snapshot: true, Changed: []Entry{entryOf("u1", false, 1)}})
+		assert.Assert(t, !m.has("u2"), "the reader has applied the delay")
+	})
+}
+
+// Guards against an instance that takes entries of a restored store for entries of the earlier
+// history, because its poll is answered before its reader has applied all of them.
+func TestEraIsSharedBeforeItsEntries(t *testing.T) {
+	for _, polls := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			m := newMember(newStoreContent(), fakePeers{}, 1, model.Instance{ID: "b", Incarnation: 1, State: model.InstanceLive})
+			defer m.pool.Close()
+			shared := map[model.UpstreamID]Delta{} // when each entry is logged, right after it is shared
+			m.opts.Log = &log.Logger{Handler: log.HandlerFunc(func(e *log.Entry) error {
+				if e.Message == "upstream entry" {
+					shared[model.UpstreamID(e.Fields["upstream"].(string))] = m.ServePoll(t.Context(), Cursor{}, 0)
+				}
+				return nil
+			})}
+			apply := func(era Era, revision Revision, e Entry) {
+				m.pool.Post(keyEntries, worker.Func(func() {
+					m.noticeEra(era, "store")
+					m.keepEntries(time.Now())
+					if polls {
+						m.applyDelta(Delta{Era: era, Revision: revision, Changed: []Entry{e}}, model.Instance{ID: "a"})
+					} else {
+						m.applyEntries(Entries{Era: era, Revision: revision, Changed: []Entry{e}})
+					}
+				}))
+				synctest.Wait()
+			}
+			apply(1, 900, entryOf("u1", false, 1))
+			apply(2, 800, entryOf("u2", false, 1))
+			assert.Equal(t, shared["u1"].Era, Era(1))
+			assert.Equal(t, shared["u2"].Era, Era(2))
+			assert.Equal(t, shared["u2"].Revision, Revision(0), "the position came before its entries")
+			after := m.ServePoll(t.Context(), Cursor{}, 0)
+			assert.Equal(t, Position{after.Era, after.Revision}, Position{2, 800})
+		})
+	}
+}
+
+// Guards against a read of all rules after a restore that is ended and made once more, which
+// costs a call for each reader and restore.
+func TestRulesAreReadOnceAsAWholeAfterARestore(t *testing.T) {
+	for phase := range 10 {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCellInEra(w, 1, "a")
+			defer c.close()
+			m := c["a"]
+			time.Sleep(5*time.Second + time.Duration(phase)*70*time.Millisecond)
+			synctest.Wait()
+			before := m.store.wholeRules.Load()
+			w.restore(func() { w.revision, w.rules = 5, &model.RoutingRules{Revision: 2} })
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			assert.Equal(t, m.Era(), Era(2))
+			assert.Equal(t, m.rulesTable.Current().Revision, uint64(2))
+			assert.Equal(t, m.store.wholeRules.Load()-before, int32(1), "phase %d", phase)
+		})
+	}
+}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -173,6 +173,7 @@
 	rulesOutage    outageTracker // used only by items under keyRules
 	rulesLoop      readLoop      // as rulesOutage
 	rulesEra       Era           // of the last read of the rules; as rulesOutage
+	rulesWholeEra  Era           // known when the rules were last begun to be read as a whole; as rulesOutage
 	entriesLoop    readLoop      // used only by items under keyEntries
 	entriesFail    atomic.Bool   // the last read of the entries from the store failed
 	pace           readPace
@@ -250,6 +251,18 @@
 	log         log.Interface
 	table       string
 	failedSince time.Time // time of the first of the consecutive failures; zero if the last call succeeded
+	repeatedAt  time.Time // when a read whose history was gone was last repeated at once
+}
+
+// repeatsAtOnce reports whether a read that ended with the error is repeated without a pause,
+// because its history is gone. A store that gives this answer again and again is read with
+// the pauses of a store that fails.
+func (d *outageTracker) repeatsAtOnce(err error, now time.Time) bool {
+	if !errors.Is(err, ErrHistoryGone) || now.Sub(d.repeatedAt) < retryInterval {
+		return false
+	}
+	d.repeatedAt = now
+	return true
 }
 
 // record takes the outcome of a call to the store, and reports whether it is the first one
@@ -292,16 +305,18 @@
 		m.rulesLoop.after(readerCheckInterval, func() { m.readRules(0) })
 		return
 	}
-	started := time.Now()
+	started, since := time.Now(), m.rulesEra
+	if after == 0 {
+		m.rulesWholeEra = m.Era()
+	}
 	call := func(ctx context.Context) (Published, error) { return m.opts.Store.Published(ctx, after, rulesPollTime) }
 	readStore(m, &m.rulesLoop, rulesPollTime+readTimeout, call, func(got Published, err error) {
 		if err == nil {
-			if era := m.checkAnswer(&got.Era, m.rulesEra, after == 0); errors.Is(era, errNewEra) {
-				m.readRules(0)
-				return
-			} else if era != nil {
-				err = era
-			}
+			err = m.checkAnswer(&got.Era, since, after == 0)
+		}
+		if errors.Is(err, errNewEra) {
+			m.readRules(0)
+			return
 		}
 		firstFailure := err != nil && m.rulesOutage.failedSince.IsZero()
 		if m.rulesOutage.record(err) {
@@ -334,7 +349,7 @@
 // connection may have fallen silent while the store answers on others.
 func (m *Manager) rulesRetryPause(firstFailure bool, err error) time.Duration {
 	silent := firstFailure && errors.Is(err, context.DeadlineExceeded)
-	if errors.Is(err, ErrHistoryGone) || silent && !m.entriesFail.Load() {
+	if m.rulesOutage.repeatsAtOnce(err, time.Now()) || silent && !m.entriesFail.Load() {
 		return 0
 	}
 	return m.readRetryPause()
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -31,7 +31,7 @@
 	ReaderIncarnation uint64 // incarnation of the reader
 	Version           uint64
 	Era               Era      // of Revision; 0 from earlier builds
-	Revision          Revision // of the store up to which the reader's entries are complete; 0 from earlier builds
+	Revision          Revision // of the store up to which the reader's entries are complete; 0 from earlier builds, and while entries of a new era are applied
 	Snapshot          bool     // Changed is a full snapshot of the entries
 	Changed           []Entry
 	Removed           []model.UpstreamID
@@ -182,27 +182,51 @@
 
 // isOlder reports whether what is known here about the entries is newer than the delta.
 func (m *Manager) isOlder(delta Delta, now time.Time) bool {
-	if delta.Revision == 0 {
-		return delta.Snapshot && now.Add(-delta.Ages.Entries).Before(m.entries.readAt)
+	if position, known := m.position(delta); known {
+		return position.Before(m.entries.position)
 	}
-	return m.position(delta).Before(m.entries.position)
+	read := now.Add(-delta.Ages.Entries)
+	switch {
+	case delta.Era > 0 && delta.Era < m.entries.position.Era:
+		return true
+	case delta.Era == 0 && read.Before(m.entries.restoredAt):
+		return true
+	}
+	return delta.Snapshot && read.Before(m.entries.readAt)
 }
 
-// position returns the position of a delta. One of an earlier build, which knows no eras,
-// counts as one of the present era.
-func (m *Manager) position(delta Delta) Position {
-	if delta.Era == 0 {
-		return Position{m.entries.position.Era, delta.Revision}
-	}
-	return Position{delta.Era, delta.Revision}
+// position returns the position of a delta, and false if only its age tells how new it is. A
+// revision of an earlier build, which knows no eras, counts as one of the present era until a
+// restore is known: its sender may not have noticed the restore.
+func (m *Manager) position(delta Delta) (p Position, known bool) {
+	switch {
+	case delta.Revision == 0, delta.Era == 0 && m.entries.restoredEra > 0:
+		return Position{}, false
+	case delta.Era == 0:
+		return Position{m.entries.position.Era, delta.Revision}, true
+	}
+	return Position{delta.Era, delta.Revision}, true
 }
 
-// sharePosition shares the state of the store up to which the entries are complete. The changes up to
-// it must be shared already: a poll must not find the position without them.
+// sharePosition shares the state of the store up to which the entries are complete. The
+// changes up to it must be shared already: a poll must not find the position without them.
 func (m *Manager) sharePosition() {
 	m.shareMu.Lock()
 	defer m.shareMu.Unlock()
-	m.sharedPosition = m.entries.position
+	if m.entries.position.Era >= m.sharedPosition.Era {
+		m.sharedPosition = m.entries.position
+	}
+}
+
+// shareEra shares the era of entries that are about to be applied, without a revision until
+// sharePosition. A poll that finds the first of them must find their era too: its caller treats
+// entries of a restored store in another way.
+func (m *Manager) shareEra(era Era) {
+	m.shareMu.Lock()
+	defer m.shareMu.Unlock()
+	if era > m.sharedPosition.Era {
+		m.sharedPosition = Position{Era: era}
+	}
 }
 
 // checkLostReaders asks the lost readers whose check is due how old their data are. This
@@ -297,11 +321,13 @@
 			m.MovesChanged()
 		}
 	}
-	if delta.Revision > 0 {
-		m.entries.position = m.position(delta)
+	if position, known := m.position(delta); known {
+		m.entries.position = position
 	}
+	m.shareEra(delta.Era)
 	if len(delta.Changed) > 0 || len(delta.Removed) > 0 || delta.Snapshot {
-		m.applyChanges(Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}, removeImmediately)
+		got := Entries{Snapshot: delta.Snapshot, Changed: delta.Changed, Removed: delta.Removed, Lapsed: delta.Lapsed}
+		m.applyChanges(got, m.entries.deltaRemovalTime(delta.Snapshot, time.Now()), true)
 	}
 	m.sharePosition()
 	if len(delta.Instances) > 0 || len(delta.RemovedInstances) > 0 {
