callerlimit: failed reservations do not affect others

Cause: Reserve added first and checked afterwards, so that a large attempt made concurrent small ones fail until it was taken back. Parts of a response without memory, such as its end, were reserved too, and could become an abort.

Change: the check comes before the addition, in a compare-and-swap loop. Zero bytes are always granted.

--- a/internal/transport/callerlimit/budget.go
+++ b/internal/transport/callerlimit/budget.go
@@ -29,13 +29,22 @@
 // NewBudget returns a budget of so many bytes; zero means no bound.
 func NewBudget(limit int64) *Budget { return &Budget{limit: limit} }
 
-// Reserve takes n bytes, or reports false if the share of the use does not allow it.
+// Reserve takes n bytes, or reports false if the share of the use does not allow it. A
+// reservation that fails is never counted: others would fail because of it. Nothing needs
+// no memory, so that the end of a response is never refused.
 func (b *Budget) Reserve(use Use, n int64) bool {
-	if used := b.used.Add(n); b.limit == 0 || used <= b.limit/4*shares[use] {
+	if n == 0 {
 		return true
 	}
-	b.used.Add(-n)
-	return false
+	for {
+		used := b.used.Load()
+		if b.limit != 0 && used+n > b.limit/4*shares[use] {
+			return false
+		}
+		if b.used.CompareAndSwap(used, used+n) {
+			return true
+		}
+	}
 }
 
 // Release gives n bytes back.
