callerlimit: an eviction does not wait for the peer

Cause: the accept loop closed the connection that was idle for longest. With TLS the close writes an alert, and waits up to 5 s if the peer does not read.

Change: the connection below TLS is closed.

--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -344,11 +344,20 @@
 	c.mu.Unlock()
 	if idle {
 		c.listener.closed(c)
-		_ = c.Conn.Close()
+		_ = c.transport().Close()
 	}
 	return idle
 }
 
+// transport returns the connection below TLS. Closing it does not wait for the peer, while
+// closing a TLS connection may wait 5 s to write an alert.
+func (c *conn) transport() net.Conn {
+	if inner, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		return inner.NetConn()
+	}
+	return c.Conn
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
