callerlimit: do not close a connection with bytes of a request as idle

Cause: net/http reads a byte of the next request while a handler runs, or more with the end of a body. The connection then counted as idle after the answer, and could be closed for another one although its request had begun.

Change: a connection may be closed as idle only from the time at which net/http reads on with an empty buffer. A smaller read begins the count of the next head.

--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -51,7 +51,7 @@
 type phase int
 
 const (
-	phaseIdle phase = iota // no byte of a request has been read
+	phaseIdle phase = iota // no byte of a request has been counted
 	phaseHead
 	phaseRequest // from the start of the handler to the end of the answer
 	phaseClosed
@@ -117,7 +117,7 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.beginRead() {
+	if !c.beginRead(len(p)) {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(p)
@@ -158,12 +158,24 @@
 	}
 }
 
-func (c *conn) beginRead() bool {
+// beginRead prepares a read into size bytes. It reports false if the connection is closed.
+// Between requests, net/http reads into its whole buffer if that is empty; a smaller read
+// means that the buffer holds bytes of the next request, which were read while the answer
+// before was written. Only with an empty buffer may the connection be closed as idle.
+func (c *conn) beginRead(size int) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.idleDeadlines = 0
+	between := c.phase == phaseIdle && !c.fresh
+	if between && size < bufferBytes {
+		c.beginHead()
+	}
 	_ = c.setReadDeadline() // fails only on a closed connection, which the read reports
-	return c.phase != phaseClosed
+	open, idle := c.phase != phaseClosed, between && c.phase == phaseIdle
+	c.mu.Unlock()
+	if idle {
+		c.listener.addIdle(c)
+	}
+	return open
 }
 
 // received counts what was read. It returns the cause for which the connection is to be
@@ -229,17 +241,16 @@
 	return c.refused
 }
 
-// requestEnded notes that the answer was written and the connection is idle.
+// requestEnded notes that the answer was written. The connection may be closed as idle
+// from the next read on, because net/http may have read bytes of the next request.
 func (c *conn) requestEnded() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.phase == phaseClosed {
-		c.mu.Unlock()
 		return
 	}
 	c.phase, c.fresh, c.idleSince, c.idleDeadlines = phaseIdle, false, time.Now(), 0
 	c.release()
-	c.mu.Unlock()
-	c.listener.addIdle(c)
 }
 
 // release gives the request's memory back. mu is held.
@@ -333,8 +344,9 @@
 	return c.Conn.SetWriteDeadline(earliest(c.writeDeadline, time.Now(), stallTime, stallTime))
 }
 
-// closeIfIdle closes the connection unless a byte of a request was read since its last
-// one. A request that was read is never lost by it.
+// closeIfIdle closes the connection unless a byte of a request was counted since its last
+// one. A request that arrives at the same time is lost with the connection, as with every
+// server that closes idle connections; no handler has seen it.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	idle := c.phase == phaseIdle
--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -32,11 +32,16 @@
 
 // startServer serves requests whose body it reads; /hold waits for release.
 func startServer(t *testing.T, g *Guard, release chan struct{}) (address string) {
+	t.Helper()
+	return startLimitedServer(t, g, release, callerLimits)
+}
+
+func startLimitedServer(t *testing.T, g *Guard, release chan struct{}, limits model.CallerLimits) (address string) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := g.ReadBody(w, r, callerLimits.BodyBytes, time.Second)
+		body, err := g.ReadBody(w, r, limits.BodyBytes, time.Second)
 		if errors.Is(err, ErrMemory) {
 			refuse(w, r)
 			return
@@ -51,7 +56,7 @@
 		}
 		_, _ = fmt.Fprint(w, len(body.Bytes), " ", len(r.Trailer))
 	})}
-	listener := g.Protect(server, inner, ServerOptions{Name: "test", Limits: func() model.CallerLimits { return callerLimits }})
+	listener := g.Protect(server, inner, ServerOptions{Name: "test", Limits: func() model.CallerLimits { return limits }})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() {
 		assert.Check(t, server.Close())
