--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -37,7 +37,9 @@
 	// its caller gets the answer: a connection that closes with unread bytes is reset.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
-	// stallTime bounds the time in which a caller takes nothing of writeBytes.
+	// stallTime bounds the time in which a caller takes a write of writeBytes. It is not
+	// extended when a part was taken: that would let a caller keep an answer of 4 MiB in
+	// memory for days. The slowest reader of a large answer takes 2.2 kB/s.
 	stallTime  = 30 * time.Second
 	writeBytes = 64 << 10
 	// discardTime and discardBytes bound the rest of a request that is refused.
@@ -324,7 +326,8 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// Write implements net.Conn. It fails if the caller takes nothing for stallTime.
+// Write implements net.Conn. It writes up to writeBytes at a time and fails if the caller
+// does not take each of these parts whole within stallTime.
 func (c *conn) Write(p []byte) (written int, err error) {
 	for {
 		if err := c.beginWrite(); err != nil {
