callerlimit: count the budget by use

Cause: the share of bodies counted all uses. Slow readers could fill the budget, and every body over 16 KiB was refused from half of it on. A kept body of 4 MiB left too little for a second one on 136 MB, because buffers grew by copies.

Change: heads and bodies together fill 3/4 of the budget, bodies 5/8 and answers 3/4. A body of known length grows straight to its length once 64 KiB have arrived; one in chunks skips its last doubling. Several counters replace one, so a leaf mutex replaces the compare-and-swap loop; the check still comes before the addition. The existing test of refusals names the use that it releases.

--- a/internal/transport/callerlimit/body.go
+++ b/internal/transport/callerlimit/body.go
@@ -12,6 +12,9 @@
 	// are served while large ones use up the budget.
 	freeBodyBytes   = 16 << 10
 	firstBodyBuffer = 4 << 10
+	// knownBodyBytes of a body with a known length arrive before its whole length is
+	// reserved: an announced length alone takes nothing, and the body is copied only once.
+	knownBodyBytes = 64 << 10
 )
 
 // ErrMemory means that the budget has no room for a body. The whole body has been read, so
@@ -30,7 +33,7 @@
 	if k == nil {
 		return
 	}
-	k.budget.Release(k.reserved)
+	k.budget.Release(Body, k.reserved)
 	k.reserved = 0
 }
 
@@ -50,11 +53,21 @@
 // settle gives back what grow reserved for buffers that are no longer in use.
 func (k *Kept) settle() {
 	if unused := k.reserved - max(int64(cap(k.Bytes))-freeBodyBytes, 0); unused > 0 {
-		k.budget.Release(unused)
+		k.budget.Release(Body, unused)
 		k.reserved -= unused
 	}
 }
 
+// nextBuffer returns the size of the buffer that follows a full one of size bytes, for a
+// body of less than expect bytes. The last doubling is skipped, so that the copy of a body
+// of unknown length adds a quarter of the largest body and not a half.
+func nextBuffer(size, expect int64, known bool) int64 {
+	if (known && size >= knownBodyBytes) || 4*size >= expect-1 {
+		return expect
+	}
+	return min(2*size, expect)
+}
+
 // ReadBody reads a body of at most limit bytes. Memory is reserved as the body arrives, so
 // that an announced length alone takes none. The body fails with os.ErrDeadlineExceeded
 // if nothing of it arrives for stall; zero leaves the server's deadlines as they are.
@@ -83,7 +96,7 @@
 		case len(k.Bytes) < cap(k.Bytes):
 			continue
 		}
-		larger := int(min(2*int64(cap(k.Bytes)), expect))
+		larger := int(nextBuffer(int64(cap(k.Bytes)), expect, r.ContentLength >= 0))
 		if !k.grow(larger) {
 			k.Release()
 			k.Bytes = nil
--- a/internal/transport/callerlimit/budget.go
+++ b/internal/transport/callerlimit/budget.go
@@ -3,7 +3,7 @@
 // are not trusted; any number of them may send anything.
 package callerlimit
 
-import "sync/atomic"
+import "sync"
 
 // Use is what memory of a Budget is used for.
 type Use int
@@ -13,17 +13,23 @@
 	Head   Use = iota // a request whose head is being read or whose answer is not written yet
 	Body              // a request's body, while it arrives and while it is kept for resends
 	Answer            // what waits for its caller to read
+	uses
 )
 
-// shares are the parts of the budget, in quarters, up to which each use may fill it. A
-// request's body needs its head, and an answer needs both: what comes later in a request's
-// life can use memory that earlier steps cannot take.
-var shares = [...]int64{Head: 3, Body: 2, Answer: 4}
+// shares are the parts of the budget, in eighths, up to which each use may fill it; that of
+// heads holds for heads and bodies together. Heads and bodies leave a quarter to answers,
+// because a request that has run needs memory for its answer. Answers leave a quarter to
+// requests: on the smallest instances that is a body of 4 MiB beside slow readers, and the
+// share of bodies is three of them.
+var shares = [uses]int64{Head: 6, Body: 5, Answer: 6}
 
-// Budget bounds the memory of all uses together. It is safe for concurrent use.
+// Budget bounds the memory of all uses together. It is safe for concurrent use. mu is a
+// leaf lock.
 type Budget struct {
 	limit int64 // in bytes; zero means no bound
-	used  atomic.Int64
+
+	mu   sync.Mutex
+	used [uses]int64
 }
 
 // NewBudget returns a budget of so many bytes; zero means no bound.
@@ -36,19 +42,38 @@
 	if n == 0 {
 		return true
 	}
-	for {
-		used := b.used.Load()
-		if b.limit != 0 && used+n > b.limit/4*shares[use] {
-			return false
-		}
-		if b.used.CompareAndSwap(used, used+n) {
-			return true
-		}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit != 0 && !b.fits(use, n) {
+		return false
+	}
+	b.used[use] += n
+	return true
+}
+
+// fits reports whether n more bytes are inside the limits. mu is held.
+func (b *Budget) fits(use Use, n int64) bool {
+	requests := b.used[Head] + b.used[Body]
+	switch {
+	case requests+b.used[Answer]+n > b.limit, b.used[use]+n > b.share(use):
+		return false
+	default:
+		return use == Answer || requests+n <= b.share(Head)
 	}
 }
 
-// Release gives n bytes back.
-func (b *Budget) Release(n int64) { b.used.Add(-n) }
+func (b *Budget) share(use Use) int64 { return b.limit / 8 * shares[use] }
+
+// Release gives n bytes of the use back.
+func (b *Budget) Release(use Use, n int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.used[use] -= n
+}
 
 // Used returns the bytes that are reserved.
-func (b *Budget) Used() int64 { return b.used.Load() }
+func (b *Budget) Used() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used[Head] + b.used[Body] + b.used[Answer]
+}
--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -60,7 +60,8 @@
 )
 
 // conn counts what it reads of heads against the budget. mu guards the fields below it
-// and is held over setting deadlines, which do not block; it is a leaf lock.
+// and is held over setting deadlines, which do not block. Only the lock of the budget is
+// taken under it.
 type conn struct {
 	net.Conn
 	listener *listener
@@ -257,7 +258,7 @@
 
 // release gives the request's memory back. mu is held.
 func (c *conn) release() {
-	c.listener.guard.Budget.Release(c.reserved)
+	c.listener.guard.Budget.Release(Head, c.reserved)
 	c.reserved, c.refused = 0, false
 }
 
--- a/internal/transport/callerlimit/guard.go
+++ b/internal/transport/callerlimit/guard.go
@@ -23,7 +23,7 @@
 	// that are read from upstreams (32 MiB and their copies while buffers grow) and what the
 	// garbage collector has not freed. With 25%, slow readers of 4 MiB took 119 to 143 MB.
 	budgetPercent = 15
-	// minBudget holds a body of 4 MiB that arrives in chunks, whose buffer grows by copies.
+	// minBudget holds two bodies of 4 MiB, also if they arrive in chunks: 5 MiB for a moment.
 	minBudget = 16 << 20
 	// connectionBytes is the memory of a connection without a request: two goroutine
 	// stacks, and two buffers of 4 KiB.
--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -203,7 +203,7 @@
 	g := newGuard(smallestMemory, 2870)
 	address := startServer(t, g, nil)
 	conn, in := dial(t, address)
-	all := g.Budget.limit/4*shares[Body] - 1<<20
+	all := g.Budget.share(Body) - 1<<20
 	assert.Assert(t, g.Budget.Reserve(Body, all))
 	checkRefusal := func() {
 		resp, body := answer(t, in)
@@ -226,13 +226,13 @@
 	resp, _ := answer(t, in)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	// No memory for a head: a small one is refused, a large one is closed.
-	g.Budget.Release(all)
-	all = g.Budget.limit / 4 * shares[Head]
+	g.Budget.Release(Body, all)
+	all = g.Budget.share(Head)
 	for g.Budget.Used() != 0 { // the last request ends after its answer
 		time.Sleep(time.Millisecond)
 	}
 	assert.Assert(t, g.Budget.Reserve(Head, all))
-	defer g.Budget.Release(all)
+	defer g.Budget.Release(Head, all)
 	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
 	assert.NilError(t, err)
 	checkRefusal()
--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -58,8 +58,8 @@
 }
 
 // exchange queues the response to one request and writes it to the caller. It
-// implements forward.Reply. mu guards parts, queuedBytes and overflowed; it is a leaf lock:
-// nothing is called while it is held.
+// implements forward.Reply. mu guards parts, queuedBytes, reserved and overflow. Only the
+// lock of the budget is taken under it.
 type exchange struct {
 	server *Server
 	w      http.ResponseWriter
@@ -111,7 +111,7 @@
 		x.overflow = causeNoMemory
 	case x.queuedBytes+len(s.raw) > maxQueuedBytes && !s.end:
 		x.overflow = causeSlowCaller
-		x.server.opts.Limits.Budget.Release(s.memory)
+		x.server.opts.Limits.Budget.Release(callerlimit.Answer, s.memory)
 	default:
 		x.parts = append(x.parts, s)
 		x.queuedBytes += len(s.raw)
@@ -141,7 +141,7 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.reserved -= memory
-	x.server.opts.Limits.Budget.Release(memory)
+	x.server.opts.Limits.Budget.Release(callerlimit.Answer, memory)
 }
 
 // close gives back the memory of the parts that are not written. Parts that are pushed
@@ -149,7 +149,7 @@
 func (x *exchange) close() {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.server.opts.Limits.Budget.Release(x.reserved)
+	x.server.opts.Limits.Budget.Release(callerlimit.Answer, x.reserved)
 	x.reserved, x.parts = 0, nil
 	if x.overflow == "" {
 		x.overflow = causeEnded
