--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -37,7 +37,9 @@
 	// its caller gets the answer: a connection that closes with unread bytes is reset.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
-	// stallTime bounds the time in which a caller takes nothing of writeBytes.
+	// stallTime bounds the time in which a caller takes a write of writeBytes. It is not
+	// extended when a part was taken: that would let a caller keep an answer of 4 MiB in
+	// memory for days. The slowest reader of a large answer takes 2.2 kB/s.
 	stallTime  = 30 * time.Second
 	writeBytes = 64 << 10
 	// discardTime and discardBytes bound the rest of a request that is refused.
@@ -51,14 +53,15 @@
 type phase int
 
 const (
-	phaseIdle phase = iota // no byte of a request has been read
+	phaseIdle phase = iota // no byte of a request has been counted
 	phaseHead
 	phaseRequest // from the start of the handler to the end of the answer
 	phaseClosed
 )
 
 // conn counts what it reads of heads against the budget. mu guards the fields below it
-// and is held over setting deadlines, which do not block; it is a leaf lock.
+// and is held over setting deadlines, which do not block. Only the lock of the budget is
+// taken under it.
 type conn struct {
 	net.Conn
 	listener *listener
@@ -117,7 +120,7 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
-	if !c.beginRead() {
+	if !c.beginRead(len(p)) {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(p)
@@ -158,12 +161,24 @@
 	}
 }
 
-func (c *conn) beginRead() bool {
+// beginRead prepares a read into size bytes. It reports false if the connection is closed.
+// Between requests, net/http reads into its whole buffer if that is empty; a smaller read
+// means that the buffer holds bytes of the next request, which were read while the answer
+// before was written. Only with an empty buffer may the connection be closed as idle.
+func (c *conn) beginRead(size int) bool {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.idleDeadlines = 0
+	between := c.phase == phaseIdle && !c.fresh
+	if between && size < bufferBytes {
+		c.beginHead()
+	}
 	_ = c.setReadDeadline() // fails only on a closed connection, which the read reports
-	return c.phase != phaseClosed
+	open, idle := c.phase != phaseClosed, between && c.phase == phaseIdle
+	c.mu.Unlock()
+	if idle {
+		c.listener.addIdle(c)
+	}
+	return open
 }
 
 // received counts what was read. It returns the cause for which the connection is to be
@@ -229,22 +244,21 @@
 	return c.refused
 }
 
-// requestEnded notes that the answer was written and the connection is idle.
+// requestEnded notes that the answer was written. The connection may be closed as idle
+// from the next read on, because net/http may have read bytes of the next request.
 func (c *conn) requestEnded() {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.phase == phaseClosed {
-		c.mu.Unlock()
 		return
 	}
 	c.phase, c.fresh, c.idleSince, c.idleDeadlines = phaseIdle, false, time.Now(), 0
 	c.release()
-	c.mu.Unlock()
-	c.listener.addIdle(c)
 }
 
 // release gives the request's memory back. mu is held.
 func (c *conn) release() {
-	c.listener.guard.Budget.Release(c.reserved)
+	c.listener.guard.Budget.Release(Head, c.reserved)
 	c.reserved, c.refused = 0, false
 }
 
@@ -313,7 +327,8 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// Write implements net.Conn. It fails if the caller takes nothing for stallTime.
+// Write implements net.Conn. It writes up to writeBytes at a time and fails if the caller
+// does not take each of these parts whole within stallTime.
 func (c *conn) Write(p []byte) (written int, err error) {
 	for {
 		if err := c.beginWrite(); err != nil {
@@ -333,8 +348,9 @@
 	return c.Conn.SetWriteDeadline(earliest(c.writeDeadline, time.Now(), stallTime, stallTime))
 }
 
-// closeIfIdle closes the connection unless a byte of a request was read since its last
-// one. A request that was read is never lost by it.
+// closeIfIdle closes the connection unless a byte of a request was counted since its last
+// one. A request that arrives at the same time is lost with the connection, as with every
+// server that closes idle connections; no handler has seen it.
 func (c *conn) closeIfIdle() bool {
 	c.mu.Lock()
 	idle := c.phase == phaseIdle
@@ -344,11 +360,20 @@
 	c.mu.Unlock()
 	if idle {
 		c.listener.closed(c)
-		_ = c.Conn.Close()
+		_ = c.transport().Close()
 	}
 	return idle
 }
 
+// transport returns the connection below TLS. Closing it does not wait for the peer, while
+// closing a TLS connection may wait 5 s to write an alert.
+func (c *conn) transport() net.Conn {
+	if inner, ok := c.Conn.(interface{ NetConn() net.Conn }); ok {
+		return inner.NetConn()
+	}
+	return c.Conn
+}
+
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -32,11 +32,16 @@
 
 // startServer serves requests whose body it reads; /hold waits for release.
 func startServer(t *testing.T, g *Guard, release chan struct{}) (address string) {
+	t.Helper()
+	return startLimitedServer(t, g, release, callerLimits)
+}
+
+func startLimitedServer(t *testing.T, g *Guard, release chan struct{}, limits model.CallerLimits) (address string) {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		body, err := g.ReadBody(w, r, callerLimits.BodyBytes, time.Second)
+		body, err := g.ReadBody(w, r, limits.BodyBytes, time.Second)
 		if errors.Is(err, ErrMemory) {
 			refuse(w, r)
 			return
@@ -51,7 +56,7 @@
 		}
 		_, _ = fmt.Fprint(w, len(body.Bytes), " ", len(r.Trailer))
 	})}
-	listener := g.Protect(server, inner, ServerOptions{Name: "test", Limits: func() model.CallerLimits { return callerLimits }})
+	listener := g.Protect(server, inner, ServerOptions{Name: "test", Limits: func() model.CallerLimits { return limits }})
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() {
 		assert.Check(t, server.Close())
@@ -198,7 +203,7 @@
 	g := newGuard(smallestMemory, 2870)
 	address := startServer(t, g, nil)
 	conn, in := dial(t, address)
-	all := g.Budget.limit/4*shares[Body] - 1<<20
+	all := g.Budget.share(Body) - 1<<20
 	assert.Assert(t, g.Budget.Reserve(Body, all))
 	checkRefusal := func() {
 		resp, body := answer(t, in)
@@ -221,13 +226,13 @@
 	resp, _ := answer(t, in)
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	// No memory for a head: a small one is refused, a large one is closed.
-	g.Budget.Release(all)
-	all = g.Budget.limit / 4 * shares[Head]
+	g.Budget.Release(Body, all)
+	all = g.Budget.share(Head)
 	for g.Budget.Used() != 0 { // the last request ends after its answer
 		time.Sleep(time.Millisecond)
 	}
 	assert.Assert(t, g.Budget.Reserve(Head, all))
-	defer g.Budget.Release(all)
+	defer g.Budget.Release(Head, all)
 	_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nab")
 	assert.NilError(t, err)
 	checkRefusal()
