answers: read upstreams' answers within the caller budget

Cause: answers that were read from upstreams had a fixed budget of 32 MiB beside the one that follows from limits.memoryMb, and 64 KiB of each were not counted. A 4 MiB answer was grown to 8 MiB only to see its end, and the old buffer was not counted during the copy.

Change: backend reads answers within the budget of callerlimit if memoryMb is set, and within 32 MiB otherwise. A buffer has the announced length, and its end is read beside it. Both buffers count during a copy. Answers of more than 64 KiB fill the budget to 7/8, so that common ones are still read. The shares are now in eighths; those of heads and bodies are unchanged.

Two expressions of TestRequestsWithoutMemoryAreRefused divide by 8 instead of 4 to follow the unit of the shares.

An answer of more than 8 MiB without a length no longer passes through an instance of 136 MB.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -94,6 +94,9 @@
 		client:    backend.New(platform.HeaderNames(), platform.EngineAPI()),
 	}
 	e.limits = callerlimit.New(callerlimit.Options{MemoryBytes: s.MemoryBytes, Descriptors: s.Descriptors, Log: logger})
+	if s.MemoryBytes > 0 {
+		e.client.LimitMemory(e.limits.Budget)
+	}
 	e.cell = cell.NewTracker(e.instances, s.Instance)
 	identity, err := peer.NewPinned(string(s.Instance), e.trustsFingerprint)
 	if err != nil {
--- a/internal/transport/backend/client.go
+++ b/internal/transport/backend/client.go
@@ -33,7 +33,7 @@
 	// maxAnswerBytes bounds the memory of one whole answer.
 	maxAnswerBytes = 16 << 20
 	// maxBufferedBytes bounds the memory of all answers and events that are being
-	// read, a quarter of that of the smallest instances on the users' platform.
+	// read, unless LimitMemory sets another bound.
 	maxBufferedBytes = 32 << 20
 	maxIdlePerHost   = 4
 	// idleTimeout is shorter than the idle timeout of common upstreams: they may
@@ -48,7 +48,7 @@
 	engine   EngineAPI
 	unpooled *keptconn.Transport // opens a connection for each request
 	pooled   *keptconn.Transport // for requests that may run more than once
-	memory   *answerlimit.Budget
+	memory   answerlimit.Memory
 	badPause sync.Once // logs the first malformed pause
 	tracer   oteltrace.Tracer
 }
@@ -78,6 +78,10 @@
 	})
 }
 
+// LimitMemory makes answers be read into the given memory. It must be called before the
+// first request.
+func (c *Client) LimitMemory(m answerlimit.Memory) { c.memory = m }
+
 // Close closes the idle connections.
 func (c *Client) Close() { c.pooled.CloseIdleConnections() }
 
@@ -191,17 +195,20 @@
 }
 
 func (c *Client) readAnswer(ctx context.Context, s forward.Send, in *http.Response, verdict forwardwire.Verdict, receiver forward.Receiver) {
-	reserved := c.memory.Reserve()
+	reserved := answerlimit.Reserve(c.memory)
 	defer reserved.Release()
 	var answer io.Reader = in.Body
 	if !verdict.NotRun { // the head of a refusal is enough, unless its body is malformed
 		answer = c.body(ctx, s, in)
 	}
-	body, err := reserved.ReadAll(answer, maxAnswerBytes)
+	body, err := reserved.ReadAll(answer, answerlimit.LengthOf(in), maxAnswerBytes)
 	if err != nil && (!verdict.NotRun || !isShortened(err)) {
 		receiver.Lost(continuation.LossTruncated, err.Error(), true)
 		return
 	}
+	// What waits for the caller reserves the body for itself. Counted twice, an answer of
+	// half the memory could not be passed on.
+	reserved.Release()
 	receiver.Answered(forward.Answer{
 		Status:            in.StatusCode,
 		Header:            c.names.Answered(in.Header),
--- a/internal/transport/backend/engine.go
+++ b/internal/transport/backend/engine.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/forward"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 )
 
 const (
@@ -174,9 +175,9 @@
 	if err != nil {
 		return nil, 0, trace.ConnectionProblem(err, "%s %s at %q: %v", method, path, up.ID, err)
 	}
-	reserved := c.memory.Reserve()
+	reserved := answerlimit.Reserve(c.memory)
 	defer reserved.Release()
-	answer, err = reserved.ReadAll(in.Body, maxEngineAnswerBytes)
+	answer, err = reserved.ReadAll(in.Body, answerlimit.LengthOf(in), maxEngineAnswerBytes)
 	if err := trace.NewAggregate(err, in.Body.Close()); err != nil {
 		return nil, 0, err
 	}
--- a/internal/transport/backend/events.go
+++ b/internal/transport/backend/events.go
@@ -28,9 +28,9 @@
 // readEvents passes the events of a stream to the receiver until the stream
 // ends. Events that are buffered already are passed together. delimited says that the
 // end of the body shows the end of the stream.
-func readEvents(body io.Reader, delimited bool, memory *answerlimit.Budget, receiver forward.Receiver) {
+func readEvents(body io.Reader, delimited bool, memory answerlimit.Memory, receiver forward.Receiver) {
 	in := bufio.NewReaderSize(body, readBufferBytes)
-	reserved := memory.Reserve()
+	reserved := answerlimit.Reserve(memory)
 	defer reserved.Release()
 	var batch []forward.Event
 	for {
--- a/internal/transport/callerlimit/guard.go
+++ b/internal/transport/callerlimit/guard.go
@@ -19,9 +19,8 @@
 
 const (
 	// budgetPercent of the machine's memory is the budget. On the smallest instances, with
-	// 136 MB, the rest holds the program (about 30 MB), the connections (27 MB), answers
-	// that are read from upstreams (32 MiB and their copies while buffers grow) and what the
-	// garbage collector has not freed. With 25%, slow readers of 4 MiB took 119 to 143 MB.
+	// 136 MB, the rest holds the program (about 30 MB), the connections (27 MB) and what
+	// the garbage collector has not freed.
 	budgetPercent = 15
 	// minBudget holds a body of 4 MiB that arrives in chunks, whose buffer grows by copies.
 	minBudget = 16 << 20
--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/protocol/problem"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
 )
 
 // smallestMemory is that of the smallest instances.
@@ -198,7 +199,7 @@
 	g := newGuard(smallestMemory, 2870)
 	address := startServer(t, g, nil)
 	conn, in := dial(t, address)
-	all := g.Budget.limit/4*shares[Body] - 1<<20
+	all := g.Budget.limit/8*shares[Body] - 1<<20
 	assert.Assert(t, g.Budget.Reserve(Body, all))
 	checkRefusal := func() {
 		resp, body := answer(t, in)
@@ -222,7 +223,7 @@
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
 	// No memory for a head: a small one is refused, a large one is closed.
 	g.Budget.Release(all)
-	all = g.Budget.limit / 4 * shares[Head]
+	all = g.Budget.limit / 8 * shares[Head]
 	for g.Budget.Used() != 0 { // the last request ends after its answer
 		time.Sleep(time.Millisecond)
 	}
@@ -313,3 +314,14 @@
 		assert.Equal(t, newGuard(c.memory, c.descriptors).MaxConnections(), c.connections)
 	}
 }
+
+// Guards against large answers that keep common ones from being read, and against a large
+// answer that the smallest instances cannot pass on at all.
+func TestLargeAnswersLeaveMemoryToCommonOnes(t *testing.T) {
+	b := newGuard(smallestMemory, 0).Budget
+	assert.Assert(t, b.ReserveAnswer(16<<20, 0))
+	for b.ReserveAnswer(answerlimit.CommonBytes+1, 0) {
+	}
+	assert.Assert(t, b.ReserveAnswer(answerlimit.CommonBytes, 0))
+	assert.Assert(t, !b.ReserveAnswer(1<<20, answerlimit.CommonBytes))
+}
--- a/internal/transport/ingress/exchange.go
+++ b/internal/transport/ingress/exchange.go
@@ -107,7 +107,7 @@
 		return
 	}
 	switch {
-	case !x.server.opts.Limits.Budget.Reserve(callerlimit.Answer, s.memory):
+	case !x.server.opts.Limits.Budget.ReserveAnswer(s.memory, x.reserved):
 		x.overflow = causeNoMemory
 	case x.queuedBytes+len(s.raw) > maxQueuedBytes && !s.end:
 		x.overflow = causeSlowCaller
--- a/internal/transport/service/client.go
+++ b/internal/transport/service/client.go
@@ -116,9 +116,9 @@
 		use.Discard()
 		return call.Response{}, &call.SendError{Sent: true, Err: trace.ConnectionProblem(nil, "upstream %q: status %d is not that of an answer", upstream.ID, in.StatusCode)}
 	}
-	reserved := c.memory.Reserve()
+	reserved := answerlimit.Reserve(c.memory)
 	defer reserved.Release()
-	body, err := reserved.ReadAll(answerend.Body(ctx, in, func(ctx context.Context) error { return c.checkAlive(ctx, upstream) }), maxResponseBytes)
+	body, err := reserved.ReadAll(answerend.Body(ctx, in, func(ctx context.Context) error { return c.checkAlive(ctx, upstream) }), answerlimit.LengthOf(in), maxResponseBytes)
 	if err != nil {
 		return call.Response{}, &call.SendError{Sent: true, Err: trace.ConnectionProblem(err, "response of upstream %q", upstream.ID)}
 	}
