--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -37,7 +37,7 @@
 	// its caller gets the answer: a connection that closes with unread bytes is reset.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
-	// stallTime bounds the time in which a caller takes nothing of writeBytes.
+	// stallTime is the default of the time in which a caller takes nothing of writeBytes.
 	stallTime  = 30 * time.Second
 	writeBytes = 64 << 10
 	// discardTime and discardBytes bound the rest of a request that is refused.
@@ -313,7 +313,7 @@
 	return c.Conn.SetWriteDeadline(t)
 }
 
-// Write implements net.Conn. It fails if the caller takes nothing for stallTime.
+// Write implements net.Conn. It fails if the caller takes nothing for WriteStall.
 func (c *conn) Write(p []byte) (written int, err error) {
 	for {
 		if err := c.beginWrite(); err != nil {
@@ -330,7 +330,8 @@
 func (c *conn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Conn.SetWriteDeadline(earliest(c.writeDeadline, time.Now(), stallTime, stallTime))
+	stall := c.listener.opts.WriteStall
+	return c.Conn.SetWriteDeadline(earliest(c.writeDeadline, time.Now(), stall, stall))
 }
 
 // closeIfIdle closes the connection unless a byte of a request was read since its last
--- a/internal/transport/callerlimit/guard_test.go
+++ b/internal/transport/callerlimit/guard_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -325,3 +326,39 @@
 	assert.Assert(t, b.ReserveAnswer(answerlimit.CommonBytes, 0))
 	assert.Assert(t, !b.ReserveAnswer(1<<20, answerlimit.CommonBytes))
 }
+
+// Guards against answers that are kept for callers that take nothing of them, and against
+// one that is cut although its caller reads on slowly.
+func TestStalledAnswersEnd(t *testing.T) {
+	const stall, size, step = time.Second, 32 << 20, 1 << 20
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ended := make(chan error, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := w.Write(make([]byte, size))
+		ended <- err
+	})}
+	listener := newGuard(smallestMemory, 2870).Protect(server, inner, ServerOptions{Name: "test", WriteStall: stall})
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	request := func() *bufio.Reader {
+		conn, in := dial(t, listener.Addr().String())
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		assert.NilError(t, err)
+		return in
+	}
+	_ = request()
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the answer is still being written")
+	}
+	in := request()
+	for range size / step {
+		_, err := io.CopyN(io.Discard, in, step)
+		assert.NilError(t, err)
+		time.Sleep(stall / 10)
+	}
+	assert.NilError(t, <-ended)
+}
--- a/internal/transport/callerlimit/listener.go
+++ b/internal/transport/callerlimit/listener.go
@@ -26,6 +26,7 @@
 	MaxConnections int                                          // zero means the Guard's bound
 	Limits         func() model.CallerLimits                    // limits in force; nil means those of the server
 	Refuse         func(w http.ResponseWriter, r *http.Request) // answers a request for which there is no memory; nil means a plain refusal
+	WriteStall     time.Duration                                // after which a caller that takes nothing of an answer is cut off; zero means 30 s
 	AlwaysServe    bool                                         // small heads are served without memory in the budget: a few trusted callers
 }
 
@@ -39,6 +40,7 @@
 	if o.Limits == nil {
 		o.Limits = func() model.CallerLimits { return model.CallerLimits{} }
 	}
+	o.WriteStall = orDefault(o.WriteStall, stallTime)
 	if o.Refuse == nil {
 		o.Refuse = refuse
 	}
--- a/internal/transport/ingress/server.go
+++ b/internal/transport/ingress/server.go
@@ -36,8 +36,7 @@
 	defaultBodyBytes   = 4 << 20
 	defaultHeaderBytes = 64 << 10
 	defaultHeaderTime  = 10 * time.Second
-	// bodyStall is the time after which a body is refused of which nothing arrives.
-	bodyStall = 30 * time.Second
+	defaultBodyStall   = 30 * time.Second
 )
 
 // Options configure a Server.
@@ -48,6 +47,9 @@
 	Rules   *rules.Table
 	Limits  *callerlimit.Guard // nil means no bounds on memory and connections
 	Log     log.Interface
+	// BodyStall is the time after which a body is refused of which nothing arrives; zero
+	// means 30 s.
+	BodyStall time.Duration
 }
 
 // Server is the HTTP server for callers whose requests are forwarded.
@@ -69,6 +71,9 @@
 	if opts.Limits == nil {
 		opts.Limits = callerlimit.New(callerlimit.Options{Log: opts.Log})
 	}
+	if opts.BodyStall <= 0 {
+		opts.BodyStall = defaultBodyStall
+	}
 	opts.Log = opts.Log.WithField("part", "ingress")
 	s := &Server{opts: opts, tracer: otel.Tracer("sequoiavalve/ingress")}
 	// Creating an instrument fails only for an invalid name.
@@ -202,12 +207,12 @@
 	if err != nil {
 		return nil, nil, &model.Refusal{Code: problem.CodeInvalidRequest, Message: err.Error(), Outcome: model.OutcomeNotRun}
 	}
-	body, err := s.opts.Limits.ReadBody(w, r, s.bodyBytes(), bodyStall)
+	body, err := s.opts.Limits.ReadBody(w, r, s.bodyBytes(), s.opts.BodyStall)
 	if errors.Is(err, callerlimit.ErrMemory) {
 		s.opts.Limits.Count("callers", callerlimit.CauseMemory)
 	}
 	if err != nil {
-		return nil, nil, bodyRefusal(err)
+		return nil, nil, s.bodyRefusal(err)
 	}
 	req.Body = body.Bytes
 	// A connection that closes before the whole body is read is reset, and its caller may
@@ -257,7 +262,7 @@
 	return host
 }
 
-func bodyRefusal(err error) *model.Refusal {
+func (s *Server) bodyRefusal(err error) *model.Refusal {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &model.Refusal{Code: problem.CodeBodyTooLarge, Message: err.Error(), Outcome: model.OutcomeNotRun}
@@ -266,7 +271,7 @@
 		return callerlimit.Refusal()
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return &model.Refusal{Code: problem.CodeBodyTooSlow, Message: "Nothing of the body arrived for " + bodyStall.String() + ".", Outcome: model.OutcomeNotRun}
+		return &model.Refusal{Code: problem.CodeBodyTooSlow, Message: "Nothing of the body arrived for " + s.opts.BodyStall.String() + ".", Outcome: model.OutcomeNotRun}
 	}
 	return &model.Refusal{Code: problem.CodeInvalidRequest, Message: "The body did not arrive whole.", Outcome: model.OutcomeNotRun}
 }
