--- a/tests/e2e/uncontrolled_test.go
+++ b/tests/e2e/uncontrolled_test.go
@@ -42,11 +42,14 @@
 var crowdRules = strings.Replace(fleet.Rules, `"limits":{"maxBodyBytes":65536}`,
 	`"limits":{"maxBodyBytes":4194304,"maxHeaderBytes":16384,"headerTimeoutMs":3000,"idleTimeoutMs":15000}`, 1)
 
-// crowdTarget is the edged process that a crowd meets.
+// crowdTarget is the process that a crowd meets.
 type crowdTarget struct {
-	t       *testing.T
-	address string
-	edge    *edges
+	t           *testing.T
+	address     string
+	process     *process
+	memoryMB    int
+	descriptors int
+	request     func() *http.Request // an ordinary one
 }
 
 func startCrowdTarget(t *testing.T) *crowdTarget {
@@ -69,7 +72,10 @@
 	rules = strings.Replace(rules, `{"name":"desk"}`, `{"name":"desk"},{"name":"large"}`, 1)
 	e.fleet.Store.Put("op", "config", []byte(rules))
 	e.awaitReady()
-	c := &crowdTarget{t: t, edge: e, address: fmt.Sprintf("127.0.0.1:%d", e.ports[0].callers)}
+	c := &crowdTarget{
+		t: t, process: proc, address: fmt.Sprintf("127.0.0.1:%d", e.ports[0].callers), memoryMB: crowdMemoryMB, descriptors: crowdDescriptors,
+		request: func() *http.Request { return e.request(0, "POST", "/read/1") },
+	}
 	eventually(t, 10*time.Second, "an ordinary request is answered before the crowd", c.answers)
 	return c
 }
@@ -108,7 +114,7 @@
 // answers reports whether an ordinary request gets its answer.
 func (c *crowdTarget) answers() bool {
 	client := http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
-	resp, err := client.Do(c.edge.request(0, "POST", "/read/1"))
+	resp, err := client.Do(c.request())
 	if err != nil {
 		return false
 	}
@@ -154,19 +160,18 @@
 	crowd.Wait()
 	close(stop)
 	watch.Wait()
-	proc := c.edge.procs[0]
-	assert.Check(c.t, proc.running(), "the process has ended")
-	if proc.running() {
+	assert.Check(c.t, c.process.running(), "the process has ended")
+	if c.process.running() {
 		peak := c.peakMemory()
-		c.t.Logf("peak memory %.1f MB of %d, descriptors %d of %d", float64(peak)/1e6, crowdMemoryMB, maxFiles, crowdDescriptors)
-		assert.Check(c.t, peak <= crowdMemoryMB*1_000_000, "peak memory is %d bytes", peak)
-		assert.Check(c.t, maxFiles <= crowdDescriptors, "%d descriptors were open", maxFiles)
+		c.t.Logf("peak memory %.1f MB of %d, descriptors %d of %d", float64(peak)/1e6, c.memoryMB, maxFiles, c.descriptors)
+		assert.Check(c.t, peak <= c.memoryMB*1_000_000, "peak memory is %d bytes", peak)
+		assert.Check(c.t, maxFiles <= c.descriptors, "%d descriptors were open", maxFiles)
 	}
 	eventually(c.t, 10*time.Second, "an ordinary request is answered after the crowd", c.answers)
 }
 
 func (c *crowdTarget) proc(name string) string {
-	cmd, _ := c.edge.procs[0].current()
+	cmd, _ := c.process.current()
 	return fmt.Sprintf("/proc/%d/%s", cmd.Process.Pid, name)
 }
 
