--- a/tests/e2e/uncontrolled_test.go
+++ b/tests/e2e/uncontrolled_test.go
@@ -46,6 +46,7 @@
 type crowdTarget struct {
 	t           *testing.T
 	address     string
+	peers       int // UDP port for peers, of an edged process
 	process     *process
 	memoryMB    int
 	descriptors int
@@ -73,7 +74,7 @@
 	e.fleet.Store.Put("op", "config", []byte(rules))
 	e.awaitReady()
 	c := &crowdTarget{
-		t: t, process: proc, address: fmt.Sprintf("127.0.0.1:%d", e.ports[0].callers), memoryMB: crowdMemoryMB, descriptors: crowdDescriptors,
+		t: t, process: proc, address: fmt.Sprintf("127.0.0.1:%d", e.ports[0].callers), peers: e.ports[0].peers, memoryMB: crowdMemoryMB, descriptors: crowdDescriptors,
 		request: func() *http.Request { return e.request(0, "POST", "/read/1") },
 	}
 	eventually(t, 10*time.Second, "an ordinary request is answered before the crowd", c.answers)
