--- a/internal/transport/callerlimit/budget.go
+++ b/internal/transport/callerlimit/budget.go
@@ -3,7 +3,11 @@
 // are not trusted; any number of them may send anything.
 package callerlimit
 
-import "sync"
+import (
+	"sync"
+
+	"github.com/sequoiavalve/sequoiavalve/internal/transport/answerlimit"
+)
 
 // Use is what memory of a Budget is used for.
 type Use int
@@ -12,7 +16,7 @@
 const (
 	Head   Use = iota // a request whose head is being read or whose answer is not written yet
 	Body              // a request's body, while it arrives and while it is kept for resends
-	Answer            // what waits for its caller to read
+	Answer            // an answer that is read from an upstream or waits for its caller to read it
 	uses
 )
 
@@ -23,6 +27,10 @@
 // share of bodies is three of them.
 var shares = [uses]int64{Head: 6, Body: 5, Answer: 6}
 
+// commonAnswerBytes is the memory that answers of more than answerlimit.CommonBytes leave to
+// common ones. Beside it an answer of 16 MiB fits on the smallest instances.
+const commonAnswerBytes = 1 << 20
+
 // Budget bounds the memory of all uses together. It is safe for concurrent use. mu is a
 // leaf lock.
 type Budget struct {
@@ -71,6 +79,24 @@
 	b.used[use] -= n
 }
 
+// ReserveAnswer takes n more bytes for an answer that holds some already. It implements
+// answerlimit.Memory.
+func (b *Budget) ReserveAnswer(n, held int64) bool {
+	if held+n <= answerlimit.CommonBytes {
+		return b.Reserve(Answer, n)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.limit != 0 && (!b.fits(Answer, n) || b.used[Answer]+n > b.share(Answer)-commonAnswerBytes) {
+		return false
+	}
+	b.used[Answer] += n
+	return true
+}
+
+// ReleaseAnswer gives n bytes of answers back. It implements answerlimit.Memory.
+func (b *Budget) ReleaseAnswer(n int64) { b.Release(Answer, n) }
+
 // Used returns the bytes that are reserved.
 func (b *Budget) Used() int64 {
 	b.mu.Lock()
--- a/internal/transport/callerlimit/conn.go
+++ b/internal/transport/callerlimit/conn.go
@@ -37,9 +37,9 @@
 	// its caller gets the answer: a connection that closes with unread bytes is reset.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 256 << 10
-	// stallTime bounds the time in which a caller takes a write of writeBytes. It is not
-	// extended when a part was taken: that would let a caller keep an answer of 4 MiB in
-	// memory for days. The slowest reader of a large answer takes 2.2 kB/s.
+	// stallTime is the default of WriteStall, the time in which a caller takes a write of
+	// writeBytes. It is not extended when a part was taken: that would let a caller keep an
+	// answer of 4 MiB in memory for days. The slowest reader of a large answer takes 2.2 kB/s.
 	stallTime  = 30 * time.Second
 	writeBytes = 64 << 10
 	// discardTime and discardBytes bound the rest of a request that is refused.
@@ -328,7 +328,7 @@
 }
 
 // Write implements net.Conn. It writes up to writeBytes at a time and fails if the caller
-// does not take each of these parts whole within stallTime.
+// does not take each of these parts whole within WriteStall.
 func (c *conn) Write(p []byte) (written int, err error) {
 	for {
 		if err := c.beginWrite(); err != nil {
@@ -345,7 +345,8 @@
 func (c *conn) beginWrite() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.Conn.SetWriteDeadline(earliest(c.writeDeadline, time.Now(), stallTime, stallTime))
+	stall := c.listener.opts.WriteStall
+	return c.Conn.SetWriteDeadline(earliest(c.writeDeadline, time.Now(), stall, stall))
 }
 
 // closeIfIdle closes the connection unless a byte of a request was counted since its last
--- a/internal/transport/callerlimit/guard.go
+++ b/internal/transport/callerlimit/guard.go
@@ -19,10 +19,9 @@
 
 const (
 	// budgetPercent of the machine's memory is the budget. On the smallest instances, with
-	// 136 MB, the rest holds the program (about 30 MB), the connections (27 MB), answers
-	// that are read from upstreams (32 MiB and their copies while buffers grow) and what the
-	// garbage collector has not freed. With 25%, slow readers of 4 MiB took 119 to 143 MB.
-	budgetPercent = 15
+	// 136 MB, the rest holds the program (about 30 MB), the connections (27 MB) and what
+	// the garbage collector has not freed.
+	budgetPercent = 18
 	// minBudget holds two bodies of 4 MiB, also if they arrive in chunks: 5 MiB for a moment.
 	minBudget = 16 << 20
 	// connectionBytes is the memory of a connection without a request: two goroutine
