admission: let small streams pass one that fits no engine

Cause: the first request of an organisation's turn was the only one that could run, so a stream that needs an empty engine blocked smaller streams of its organisation and class while engines had room for them.

Change: the first request of the turn that may start runs, those that still meet their objective before the others. After a wait of 1 s the emptiest engine is reserved in admission for the most urgent stream that fits nowhere.

--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -108,26 +108,35 @@
 		return nil
 	}
 	var decisions []decision
-	for {
-		w, ok := dequeueByPriority(s, q, p, now)
-		if !ok {
-			break
+	admit := func(dequeue func(*organisation.State, *organisation.Queue, Supply, time.Time) (organisation.Waiting, bool)) {
+		for {
+			w, ok := dequeue(s, q, p, now)
+			if !ok {
+				return
+			}
+			s.WaitingBytes -= w.Bytes
+			p.reserve(w.MemoryTokens)
+			decisions = append(decisions, grantSlot(s, serves, w, now))
 		}
-		s.WaitingBytes -= w.Bytes
-		p.reserve(w.MemoryTokens)
-		decisions = append(decisions, grantSlot(s, serves, w, now))
 	}
+	admit(dequeueResumed)
+	release := p.reserveForLargest(s, q, now)
+	admit(dequeueByPriority)
+	release()
 	return decisions
 }
 
-// dequeueByPriority removes and returns the next request of the highest priority in which
+// dequeueResumed removes and returns the next resumed stream that may run.
+func dequeueResumed(s *organisation.State, q *organisation.Queue, p Supply, now time.Time) (organisation.Waiting, bool) {
+	mayRun := func(w organisation.Waiting) bool { return p.mayStart(q, w, now) }
+	return dequeueNext(&q.Classes[model.PriorityResume], s.Weight, mayRun, now)
+}
+
+// dequeueByPriority removes and returns the next new request of the highest priority in which
 // one may run. A class that has had less than its guaranteed share goes first.
 func dequeueByPriority(s *organisation.State, q *organisation.Queue, p Supply, now time.Time) (organisation.Waiting, bool) {
 	mayRun := func(w organisation.Waiting) bool {
-		return (w.Priority == model.PriorityResume || s.MayRun(w.Organisation)) && p.mayStart(q, w, now)
-	}
-	if w, ok := dequeueNext(&q.Classes[model.PriorityResume], s.Weight, mayRun, now); ok {
-		return w, true
+		return s.MayRun(w.Organisation) && p.mayStart(q, w, now)
 	}
 	if q.InFlight >= p.limit(q, now) {
 		return organisation.Waiting{}, false
@@ -139,8 +148,8 @@
 			}
 		}
 	}
-	for i := range q.Classes {
-		if w, ok := dequeueNext(&q.Classes[i], s.Weight, mayRun, now); ok {
+	for priority := model.PriorityInteractive; priority <= model.PriorityLowest; priority++ {
+		if w, ok := dequeueNext(&q.Classes[priority], s.Weight, mayRun, now); ok {
 			return w, true
 		}
 	}
--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -36,12 +36,12 @@
 
 // dequeueNext removes and returns the request to run next, by deficit
 // round-robin: each request costs 1 and each turn is worth the organisation's
-// weight. An organisation whose first request may not run loses its turn.
+// weight. An organisation of which no request may run loses its turn.
 func dequeueNext(c *organisation.Class, weight func(model.OrganisationID) int, mayRun func(organisation.Waiting) bool, now time.Time) (organisation.Waiting, bool) {
 	for range len(c.Turns) {
 		turn := &c.Turns[c.Next]
-		first := firstInTurn(turn, now)
-		if !mayRun(turn.Waiting[first]) {
+		next := nextInTurn(turn, mayRun, now)
+		if next < 0 {
 			turn.Deficit = 0
 			c.Next = (c.Next + 1) % len(c.Turns)
 			continue
@@ -49,7 +49,7 @@
 		if turn.Deficit == 0 {
 			turn.Deficit = weight(turn.Organisation)
 		}
-		return take(c, first), true
+		return take(c, next), true
 	}
 	return organisation.Waiting{}, false
 }
@@ -59,12 +59,23 @@
 	return w.Objective.IsZero() || !now.After(w.Objective)
 }
 
-// firstInTurn returns the position of the request that runs next in the turn: of those that
-// can still meet their objective the one of the earliest deadline, else the one of the
-// earliest deadline of all. Requests that are late in any case would otherwise make
-// each later one late too.
-func firstInTurn(turn *organisation.Turn, now time.Time) int {
-	return max(slices.IndexFunc(turn.Waiting, func(w organisation.Waiting) bool { return meetsObjective(w, now) }), 0)
+// nextInTurn returns the position of the request that runs next in the turn: of those that
+// may run and can still meet their objective the one of the earliest deadline, else the
+// one of the earliest deadline of those that may run. Requests that are late in any case
+// would otherwise make each later one late too. It is negative if none may run.
+func nextInTurn(turn *organisation.Turn, mayRun func(organisation.Waiting) bool, now time.Time) int {
+	late := -1
+	for i, w := range turn.Waiting {
+		inTime := meetsObjective(w, now)
+		if (!inTime && late >= 0) || !mayRun(w) {
+			continue
+		}
+		if inTime {
+			return i
+		}
+		late = i
+	}
+	return late
 }
 
 // take removes the request at the position of the current turn.
--- a/internal/coordination/admission/room.go
+++ b/internal/coordination/admission/room.go
@@ -40,13 +40,44 @@
 	if !p.Engines.Limited || len(p.Engines.Free) == 0 {
 		return
 	}
+	p.Engines.Free[p.mostFree()] -= tokens
+}
+
+// reservationWait is the time for which a request waits for memory before an engine is
+// reserved for it. The first event of a stream is due within 4 to 10 s.
+const reservationWait = time.Second
+
+// reserveForLargest takes the memory of the engine with the most free memory for the most
+// urgent request that has waited for reservationWait and fits no engine. Smaller requests
+// would otherwise use each part of an engine that becomes free. The returned function gives
+// the memory back.
+func (p Supply) reserveForLargest(s *organisation.State, q *organisation.Queue, now time.Time) (release func()) {
+	if !p.Engines.Limited || len(p.Engines.Free) == 0 {
+		return func() {}
+	}
+	for i := range q.Classes {
+		for _, turn := range q.Classes[i].Turns {
+			for _, w := range turn.Waiting {
+				if now.Sub(w.Entered) >= reservationWait && s.MayRun(w.Organisation) && !p.fits(w.MemoryTokens) {
+					most := p.mostFree()
+					p.Engines.Free[most] -= w.MemoryTokens
+					return func() { p.Engines.Free[most] += w.MemoryTokens }
+				}
+			}
+		}
+	}
+	return func() {}
+}
+
+// mostFree returns the position of the engine with the most free memory.
+func (p Supply) mostFree() int {
 	most := 0
 	for i, free := range p.Engines.Free {
 		if free > p.Engines.Free[most] {
 			most = i
 		}
 	}
-	p.Engines.Free[most] -= tokens
+	return most
 }
 
 // mayStart reports whether the request may be in flight beside the others of the queue.
