admission: refuse no resumed stream for a full queue

Cause: a resumed stream that waited for memory was refused as overloaded, and so aborted, when new requests filled the queue. An urgent request was refused while less urgent ones of its own organisation waited.

Change: resumed streams neither count for the length of the queue nor are refused by it. Classes less urgent than the entering one are evicted from first; a class that is owed service keeps its last request.

--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -157,7 +157,8 @@
 }
 
 // enforceQueueLimit refuses requests while the queue is longer than its limit, or the
-// waiting requests of all queues take too much memory, after w entered.
+// waiting requests of all queues take too much memory, after w entered. Resumed streams do
+// not count for the length and are not refused.
 func (l limits) enforceQueueLimit(s *organisation.State, q *organisation.Queue, w organisation.Waiting, p Supply, now time.Time) []decision {
 	limit := q.MaxQueue
 	if limit <= 0 {
@@ -167,9 +168,16 @@
 		limit = defaultMaxQueue
 	}
 	var decisions []decision
-	for q.Len() > limit || (l.maxBytes > 0 && s.WaitingBytes > l.maxBytes && q.Len() > 0) {
+	for {
+		waiting := q.Len() - q.Classes[model.PriorityResume].Len()
+		if waiting <= limit && (l.maxBytes <= 0 || s.WaitingBytes <= l.maxBytes || waiting == 0) {
+			break
+		}
 		wait, _ := drainTime(q, q.Len(), p.places())
-		refused := victim(q, w, s.Weight)
+		refused, found := victim(q, w, s.Weight, now)
+		if !found {
+			break
+		}
 		after := l.retryAfter(q, refused, wait, p.places(), now)
 		decided := refuseWaiting(s, refused.Request, refuseOverloaded(after), now)
 		decisions = append(decisions, decided...)
--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -152,29 +152,49 @@
 	return n
 }
 
-// victim returns the request to refuse when the queue is full: the newest
-// request of the organisation with the most waiting requests for its weight,
-// batch first. The entering request itself is refused unless another
-// organisation has strictly more, and it never displaces a request of a higher
-// priority.
-func victim(q *organisation.Queue, entering organisation.Waiting, weight func(model.OrganisationID) int) organisation.Waiting {
+// victim returns the request to refuse when the queue is full, and false if there is none.
+// Requests of classes less urgent than the entering one go first, the least urgent class
+// before others. In a class that is the latest request of the organisation with
+// the most waiting requests for its weight. A class that is owed service keeps its last
+// request, so that it gets the service. Otherwise the entering request itself is refused,
+// unless another organisation has strictly more waiting requests and one that is not more
+// urgent. Resumed streams are never refused: their callers have a part of the answer.
+func victim(q *organisation.Queue, entering organisation.Waiting, weight func(model.OrganisationID) int, now time.Time) (organisation.Waiting, bool) {
 	waiting := map[model.OrganisationID]int{}
-	for i := range q.Classes {
-		for _, turn := range q.Classes[i].Turns {
+	for p := model.PriorityInteractive; p <= model.PriorityLowest; p++ {
+		for _, turn := range q.Classes[p].Turns {
 			waiting[turn.Organisation] += len(turn.Waiting)
 		}
 	}
+	hasMore := func(a, b model.OrganisationID) int { return waiting[a]*weight(b) - waiting[b]*weight(a) }
+	for p := model.PriorityLowest; p > entering.Priority; p-- {
+		turns := q.Classes[p].Turns
+		if len(turns) == 0 || (q.Classes[p].Len() == 1 && isOwed(q, p, now)) {
+			continue
+		}
+		most := 0
+		for i := range turns {
+			diff := hasMore(turns[i].Organisation, turns[most].Organisation)
+			if diff > 0 || (diff == 0 && turns[i].Organisation < turns[most].Organisation) {
+				most = i
+			}
+		}
+		return turns[most].Waiting[len(turns[most].Waiting)-1], true
+	}
+	if entering.Priority == model.PriorityResume {
+		return organisation.Waiting{}, false
+	}
 	most := entering.Organisation
-	for org, n := range waiting {
-		diff := n*weight(most) - waiting[most]*weight(org)
+	for org := range waiting {
+		diff := hasMore(org, most)
 		if diff > 0 || (diff == 0 && most != entering.Organisation && org < most) {
 			most = org
 		}
 	}
 	if most == entering.Organisation {
-		return entering
+		return entering, true
 	}
-	return newestEvictable(q, most, entering)
+	return newestEvictable(q, most, entering), true
 }
 
 // newestEvictable returns the newest request of the organisation in the lowest
