admission: run a request while there is room, whatever others take

Cause: a request was refused at its entry if its deadline was nearer than the mean time that requests of its service take, before room was looked for. A short call of an idle service with long ones was refused for as long as nothing ran, and so did not change the mean.

Change: the mean only decides whether a request waits, keeps at most a third of the time left and expires a minute after its last sample. A request that gets room at its entry runs until its answer is due.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -49,7 +49,10 @@
 	Serves       string // name of the model
 	Organisation model.OrganisationID
 	Priority     model.Priority
-	Deadline     time.Time // latest time of admission; zero means none
+	Deadline     time.Time // until which it waits for admission; zero means none
+	// AnswerDeadline is the time at which the answer is due. Until then the request is
+	// admitted if there is room at its entry, also after Deadline. Zero means Deadline.
+	AnswerDeadline time.Time
 	// Objective is the latest time of admission that meets the latency objective; zero
 	// means none. A request that missed it goes behind those that can still meet theirs.
 	Objective time.Time
--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -55,17 +55,27 @@
 		p.reserve(req.MemoryTokens)
 		return []decision{grantSlot(s, req.Serves, w, now)}
 	}
-	if !req.Deadline.IsZero() && !now.Before(req.Deadline) {
+	end := req.AnswerDeadline
+	if end.IsZero() {
+		end = req.Deadline
+	}
+	if hasPassed(end, now) {
 		return []decision{{request: req.ID, onDecision: onDecision, refusal: l.refuseDeadline(q, w, p, now), waiting: w, at: now}}
 	}
 	enqueue(&q.Classes[req.Priority], w)
 	s.WaitingBytes += w.Bytes
 	s.Requests[req.ID] = organisation.RequestState{Serves: req.Serves, Organisation: req.Organisation, Priority: req.Priority, Deadline: req.Deadline}
 	decisions := admitWaiting(s, req.Serves, p, now)
+	if hasPassed(req.Deadline, now) { // it may start if there is room, but not wait
+		decisions = append(decisions, refuseWaiting(s, req.ID, l.refuseDeadline(q, w, p, now), now)...)
+	}
 	decisions = append(decisions, l.enforceQueueLimit(s, q, w, p, now)...)
 	return append(decisions, l.refuseIfLate(s, q, w, p, now)...)
 }
 
+// hasPassed reports whether the time has come; zero means that there is none.
+func hasPassed(t, now time.Time) bool { return !t.IsZero() && !now.Before(t) }
+
 // expire refuses a request that still waits at its deadline. The deadline may have passed for
 // an earlier entry of the request only.
 func (l limits) expire(s *organisation.State, req Request, p Supply, now time.Time) []decision {
--- a/internal/coordination/admission/room_test.go
+++ b/internal/coordination/admission/room_test.go
@@ -66,6 +66,24 @@
 	assert.Check(t, less >= 0.9*guaranteedShare*urgent, "urgent %.3f, less urgent %.3f", urgent, less)
 }
 
+// Guards against a request that is refused although there is room, because the time for
+// which it would wait is over, and against one that runs after its answer is due.
+func TestRequestThatMayNotWaitRunsIfThereIsRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	req := Request{ID: "r", Serves: "s", Priority: model.PriorityInteractive, Deadline: now.Add(-1), AnswerDeadline: now.Add(time.Second)}
+	for _, test := range []struct {
+		slots  int
+		at     time.Time
+		admits bool
+	}{{1, now, true}, {0, now, false}, {1, req.AnswerDeadline, false}} {
+		s := newState()
+		decisions := limits{}.enter(s, req, ignoreDecision, Supply{Slots: test.slots}, test.at)
+		assert.Equal(t, len(decisions), 1)
+		assert.Equal(t, decisions[0].refusal == nil, test.admits)
+		assert.Equal(t, s.Queue("s").Len(), 0)
+	}
+}
+
 // Guards against waiting requests whose bodies fill the memory, and against bytes that stay
 // counted after their request was admitted, was refused or left.
 func TestWaitingBytesAreBounded(t *testing.T) {
--- a/internal/coordination/forward/sender.go
+++ b/internal/coordination/forward/sender.go
@@ -175,7 +175,7 @@
 	if a.ran {
 		held = time.Since(a.started)
 	}
-	r.m.opts.Demand.RecordEnd(r.service.Name, a.reservedTokens, held)
+	r.m.opts.Demand.RecordEnd(r.service.Name, a.reservedTokens, held, time.Now())
 	if a.copyHolder.ID != "" {
 		r.m.opts.Commitments.Remove(a.copyHolder.ID, a.copyWork)
 	}
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -34,6 +34,10 @@
 	// Upstreams queue a few calls, and one that waits there starts without the way of a
 	// message when a slot becomes free.
 	queuedPerSlot = 1
+	// maxRunShare is the part of a request's remaining time that is kept for its run at
+	// most. The mean time that requests of a service take does not hold for a short request
+	// beside long ones.
+	maxRunShare = 1.0 / 3
 	// minFullTime and maxFullTime bound the time for which a service counts as full after
 	// its upstreams turned a request away. Within the mean time that a call takes, each
 	// of their slots becomes free once.
@@ -249,6 +253,7 @@
 		Organisation:   r.organisation,
 		Priority:       r.admissionPriority(),
 		Deadline:       r.latestStart(),
+		AnswerDeadline: r.deadline,
 		Objective:      r.objectiveStart(),
 		CallerDeadline: callerDeadline,
 		Bytes:          len(r.req.Body) + requestOverhead,
@@ -266,8 +271,8 @@
 	return min(model.PriorityInteractive+model.Priority(max(r.priority, 0)), model.PriorityLowest)
 }
 
-// latestStart returns the latest time at which the request may start to end in time; zero
-// means that there is none.
+// latestStart returns the time until which the request waits for a place, so that it may
+// end in time; zero means that there is none.
 func (r *activeRequest) latestStart() time.Time {
 	if r.deadline.IsZero() {
 		return time.Time{}
@@ -275,7 +280,9 @@
 	if r.route.Stream && r.stream.delivered > 0 {
 		return r.deadline
 	}
-	latest := r.deadline.Add(-r.m.opts.Demand.Local(time.Now())[r.service.Name].HoldTime)
+	now := time.Now()
+	reserve := min(r.m.opts.Demand.Local(now)[r.service.Name].HoldTime, time.Duration(maxRunShare*float64(r.deadline.Sub(now))))
+	latest := r.deadline.Add(-max(reserve, 0))
 	if r.route.Stream {
 		latest = earlier(latest, r.req.Arrived.Add(r.placementLimit()))
 	}
--- a/internal/state/demand/demand.go
+++ b/internal/state/demand/demand.go
@@ -17,6 +17,9 @@
 	// holdSmoothing is the weight of a new sample in the mean time that a request
 	// holds its place.
 	holdSmoothing = 0.1
+	// holdTTL is the age of the newest sample at which the mean hold time counts as unknown.
+	// Means above half of it last for twice their own time, as samples then come seldom.
+	holdTTL = time.Minute
 )
 
 // Demand is what callers ask of one service.
@@ -57,6 +60,7 @@
 type counter struct {
 	demand Demand
 	asOf   time.Time // of demand.Rate
+	heldAt time.Time // of the newest sample of demand.HoldTime
 }
 
 // rate returns the rate at the given time. An arrival weighs ln 2 / rateHalfLife and
@@ -66,6 +70,15 @@
 	return c.demand.Rate * math.Exp2(-age.Seconds()/rateHalfLife.Seconds())
 }
 
+// holdTime returns the mean time that a request holds its place; zero means that it is
+// unknown.
+func (c *counter) holdTime(now time.Time) time.Duration {
+	if now.Sub(c.heldAt) >= max(holdTTL, 2*c.demand.HoldTime) {
+		return 0
+	}
+	return c.demand.HoldTime
+}
+
 // Table holds the demand by service. mu has lock.RankDemand and guards the other fields.
 type Table struct {
 	mu      lock.Mutex
@@ -119,19 +132,21 @@
 
 // RecordEnd ends what RecordStart counted. held is the time for which the request held
 // its place; zero means that it did not run.
-func (t *Table) RecordEnd(service string, memoryTokens int, held time.Duration) {
+func (t *Table) RecordEnd(service string, memoryTokens int, held time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	c := t.counter(service)
 	c.demand.InFlight--
 	c.demand.MemoryTokens -= memoryTokens
-	switch {
-	case held <= 0:
-	case c.demand.HoldTime == 0:
+	if held <= 0 {
+		return
+	}
+	if old := c.holdTime(now); old == 0 {
 		c.demand.HoldTime = held
-	default:
-		c.demand.HoldTime += time.Duration(holdSmoothing * float64(held-c.demand.HoldTime))
+	} else {
+		c.demand.HoldTime = old + time.Duration(holdSmoothing*float64(held-old))
 	}
+	c.heldAt = now
 }
 
 // SetWaiting replaces the number of requests that wait for admission.
@@ -148,7 +163,7 @@
 	local := make(map[string]Demand, len(t.local))
 	for service, c := range t.local {
 		d := c.demand
-		d.Rate = c.rate(now)
+		d.Rate, d.HoldTime = c.rate(now), c.holdTime(now)
 		local[service] = d
 	}
 	return local
