admission: expect the wait of streams from the slots of all instances

Cause: the expected wait of a stream was computed from this instance's own slots. With one running stream of 8 s and nothing granted it was 8 s, and the stream was refused, although the service frees a slot each few milliseconds.

Change: Supply carries capacity.Room.NextFree, which replaces the own drain rate where it is the shorter interval and bounds the first start.

Result: TestExpectedWaitFollowsTheWholeService; without NextFree the stream is refused with an estimated wait of 8 s, with it (4 ms) it waits.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -161,12 +161,12 @@
 // RetryAfter returns the time after which a caller should return whose request is refused
 // for another cause than the queue.
 func (m *Manager) RetryAfter(req Request) time.Duration {
-	places, now := m.supply(req.Serves).places(), time.Now()
+	p, now := m.supply(req.Serves), time.Now()
 	var after time.Duration
 	m.Organisations.Update(func(s *organisation.State) {
 		q := s.Queue(req.Serves)
-		wait, _ := drainTime(q, q.Len()+1, places)
-		after = m.limits().retryAfter(q, waitingOf(req, nil, now), wait, places, now)
+		wait, _ := p.drainTime(q, q.Len()+1)
+		after = m.limits().retryAfter(q, waitingOf(req, nil, now), wait, p.places(), now)
 	})
 	return after
 }
--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -183,7 +183,7 @@
 		if waiting <= limit && (l.maxBytes <= 0 || s.WaitingBytes <= l.maxBytes || waiting == 0) {
 			break
 		}
-		wait, _ := drainTime(q, q.Len(), p.places())
+		wait, _ := p.drainTime(q, q.Len())
 		refused, found := victim(q, w, s.Weight, now)
 		if !found {
 			break
@@ -211,7 +211,7 @@
 	for urgent := model.PriorityResume; urgent < w.Priority && !isOwed(q, w.Priority, now); urgent++ {
 		n += q.Classes[urgent].Len()
 	}
-	wait, known := drainTime(q, n, p.places())
+	wait, known := p.drainTime(q, n)
 	if !known || !now.Add(wait).After(w.Deadline) {
 		return nil
 	}
@@ -226,15 +226,25 @@
 	return wholeSeconds(wait)
 }
 
-// drainTime estimates how long the model takes to free n slots. The drain rate
-// is the capacity divided by the hold time. Unlike a rate of requests that
-// ended, this rate does not fall when the model is idle. The result is false
+// drainTime estimates how long the service takes to free n slots for this instance. The
+// drain rate is the capacity divided by the hold time. Unlike a rate of requests that
+// ended, this rate does not fall when the service is idle. The result is false
 // while the rate is unknown or zero.
-func drainTime(q *organisation.Queue, n, capacity int) (time.Duration, bool) {
-	if q.HoldTime == 0 || capacity <= 0 {
-		return 0, false
+//
+// Where slots are shared with other instances, the first one is expected after NextFree.
+// The instance's own places would give far too long a wait when it has few of many.
+func (p Supply) drainTime(q *organisation.Queue, n int) (time.Duration, bool) {
+	interval, known := time.Duration(0), q.HoldTime > 0 && p.places() > 0
+	if known {
+		interval = time.Duration(float64(q.HoldTime) / float64(p.places()))
+	}
+	if p.NextFree <= 0 {
+		return time.Duration(float64(n) * float64(interval)), known
+	}
+	if !known || p.NextFree < interval {
+		interval = p.NextFree
 	}
-	return time.Duration(float64(n) * float64(q.HoldTime) / float64(capacity)), true
+	return p.NextFree + time.Duration(max(n-1, 0))*interval, true
 }
 
 // refuseWaiting removes a request from its queue and refuses it. It does nothing
@@ -335,7 +345,7 @@
 		Outcome: model.OutcomeNotRun,
 	}
 	if l.pacedReturns {
-		wait, _ := drainTime(q, q.Len(), p.places())
+		wait, _ := p.drainTime(q, q.Len())
 		refusal.RetryAfter = l.retryAfter(q, w, wait, p.places(), now)
 	}
 	return refusal
--- a/internal/coordination/admission/room.go
+++ b/internal/coordination/admission/room.go
@@ -27,7 +27,10 @@
 	// Engines is their memory. Admissions subtract what they take from Free, under the lock
 	// of the table, so that a supply may serve several decisions.
 	Engines Engines
-	Age     time.Duration // of the oldest input, for the log
+	// NextFree is the expected time until the next slot becomes free for this instance,
+	// where slots are shared with others; zero means unknown.
+	NextFree time.Duration
+	Age      time.Duration // of the oldest input, for the log
 }
 
 // fits reports whether an engine has memory for the request.
--- a/internal/coordination/admission/room_test.go
+++ b/internal/coordination/admission/room_test.go
@@ -84,6 +84,21 @@
 	}
 }
 
+// Guards against a stream that is refused for the time its own instance takes to free a slot,
+// although the slots of the whole service become free much sooner.
+func TestExpectedWaitFollowsTheWholeService(t *testing.T) {
+	s, now := newState(), time.Unix(1000, 0)
+	q := s.Queue("s")
+	q.HoldTime, q.InFlight = 8*time.Second, 1
+	enter := func(id string, p Supply) []decision {
+		return limits{}.enter(s, Request{ID: model.RequestID(id), Serves: "s", Priority: model.PriorityInteractive, Deadline: now.Add(5 * time.Second)}, ignoreDecision, p, now)
+	}
+	assert.Equal(t, len(enter("waits", Supply{Slots: 1, NextFree: 4 * time.Millisecond})), 0)
+	assert.Equal(t, len(enter("late", Supply{Slots: 1, NextFree: 6 * time.Second})), 1, "no slot becomes free in time")
+	wait, _ := Supply{Slots: 1, NextFree: 4 * time.Millisecond}.drainTime(q, 3)
+	assert.Equal(t, wait, 12*time.Millisecond)
+}
+
 // Guards against waiting requests whose bodies fill the memory, and against bytes that stay
 // counted after their request was admitted, was refused or left.
 func TestWaitingBytesAreBounded(t *testing.T) {
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -114,10 +114,12 @@
 		return admission.Supply{Slots: m.callSlots(service, rows, now)}
 	}
 	totals := m.opts.Commitments.Totals(now)
+	slots, nextFree := m.streamSlots(service, now)
 	return admission.Supply{
-		Slots:   m.streamSlots(service, now),
-		Engines: engineMemory(traits, rows, totals),
-		Age:     m.opts.Commitments.OldestReport(now),
+		Slots:    slots,
+		NextFree: nextFree,
+		Engines:  engineMemory(traits, rows, totals),
+		Age:      m.opts.Commitments.OldestReport(now),
 	}
 }
 
@@ -132,13 +134,14 @@
 }
 
 // streamSlots returns the number of streams that this instance may have in flight, by what
-// all instances run and wait for. At least one may run, as with calls.
-func (m *Manager) streamSlots(service string, now time.Time) int {
+// all instances run and wait for, and the expected time until it may have one more. At least
+// one may run, as with calls.
+func (m *Manager) streamSlots(service string, now time.Time) (slots int, nextFree time.Duration) {
 	room := m.Room(service)
 	if !room.Known {
-		return admission.Unlimited
+		return admission.Unlimited, 0
 	}
-	return max(m.opts.Demand.Local(now)[service].InFlight+room.Granted, 1)
+	return max(m.opts.Demand.Local(now)[service].InFlight+room.Granted, 1), room.NextFree
 }
 
 // capacityFrom returns the number of requests that this instance may have in flight, from
