forward: hold streams that callers bring back to slots and limits

Cause: any request that claimed a last position entered as a resumed stream, and so passed slots, the limit of its organisation, the turns and the check of its expected wait.

Change: only a stream whose response this instance has begun is a resumed one. One that a caller brings back goes first in its organisation's turn.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -61,6 +61,7 @@
 	Bytes          int    // memory that the request takes while it waits
 	MemoryTokens   int    // memory that the request needs of one engine
 	CallerID       string // the caller's name of the request, for the log; several may carry one
+	Continues      bool   // continues a stream of which the caller has a part; first in its turn
 }
 
 // Manager queues, admits and refuses the requests of all models.
--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -38,7 +38,7 @@
 	return organisation.Waiting{
 		Request: req.ID, Organisation: req.Organisation, Priority: req.Priority,
 		Deadline: req.Deadline, Objective: req.Objective, CallerDeadline: req.CallerDeadline, Entered: now, Bytes: req.Bytes,
-		MemoryTokens: req.MemoryTokens, CallerID: req.CallerID, OnDecision: onDecision,
+		MemoryTokens: req.MemoryTokens, CallerID: req.CallerID, Continues: req.Continues, OnDecision: onDecision,
 	}
 }
 
--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -8,14 +8,15 @@
 	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 )
 
-// enqueue adds a request behind those of its organisation whose deadline is not later. An
+// enqueue adds a request behind those of its organisation whose deadline is not later. One
+// that continues a stream goes before those that do not. An
 // organisation without waiting requests gets the last turn of the round.
 func enqueue(c *organisation.Class, w organisation.Waiting) {
 	for i := range c.Turns {
 		if c.Turns[i].Organisation == w.Organisation {
 			list := c.Turns[i].Waiting
 			at := len(list)
-			for at > 0 && isEarlier(w.Deadline, list[at-1].Deadline) {
+			for at > 0 && goesBefore(w, list[at-1]) {
 				at--
 			}
 			c.Turns[i].Waiting = slices.Insert(list, at, w)
@@ -29,6 +30,13 @@
 	}
 }
 
+func goesBefore(a, b organisation.Waiting) bool {
+	if a.Continues != b.Continues {
+		return a.Continues
+	}
+	return isEarlier(a.Deadline, b.Deadline)
+}
+
 // isEarlier reports whether the first deadline is earlier; zero means none.
 func isEarlier(a, b time.Time) bool {
 	return !a.IsZero() && (b.IsZero() || a.Before(b))
@@ -54,9 +62,10 @@
 	return organisation.Waiting{}, false
 }
 
-// meetsObjective reports whether the request meets its objective if it starts now.
+// meetsObjective reports whether the request meets its objective if it starts now. The
+// objective of a stream's first event does not concern one that continues.
 func meetsObjective(w organisation.Waiting, now time.Time) bool {
-	return w.Objective.IsZero() || !now.After(w.Objective)
+	return w.Continues || w.Objective.IsZero() || !now.After(w.Objective)
 }
 
 // nextInTurn returns the position of the request that runs next in the turn: of those that
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -262,13 +262,15 @@
 		Bytes:          len(r.req.Body) + requestOverhead,
 		MemoryTokens:   r.neededMemory(),
 		CallerID:       string(r.req.ID),
+		Continues:      r.route.Stream && r.stream.delivered > 0,
 	}
 }
 
-// admissionPriority returns the class in which the request waits. Streams whose callers
-// already have events go before all others.
+// admissionPriority returns the class in which the request waits. Streams whose responses
+// this instance has begun go before all others. A position that a caller claims does not
+// suffice: it would give any caller a way past the slots and its organisation's limit.
 func (r *activeRequest) admissionPriority() model.Priority {
-	if r.route.Stream && r.stream.delivered > 0 {
+	if r.route.Stream && r.response.begun {
 		return model.PriorityResume
 	}
 	return min(model.PriorityInteractive+model.Priority(max(r.priority, 0)), model.PriorityLowest)
--- a/internal/coordination/forward/wait_test.go
+++ b/internal/coordination/forward/wait_test.go
@@ -227,6 +227,35 @@
 	})
 }
 
+// Guards against callers that pass the slots by claiming a last position, and against a
+// stream that a caller brings back behind new ones of its organisation.
+func TestClaimedPositionDoesNotPassTheSlots(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		full := map[model.UpstreamID]commitment.Work{}
+		for _, r := range b.upstreams.Serving("engine") {
+			full[r.Upstream.ID] = commitment.Work{Requests: 8}
+		}
+		b.m.opts.Commitments.SetRemote("other", full, time.Now())
+		b.submit("/log/1") // one may always run
+		fresh := b.request("/log/1")
+		b.submitRequest(fresh)
+		back := b.request("/log/2")
+		back.LastPosition, back.Deadline = 7, back.Deadline.Add(time.Second)
+		b.submitRequest(back)
+		assert.Equal(t, len(b.sent()), 1)
+		for id := range full {
+			if id != b.lastSend().Upstream.ID {
+				full[id] = commitment.Work{Requests: 7} // one slot is free
+				break
+			}
+		}
+		b.m.opts.Commitments.SetRemote("other", full, time.Now())
+		b.advance(engineSupplyTTL + roomCheckInterval)
+		assert.Equal(t, len(b.sent()), 2)
+		assert.Equal(t, b.sent()[1].Request.ID, back.ID)
+	})
+}
+
 // Guards against an order of waiting by arrival: the priority goes first, that of the
 // organisation before that of the route, and then the earlier deadline.
 func TestMoreUrgentCallsGoFirst(t *testing.T) {
--- a/internal/state/organisation/organisation.go
+++ b/internal/state/organisation/organisation.go
@@ -31,6 +31,7 @@
 	Bytes          int    // memory that the request takes while it waits
 	MemoryTokens   int    // memory that the request needs of one engine
 	CallerID       string // the caller's name of the request, for the log
+	Continues      bool   // continues a stream of which the caller has a part; first in its turn
 	// OnDecision is called once, outside the table's lock: with nil when the
 	// request is admitted, else with the refusal.
 	OnDecision func(*model.Refusal)
