forward: take a place for a stream that resumes from a copy

Cause: a stream that had given its place up while no engine took it continued from a copy without a place, and did not count as in flight.

Change: it takes a place at once. The memory is already taken by the copy.

Result: TestResumeFromCopyTakesAPlace; 0 places without the change, 1 with it.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// Take admits a request at once and without conditions, unless it is admitted already. It is
+// for work whose room is taken elsewhere and that must not wait.
+func (m *Manager) Take(req Request) {
+	m.Organisations.Update(func(s *organisation.State) {
+		if _, known := s.Requests[req.ID]; !known {
+			now := time.Now()
+			grantSlot(s, req.Serves, waitingOf(req, nil, now), now)
+		}
+	})
+}
+
 // expire refuses a request that still waits at its deadline.
 func (m *Manager) expire(req Request) {
 	m.decide(req.Serves, func(s *organisation.State, p Supply, now time.Time) []decision {
--- a/internal/coordination/forward/stream.go
+++ b/internal/coordination/forward/stream.go
@@ -119,6 +119,9 @@
 		r.placeStream()
 		return
 	}
+	// The place may have been given up while no engine took the stream. The copy's memory is
+	// already taken, so a new place need not be waited for.
+	r.takePlace()
 	demand := r.demand()
 	demand.prefillTokens = 0
 	// A resume from a copy is the same run, so the route's limit of sends does not bound it.
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -245,6 +245,17 @@
 	})
 }
 
+// takePlace gives the request a place at once if it has none.
+func (r *activeRequest) takePlace() {
+	if r.admitted {
+		return
+	}
+	r.leaveAdmission()
+	r.entry++
+	r.admitted = true
+	r.m.admission.Take(r.admissionRequest())
+}
+
 func (r *activeRequest) admissionRequest() admission.Request {
 	callerDeadline := r.req.Deadline
 	if callerDeadline.IsZero() {
--- a/internal/coordination/forward/wait_test.go
+++ b/internal/coordination/forward/wait_test.go
@@ -9,8 +9,10 @@
 
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/admission"
 	"github.com/sequoiavalve/sequoiavalve/internal/coordination/capacity"
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/continuation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/commitment"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
+	"github.com/sequoiavalve/sequoiavalve/internal/state/organisation"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/upstream"
 	"gotest.tools/v3/assert"
 )
@@ -256,6 +258,40 @@
 	})
 }
 
+// Guards against a stream that resumes from a copy without a place after it gave its place
+// up, and so does not count as in flight.
+func TestResumeFromCopyTakesAPlace(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		b.submit("/log/1")
+		first := b.lastSend()
+		first.StreamBegan(200, Header{})
+		first.event(1)
+		b.onlyRequest().leaveAdmission() // as while no engine takes the stream
+		assert.Equal(t, b.placesOf("engine"), 0)
+		first.Lost(continuation.LossReset, "EOF", true)
+		b.advance(0)
+		assert.Assert(t, b.lastSend().ResumeFrom != nil)
+		assert.Equal(t, b.placesOf("engine"), 1)
+		b.lastSend().event(2)
+		b.lastSend().StreamEnded()
+		b.advance(0)
+		assert.Equal(t, b.placesOf("engine"), 0)
+	})
+}
+
+func (b *harness) onlyRequest() *activeRequest {
+	for r := range b.m.running.requests {
+		return r
+	}
+	return nil
+}
+
+// placesOf returns the number of requests with a place of the service.
+func (b *harness) placesOf(service string) (n int) {
+	b.m.opts.Organisations.Update(func(s *organisation.State) { n = s.Queue(service).InFlight })
+	return n
+}
+
 // Guards against an order of waiting by arrival: the priority goes first, that of the
 // organisation before that of the route, and then the earlier deadline.
 func TestMoreUrgentCallsGoFirst(t *testing.T) {
