forward: compute a time of return only for refusals that carry it

Cause: each request that reached its deadline computed a busy refusal, which moves the next time of return on, also if it ended as unknown.

Change: the refusal is computed where it is sent.

Result: TestUnknownOutcomeMovesNoReturn fails before the change and passes with it.

--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -281,20 +281,21 @@
 	if r.ended {
 		return
 	}
-	r.endUnanswered(r.busyRefusal(), refuseDeadline())
+	r.endUnanswered(r.busyRefusal, refuseDeadline())
 }
 
 // endUnanswered ends a request that gets no more time. An upstream's error answer is
 // delivered unless another attempt still runs. Otherwise the request is refused, with
-// notRun if no upstream can have run it, and with unknown if one may have.
-func (r *activeRequest) endUnanswered(notRun, unknown *model.Refusal) {
+// what notRun returns if no upstream can have run it, and with unknown if one may have.
+// notRun is called only for that case: a busy refusal moves the next time of return on.
+func (r *activeRequest) endUnanswered(notRun func() *model.Refusal, unknown *model.Refusal) {
 	switch {
 	case len(r.inFlight) > 0 || r.response.begun:
 		r.refuse(unknown)
 	case r.hasLastFailure:
 		r.deliver(r.lastFailure)
 	case r.executions == 0:
-		r.refuse(notRun)
+		r.refuse(notRun())
 	default:
 		r.refuse(unknown)
 	}
--- a/internal/coordination/forward/stop.go
+++ b/internal/coordination/forward/stop.go
@@ -72,7 +72,7 @@
 	if r.ended {
 		return
 	}
-	r.endUnanswered(RefuseLeaving(), refuseUnknown("this instance stops before its answer"))
+	r.endUnanswered(RefuseLeaving, refuseUnknown("this instance stops before its answer"))
 }
 
 // leavingRetryAfter is short because callers can use another instance at once.
--- a/internal/coordination/forward/wait_test.go
+++ b/internal/coordination/forward/wait_test.go
@@ -292,6 +292,19 @@
 	return n
 }
 
+// Guards against times of return that move on for requests that end as unknown, whose callers
+// get none.
+func TestUnknownOutcomeMovesNoReturn(t *testing.T) {
+	withHarness(t, func(b *harness) {
+		reply, _ := b.submit("/book/1")
+		b.advance(time.Second)
+		assert.Equal(t, reply.refused.Outcome, model.OutcomeUnknown)
+		b.m.opts.Organisations.Update(func(s *organisation.State) {
+			assert.Check(t, s.Queue("desk").NextReturn.IsZero(), "%v", s.Queue("desk").NextReturn)
+		})
+	})
+}
+
 // Guards against an order of waiting by arrival: the priority goes first, that of the
 // organisation before that of the route, and then the earlier deadline.
 func TestMoreUrgentCallsGoFirst(t *testing.T) {
