demand: look up one service for each admission

Cause: each entry of a call built a map of the demand of all services about three times to read the mean hold time of one.

Change: Table.Service returns the demand of one service, and the hold time is read once for each entry.

--- a/internal/coordination/forward/room.go
+++ b/internal/coordination/forward/room.go
@@ -12,7 +12,7 @@
 func (m *Manager) Room(service string) capacity.Room {
 	now := time.Now()
 	v := capacity.View{
-		Own:    m.opts.Demand.Local(now)[service],
+		Own:    m.opts.Demand.Service(service, now),
 		Cell:   m.opts.Demand.Cell(now)[service],
 		Dither: rand.Float64(),
 	}
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -130,7 +130,7 @@
 	if !room.Known {
 		return admission.Unlimited
 	}
-	return capacityFrom(room, m.opts.Demand.Local(now)[service].InFlight, totalSlots(rows))
+	return capacityFrom(room, m.opts.Demand.Service(service, now).InFlight, totalSlots(rows))
 }
 
 // streamSlots returns the number of streams that this instance may have in flight, by what
@@ -141,7 +141,7 @@
 	if !room.Known {
 		return admission.Unlimited, 0
 	}
-	return max(m.opts.Demand.Local(now)[service].InFlight+room.Granted, 1), room.NextFree
+	return max(m.opts.Demand.Service(service, now).InFlight+room.Granted, 1), room.NextFree
 }
 
 // capacityFrom returns the number of requests that this instance may have in flight, from
@@ -257,6 +257,8 @@
 }
 
 func (r *activeRequest) admissionRequest() admission.Request {
+	now := time.Now()
+	hold := r.holdTime(now)
 	callerDeadline := r.req.Deadline
 	if callerDeadline.IsZero() {
 		callerDeadline = r.deadline
@@ -266,9 +268,9 @@
 		Serves:         r.service.Name,
 		Organisation:   r.organisation,
 		Priority:       r.admissionPriority(),
-		Deadline:       r.latestStart(),
+		Deadline:       r.latestStart(now, hold),
 		AnswerDeadline: r.deadline,
-		Objective:      r.objectiveStart(),
+		Objective:      r.objectiveStart(hold),
 		CallerDeadline: callerDeadline,
 		Bytes:          len(r.req.Body) + requestOverhead,
 		MemoryTokens:   r.neededMemory(),
@@ -287,17 +289,21 @@
 	return min(model.PriorityInteractive+model.Priority(max(r.priority, 0)), model.PriorityLowest)
 }
 
+// holdTime returns the mean time that a request of the service takes; zero means unknown.
+func (r *activeRequest) holdTime(now time.Time) time.Duration {
+	return r.m.opts.Demand.Service(r.service.Name, now).HoldTime
+}
+
 // latestStart returns the time until which the request waits for a place, so that it may
 // end in time; zero means that there is none.
-func (r *activeRequest) latestStart() time.Time {
+func (r *activeRequest) latestStart(now time.Time, hold time.Duration) time.Time {
 	if r.deadline.IsZero() {
 		return time.Time{}
 	}
 	if r.route.Stream && r.stream.delivered > 0 {
 		return r.deadline
 	}
-	now := time.Now()
-	reserve := min(r.m.opts.Demand.Local(now)[r.service.Name].HoldTime, time.Duration(maxRunShare*float64(r.deadline.Sub(now))))
+	reserve := min(hold, time.Duration(maxRunShare*float64(r.deadline.Sub(now))))
 	latest := r.deadline.Add(-max(reserve, 0))
 	if r.route.Stream {
 		latest = earlier(latest, r.req.Arrived.Add(r.placementLimit()))
@@ -307,7 +313,7 @@
 
 // objectiveStart returns the latest time at which the request may start to meet the latency
 // objective of its route; zero means that there is none.
-func (r *activeRequest) objectiveStart() time.Time {
+func (r *activeRequest) objectiveStart(hold time.Duration) time.Time {
 	if r.route.Objective == 0 {
 		return time.Time{}
 	}
@@ -315,7 +321,7 @@
 	if r.route.Stream { // the objective is for the first event
 		return at.Add(-time.Duration(float64(r.demand().prefillTokens) / assumedPrefillRate * float64(time.Second)))
 	}
-	return at.Add(-r.m.opts.Demand.Local(time.Now())[r.service.Name].HoldTime)
+	return at.Add(-hold)
 }
 
 // settleUnadmitted ends a request that gets no place. If an upstream may have run it, it is
@@ -362,12 +368,13 @@
 // waitAgain has a call that the upstreams turned away wait for room again.
 func (r *activeRequest) waitAgain() {
 	now := time.Now()
-	pause := min(max(r.m.opts.Demand.Local(now)[r.service.Name].HoldTime, minFullTime), maxFullTime)
+	hold := r.holdTime(now)
+	pause := min(max(hold, minFullTime), maxFullTime)
 	if len(r.m.usableUpstreams(r, now)) == 0 {
 		r.m.admission.MarkFull(r.service.Name, pause)
 	}
 	r.leaveAdmission()
-	if latest := r.latestStart(); !latest.IsZero() && now.Add(pause).After(latest) {
+	if latest := r.latestStart(now, hold); !latest.IsZero() && now.Add(pause).After(latest) {
 		r.settleCall()
 		return
 	}
--- a/internal/state/demand/demand.go
+++ b/internal/state/demand/demand.go
@@ -79,6 +79,13 @@
 	return c.demand.HoldTime
 }
 
+// at returns the demand at the given time.
+func (c *counter) at(now time.Time) Demand {
+	d := c.demand
+	d.Rate, d.HoldTime = c.rate(now), c.holdTime(now)
+	return d
+}
+
 // Table holds the demand by service. mu has lock.RankDemand and guards the other fields.
 type Table struct {
 	mu      lock.Mutex
@@ -156,15 +163,24 @@
 	t.counter(service).demand.Waiting = waiting
 }
 
+// Service returns this instance's demand for the service.
+func (t *Table) Service(service string, now time.Time) Demand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, found := t.local[service]
+	if !found {
+		return Demand{}
+	}
+	return c.at(now)
+}
+
 // Local returns this instance's demand by service.
 func (t *Table) Local(now time.Time) map[string]Demand {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	local := make(map[string]Demand, len(t.local))
 	for service, c := range t.local {
-		d := c.demand
-		d.Rate, d.HoldTime = c.rate(now), c.holdTime(now)
-		local[service] = d
+		local[service] = c.at(now)
 	}
 	return local
 }
--- a/internal/state/demand/demand_test.go
+++ b/internal/state/demand/demand_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"testing"
 	"time"
 
@@ -31,6 +32,27 @@
 	assert.Equal(t, d.InFlight, 1)
 	assert.Equal(t, d.MemoryTokens, 50)
 	assert.Equal(t, d.HoldTime, 30*time.Millisecond)
+	assert.Equal(t, table.Service("s", time.Unix(1000, 0)), d)
+	assert.Equal(t, table.Service("other", time.Unix(1000, 0)), Demand{})
+}
+
+// BenchmarkService shows the cost of one service's demand beside many, which each entry of a
+// request pays.
+func BenchmarkService(b *testing.B) {
+	table, now := NewTable(), time.Unix(1000, 0)
+	for i := range 100 {
+		table.RecordArrival(strconv.Itoa(i), now)
+	}
+	b.Run("one", func(b *testing.B) {
+		for b.Loop() {
+			table.Service("7", now)
+		}
+	})
+	b.Run("all", func(b *testing.B) {
+		for b.Loop() {
+			_ = table.Local(now)["7"]
+		}
+	})
 }
 
 // Guards against a hold time that stays in force after the service has been idle, although
