admission: stop the expiry timer of decided requests, count a request once

Cause: the timer of a waiting request ran until its deadline after the request was admitted or had left, and a call that asked again after it was turned away counted as one more request of its class and as one more admission.

Change: the decision stops the timer. Further entries of a request that was admitted before change neither the counts of its class nor the metric of admissions. A refusal still counts: it ends the request, so there is one at most.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -7,6 +7,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -62,6 +63,7 @@
 	MemoryTokens   int    // memory that the request needs of one engine
 	CallerID       string // the caller's name of the request, for the log; several may carry one
 	Continues      bool   // continues a stream of which the caller has a part; first in its turn
+	Again          bool   // has been admitted before and is already counted
 }
 
 // Manager queues, admits and refuses the requests of all models.
@@ -80,14 +82,45 @@
 // A resumed request is admitted even beyond the capacity. It waits only for memory.
 func (m *Manager) Enter(req Request, onDecision func(*model.Refusal)) {
 	onDecision = m.metrics.withMetrics(req, onDecision)
+	var timer expiryTimer
+	if !req.Deadline.IsZero() {
+		notify := onDecision
+		onDecision = func(refusal *model.Refusal) {
+			timer.stop()
+			notify(refusal)
+		}
+	}
 	decisions := m.decide(req.Serves, func(s *organisation.State, p Supply, now time.Time) []decision {
 		return m.limits().enter(s, req, onDecision, p, now)
 	})
 	if !req.Deadline.IsZero() && !decided(decisions, req.ID) {
-		m.Pool.After(time.Until(req.Deadline), worker.Key(req.ID), worker.Func(func() { m.expire(req) }))
+		timer.set(m.Pool.After(time.Until(req.Deadline), worker.Key(req.ID), worker.Func(func() { m.expire(req) })))
 	}
 }
 
+// expiryTimer ends the wait of one request. The request may be decided before its timer is
+// known.
+type expiryTimer struct {
+	mu      sync.Mutex // leaf lock: only the pool's own lock is taken while it is held
+	timer   *worker.Timer
+	stopped bool
+}
+
+func (t *expiryTimer) set(timer *worker.Timer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer = timer; t.stopped {
+		timer.Stop()
+	}
+}
+
+func (t *expiryTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
+
 // Take admits a request at once and without conditions, unless it is admitted already. It is
 // for work whose room is taken elsewhere and that must not wait.
 func (m *Manager) Take(req Request) {
--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -38,7 +38,7 @@
 	return organisation.Waiting{
 		Request: req.ID, Organisation: req.Organisation, Priority: req.Priority,
 		Deadline: req.Deadline, Objective: req.Objective, CallerDeadline: req.CallerDeadline, Entered: now, Bytes: req.Bytes,
-		MemoryTokens: req.MemoryTokens, CallerID: req.CallerID, Continues: req.Continues, OnDecision: onDecision,
+		MemoryTokens: req.MemoryTokens, CallerID: req.CallerID, Continues: req.Continues, Again: req.Again, OnDecision: onDecision,
 	}
 }
 
@@ -50,7 +50,9 @@
 		return []decision{repeatEntry(w, place, now)}
 	}
 	q := s.Queue(req.Serves)
-	countEntered(q, req.Priority, now)
+	if !req.Again {
+		countEntered(q, req.Priority, now)
+	}
 	if req.Priority == model.PriorityResume && q.Classes[model.PriorityResume].Len() == 0 && p.fits(req.MemoryTokens) {
 		p.reserve(req.MemoryTokens)
 		return []decision{grantSlot(s, req.Serves, w, now)}
@@ -102,7 +104,9 @@
 func grantSlot(s *organisation.State, serves string, w organisation.Waiting, now time.Time) decision {
 	q := s.Queue(serves)
 	q.InFlight++
-	countAdmitted(q, w.Priority, now)
+	if !w.Again {
+		countAdmitted(q, w.Priority, now)
+	}
 	s.AddInFlight(w.Organisation, 1)
 	s.Requests[w.Request] = organisation.RequestState{
 		Serves: serves, Organisation: w.Organisation, Priority: w.Priority, Admitted: true, Since: now,
--- a/internal/coordination/admission/metrics.go
+++ b/internal/coordination/admission/metrics.go
@@ -88,13 +88,15 @@
 }
 
 // withMetrics wraps onDecision to record the wait of an admission or to count a
-// refusal.
+// refusal. A request is counted as admitted once, however often it asks.
 func (m *metrics) withMetrics(req Request, onDecision func(*model.Refusal)) func(*model.Refusal) {
 	entered := time.Now()
 	return func(refusal *model.Refusal) {
-		if refusal != nil {
+		switch {
+		case refusal != nil:
 			m.refused.Add(context.Background(), 1, codeLabel(refusal.Code))
-		} else {
+		case req.Again: // counted when it was admitted first
+		default:
 			m.admitted.Add(context.Background(), 1, metric.WithAttributes(attribute.String("organisation", m.organisationLabel(req.Organisation))))
 			m.wait.Record(context.Background(), time.Since(entered).Seconds(),
 				metric.WithAttributes(attribute.String("priority", priorityName(req.Priority))))
--- a/internal/coordination/admission/room_test.go
+++ b/internal/coordination/admission/room_test.go
@@ -99,6 +99,41 @@
 	assert.Equal(t, wait, 12*time.Millisecond)
 }
 
+// Guards against timers that outlive their requests: under load there would be one for each
+// request of the last seconds.
+func TestExpiryTimerIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := worker.NewPool(worker.Options{Workers: 2})
+		defer pool.Close()
+		slots, asked := 0, 0
+		m := New(Options{Pool: pool, Organisations: organisation.NewTable(), Capacity: func(string) int { asked++; return slots }})
+		for _, id := range []model.RequestID{"leaves", "runs"} {
+			m.Enter(Request{ID: id, Serves: "s", Priority: model.PriorityInteractive, Deadline: time.Now().Add(time.Second)}, ignoreDecision)
+		}
+		m.Leave("leaves")
+		slots = 1
+		m.AdmitWaiting("s")
+		synctest.Wait()
+		asked = 0
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, asked, 0, "a timer ran after its request was decided")
+	})
+}
+
+// Guards against classes that look better or worse served than they are because a request
+// asked several times.
+func TestRequestThatAsksAgainCountsOnce(t *testing.T) {
+	s, now := newState(), time.Unix(1000, 0)
+	req := Request{ID: "r", Serves: "s", Priority: model.PriorityInteractive}
+	for range 3 {
+		assert.Equal(t, len(limits{}.enter(s, req, ignoreDecision, Supply{Slots: 1}, now)), 1)
+		leave(s, "r", false, now)
+		req.Again = true
+	}
+	assert.Equal(t, s.Queue("s").Service[model.PriorityInteractive], organisation.Service{Entered: 1, Admitted: 1, AsOf: now})
+}
+
 // Guards against waiting requests whose bodies fill the memory, and against bytes that stay
 // counted after their request was admitted, was refused or left.
 func TestWaitingBytesAreBounded(t *testing.T) {
--- a/internal/coordination/forward/forward.go
+++ b/internal/coordination/forward/forward.go
@@ -213,11 +213,13 @@
 	brokenUpstreams    []model.UpstreamID    // upstreams whose connections broke before an answer
 	pendingCrashChecks int                   // checks whether one of brokenUpstreams crashed
 
-	entering  bool      // waits for a place or its refusal
-	entry     int       // number of the newest request for a place
-	admitted  bool      // has a place
-	held      bool      // counted in Manager.heldCount
-	holdUntil time.Time // end of the hold; zero if there was none
+	entering bool // waits for a place or its refusal
+	entry    int  // number of the newest request for a place
+	admitted bool // has a place
+	// admittedBefore says that the request has had a place. It is not counted again.
+	admittedBefore bool
+	held           bool      // counted in Manager.heldCount
+	holdUntil      time.Time // end of the hold; zero if there was none
 }
 
 // handleArrival admits the request and starts its first attempt, or holds or refuses it.
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -240,7 +240,7 @@
 			r.settleUnadmitted(refusal)
 			return
 		}
-		r.admitted = true
+		r.admitted, r.admittedBefore = true, true
 		next()
 	})
 }
@@ -276,6 +276,7 @@
 		MemoryTokens:   r.neededMemory(),
 		CallerID:       string(r.req.ID),
 		Continues:      r.route.Stream && r.stream.delivered > 0,
+		Again:          r.admittedBefore,
 	}
 }
 
--- a/internal/state/organisation/organisation.go
+++ b/internal/state/organisation/organisation.go
@@ -32,6 +32,7 @@
 	MemoryTokens   int    // memory that the request needs of one engine
 	CallerID       string // the caller's name of the request, for the log
 	Continues      bool   // continues a stream of which the caller has a part; first in its turn
+	Again          bool   // has been admitted before and is already counted
 	// OnDecision is called once, outside the table's lock: with nil when the
 	// request is admitted, else with the refusal.
 	OnDecision func(*model.Refusal)
