admission: name and describe evictions and metrics by what they do

Cause: newestEvictable returned the request of the latest deadline, the choice of serving upstreams was written twice, and the metrics spoke of generations although calls are counted too.

Change: renamed and described; Room uses servingUpstreams. Names and labels of the metrics stay.

--- a/internal/coordination/admission/fairshare.go
+++ b/internal/coordination/admission/fairshare.go
@@ -203,13 +203,13 @@
 	if most == entering.Organisation {
 		return entering, true
 	}
-	return newestEvictable(q, most, entering), true
+	return latestEvictable(q, most, entering), true
 }
 
-// newestEvictable returns the newest request of the organisation in the lowest
-// priority in which it has waiting requests. If that priority is higher than the
-// entering request's, newestEvictable returns the entering request.
-func newestEvictable(q *organisation.Queue, org model.OrganisationID, entering organisation.Waiting) organisation.Waiting {
+// latestEvictable returns the last request of the organisation's turn, which is the one of
+// the latest deadline, in the lowest priority in which it has waiting requests. If that
+// priority is higher than the entering request's, it returns the entering request.
+func latestEvictable(q *organisation.Queue, org model.OrganisationID, entering organisation.Waiting) organisation.Waiting {
 	for p := model.PriorityLowest; p >= entering.Priority; p-- {
 		for _, turn := range q.Classes[p].Turns {
 			if turn.Organisation == org {
--- a/internal/coordination/admission/metrics.go
+++ b/internal/coordination/admission/metrics.go
@@ -54,17 +54,17 @@
 	m.wait, _ = meter.Float64Histogram("admission_wait_time", metric.WithUnit("s"),
 		metric.WithDescription("Time from the request for admission to the admission."))
 	m.refused, _ = meter.Int64Counter("admission_refused",
-		metric.WithDescription("Generations that were not admitted, by the code of the refusal."))
+		metric.WithDescription("Requests that were not admitted, by the code of the refusal."))
 	m.admitted, _ = meter.Int64Counter("admission_admitted",
 		metric.WithDescription("Requests that were admitted, by organisation. All but the first 32 organisations count as other."))
 	for _, code := range []string{CodeOverloaded, CodeDeadlineUnmet, CodeCancelled, CodeDuplicate} {
 		m.refused.Add(context.Background(), 0, codeLabel(code)) // shows 0 before the first refusal
 	}
 	_, _ = meter.Int64ObservableGauge("admission_queue_length",
-		metric.WithDescription("Generations that wait for admission."),
+		metric.WithDescription("Requests that wait for admission."),
 		metric.WithInt64Callback(observeQueues(organisations, func(q *organisation.Queue) int { return q.Len() })))
 	_, _ = meter.Int64ObservableGauge("admission_in_flight",
-		metric.WithDescription("Generations that were admitted and have not ended."),
+		metric.WithDescription("Requests that were admitted and have not ended."),
 		metric.WithInt64Callback(observeQueues(organisations, func(q *organisation.Queue) int { return q.InFlight })))
 	return m
 }
--- a/internal/coordination/forward/room.go
+++ b/internal/coordination/forward/room.go
@@ -23,13 +23,10 @@
 			memory = s.Engine.MemoryTokens
 		}
 	}
-	ready, suspected := splitByFailure(m.opts.Upstreams.Serving(service), m.outagesOf(service, now), nil, now)
-	if len(ready) == 0 {
-		ready = suspected // they get requests too if there are no others
-	}
+	rows := m.servingUpstreams(service, now)
 	totals := m.opts.Commitments.Totals(now)
-	v.Upstreams = make([]capacity.Upstream, len(ready))
-	for i, row := range ready {
+	v.Upstreams = make([]capacity.Upstream, len(rows))
+	for i, row := range rows {
 		v.Upstreams[i] = capacity.Upstream{
 			ID: row.Upstream.ID, FailureDomain: row.Upstream.FailureDomain, Slots: row.Upstream.Slots,
 			MemoryTokens: memory, Work: totals[row.Upstream.ID],
