--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -7,6 +7,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/apex/log"
@@ -49,7 +50,10 @@
 	Serves       string // name of the model
 	Organisation model.OrganisationID
 	Priority     model.Priority
-	Deadline     time.Time // latest time of admission; zero means none
+	Deadline     time.Time // until which it waits for admission; zero means none
+	// AnswerDeadline is the time at which the answer is due. Until then the request is
+	// admitted if there is room at its entry, also after Deadline. Zero means Deadline.
+	AnswerDeadline time.Time
 	// Objective is the latest time of admission that meets the latency objective; zero
 	// means none. A request that missed it goes behind those that can still meet theirs.
 	Objective time.Time
@@ -58,6 +62,8 @@
 	Bytes          int    // memory that the request takes while it waits
 	MemoryTokens   int    // memory that the request needs of one engine
 	CallerID       string // the caller's name of the request, for the log; several may carry one
+	Continues      bool   // continues a stream of which the caller has a part; first in its turn
+	Again          bool   // has been admitted before and is already counted
 }
 
 // Manager queues, admits and refuses the requests of all models.
@@ -76,14 +82,56 @@
 // A resumed request is admitted even beyond the capacity. It waits only for memory.
 func (m *Manager) Enter(req Request, onDecision func(*model.Refusal)) {
 	onDecision = m.metrics.withMetrics(req, onDecision)
+	var timer expiryTimer
+	if !req.Deadline.IsZero() {
+		notify := onDecision
+		onDecision = func(refusal *model.Refusal) {
+			timer.stop()
+			notify(refusal)
+		}
+	}
 	decisions := m.decide(req.Serves, func(s *organisation.State, p Supply, now time.Time) []decision {
 		return m.limits().enter(s, req, onDecision, p, now)
 	})
 	if !req.Deadline.IsZero() && !decided(decisions, req.ID) {
-		m.Pool.After(time.Until(req.Deadline), worker.Key(req.ID), worker.Func(func() { m.expire(req) }))
+		timer.set(m.Pool.After(time.Until(req.Deadline), worker.Key(req.ID), worker.Func(func() { m.expire(req) })))
+	}
+}
+
+// expiryTimer ends the wait of one request. The request may be decided before its timer is
+// known.
+type expiryTimer struct {
+	mu      sync.Mutex // leaf lock: only the pool's own lock is taken while it is held
+	timer   *worker.Timer
+	stopped bool
+}
+
+func (t *expiryTimer) set(timer *worker.Timer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.timer = timer; t.stopped {
+		timer.Stop()
 	}
 }
 
+func (t *expiryTimer) stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
+
+// Take admits a request at once and without conditions, unless it is admitted already. It is
+// for work whose room is taken elsewhere and that must not wait.
+func (m *Manager) Take(req Request) {
+	m.Organisations.Update(func(s *organisation.State) {
+		if _, known := s.Requests[req.ID]; !known {
+			now := time.Now()
+			grantSlot(s, req.Serves, waitingOf(req, nil, now), now)
+		}
+	})
+}
+
 // expire refuses a request that still waits at its deadline.
 func (m *Manager) expire(req Request) {
 	m.decide(req.Serves, func(s *organisation.State, p Supply, now time.Time) []decision {
@@ -158,12 +206,12 @@
 // RetryAfter returns the time after which a caller should return whose request is refused
 // for another cause than the queue.
 func (m *Manager) RetryAfter(req Request) time.Duration {
-	places, now := m.supply(req.Serves).places(), time.Now()
+	p, now := m.supply(req.Serves), time.Now()
 	var after time.Duration
 	m.Organisations.Update(func(s *organisation.State) {
 		q := s.Queue(req.Serves)
-		wait, _ := drainTime(q, q.Len()+1, places)
-		after = m.limits().retryAfter(q, waitingOf(req, nil, now), wait, places, now)
+		wait, _ := p.drainTime(q, q.Len()+1)
+		after = m.limits().retryAfter(q, waitingOf(req, nil, now), wait, p.places(), now)
 	})
 	return after
 }
--- a/internal/coordination/admission/decide.go
+++ b/internal/coordination/admission/decide.go
@@ -38,7 +38,7 @@
 	return organisation.Waiting{
 		Request: req.ID, Organisation: req.Organisation, Priority: req.Priority,
 		Deadline: req.Deadline, Objective: req.Objective, CallerDeadline: req.CallerDeadline, Entered: now, Bytes: req.Bytes,
-		MemoryTokens: req.MemoryTokens, CallerID: req.CallerID, OnDecision: onDecision,
+		MemoryTokens: req.MemoryTokens, CallerID: req.CallerID, Continues: req.Continues, Again: req.Again, OnDecision: onDecision,
 	}
 }
 
@@ -50,22 +50,34 @@
 		return []decision{repeatEntry(w, place, now)}
 	}
 	q := s.Queue(req.Serves)
-	countEntered(q, req.Priority, now)
+	if !req.Again {
+		countEntered(q, req.Priority, now)
+	}
 	if req.Priority == model.PriorityResume && q.Classes[model.PriorityResume].Len() == 0 && p.fits(req.MemoryTokens) {
 		p.reserve(req.MemoryTokens)
 		return []decision{grantSlot(s, req.Serves, w, now)}
 	}
-	if !req.Deadline.IsZero() && !now.Before(req.Deadline) {
+	end := req.AnswerDeadline
+	if end.IsZero() {
+		end = req.Deadline
+	}
+	if hasPassed(end, now) {
 		return []decision{{request: req.ID, onDecision: onDecision, refusal: l.refuseDeadline(q, w, p, now), waiting: w, at: now}}
 	}
 	enqueue(&q.Classes[req.Priority], w)
 	s.WaitingBytes += w.Bytes
 	s.Requests[req.ID] = organisation.RequestState{Serves: req.Serves, Organisation: req.Organisation, Priority: req.Priority, Deadline: req.Deadline}
 	decisions := admitWaiting(s, req.Serves, p, now)
+	if hasPassed(req.Deadline, now) { // it may start if there is room, but not wait
+		decisions = append(decisions, refuseWaiting(s, req.ID, l.refuseDeadline(q, w, p, now), now)...)
+	}
 	decisions = append(decisions, l.enforceQueueLimit(s, q, w, p, now)...)
 	return append(decisions, l.refuseIfLate(s, q, w, p, now)...)
 }
 
+// hasPassed reports whether the time has come; zero means that there is none.
+func hasPassed(t, now time.Time) bool { return !t.IsZero() && !now.Before(t) }
+
 // expire refuses a request that still waits at its deadline. The deadline may have passed for
 // an earlier entry of the request only.
 func (l limits) expire(s *organisation.State, req Request, p Supply, now time.Time) []decision {
@@ -92,7 +104,9 @@
 func grantSlot(s *organisation.State, serves string, w organisation.Waiting, now time.Time) decision {
 	q := s.Queue(serves)
 	q.InFlight++
-	countAdmitted(q, w.Priority, now)
+	if !w.Again {
+		countAdmitted(q, w.Priority, now)
+	}
 	s.AddInFlight(w.Organisation, 1)
 	s.Requests[w.Request] = organisation.RequestState{
 		Serves: serves, Organisation: w.Organisation, Priority: w.Priority, Admitted: true, Since: now,
@@ -108,26 +122,35 @@
 		return nil
 	}
 	var decisions []decision
-	for {
-		w, ok := dequeueByPriority(s, q, p, now)
-		if !ok {
-			break
+	admit := func(dequeue func(*organisation.State, *organisation.Queue, Supply, time.Time) (organisation.Waiting, bool)) {
+		for {
+			w, ok := dequeue(s, q, p, now)
+			if !ok {
+				return
+			}
+			s.WaitingBytes -= w.Bytes
+			p.reserve(w.MemoryTokens)
+			decisions = append(decisions, grantSlot(s, serves, w, now))
 		}
-		s.WaitingBytes -= w.Bytes
-		p.reserve(w.MemoryTokens)
-		decisions = append(decisions, grantSlot(s, serves, w, now))
 	}
+	admit(dequeueResumed)
+	release := p.reserveForLargest(s, q, now)
+	admit(dequeueByPriority)
+	release()
 	return decisions
 }
 
-// dequeueByPriority removes and returns the next request of the highest priority in which
+// dequeueResumed removes and returns the next resumed stream that may run.
+func dequeueResumed(s *organisation.State, q *organisation.Queue, p Supply, now time.Time) (organisation.Waiting, bool) {
+	mayRun := func(w organisation.Waiting) bool { return p.mayStart(q, w, now) }
+	return dequeueNext(&q.Classes[model.PriorityResume], s.Weight, mayRun, now)
+}
+
+// dequeueByPriority removes and returns the next new request of the highest priority in which
 // one may run. A class that has had less than its guaranteed share goes first.
 func dequeueByPriority(s *organisation.State, q *organisation.Queue, p Supply, now time.Time) (organisation.Waiting, bool) {
 	mayRun := func(w organisation.Waiting) bool {
-		return (w.Priority == model.PriorityResume || s.MayRun(w.Organisation)) && p.mayStart(q, w, now)
-	}
-	if w, ok := dequeueNext(&q.Classes[model.PriorityResume], s.Weight, mayRun, now); ok {
-		return w, true
+		return s.MayRun(w.Organisation) && p.mayStart(q, w, now)
 	}
 	if q.InFlight >= p.limit(q, now) {
 		return organisation.Waiting{}, false
@@ -139,8 +162,8 @@
 			}
 		}
 	}
-	for i := range q.Classes {
-		if w, ok := dequeueNext(&q.Classes[i], s.Weight, mayRun, now); ok {
+	for priority := model.PriorityInteractive; priority <= model.PriorityLowest; priority++ {
+		if w, ok := dequeueNext(&q.Classes[priority], s.Weight, mayRun, now); ok {
 			return w, true
 		}
 	}
@@ -148,7 +171,8 @@
 }
 
 // enforceQueueLimit refuses requests while the queue is longer than its limit, or the
-// waiting requests of all queues take too much memory, after w entered.
+// waiting requests of all queues take too much memory, after w entered. Resumed streams do
+// not count for the length and are not refused.
 func (l limits) enforceQueueLimit(s *organisation.State, q *organisation.Queue, w organisation.Waiting, p Supply, now time.Time) []decision {
 	limit := q.MaxQueue
 	if limit <= 0 {
@@ -158,9 +182,16 @@
 		limit = defaultMaxQueue
 	}
 	var decisions []decision
-	for q.Len() > limit || (l.maxBytes > 0 && s.WaitingBytes > l.maxBytes && q.Len() > 0) {
-		wait, _ := drainTime(q, q.Len(), p.places())
-		refused := victim(q, w, s.Weight)
+	for {
+		waiting := q.Len() - q.Classes[model.PriorityResume].Len()
+		if waiting <= limit && (l.maxBytes <= 0 || s.WaitingBytes <= l.maxBytes || waiting == 0) {
+			break
+		}
+		wait, _ := p.drainTime(q, q.Len())
+		refused, found := victim(q, w, s.Weight, now)
+		if !found {
+			break
+		}
 		after := l.retryAfter(q, refused, wait, p.places(), now)
 		decided := refuseWaiting(s, refused.Request, refuseOverloaded(after), now)
 		decisions = append(decisions, decided...)
@@ -184,7 +215,7 @@
 	for urgent := model.PriorityResume; urgent < w.Priority && !isOwed(q, w.Priority, now); urgent++ {
 		n += q.Classes[urgent].Len()
 	}
-	wait, known := drainTime(q, n, p.places())
+	wait, known := p.drainTime(q, n)
 	if !known || !now.Add(wait).After(w.Deadline) {
 		return nil
 	}
@@ -199,15 +230,25 @@
 	return wholeSeconds(wait)
 }
 
-// drainTime estimates how long the model takes to free n slots. The drain rate
-// is the capacity divided by the hold time. Unlike a rate of requests that
-// ended, this rate does not fall when the model is idle. The result is false
+// drainTime estimates how long the service takes to free n slots for this instance. The
+// drain rate is the capacity divided by the hold time. Unlike a rate of requests that
+// ended, this rate does not fall when the service is idle. The result is false
 // while the rate is unknown or zero.
-func drainTime(q *organisation.Queue, n, capacity int) (time.Duration, bool) {
-	if q.HoldTime == 0 || capacity <= 0 {
-		return 0, false
+//
+// Where slots are shared with other instances, the first one is expected after NextFree.
+// The instance's own places would give far too long a wait when it has few of many.
+func (p Supply) drainTime(q *organisation.Queue, n int) (time.Duration, bool) {
+	interval, known := time.Duration(0), q.HoldTime > 0 && p.places() > 0
+	if known {
+		interval = time.Duration(float64(q.HoldTime) / float64(p.places()))
+	}
+	if p.NextFree <= 0 {
+		return time.Duration(float64(n) * float64(interval)), known
+	}
+	if !known || p.NextFree < interval {
+		interval = p.NextFree
 	}
-	return time.Duration(float64(n) * float64(q.HoldTime) / float64(capacity)), true
+	return p.NextFree + time.Duration(max(n-1, 0))*interval, true
 }
 
 // refuseWaiting removes a request from its queue and refuses it. It does nothing
@@ -308,7 +349,7 @@
 		Outcome: model.OutcomeNotRun,
 	}
 	if l.pacedReturns {
-		wait, _ := drainTime(q, q.Len(), p.places())
+		wait, _ := p.drainTime(q, q.Len())
 		refusal.RetryAfter = l.retryAfter(q, w, wait, p.places(), now)
 	}
 	return refusal
--- a/internal/coordination/admission/room_test.go
+++ b/internal/coordination/admission/room_test.go
@@ -66,6 +66,74 @@
 	assert.Check(t, less >= 0.9*guaranteedShare*urgent, "urgent %.3f, less urgent %.3f", urgent, less)
 }
 
+// Guards against a request that is refused although there is room, because the time for
+// which it would wait is over, and against one that runs after its answer is due.
+func TestRequestThatMayNotWaitRunsIfThereIsRoom(t *testing.T) {
+	now := time.Unix(1000, 0)
+	req := Request{ID: "r", Serves: "s", Priority: model.PriorityInteractive, Deadline: now.Add(-1), AnswerDeadline: now.Add(time.Second)}
+	for _, test := range []struct {
+		slots  int
+		at     time.Time
+		admits bool
+	}{{1, now, true}, {0, now, false}, {1, req.AnswerDeadline, false}} {
+		s := newState()
+		decisions := limits{}.enter(s, req, ignoreDecision, Supply{Slots: test.slots}, test.at)
+		assert.Equal(t, len(decisions), 1)
+		assert.Equal(t, decisions[0].refusal == nil, test.admits)
+		assert.Equal(t, s.Queue("s").Len(), 0)
+	}
+}
+
+// Guards against a stream that is refused for the time its own instance takes to free a slot,
+// although the slots of the whole service become free much sooner.
+func TestExpectedWaitFollowsTheWholeService(t *testing.T) {
+	s, now := newState(), time.Unix(1000, 0)
+	q := s.Queue("s")
+	q.HoldTime, q.InFlight = 8*time.Second, 1
+	enter := func(id string, p Supply) []decision {
+		return limits{}.enter(s, Request{ID: model.RequestID(id), Serves: "s", Priority: model.PriorityInteractive, Deadline: now.Add(5 * time.Second)}, ignoreDecision, p, now)
+	}
+	assert.Equal(t, len(enter("waits", Supply{Slots: 1, NextFree: 4 * time.Millisecond})), 0)
+	assert.Equal(t, len(enter("late", Supply{Slots: 1, NextFree: 6 * time.Second})), 1, "no slot becomes free in time")
+	wait, _ := Supply{Slots: 1, NextFree: 4 * time.Millisecond}.drainTime(q, 3)
+	assert.Equal(t, wait, 12*time.Millisecond)
+}
+
+// Guards against timers that outlive their requests: under load there would be one for each
+// request of the last seconds.
+func TestExpiryTimerIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		pool := worker.NewPool(worker.Options{Workers: 2})
+		defer pool.Close()
+		slots, asked := 0, 0
+		m := New(Options{Pool: pool, Organisations: organisation.NewTable(), Capacity: func(string) int { asked++; return slots }})
+		for _, id := range []model.RequestID{"leaves", "runs"} {
+			m.Enter(Request{ID: id, Serves: "s", Priority: model.PriorityInteractive, Deadline: time.Now().Add(time.Second)}, ignoreDecision)
+		}
+		m.Leave("leaves")
+		slots = 1
+		m.AdmitWaiting("s")
+		synctest.Wait()
+		asked = 0
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		assert.Equal(t, asked, 0, "a timer ran after its request was decided")
+	})
+}
+
+// Guards against classes that look better or worse served than they are because a request
+// asked several times.
+func TestRequestThatAsksAgainCountsOnce(t *testing.T) {
+	s, now := newState(), time.Unix(1000, 0)
+	req := Request{ID: "r", Serves: "s", Priority: model.PriorityInteractive}
+	for range 3 {
+		assert.Equal(t, len(limits{}.enter(s, req, ignoreDecision, Supply{Slots: 1}, now)), 1)
+		leave(s, "r", false, now)
+		req.Again = true
+	}
+	assert.Equal(t, s.Queue("s").Service[model.PriorityInteractive], organisation.Service{Entered: 1, Admitted: 1, AsOf: now})
+}
+
 // Guards against waiting requests whose bodies fill the memory, and against bytes that stay
 // counted after their request was admitted, was refused or left.
 func TestWaitingBytesAreBounded(t *testing.T) {
--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -34,6 +34,10 @@
 	// Upstreams queue a few calls, and one that waits there starts without the way of a
 	// message when a slot becomes free.
 	queuedPerSlot = 1
+	// maxRunShare is the part of a request's remaining time that is kept for its run at
+	// most. The mean time that requests of a service take does not hold for a short request
+	// beside long ones.
+	maxRunShare = 1.0 / 3
 	// minFullTime and maxFullTime bound the time for which a service counts as full after
 	// its upstreams turned a request away. Within the mean time that a call takes, each
 	// of their slots becomes free once.
@@ -110,10 +114,12 @@
 		return admission.Supply{Slots: m.callSlots(service, rows, now)}
 	}
 	totals := m.opts.Commitments.Totals(now)
+	slots, nextFree := m.streamSlots(service, now)
 	return admission.Supply{
-		Slots:   m.streamSlots(service, now),
-		Engines: engineMemory(traits, rows, totals),
-		Age:     m.opts.Commitments.OldestReport(now),
+		Slots:    slots,
+		NextFree: nextFree,
+		Engines:  engineMemory(traits, rows, totals),
+		Age:      m.opts.Commitments.OldestReport(now),
 	}
 }
 
@@ -124,17 +130,18 @@
 	if !room.Known {
 		return admission.Unlimited
 	}
-	return capacityFrom(room, m.opts.Demand.Local(now)[service].InFlight, totalSlots(rows))
+	return capacityFrom(room, m.opts.Demand.Service(service, now).InFlight, totalSlots(rows))
 }
 
 // streamSlots returns the number of streams that this instance may have in flight, by what
-// all instances run and wait for. At least one may run, as with calls.
-func (m *Manager) streamSlots(service string, now time.Time) int {
+// all instances run and wait for, and the expected time until it may have one more. At least
+// one may run, as with calls.
+func (m *Manager) streamSlots(service string, now time.Time) (slots int, nextFree time.Duration) {
 	room := m.Room(service)
 	if !room.Known {
-		return admission.Unlimited
+		return admission.Unlimited, 0
 	}
-	return max(m.opts.Demand.Local(now)[service].InFlight+room.Granted, 1)
+	return max(m.opts.Demand.Service(service, now).InFlight+room.Granted, 1), room.NextFree
 }
 
 // capacityFrom returns the number of requests that this instance may have in flight, from
@@ -233,12 +240,25 @@
 			r.settleUnadmitted(refusal)
 			return
 		}
-		r.admitted = true
+		r.admitted, r.admittedBefore = true, true
 		next()
 	})
 }
 
+// takePlace gives the request a place at once if it has none.
+func (r *activeRequest) takePlace() {
+	if r.admitted {
+		return
+	}
+	r.leaveAdmission()
+	r.entry++
+	r.admitted = true
+	r.m.admission.Take(r.admissionRequest())
+}
+
 func (r *activeRequest) admissionRequest() admission.Request {
+	now := time.Now()
+	hold := r.holdTime(now)
 	callerDeadline := r.req.Deadline
 	if callerDeadline.IsZero() {
 		callerDeadline = r.deadline
@@ -248,34 +268,44 @@
 		Serves:         r.service.Name,
 		Organisation:   r.organisation,
 		Priority:       r.admissionPriority(),
-		Deadline:       r.latestStart(),
-		Objective:      r.objectiveStart(),
+		Deadline:       r.latestStart(now, hold),
+		AnswerDeadline: r.deadline,
+		Objective:      r.objectiveStart(hold),
 		CallerDeadline: callerDeadline,
 		Bytes:          len(r.req.Body) + requestOverhead,
 		MemoryTokens:   r.neededMemory(),
 		CallerID:       string(r.req.ID),
+		Continues:      r.route.Stream && r.stream.delivered > 0,
+		Again:          r.admittedBefore,
 	}
 }
 
-// admissionPriority returns the class in which the request waits. Streams whose callers
-// already have events go before all others.
+// admissionPriority returns the class in which the request waits. Streams whose responses
+// this instance has begun go before all others. A position that a caller claims does not
+// suffice: it would give any caller a way past the slots and its organisation's limit.
 func (r *activeRequest) admissionPriority() model.Priority {
-	if r.route.Stream && r.stream.delivered > 0 {
+	if r.route.Stream && r.response.begun {
 		return model.PriorityResume
 	}
 	return min(model.PriorityInteractive+model.Priority(max(r.priority, 0)), model.PriorityLowest)
 }
 
-// latestStart returns the latest time at which the request may start to end in time; zero
-// means that there is none.
-func (r *activeRequest) latestStart() time.Time {
+// holdTime returns the mean time that a request of the service takes; zero means unknown.
+func (r *activeRequest) holdTime(now time.Time) time.Duration {
+	return r.m.opts.Demand.Service(r.service.Name, now).HoldTime
+}
+
+// latestStart returns the time until which the request waits for a place, so that it may
+// end in time; zero means that there is none.
+func (r *activeRequest) latestStart(now time.Time, hold time.Duration) time.Time {
 	if r.deadline.IsZero() {
 		return time.Time{}
 	}
 	if r.route.Stream && r.stream.delivered > 0 {
 		return r.deadline
 	}
-	latest := r.deadline.Add(-r.m.opts.Demand.Local(time.Now())[r.service.Name].HoldTime)
+	reserve := min(hold, time.Duration(maxRunShare*float64(r.deadline.Sub(now))))
+	latest := r.deadline.Add(-max(reserve, 0))
 	if r.route.Stream {
 		latest = earlier(latest, r.req.Arrived.Add(r.placementLimit()))
 	}
@@ -284,7 +314,7 @@
 
 // objectiveStart returns the latest time at which the request may start to meet the latency
 // objective of its route; zero means that there is none.
-func (r *activeRequest) objectiveStart() time.Time {
+func (r *activeRequest) objectiveStart(hold time.Duration) time.Time {
 	if r.route.Objective == 0 {
 		return time.Time{}
 	}
@@ -292,7 +322,7 @@
 	if r.route.Stream { // the objective is for the first event
 		return at.Add(-time.Duration(float64(r.demand().prefillTokens) / assumedPrefillRate * float64(time.Second)))
 	}
-	return at.Add(-r.m.opts.Demand.Local(time.Now())[r.service.Name].HoldTime)
+	return at.Add(-hold)
 }
 
 // settleUnadmitted ends a request that gets no place. If an upstream may have run it, it is
@@ -339,12 +369,13 @@
 // waitAgain has a call that the upstreams turned away wait for room again.
 func (r *activeRequest) waitAgain() {
 	now := time.Now()
-	pause := min(max(r.m.opts.Demand.Local(now)[r.service.Name].HoldTime, minFullTime), maxFullTime)
+	hold := r.holdTime(now)
+	pause := min(max(hold, minFullTime), maxFullTime)
 	if len(r.m.usableUpstreams(r, now)) == 0 {
 		r.m.admission.MarkFull(r.service.Name, pause)
 	}
 	r.leaveAdmission()
-	if latest := r.latestStart(); !latest.IsZero() && now.Add(pause).After(latest) {
+	if latest := r.latestStart(now, hold); !latest.IsZero() && now.Add(pause).After(latest) {
 		r.settleCall()
 		return
 	}
