admission: replay streams in virtual time

Cause: the replay of heavy load had calls only, so nothing showed what admission does for streams at engines with limited memory. Change: the replay gets engines that read one prompt at a time, with places and memory, callers that leave without an event, and streams that continue after a loss; four loads compare the behaviour before with admission.

--- a/internal/coordination/admission/sim_test.go
+++ b/internal/coordination/admission/sim_test.go
@@ -32,6 +32,8 @@
 	timedOut  int              // callers whose time passed without an answer
 	asked     map[callKind]int
 	sends     int
+	cut       int // streams with events that did not end in the caller's time
+	wasted    int // prompt tokens that engines read in part, or for a stream that did not end
 }
 
 // load is what happens in a replay.
@@ -42,8 +44,17 @@
 	impatient bool    // callers return at once after a refusal
 	leaving   float64 // fraction of callers that leave after leaveAfter
 	perCell   int     // instances
+	engines   int     // above zero, all requests are streams (sim_stream_test.go)
+	loadTimes
 }
 
+// loadTimes are the length of a replay and the times of its callers.
+type loadTimes struct {
+	length, objective, limit time.Duration
+}
+
+var callTimes = loadTimes{simLength, simObjective, simLimit}
+
 const (
 	simSeeds      = 3
 	simLength     = 10 * time.Second
@@ -74,6 +85,7 @@
 	tried    []int
 	done     bool
 	on       *simUpstream
+	simStream
 }
 
 type simInstance struct {
@@ -84,6 +96,7 @@
 type simUpstream struct {
 	index, running int
 	queue          []*simCall
+	simEngine
 }
 
 type event struct {
@@ -123,10 +136,11 @@
 		s.instances = append(s.instances, &simInstance{state: &organisation.State{
 			Organisations: map[model.OrganisationID]organisation.Organisation{}, Queues: map[string]*organisation.Queue{}, Requests: map[model.RequestID]organisation.RequestState{}}})
 	}
-	for i := range simUpstreams {
+	for i := range max(simUpstreams, l.engines) {
 		s.upstreams = append(s.upstreams, &simUpstream{index: i})
 	}
 	s.arrive()
+	s.checkEngines()
 	for s.events.Len() > 0 {
 		next := heap.Pop(&s.events).(event)
 		s.now = next.at
@@ -137,7 +151,7 @@
 
 // arrive starts the next new request.
 func (s *sim) arrive() {
-	if s.elapsed() > simLength {
+	if s.elapsed() > s.length {
 		return
 	}
 	c := s.caller(s.arrivals)
@@ -146,12 +160,15 @@
 	if s.arrivals.Float64() < s.leaving {
 		s.after(leaveAfter, func() { s.end(&c, false) })
 	}
-	s.after(simLimit, func() {
+	s.after(s.limit, func() {
 		if !c.done {
 			s.timedOut++
 			s.end(&c, false)
 		}
 	})
+	if s.engines > 0 {
+		s.startStream(&c)
+	}
 	s.submit(&c)
 	s.after(time.Duration(s.arrivals.ExpFloat64()/s.rate(s.elapsed())*float64(time.Second)), s.arrive)
 }
@@ -160,20 +177,26 @@
 func (s *sim) submit(c *simCall) {
 	s.events.n++
 	c.id, c.tried = model.RequestID(fmt.Sprint(s.events.n)), nil
-	if s.present {
+	switch {
+	case s.present && s.engines > 0:
+		s.place(c)
+	case s.present:
 		s.send(c)
-		return
+	default:
+		s.enter(c)
 	}
-	s.enter(c)
 }
 
 func (s *sim) enter(c *simCall) {
 	in := s.instances[c.instance]
 	q := in.state.Queue("s")
 	req := Request{
-		ID: c.id, Serves: "s", Organisation: c.org, Priority: c.priority, CallerDeadline: c.first.Add(simLimit),
+		ID: c.id, Serves: "s", Organisation: c.org, Priority: c.priority, CallerDeadline: c.first.Add(s.limit),
 		Deadline: c.first.Add(simLimit - q.HoldTime), Objective: c.first.Add(simObjective - q.HoldTime),
 	}
+	if s.engines > 0 {
+		req = s.streamRequest(c)
+	}
 	s.apply(limits{maxQueue: 256, pacedReturns: true}.enter(in.state, req, s.decided(c), s.supply(), s.now))
 	if place, ok := in.state.Requests[c.id]; ok && !place.Admitted {
 		id := c.id
@@ -187,6 +210,9 @@
 
 // supply is the rule of forward for calls: own work alone, and as many calls as slots queue.
 func (s *sim) supply() Supply {
+	if s.engines > 0 {
+		return s.engineSupply()
+	}
 	total := 0
 	for i := range s.upstreams {
 		total += 2 * s.slots(s.elapsed(), i)
@@ -198,6 +224,8 @@
 	return func(refusal *model.Refusal) {
 		switch {
 		case c.done:
+		case refusal == nil && s.engines > 0:
+			s.place(c)
 		case refusal == nil:
 			s.send(c)
 		case refusal.Code != CodeCancelled:
@@ -305,19 +333,23 @@
 
 // end ends the caller's request, which may have been answered.
 func (s *sim) end(c *simCall, answered bool) {
-	if c.on != nil && answered {
+	if s.engines > 0 {
+		s.removeStream(c)
+	} else if c.on != nil && answered {
 		s.instances[c.instance].own[c.on.index]--
 	}
 	if c.done {
 		return
 	}
 	c.done = true
-	if took := s.now.Sub(c.first); answered && took <= simObjective {
+	if took := s.now.Sub(c.first); s.engines > 0 {
+		s.countStream(c, answered)
+	} else if answered && took <= simObjective {
 		s.served[c.callKind]++
 	} else if answered {
 		s.late++
 	}
-	if c.on != nil && !answered {
+	if c.on != nil && !answered && s.engines == 0 {
 		if i := slices.Index(c.on.queue, c); i >= 0 { // the upstream drops what it has not begun
 			c.on.queue = slices.Delete(c.on.queue, i, i+1)
 			s.instances[c.instance].own[c.on.index]--
@@ -362,6 +394,7 @@
 		s.served[kind] += o.served[kind]
 	}
 	s.late, s.timedOut, s.sends = s.late+o.late, s.timedOut+o.timedOut, s.sends+o.sends
+	s.cut, s.wasted = s.cut+o.cut, s.wasted+o.wasted
 }
 
 const (
@@ -403,7 +436,7 @@
 			return simSlots
 		}
 	}
-	base := load{rate: steady(0.6), caller: anyCaller(4), slots: all, perCell: 4}
+	base := load{rate: steady(0.6), caller: anyCaller(4), slots: all, perCell: 4, loadTimes: callTimes}
 	for _, c := range []struct {
 		name   string
 		change func(*load)
