admission: replay a shift of callers between domains

Change: four instances in two domains; for 3 s of 10 s all callers arrive at domain 0, at 1.2 of the capacity. Upstreams have no domain in this replay.

--- a/internal/coordination/admission/sim_test.go
+++ b/internal/coordination/admission/sim_test.go
@@ -43,8 +43,11 @@
 	slots     func(at time.Duration, upstream int) int
 	impatient bool    // callers return at once after a refusal
 	leaving   float64 // fraction of callers that leave after leaveAfter
-	perCell   int     // instances
-	engines   int     // above zero, all requests are streams (sim_stream_test.go)
+	// domain returns the failure domain to which the callers of an instance go. Instances
+	// with even numbers are in domain 0, the others in domain 1. Nil means that callers stay.
+	domain  func(at time.Duration, instance int) int
+	perCell int // instances
+	engines int // above zero, all requests are streams (sim_stream_test.go)
 	loadTimes
 }
 
@@ -155,6 +158,9 @@
 		return
 	}
 	c := s.caller(s.arrivals)
+	if s.domain != nil {
+		c.instance += s.domain(s.elapsed(), c.instance) - c.instance%2
+	}
 	c.first = s.now
 	s.asked[c.callKind]++
 	if s.arrivals.Float64() < s.leaving {
@@ -399,6 +405,7 @@
 
 const (
 	nameCalm              = "calm"
+	nameShift             = "a shift of callers between domains"
 	nameLargeOrganisation = "one organisation at 20 times its share"
 )
 
@@ -467,6 +474,15 @@
 				return c
 			}
 		}},
+		{nameShift, func(l *load) {
+			l.rate = steady(1.2)
+			l.domain = func(at time.Duration, instance int) int {
+				if at > 3*time.Second && at < 6*time.Second {
+					return 0
+				}
+				return instance % 2
+			}
+		}},
 		{nameLargeOrganisation, func(l *load) {
 			l.rate = burst(0.6, 1.8)
 			any := anyCaller(4)
