--- a/internal/coordination/forward/wait.go
+++ b/internal/coordination/forward/wait.go
@@ -375,6 +375,7 @@
 		r.m.admission.MarkFull(r.service.Name, pause)
 	}
 	r.leaveAdmission()
+	pause = admission.TurnedAwayPause(pause, r.objectiveStart(hold), now)
 	if latest := r.latestStart(now, hold); !latest.IsZero() && now.Add(pause).After(latest) {
 		r.settleCall()
 		return
