admission: an older number of waiting requests replaces no newer one

Cause: the number is reported without a lock held, so of two decisions at one moment the older report could come last. The service then counted as having no queue, or one that had ended, until the next decision.

Change: decisions on a queue are numbered, and state/demand ignores a number that a later one has overtaken.

--- a/internal/coordination/admission/admission.go
+++ b/internal/coordination/admission/admission.go
@@ -39,7 +39,8 @@
 	PacedReturns bool
 	// WaitingChanged is called without a lock held after the number of waiting requests may
 	// have changed. It may be nil.
-	WaitingChanged func(serves string, waiting int)
+	// Calls may overtake each other: the highest change has the present number.
+	WaitingChanged func(serves string, waiting int, change uint64)
 	// Log gets a line for each refusal and for each request that waited. It may be nil.
 	Log log.Interface
 }
@@ -155,14 +156,15 @@
 func (m *Manager) decide(serves string, change func(*organisation.State, Supply, time.Time) []decision) []decision {
 	p := m.supply(serves)
 	var decisions []decision
-	waiting, recheck := 0, false
+	waiting, numbered, recheck := 0, uint64(0), false
 	m.Organisations.Update(func(s *organisation.State) {
 		decisions = change(s, p, time.Now())
 		if q, known := s.Queues[serves]; known {
 			for i := range decisions {
 				decisions[i].inputs = inputs{Slots: p.Slots, InFlight: q.InFlight, Waiting: q.Len(), HoldTime: q.HoldTime, Age: p.Age}
 			}
-			waiting = q.Len()
+			q.Decisions++
+			waiting, numbered = q.Len(), q.Decisions
 			recheck = m.Recheck > 0 && waiting > 0 && !q.RecheckPending
 			q.RecheckPending = q.RecheckPending || recheck
 		}
@@ -170,8 +172,8 @@
 	if recheck {
 		m.Pool.After(m.Recheck, recheckKey(serves), worker.Func(func() { m.recheck(serves) }))
 	}
-	if m.WaitingChanged != nil {
-		m.WaitingChanged(serves, waiting)
+	if m.WaitingChanged != nil && numbered > 0 {
+		m.WaitingChanged(serves, waiting, numbered)
 	}
 	m.postDecisions(decisions)
 	return decisions
--- a/internal/coordination/exchange/demand_test.go
+++ b/internal/coordination/exchange/demand_test.go
@@ -17,8 +17,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		a, b, stop := startPair(t)
 		defer stop()
-		a.demand.SetWaiting("s", 7)
-		b.demand.SetWaiting("s", 2)
+		a.demand.SetWaiting("s", 7, 1)
+		b.demand.SetWaiting("s", 2, 1)
 		time.Sleep(heartbeatInterval + time.Millisecond)
 		synctest.Wait()
 		assert.Equal(t, b.demand.Cell(time.Now())["s"].Waiting, 9)
@@ -38,8 +38,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, stop := startCells(t, []model.InstanceID{"a", "b"}, []model.InstanceID{"c", "d", "e"}, []model.InstanceID{"f"})
 		defer stop()
-		n["b"].demand.SetWaiting("s", 5)
-		n["f"].demand.SetWaiting("s", 3)
+		n["b"].demand.SetWaiting("s", 5, 1)
+		n["f"].demand.SetWaiting("s", 3, 1)
 		n["b"].commitments.Add("u", commitment.Work{Requests: 4, MemoryTokens: 900})
 		n["b"].StateChanged()
 		time.Sleep(3*heartbeatInterval + time.Millisecond)
@@ -70,7 +70,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		n, stop := startCells(t, []model.InstanceID{"a", "b"}, []model.InstanceID{"c"})
 		defer stop()
-		n["a"].demand.SetWaiting("s", 5)
+		n["a"].demand.SetWaiting("s", 5, 1)
 		time.Sleep(2*heartbeatInterval + time.Millisecond)
 		n["c"].ReceiveCellDemand(CellDemand{Instance: "b", Cell: "0", Summary: demand.Summary{
 			Cells: 1, Services: map[string]demand.Demand{"s": {Waiting: 6}},
--- a/internal/coordination/forward/room_test.go
+++ b/internal/coordination/forward/room_test.go
@@ -30,7 +30,7 @@
 
 		services := map[string]demand.Demand{"desk": {InFlight: 5, Waiting: 6}}
 		b.m.opts.Demand.SetCell("z/0", demand.Summary{Domain: "z", Cells: 1, Services: services}, now)
-		b.m.opts.Demand.SetWaiting("desk", 2)
+		b.m.opts.Demand.SetWaiting("desk", 2, 1)
 		room = b.m.Room("desk")
 		assert.Equal(t, room.Slots, 30.0)
 		assert.Equal(t, room.Share, 0.25)
--- a/internal/state/demand/demand.go
+++ b/internal/state/demand/demand.go
@@ -61,6 +61,7 @@
 	demand Demand
 	asOf   time.Time // of demand.Rate
 	heldAt time.Time // of the newest sample of demand.HoldTime
+	change uint64    // that demand.Waiting is of
 }
 
 // rate returns the rate at the given time. An arrival weighs ln 2 / rateHalfLife and
@@ -156,11 +157,14 @@
 	c.heldAt = now
 }
 
-// SetWaiting replaces the number of requests that wait for admission.
-func (t *Table) SetWaiting(service string, waiting int) {
+// SetWaiting replaces the number of requests that wait for admission. Changes are numbered
+// from 1, and one that a later change has overtaken is ignored.
+func (t *Table) SetWaiting(service string, waiting int, change uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.counter(service).demand.Waiting = waiting
+	if c := t.counter(service); change > c.change {
+		c.demand.Waiting, c.change = waiting, change
+	}
 }
 
 // Service returns this instance's demand for the service.
--- a/internal/state/demand/demand_test.go
+++ b/internal/state/demand/demand_test.go
@@ -72,7 +72,7 @@
 // Guards against demand of other instances and cells that counts twice or after it is old.
 func TestRemoteDemandCountsOnceAndExpires(t *testing.T) {
 	table, now := NewTable(), time.Unix(1000, 0)
-	table.SetWaiting("s", 1)
+	table.SetWaiting("s", 1, 1)
 	table.SetMember("m", "b", map[string]Demand{"s": {Waiting: 2}}, now)
 	table.SetMember("m", "b", map[string]Demand{"s": {Waiting: 4}}, now)
 	domains, members := table.CellByDomain("s", "a", now)
@@ -103,3 +103,15 @@
 	assert.Equal(t, members, 0)
 	assert.Equal(t, table.Cell(late)["s"].Waiting, 1)
 }
+
+// Guards against a number of waiting requests that an older decision sets after a newer one,
+// when two workers report at the same moment: the queue would count as empty or as long
+// until the next decision.
+func TestOvertakenChangeOfWaitingIsIgnored(t *testing.T) {
+	table := NewTable()
+	table.SetWaiting("s", 3, 2)
+	table.SetWaiting("s", 0, 1)
+	assert.Equal(t, table.Local(time.Unix(1000, 0))["s"].Waiting, 3)
+	table.SetWaiting("s", 0, 3)
+	assert.Equal(t, table.Local(time.Unix(1000, 0))["s"].Waiting, 0)
+}
--- a/internal/state/organisation/organisation.go
+++ b/internal/state/organisation/organisation.go
@@ -77,6 +77,7 @@
 	NextReturn time.Time
 	// RecheckPending says that a timer is set that looks for room again.
 	RecheckPending bool
+	Decisions      uint64 // number of decisions on the queue
 }
 
 // RequestState is the state of a request: waiting in the queue of Serves, or
