--- a/internal/coordination/admission/sim_stream_test.go
+++ b/internal/coordination/admission/sim_stream_test.go
@@ -227,7 +227,7 @@
 			return simPlaces
 		}
 	}
-	base := load{rate: steady, caller: anyCaller(4), slots: all, perCell: 4, engines: simEngines, loadTimes: streamTimes}
+	base := load{rate: steady, caller: anyCaller, slots: all, perCell: simInstances, engines: simEngines, loadTimes: streamTimes}
 	for _, c := range []struct {
 		name   string
 		change func(*load)
--- a/internal/coordination/admission/sim_test.go
+++ b/internal/coordination/admission/sim_test.go
@@ -409,12 +409,13 @@
 	nameLargeOrganisation = "one organisation at 20 times its share"
 )
 
-func anyCaller(instances int) func(*rand.Rand) simCall {
-	return func(r *rand.Rand) simCall {
-		return simCall{
-			callKind: callKind{model.OrganisationID(fmt.Sprint("o", r.IntN(8))), model.PriorityInteractive + model.Priority(r.IntN(2))},
-			instance: r.IntN(instances),
-		}
+// simInstances is the number of instances that callers choose from.
+const simInstances = 4
+
+func anyCaller(r *rand.Rand) simCall {
+	return simCall{
+		callKind: callKind{model.OrganisationID(fmt.Sprint("o", r.IntN(8))), model.PriorityInteractive + model.Priority(r.IntN(2))},
+		instance: r.IntN(simInstances),
 	}
 }
 
@@ -443,7 +444,7 @@
 			return simSlots
 		}
 	}
-	base := load{rate: steady(0.6), caller: anyCaller(4), slots: all, perCell: 4, loadTimes: callTimes}
+	base := load{rate: steady(0.6), caller: anyCaller, slots: all, perCell: simInstances, loadTimes: callTimes}
 	for _, c := range []struct {
 		name   string
 		change func(*load)
@@ -465,9 +466,8 @@
 		{"empty state at start", func(l *load) { l.rate = steady(1.3) }},
 		{"one key with most of the traffic, at one instance", func(l *load) {
 			l.rate = burst(0.6, 1.8)
-			any := anyCaller(4)
 			l.caller = func(r *rand.Rand) simCall {
-				c := any(r)
+				c := anyCaller(r)
 				if r.IntN(10) < 8 {
 					c.instance, c.org = 0, "o0"
 				}
@@ -485,9 +485,8 @@
 		}},
 		{nameLargeOrganisation, func(l *load) {
 			l.rate = burst(0.6, 1.8)
-			any := anyCaller(4)
 			l.caller = func(r *rand.Rand) simCall {
-				c := any(r)
+				c := anyCaller(r)
 				if r.IntN(27) < 20 { // 20 times the share of each of seven others
 					c.org = "o0"
 				}
--- a/internal/transport/answerlimit/answerlimit.go
+++ b/internal/transport/answerlimit/answerlimit.go
@@ -53,7 +53,7 @@
 	return false
 }
 
-// Release implements Memory.
+// ReleaseAnswer implements Memory.
 func (b *Budget) ReleaseAnswer(n int64) { b.used.Add(-n) }
 
 // Reservation is the memory that one answer uses.
