--- a/review/_standin-2/lab.go
+++ b/review/_standin-2/lab.go
@@ -251,10 +251,19 @@
 	l.Note("%d instances are ready", n)
 }
 
-// freeBase returns the first three parts of loopback addresses whose ports are free.
+// reservedPort is held at the first loopback address of a case until its end, so that no
+// other case takes the addresses while processes are down.
+const reservedPort = 8751
+
+// freeBase returns the first three parts of loopback addresses whose ports are free, and
+// reserves them.
 func (l *Lab) freeBase(n int) string {
 	for part := 64 + os.Getpid()%64; part < 250; part++ {
 		base := fmt.Sprintf("127.0.%d", part)
+		reserved, err := net.Listen("tcp", fmt.Sprintf("%s.1:%d", base, reservedPort))
+		if err != nil {
+			continue
+		}
 		free := true
 		for i := 1; i <= n && free; i++ {
 			for _, port := range []int{7200, 8740, 8746, 8748, 8749} {
@@ -267,8 +276,10 @@
 			}
 		}
 		if free {
+			l.OnStop(func() { _ = reserved.Close() })
 			return base
 		}
+		_ = reserved.Close()
 	}
 	panic(unable{fmt.Errorf("no free loopback addresses")})
 }
