registry: an instance that lost the store checks its readers again in time

Workers that were gone got requests later than the bound of 2 s, from instances that the store turned away while it served the others.

Cause: such an instance has no source until another one that it passed over has replaced its own. It looked again too late, for two reasons. A reader whose entries had just become too old was checked again only after 3 s, unless its entries came from the instance itself; it replaces its source at that moment. And the instance sleeps until its next own read or the next check that is due: the answer of a check sets the time of the next one while it sleeps, and did not wake it.

Evidence: on 12 instances with a fake store, log of i000 and i001 that are turned away: both pass over all others at 575 and 1,375 ms ("reader lost", source i000), the others read the store from 1,375 ms on, and neither has "reader regained" before its next own read.

Change: after a failed read all passed-over readers are checked. Instances that read the store check as before.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -101,6 +101,7 @@
 			m.entries.readAll = true
 			if m.opts.Peers != nil {
 				m.storeLostUntil = time.Now().Add(avoidStoreFor)
+				m.checkLostReadersNow()
 			}
 			if m.hasReader() {
 				m.readEntries() // another instance may have read the store
@@ -126,6 +127,7 @@
 // polls one of them as soon as that one has entries that are fresh enough.
 func (m *Manager) retryEntries(at time.Time) {
 	now := time.Now()
+	m.retryAt = at
 	m.checkLostReaders(now)
 	if !now.Before(at) || m.hasReader() {
 		m.readEntries()
@@ -138,6 +140,11 @@
 	m.entriesLoop.after(next.Sub(now), func() { m.retryEntries(at) })
 }
 
+// waitsToRetry reports whether this instance waits to repeat a failed read of the entries.
+func (m *Manager) waitsToRetry() bool {
+	return !m.entries.failedSince.IsZero() && m.entriesLoop.waits()
+}
+
 // applyEntries applies a read of the store. A read at an older revision than what is
 // known is ignored.
 func (m *Manager) applyEntries(got Entries) {
--- a/internal/coordination/registry/outage.go
+++ b/internal/coordination/registry/outage.go
@@ -32,8 +32,7 @@
 		if asked++; asked > maxOutageAsks {
 			return
 		}
-		call := func(ctx context.Context) (Delta, error) { return m.opts.Peers.Poll(ctx, in, agesOnly(in), nil, 0) }
-		worker.Call(m.opts.Pool, keyEntries, m.limits.readerPollMargin(), call, func(delta Delta, err error) {
+		m.askAges(in, func(delta Delta, err error) {
 			if err == nil {
 				m.reviewOutage(delta.Ages, in.ID, time.Now())
 			}
@@ -41,6 +40,12 @@
 	}
 }
 
+// askAges asks an instance how old its data are. The answer is handled under keyEntries.
+func (m *Manager) askAges(in model.Instance, answered func(Delta, error)) {
+	call := func(ctx context.Context) (Delta, error) { return m.opts.Peers.Poll(ctx, in, agesOnly(in), nil, 0) }
+	worker.Call(m.opts.Pool, keyEntries, m.limits.readerPollMargin(), call, answered)
+}
+
 // agesOnly returns a cursor for which an instance answers a poll with the ages alone: no
 // change is newer.
 func agesOnly(in model.Instance) Cursor {
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -170,14 +170,20 @@
 	}
 }
 
-// lostReaderCheckDelay returns when to check a reader that gave this answer again. One whose
-// data come from this instance looks for another source once they are too old, and then
-// has what this instance cannot read.
+// lostReaderCheckDelay returns when to check a reader that gave this answer again. An instance
+// that reads the store can wait. For one that has lost the store, a reader that answers has what
+// this instance cannot read as soon as it has replaced a source of its own whose data are too
+// old. The delay grows with the time for which it has found none, as in an outage of the whole
+// store.
 func (m *Manager) lostReaderCheckDelay(delta Delta, err error) time.Duration {
-	if err != nil || delta.Source != m.opts.Self.ID {
+	left := m.limits.timeLeft(delta.Ages)
+	switch {
+	case err != nil, delta.Source != m.opts.Self.ID && !time.Now().Before(m.storeLostUntil):
 		return lostReaderCheckInterval
+	case left > 0:
+		return max(min(left, lostReaderCheckInterval), readerCheckInterval)
 	}
-	return max(min(m.limits.timeLeft(delta.Ages), lostReaderCheckInterval), readerCheckInterval)
+	return max(min(m.limits.overdue(delta.Ages)/2, retryInterval), readerCheckInterval)
 }
 
 // isOlder reports whether what is known here about the entries is newer than the delta.
@@ -243,16 +249,18 @@
 			continue
 		}
 		m.lostReaders[id] = now.Add(lostReaderCheckInterval)
-		call := func(ctx context.Context) (Delta, error) { return m.opts.Peers.Poll(ctx, in, agesOnly(in), nil, 0) }
-		worker.Call(m.opts.Pool, keyEntries, m.limits.readerPollMargin(), call, func(delta Delta, err error) {
+		m.askAges(in, func(delta Delta, err error) {
 			if err != nil || !m.isSource(delta) {
 				m.lostReaders[id] = time.Now().Add(m.lostReaderCheckDelay(delta, err))
+				if m.waitsToRetry() { // its timer is set for the checks that were due before
+					m.retryEntries(m.retryAt)
+				}
 				return
 			}
 			delete(m.lostReaders, id)
 			m.opts.Log.WithField("instance", string(id)).WithField("age_ms", delta.Ages.Entries.Milliseconds()).
 				WithField("hops", delta.Ages.Hops).WithField("source", string(delta.Source)).Info("reader regained")
-			if !m.entries.failedSince.IsZero() && m.entriesLoop.waits() && m.hasReader() {
+			if m.waitsToRetry() && m.hasReader() {
 				m.readEntries()
 			}
 		})
--- a/internal/coordination/registry/source.go
+++ b/internal/coordination/registry/source.go
@@ -93,6 +93,12 @@
 	return max(min(l.maxEntriesAge(age.Hops)-age.Entries, l.maxRulesAge(age.RulesHops)-age.Rules), 0)
 }
 
+// overdue returns for how long data of these ages have been too old to be shared, 0 if they
+// are not.
+func (l limits) overdue(age Ages) time.Duration {
+	return max(age.Entries-l.maxEntriesAge(age.Hops), age.Rules-l.maxRulesAge(age.RulesHops), 0)
+}
+
 // Ages says how old the data are that an instance shares.
 type Ages struct {
 	Entries   time.Duration // since the last read of the entries
