registry: an instance to which the store is silent asks others meanwhile

Gone workers got requests for up to 2.04 s from an instance to which the store gave no answer.

Cause: an instance that takes the place of its reader waits 0.8 s for a read without an answer, and looked for another source only afterwards. Its reader was lost at 0.6 or 0.7 of the bound, so the wait goes beyond it.

Change: while a read of the entries has no answer for 250 ms, the instance asks the members of its cell how old their entries are, and polls the first one whose entries are fresh enough in place of the read. The read goes on meanwhile, so that a slow store is read as before.

Measured: the form silent4 of TestInstancesThatAreTurnedAwayDropGoneUpstreams fails before in each of 3 runs.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -118,6 +118,31 @@
 		}
 		m.entriesLoop.after(max(wait, 0), m.readEntries)
 	})
+	m.seekSourceDuring(m.entriesLoop.step, slowReadTime)
+}
+
+// seekSourceDuring asks other instances how old their entries are if the read of the store in
+// this step of the loop has no answer for the given time, and polls the first one whose entries
+// are fresh enough in place of the read. The store may be silent to this instance alone.
+func (m *Manager) seekSourceDuring(step uint64, unanswered time.Duration) {
+	if m.opts.Peers == nil {
+		return
+	}
+	m.opts.Pool.After(unanswered, keyEntries, worker.Func(func() {
+		if m.entriesLoop.step != step {
+			return
+		}
+		for _, in := range m.otherMembers() {
+			m.askAges(in, func(delta Delta, err error) {
+				if err == nil && m.isSource(delta) && m.entriesLoop.step == step {
+					delete(m.lostReaders, in.ID)
+					m.storeLostUntil = time.Now().Add(avoidStoreFor)
+					m.readEntries()
+				}
+			})
+		}
+		m.seekSourceDuring(step, 2*unanswered)
+	}))
 }
 
 // hasReader reports whether this instance is to poll another one.
--- a/internal/coordination/registry/outage.go
+++ b/internal/coordination/registry/outage.go
@@ -24,14 +24,8 @@
 	if m.opts.Peers == nil {
 		return
 	}
-	asked := 0
-	for _, in := range m.opts.Members() {
-		if in.ID == m.opts.Self.ID || in.State != model.InstanceLive {
-			continue
-		}
-		if asked++; asked > maxOutageAsks {
-			return
-		}
+	others := m.otherMembers()
+	for _, in := range others[:min(len(others), maxOutageAsks)] {
 		m.askAges(in, func(delta Delta, err error) {
 			if err == nil {
 				m.reviewOutage(delta.Ages, in.ID, time.Now())
--- a/internal/coordination/registry/refusal_test.go
+++ b/internal/coordination/registry/refusal_test.go
@@ -13,6 +13,7 @@
 // refusalForms are the ways in which the store turns an instance away.
 var refusalForms = map[string]func(s *fakeStore, away bool){
 	"refused": func(s *fakeStore, away bool) { s.unreachable.Store(away) },
+	"silent":  func(s *fakeStore, away bool) { s.hangs.Store(away) },
 }
 
 // checkDropped removes u1 while the store turns instances away, and checks that all instances
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -138,6 +138,9 @@
 	// readTimeout bounds a read whose answer is under way. The largest rules are about
 	// 500 kB, which take 0.4 s on an idle link of 10 Mbit/s and longer beside other traffic.
 	readTimeout = 4 * SilenceLimit
+	// slowReadTime is the time after which a read of the store that has no answer may be one
+	// that will get none. A slow store answers sooner.
+	slowReadTime = 250 * time.Millisecond
 	// startRetryWait is the pause after a failed call while this instance has no
 	// rules yet, and retryWait the pause once it has. Failed calls also cost money
 	// and count towards the limit on calls, and in an outage all instances retry.
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -95,8 +95,8 @@
 		return lost
 	}
 	if now.Before(m.storeLostUntil) {
-		for _, in := range m.opts.Members() {
-			if in.ID != m.opts.Self.ID && in.State == model.InstanceLive && !avoided(in.ID) {
+		for _, in := range m.otherMembers() {
+			if !avoided(in.ID) {
 				return in
 			}
 		}
@@ -112,6 +112,17 @@
 	return in
 }
 
+// otherMembers returns the other live members of the cell.
+func (m *Manager) otherMembers() []model.Instance {
+	var others []model.Instance
+	for _, in := range m.opts.Members() {
+		if in.ID != m.opts.Self.ID && in.State == model.InstanceLive {
+			others = append(others, in)
+		}
+	}
+	return others
+}
+
 // pollReader polls the reader for changes. It runs under keyEntries.
 func (m *Manager) pollReader(reader model.Instance) {
 	cursor, current := m.cursor, m.opts.Rules.Current()
