registry: a cell that is turned away as a whole asks other cells

An instance of a cell whose members have all lost the store kept gone upstreams for as long as the store turned it away.

Cause: after a failed read an instance looked for a source among the members of its cell only. A cell of a small failure domain has few members, or one. The question whether the store was read during an outage went to them alone too.

Change: once the entries that the cell has must be too old, up to three instances of other cells are polled as well, and they are asked about outages where the cell has fewer than five others.

The fake peers of the tests answer no poll of an instance that is in the list but does not run, where they had no such instance before.

Measured: TestCellThatIsTurnedAwayAsksOthers fails before in both forms, and passes.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -132,7 +132,7 @@
 		if m.entriesLoop.step != step {
 			return
 		}
-		for _, in := range m.otherMembers() {
+		for _, in := range m.otherReaders(time.Now()) {
 			m.askAges(in, func(delta Delta, err error) {
 				if err == nil && m.isSource(delta) && m.entriesLoop.step == step {
 					delete(m.lostReaders, in.ID)
@@ -162,6 +162,9 @@
 	for _, due := range m.lostReaders {
 		next = earlierOf(next, due)
 	}
+	if from := m.foreignReadersFrom(); now.Before(from) {
+		next = earlierOf(next, from)
+	}
 	m.entriesLoop.after(next.Sub(now), func() { m.retryEntries(at) })
 }
 
@@ -184,6 +187,7 @@
 	s.after, s.afterEra, s.readAll = got.Revision, got.Era, false
 	m.cursor = Cursor{} // the changes since an earlier poll may undo what was read here
 	m.recordRead(now, m.opts.Self.ID, 0)
+	m.recordCellRead(m.opts.Self.ID, now)
 	isFirst := s.ownReadAt.Before(s.outageEnd)
 	s.ownReadAt = now
 	s.position = position
--- a/internal/coordination/registry/fake_test.go
+++ b/internal/coordination/registry/fake_test.go
@@ -225,8 +225,8 @@
 type fakePeers map[model.InstanceID]*member
 
 func (c fakePeers) Poll(ctx context.Context, from model.Instance, cursor Cursor, _ *model.RoutingRules, d time.Duration) (Delta, error) {
-	other := c[from.ID]
-	if other.unresponsive.Load() {
+	other, running := c[from.ID]
+	if !running || other.unresponsive.Load() {
 		wait.Sleep(ctx, time.Hour)
 		return Delta{}, ctx.Err()
 	}
--- a/internal/coordination/registry/outage.go
+++ b/internal/coordination/registry/outage.go
@@ -24,7 +24,7 @@
 	if m.opts.Peers == nil {
 		return
 	}
-	others := m.otherMembers()
+	others := append(m.otherMembers(), m.foreignReaders()...)
 	for _, in := range others[:min(len(others), maxOutageAsks)] {
 		m.askAges(in, func(delta Delta, err error) {
 			if err == nil {
--- a/internal/coordination/registry/refusal_test.go
+++ b/internal/coordination/registry/refusal_test.go
@@ -50,3 +50,16 @@
 		}
 	}
 }
+
+// Guards against a cell whose members are all turned away and that asks no instance of
+// another cell.
+func TestCellThatIsTurnedAwayAsksOthers(t *testing.T) {
+	ids := memberIDs(9) // cells of four, four and one
+	for form, set := range refusalForms {
+		t.Run(form, func(t *testing.T) {
+			inEachPhase(t, 60*time.Millisecond, 4, ids, func(t *testing.T, w *storeContent, c fakePeers, phase int) {
+				checkDropped(t, w, c, []model.InstanceID{ids[0], ids[1], ids[8]}, set, phase)
+			})
+		})
+	}
+}
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -187,6 +187,7 @@
 	lostReaders    map[model.InstanceID]time.Time // readers that are passed over, and when to check them; used as cursor is
 	polledRoot     model.InstanceID               // root reader that the reader named last; used as cursor is
 	retryAt        time.Time                      // when a failed read of the entries is repeated; used as cursor is
+	cellReadAt     time.Time                      // last read of the store that a member of the cell passed on; used as cursor is
 	storeLostUntil time.Time                      // until when others are polled after a failed read of the store; used as cursor is
 
 	eraMu       sync.Mutex
--- a/internal/coordination/registry/share.go
+++ b/internal/coordination/registry/share.go
@@ -59,6 +59,9 @@
 	// lostReaderCheckInterval is the time between two checks whether a lost reader is
 	// back.
 	lostReaderCheckInterval = 3 * time.Second
+	// maxForeignReaders is the number of instances of other cells that one which has lost the
+	// store may poll.
+	maxForeignReaders = 3
 	// avoidStoreFor is how long an instance polls others after a failed read of the store.
 	avoidStoreFor = 3 * time.Second
 	// expiryNotice is the time before data get too old to be shared from which on polls
@@ -95,7 +98,7 @@
 		return lost
 	}
 	if now.Before(m.storeLostUntil) {
-		for _, in := range m.otherMembers() {
+		for _, in := range m.otherReaders(now) {
 			if !avoided(in.ID) {
 				return in
 			}
@@ -112,6 +115,31 @@
 	return in
 }
 
+// otherReaders returns the instances that this one may poll while it has lost the store: the
+// other members of its cell and, once their entries must be too old, some of other cells. The
+// store may turn away all members of a small cell.
+func (m *Manager) otherReaders(now time.Time) []model.Instance {
+	others := m.otherMembers()
+	if !now.Before(m.foreignReadersFrom()) {
+		others = append(others, m.foreignReaders()...)
+	}
+	return others
+}
+
+// foreignReadersFrom returns from when on instances of other cells may be polled.
+func (m *Manager) foreignReadersFrom() time.Time {
+	return m.cellReadAt.Add(m.limits.maxEntriesAge(maxHops))
+}
+
+// recordCellRead records that the reader sent entries which were read at the given time, if it
+// is a member of the cell.
+func (m *Manager) recordCellRead(reader model.InstanceID, at time.Time) {
+	isMember := func(in model.Instance) bool { return in.ID == reader }
+	if at.After(m.cellReadAt) && slices.ContainsFunc(m.opts.Members(), isMember) {
+		m.cellReadAt = at
+	}
+}
+
 // otherMembers returns the other live members of the cell.
 func (m *Manager) otherMembers() []model.Instance {
 	var others []model.Instance
@@ -123,6 +151,22 @@
 	return others
 }
 
+// foreignReaders returns the first live instances of other cells.
+func (m *Manager) foreignReaders() []model.Instance {
+	members := m.opts.Members()
+	var foreign []model.Instance
+	for _, in := range m.opts.Instances.All() {
+		isMember := slices.ContainsFunc(members, func(other model.Instance) bool { return other.ID == in.ID })
+		if in.State != model.InstanceLive || isMember || in.ID == m.opts.Self.ID {
+			continue
+		}
+		if foreign = append(foreign, in); len(foreign) == maxForeignReaders {
+			break
+		}
+	}
+	return foreign
+}
+
 // pollReader polls the reader for changes. It runs under keyEntries.
 func (m *Manager) pollReader(reader model.Instance) {
 	cursor, current := m.cursor, m.opts.Rules.Current()
@@ -157,6 +201,7 @@
 			m.applyDelta(delta, reader)
 			if delta.Source != m.opts.Self.ID {
 				m.recordRead(now.Add(-delta.Ages.Entries), delta.Source, delta.Ages.Hops+1)
+				m.recordCellRead(reader.ID, now.Add(-delta.Ages.Entries))
 				m.reviewOutage(delta.Ages, delta.Source, now)
 				m.recordRulesFresh(now.Add(-delta.Ages.Rules), delta.Ages.RulesHops+1)
 			}
