rules: an empty list of tenants requires keys

After the operator had taken the last tenant away, every request ran and was answered 200, with the dropped key and with keys that no version had held.

An unknown key has no holder with any list. The decoder and Admit each fail a test of their own before.

The line "rules in force" shows it.

--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -38,7 +38,7 @@
 		return RouteMatch{}, &model.Refusal{Code: codeNoRoute, Message: "No route of this host has a prefix of the path.", Outcome: model.OutcomeNotRun}
 	}
 	a := RouteMatch{Route: route}
-	if len(current.Rules.Holders) > 0 {
+	if current.Rules.RequireKeys() {
 		organisation, known := current.Holder(req.Credential)
 		if !known && !route.Public {
 			return RouteMatch{}, &model.Refusal{Code: codeUnknownCredential, Message: "The credential names no organisation.", Outcome: model.OutcomeNotRun}
--- a/internal/coordination/forward/admit_test.go
+++ b/internal/coordination/forward/admit_test.go
@@ -54,6 +54,23 @@
 	}
 }
 
+// Guards against rules that name key holders, none of which is left, and that admit any caller
+// as rules without key holders do.
+func TestRulesWhoseLastKeyHolderIsGoneAdmitNoKey(t *testing.T) {
+	closed := admitRules()
+	closed.Holders, closed.KeysRequired = nil, true
+	open := admitRules()
+	open.Holders = nil
+	for _, key := range []string{"", "k1", "k3"} {
+		_, refusal := Admit(rules.NewIndex(closed), &Request{ID: "r", Host: "h", Path: "/a/x", Credential: key})
+		assert.Assert(t, refusal != nil && refusal.Code == codeUnknownCredential, "key %q", key)
+		_, refusal = Admit(rules.NewIndex(closed), &Request{ID: "r", Host: "h", Path: "/open/x", Credential: key})
+		assert.Assert(t, refusal == nil, "public route, key %q", key)
+		_, refusal = Admit(rules.NewIndex(open), &Request{ID: "r", Host: "h", Path: "/a/x", Credential: key})
+		assert.Assert(t, refusal == nil, "no key holders in the rules, key %q", key)
+	}
+}
+
 // Guards against a traffic split that ignores its weights, or that sends the same
 // request to different services.
 func TestSplitFollowsItsWeights(t *testing.T) {
--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -368,6 +368,7 @@
 	m.opts.Log.WithField("revision", r.Revision).
 		WithField("routes", len(r.Routes)).
 		WithField("organisations", len(r.Holders)).
+		WithField("keys_required", r.RequireKeys()).
 		WithField("source", source).
 		Info("rules in force")
 	m.shareMu.Lock()
--- a/internal/protocol/peerwire/rules_test.go
+++ b/internal/protocol/peerwire/rules_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/sequoiavalve/sequoiavalve/internal/coordination/registry"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 	"gotest.tools/v3/assert"
 )
@@ -106,3 +107,19 @@
 		}
 	})
 }
+
+// Guards against rules that close the system, since no key holder is left, and that open it at
+// the instances which receive them from another one.
+func TestRulesWithoutKeyHoldersStayClosed(t *testing.T) {
+	rules := manyRoutes(1, 3)
+	rules.Holders, rules.KeysRequired = nil, true
+	packed, err := PackRules(rules, nil)
+	assert.NilError(t, err)
+	for name, packed := range map[string][]byte{"packed": packed, "plain": nil} {
+		message, err := EncodeNews(registry.Delta{Rules: rules}, packed)
+		assert.NilError(t, err, name)
+		delta, err := DecodeNews(message, nil)
+		assert.NilError(t, err, name)
+		assert.Assert(t, delta.Rules.RequireKeys(), name)
+	}
+}
--- a/internal/state/model/forwarding.go
+++ b/internal/state/model/forwarding.go
@@ -67,10 +67,17 @@
 	Revision uint64
 	Routes   []HostRoute
 	Services []BackendService
-	Holders  []KeyHolder // if empty, no credential is required
+	Holders  []KeyHolder
 	Limits   CallerLimits
+	// KeysRequired is set if the rules name key holders, even if the list of them is empty.
+	// Rules of earlier builds do not have it; see RequireKeys.
+	KeysRequired bool `cbor:",omitempty"`
 }
 
+// RequireKeys reports whether requests to routes that are not public need a key of one of the
+// holders.
+func (r *RoutingRules) RequireKeys() bool { return r.KeysRequired || len(r.Holders) > 0 }
+
 // Service returns the service of the given name.
 func (r *RoutingRules) Service(name string) (BackendService, bool) {
 	for _, s := range r.Services {
