forward: a route without a service is refused

A route whose targets name no service got the service with the empty name, for which the table of upstreams returns the upstreams of all services, so that its requests would run at any of them.

Change: such a request is refused at once as not run (no_upstream, 503).

Measured: TestRouteWithoutAServiceRunsNowhere fails before and passes.

--- a/internal/coordination/forward/admit.go
+++ b/internal/coordination/forward/admit.go
@@ -46,6 +46,11 @@
 		a.Organisation = organisation
 	}
 	name := chooseService(route, req.ID)
+	if name == "" { // stands for all services in the table of upstreams
+		refusal := refuseNoUpstream(name, req)
+		refusal.Message = "The route names no service."
+		return RouteMatch{}, refusal
+	}
 	service, ok := current.Service(name)
 	if !ok {
 		service = model.BackendService{Name: name}
--- a/internal/coordination/forward/admit_test.go
+++ b/internal/coordination/forward/admit_test.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// Guards against a route without a service whose requests run at upstreams of any service.
+func TestRouteWithoutAServiceRunsNowhere(t *testing.T) {
+	for name, targets := range map[string][]model.RouteTarget{"no target": nil, "no name": {{Weight: 1}}, "no weight": {{}, {Service: "s"}}} {
+		r := &model.RoutingRules{Routes: []model.HostRoute{{Host: "h", Prefix: "/", Targets: targets}}}
+		_, refusal := Admit(rules.NewIndex(r), &Request{ID: "r", Host: "h", Path: "/x"})
+		assert.Assert(t, refusal != nil && refusal.Code == codeNoUpstream && refusal.Outcome == model.OutcomeNotRun, name)
+	}
+}
+
 // Guards against a traffic split that ignores its weights, or that sends the same
 // request to different services.
 func TestSplitFollowsItsWeights(t *testing.T) {
