--- a/internal/transport/standin/fleet/fleet.go
+++ b/internal/transport/standin/fleet/fleet.go
@@ -111,6 +111,15 @@
 // not say that it leaves.
 func (f *Fleet) DrainEntry(w *Worker) { w.register(stateDraining) }
 
+// RemoveEntry removes the entry of a worker, which does not write it again. The worker goes
+// on serving.
+func (f *Fleet) RemoveEntry(w *Worker) {
+	w.entry.Lock()
+	defer w.entry.Unlock()
+	w.drains, w.entryEra = true, f.Store.Era()
+	f.Store.Remove("servers", w.opts.ID)
+}
+
 // storeKVCopy records that the worker at the address holds a copy of a request's
 // KV cache up to the position.
 func (f *Fleet) storeKVCopy(address, request string, position int) {
--- a/tests/e2e/outage_test.go
+++ b/tests/e2e/outage_test.go
@@ -70,14 +70,14 @@
 // it.
 type outageSeries struct {
 	*edges
-	links []*proxy
+	links  []*proxy
+	pauses pauseWatch
 
-	mu       sync.Mutex
-	version  int
-	key      string // the key that the next change takes away
-	route    string // the prefix that the next change adds
-	answers  map[string][]outageAnswer
-	maxPause time.Duration
+	mu      sync.Mutex
+	version int
+	key     string // the key that the next change takes away
+	route   string // the prefix that the next change adds
+	answers map[string][]outageAnswer
 }
 
 // Guards against keys that are served after they were taken away, routes that are
@@ -227,15 +227,15 @@
 	time.Sleep(settleTime)
 	s.mu.Lock()
 	clear(s.answers)
-	s.maxPause = 0
 	s.mu.Unlock()
+	s.pauses.reset()
 	stop := make(chan struct{})
 	var asking sync.WaitGroup
 	for i := range s.procs {
 		asking.Go(func() { s.ask(i, "key", "/read/1", s.key, stop) })
 		asking.Go(func() { s.ask(i, "route", s.route+"1", "key", stop) })
 	}
-	asking.Go(func() { s.watchPauses(stop) })
+	asking.Go(func() { s.pauses.watch(stop) })
 	calls := s.fleet.Store.Calls()
 	back := s.fail(form, length, random)
 	calls = s.fleet.Store.Calls() - calls
@@ -287,29 +287,13 @@
 	}
 }
 
-// watchPauses measures the longest delay with which the scheduler wakes this process.
-func (s *outageSeries) watchPauses(stop <-chan struct{}) {
-	const nap = 20 * time.Millisecond
-	for {
-		began := time.Now()
-		select {
-		case <-stop:
-			return
-		case <-time.After(nap):
-		}
-		s.mu.Lock()
-		s.maxPause = max(s.maxPause, time.Since(began)-nap)
-		s.mu.Unlock()
-	}
-}
-
 // check checks that no instance gives an answer that the rules before the change alone
 // allow, longer after the return of the store than rulesTarget.
 func (s *outageSeries) check(form outageForm, length time.Duration, back, changed time.Time, calls int) {
 	s.t.Helper()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	slack := pauseFactor * s.maxPause
+	slack := pauseFactor * s.pauses.longest()
 	var latest time.Duration
 	for kind, old := range map[string]int{"key": http.StatusOK, "route": http.StatusNotFound} {
 		last := make([]time.Duration, len(s.procs))
@@ -331,7 +315,7 @@
 		}
 	}
 	s.t.Logf("%-7s %5d ms: rules in force %4d ms after the return, %d calls, %.2f an instance and second, longest pause %d ms",
-		form, length.Milliseconds(), latest.Milliseconds(), calls, float64(calls)/float64(len(s.procs))/length.Seconds(), s.maxPause.Milliseconds())
+		form, length.Milliseconds(), latest.Milliseconds(), calls, float64(calls)/float64(len(s.procs))/length.Seconds(), s.pauses.longest().Milliseconds())
 }
 
 // checkDrained checks that the worker got no request later than rulesTarget after the
@@ -344,7 +328,7 @@
 		last = max(last, run.Began.Sub(back))
 	}
 	s.t.Logf("last request of the worker that left %4d ms after the return", last.Milliseconds())
-	assert.Check(s.t, last <= rulesTarget+pauseFactor*s.maxPause, "%s: worker %s got a request %v after the return", form, id, last)
+	assert.Check(s.t, last <= rulesTarget+pauseFactor*s.pauses.longest(), "%s: worker %s got a request %v after the return", form, id, last)
 	s.fleet.Store.Remove("servers", id)
 	s.fleet.Crash(w)
 }
