--- a/internal/transport/standin/fleet/fleet.go
+++ b/internal/transport/standin/fleet/fleet.go
@@ -159,7 +159,7 @@
 	w.sequence++
 	entry := map[string]any{
 		"service": w.opts.Service, "address": w.address, "zone": w.opts.Zone, "version": w.Version(),
-		"slots": w.opts.Slots, "state": state, "sequence": w.sequence,
+		"slots": w.opts.Slots, "state": state, "sequence": w.sequence, "coldRemainingMs": 0,
 	}
 	w.mu.Unlock()
 	data, err := json.Marshal(entry)
--- a/tests/e2e/edge_test.go
+++ b/tests/e2e/edge_test.go
@@ -365,10 +365,10 @@
 	e.awaitReady()
 	for key, entry := range map[string]string{
 		"nested":   strings.Repeat("[", 50_000) + strings.Repeat("]", 50_000),
-		"overflow": `{"service":"desk","address":"127.0.0.1:80","state":"available","slots":1e400,"sequence":18446744073709551616}`,
-		"slots":    `{"service":"desk","address":"127.0.0.1:1","state":"available","slots":9223372036854775807}`,
-		"port":     `{"service":"desk","address":"127.0.0.1:65536","state":"available","slots":6}`,
-		"a\r\nb":   `{"service":"desk","address":"127.0.0.1:80","state":"available","slots":6}`,
+		"overflow": `{"service":"desk","address":"127.0.0.1:80","zone":"a","version":"v1","coldRemainingMs":0,"state":"available","slots":1e400,"sequence":18446744073709551616}`,
+		"slots":    `{"service":"desk","address":"127.0.0.1:1","zone":"a","version":"v1","coldRemainingMs":0,"sequence":1,"state":"available","slots":9223372036854775807}`,
+		"port":     `{"service":"desk","address":"127.0.0.1:65536","zone":"a","version":"v1","coldRemainingMs":0,"sequence":1,"state":"available","slots":6}`,
+		"a\r\nb":   `{"service":"desk","address":"127.0.0.1:80","zone":"a","version":"v1","coldRemainingMs":0,"sequence":1,"state":"available","slots":6}`,
 		"bytes":    "\xff\xfe",
 	} {
 		e.fleet.Store.Put("servers", key, []byte(entry))
