registry: entries count in the order of the store, whatever their incarnation

A worker that drained got requests until it exited, up to 4 s beyond the bound, and calls that ran there then were lost.

Cause: the table of upstreams ignores reports of a lower incarnation. That of an entry is the time of day of the start. After an entry with a later one, of another writer or of a start while the clock was ahead, the worker's own entries changed nothing.

Evidence: the entry in the store says that the worker drains, and the log has "upstream entry" with leaving true; only the report in the table stays up.

Change: ApplyEntry takes an entry of another incarnation for that of a later start, since entries arrive in the order of the store's revisions. The registry applies the entries that it has stored, so that one which a restored store shows in an older state has no effect. Other reports are ordered as before.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -272,7 +272,9 @@
 	m.dropRemoved(now)
 	m.configureUpstreams()
 	for _, e := range got.Changed {
-		m.applyReport(e)
+		if stored, known := s.byID[e.Upstream.ID]; known { // it may be newer than e
+			m.applyReport(stored)
+		}
 	}
 }
 
@@ -419,7 +421,7 @@
 	if e.Leaving {
 		health = upstream.HealthLeaving
 	}
-	m.opts.Upstreams.Apply(upstream.Report{
+	m.opts.Upstreams.ApplyEntry(upstream.Report{
 		Upstream:    e.Upstream.ID,
 		Incarnation: e.Incarnation,
 		Sequence:    e.Sequence,
--- a/internal/coordination/registry/registry_test.go
+++ b/internal/coordination/registry/registry_test.go
@@ -451,3 +451,43 @@
 		assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "phase %d", phase)
 	})
 }
+
+// Guards against an upstream that gets requests while it drains, because its entry had another
+// incarnation for a moment: one that another writer wrote, or that of a start while the time of
+// day was ahead.
+func TestEntryOfALowerIncarnationCounts(t *testing.T) {
+	for name, between := range map[string]Entry{
+		"another writer": {Upstream: model.Upstream{ID: "u1", Address: "elsewhere", Serves: "other"}, Incarnation: 9, Sequence: 1},
+		"clock ahead":    {Upstream: model.Upstream{ID: "u1", Address: "u1", Serves: "s"}, Incarnation: 9, Sequence: 1},
+		"leaves":         {Upstream: model.Upstream{ID: "u1", Address: "u1", Serves: "s"}, Incarnation: 9, Sequence: 1, Leaving: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newStoreContent()
+			c := startCell(t, w, "a", "b")
+			defer c.close()
+			write := func(e Entry) {
+				w.change(func() {
+					w.revision++
+					w.entries["u1"] = e
+				})
+				time.Sleep(defaultLeaveTimeout)
+				synctest.Wait()
+			}
+			own := entryOf("u1", false, 4)
+			own.Incarnation = 5
+			for _, e := range []Entry{own, between, own} {
+				write(e)
+			}
+			for id, m := range c {
+				row, _ := m.upstreams.Get("u1")
+				assert.Equal(t, row.Report.Health, upstream.HealthUp, "%s: %s", name, id)
+			}
+			own.Leaving, own.Sequence = true, 5
+			write(own)
+			for id, m := range c {
+				row, _ := m.upstreams.Get("u1")
+				assert.Equal(t, row.Report.Health, upstream.HealthLeaving, "%s: %s", name, id)
+			}
+		})
+	}
+}
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -82,7 +82,7 @@
 // fields.
 //
 // Invariants: a leaving upstream stays leaving until a higher incarnation is
-// reported, unless it was only absent from the document; InFlight equals the
+// reported, or an entry of another one, unless it was only absent from the document; InFlight equals the
 // number of Acquire calls less Release calls; Sent equals the number of the row's
 // send times, all later than Report.At.
 type Table struct {
@@ -170,12 +170,32 @@
 // it, even if its report has the higher sequence number, unless it is older by
 // maxReorder or more.
 func (t *Table) Apply(r Report) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[r.Upstream]
+	return ok && t.apply(row, r)
+}
+
+// ApplyEntry is Apply for the entry in which an upstream describes itself. Entries arrive in the
+// order in which they were written, so that one of another incarnation is of a later start even
+// if the number is lower: it is the time of day at the upstream, which may be set back, and
+// another writer may have written the entry in between.
+func (t *Table) ApplyEntry(r Report) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	row, ok := t.rows[r.Upstream]
 	if !ok {
 		return false
 	}
+	if r.Incarnation < row.Report.Incarnation {
+		row.absent = false
+		row.Report = Report{Upstream: r.Upstream, Health: HealthUnknown}
+	}
+	return t.apply(row, r)
+}
+
+// apply is Apply for a row. The caller holds mu.
+func (t *Table) apply(row *Row, r Report) bool {
 	old := row.Report
 	if r.Incarnation < old.Incarnation || (r.Incarnation == old.Incarnation && r.Sequence <= old.Sequence) {
 		return false
