registry: the choice of readers in a file of its own

The second one, with the checks of readers that were passed over, is in readers.go; instances of other cells are called so.

--- a/internal/coordination/registry/entries.go
+++ b/internal/coordination/registry/entries.go
@@ -121,33 +121,6 @@
 	m.seekSourceDuring(m.entriesLoop.step, slowReadTime)
 }
 
-// seekSourceDuring asks other instances how old their entries are if the read of the store in
-// this step of the loop has no answer for the given time, and polls the first one whose entries
-// are fresh enough in place of the read. The store may be silent to this instance alone.
-func (m *Manager) seekSourceDuring(step uint64, unanswered time.Duration) {
-	if m.opts.Peers == nil {
-		return
-	}
-	m.opts.Pool.After(unanswered, keyEntries, worker.Func(func() {
-		if m.entriesLoop.step != step {
-			return
-		}
-		for _, in := range m.otherReaders(time.Now()) {
-			m.askAges(in, func(delta Delta, err error) {
-				if err == nil && m.isSource(delta) && m.entriesLoop.step == step {
-					delete(m.lostReaders, in.ID)
-					m.storeLostUntil = time.Now().Add(avoidStoreFor)
-					m.readEntries()
-				}
-			})
-		}
-		m.seekSourceDuring(step, 2*unanswered)
-	}))
-}
-
-// hasReader reports whether this instance is to poll another one.
-func (m *Manager) hasReader() bool { return m.reader(time.Now()).ID != m.opts.Self.ID }
-
 // retryEntries reads the entries at the given time. Until then it checks lost readers, and
 // polls one of them as soon as that one has entries that are fresh enough.
 func (m *Manager) retryEntries(at time.Time) {
@@ -162,7 +135,7 @@
 	for _, due := range m.lostReaders {
 		next = earlierOf(next, due)
 	}
-	if from := m.foreignReadersFrom(); now.Before(from) {
+	if from := m.otherCellsFrom(); now.Before(from) {
 		next = earlierOf(next, from)
 	}
 	m.entriesLoop.after(next.Sub(now), func() { m.retryEntries(at) })
--- a/internal/coordination/registry/outage.go
+++ b/internal/coordination/registry/outage.go
@@ -1,11 +1,8 @@
 package registry
 
 import (
-	"context"
-	"math"
 	"time"
 
-	"github.com/sequoiavalve/sequoiavalve/internal/coordination/worker"
 	"github.com/sequoiavalve/sequoiavalve/internal/state/model"
 )
 
@@ -24,7 +21,7 @@
 	if m.opts.Peers == nil {
 		return
 	}
-	others := append(m.otherMembers(), m.foreignReaders()...)
+	others := append(m.otherMembers(), m.otherCellReaders()...)
 	for _, in := range others[:min(len(others), maxOutageAsks)] {
 		m.askAges(in, func(delta Delta, err error) {
 			if err == nil {
@@ -34,18 +31,6 @@
 	}
 }
 
-// askAges asks an instance how old its data are. The answer is handled under keyEntries.
-func (m *Manager) askAges(in model.Instance, answered func(Delta, error)) {
-	call := func(ctx context.Context) (Delta, error) { return m.opts.Peers.Poll(ctx, in, agesOnly(in), nil, 0) }
-	worker.Call(m.opts.Pool, keyEntries, m.limits.readerPollMargin(), call, answered)
-}
-
-// agesOnly returns a cursor for which an instance answers a poll with the ages alone: no
-// change is newer.
-func agesOnly(in model.Instance) Cursor {
-	return Cursor{ReaderIncarnation: in.Incarnation, Version: math.MaxUint64, RulesRevision: math.MaxUint64}
-}
-
 // reviewOutage takes the last outage back if another instance, whose data have these ages,
 // read the store all along. What was put off for the outage takes effect.
 func (m *Manager) reviewOutage(ages Ages, from model.InstanceID, now time.Time) {
--- a/internal/state/upstream/upstream.go
+++ b/internal/state/upstream/upstream.go
@@ -81,10 +81,10 @@
 // Table maps upstream IDs to rows. mu has lock.RankUpstream and guards all
 // fields.
 //
-// Invariants: a leaving upstream stays leaving until a higher incarnation is
-// reported, or an entry of another one, unless it was only absent from the document; InFlight equals the
-// number of Acquire calls less Release calls; Sent equals the number of the row's
-// send times, all later than Report.At.
+// Invariants: a leaving upstream stays leaving until a higher incarnation is reported or its
+// entry has another one, unless it was only absent from the document; InFlight equals the
+// number of Acquire calls less Release calls; Sent equals the number of the row's send times,
+// all later than Report.At.
 type Table struct {
 	mu        lock.Mutex
 	rows      map[model.UpstreamID]*Row
