registry: an instance of another cell finds a root reader for the one that it lost

Cause: an instance of another cell that reads the store itself kept the root reader that it had been told of, although it passes over that one, until the next check of a lost reader, 3 s later. Its members took it from there.

Change: while the known root reader is one that it passes over, it takes the next one in line, as instances of the first cell do.

--- a/internal/coordination/registry/registry.go
+++ b/internal/coordination/registry/registry.go
@@ -394,10 +394,17 @@
 	return model.Instance{}, false
 }
 
+// rootReaderIsLost reports whether this instance passes over the root reader that it knows.
+func (m *Manager) rootReaderIsLost() bool {
+	root, known := m.RootReader()
+	_, lost := m.lostReaders[root.ID]
+	return known && lost
+}
+
 // findRootReader finds the instance that reads the store for all others: for one that polls,
 // the one that its reader takes for it; for one of the first cell that reads the store
-// itself, the first in line that is not lost. Others know only what they were told, as does
-// one that fails to read. It runs under keyEntries.
+// itself, or one that has lost the root reader, the first in line that is not lost. Others know
+// only what they were told, as does one that fails to read. It runs under keyEntries.
 func (m *Manager) findRootReader() {
 	all := m.opts.Instances.All()
 	polls := !m.readsStore.Load()
@@ -407,7 +414,7 @@
 	if root, known := m.RootReader(); failing && known && root.ID == m.opts.Self.ID {
 		m.rootReader.Store(nil)
 	}
-	if failing || !polls && !inFirstCell {
+	if failing || !polls && !inFirstCell && !m.rootReaderIsLost() {
 		return
 	}
 	for _, in := range all {
