call: TestRepeatsAndKeys sends the repeat once the first call runs

Cause: it submitted the first call and its repeat at the same moment and expected the first one to run. Items of different requests run in parallel, so that either may. The product is not concerned: one of them ran, and the other one got its answer.

Change: the test waits until the first call runs, which is the case that it guards. Its checks are unchanged.

--- a/internal/coordination/call/once_test.go
+++ b/internal/coordination/call/once_test.go
@@ -223,6 +223,7 @@
 		}
 		sender.setFault(upstreamSlow)
 		submit("r0", "a", "x")
+		synctest.Wait() // requests that arrive together run in any order
 		submit("r1", "a", "x")
 		submit("r2", "a", "y")
 		submit("r3", "", "x")
